--- /dev/null
+++ b/crates/kernel/src/config/config_check.rs
@@ -0,0 +1,161 @@
+use std::fmt;
+
+use compact_str::{CompactString, format_compact};
+
+use crate::{
+    clock::TimeBudget,
+    config::{ConfigSnapshot, ProxySpec, RouteRule, ServiceSpec, ShareRatio},
+    ids::{DataCentre, RouteName, ServiceName, SlotCount},
+};
+
+/// One mistake in a configuration: where it is, and what is wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CheckProblem {
+    /// Path of the mistaken field, such as `routes.landing.service`.
+    pub place: CompactString,
+    /// What is wrong, and what would be right.
+    pub message: CompactString,
+}
+
+impl fmt::Display for CheckProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.message)
+    }
+}
+
+/// Checks a whole configuration and returns every mistake in it.
+///
+/// The list is empty when the configuration can be applied. The same checks run before a version
+/// is published and on every node before it is used.
+#[must_use]
+pub fn check_snapshot(snapshot: &ConfigSnapshot) -> Vec<CheckProblem> {
+    let mut problems = Vec::new();
+    if snapshot.proxies.is_empty() {
+        push(
+            &mut problems,
+            "proxies",
+            "at least one data centre is needed",
+        );
+    }
+    for (centre, spec) in &snapshot.proxies {
+        check_proxy(snapshot, centre, spec, &mut problems);
+    }
+    for (name, spec) in &snapshot.services {
+        check_service(name, spec, &mut problems);
+    }
+    for (name, rule) in &snapshot.routes {
+        check_route(snapshot, name, rule, &mut problems);
+    }
+    check_duplicate_paths(snapshot, &mut problems);
+    problems
+}
+
+fn push(
+    problems: &mut Vec<CheckProblem>,
+    place: impl Into<CompactString>,
+    message: impl Into<CompactString>,
+) {
+    problems.push(CheckProblem {
+        place: place.into(),
+        message: message.into(),
+    });
+}
+
+fn check_proxy(
+    snapshot: &ConfigSnapshot,
+    centre: &DataCentre,
+    spec: &ProxySpec,
+    problems: &mut Vec<CheckProblem>,
+) {
+    for other in &spec.spill_order {
+        let place = || format_compact!("proxies.{centre}.spill_order");
+        if other == centre {
+            push(
+                problems,
+                place(),
+                format_compact!("data centre {other} lists itself"),
+            );
+        } else if !snapshot.proxies.contains_key(other) {
+            let message = format_compact!("data centre \"{other}\" does not exist");
+            push(problems, place(), message);
+        }
+    }
+}
+
+fn check_service(name: &ServiceName, spec: &ServiceSpec, problems: &mut Vec<CheckProblem>) {
+    if spec.slots == SlotCount::new(0) {
+        let place = format_compact!("services.{name}.slots");
+        push(
+            problems,
+            place,
+            "a service without slots can run nothing; use 1 or more",
+        );
+    }
+    if spec.connections == 0 {
+        let place = format_compact!("services.{name}.connections");
+        push(problems, place, "no connection is allowed; use 1 or more");
+    }
+    if spec.rollout.first_share == ShareRatio::NONE {
+        let place = format_compact!("services.{name}.rollout.first_share");
+        push(
+            problems,
+            place,
+            "a first share of 0% never gives evidence; use more than 0%",
+        );
+    }
+}
+
+fn check_route(
+    snapshot: &ConfigSnapshot,
+    name: &RouteName,
+    rule: &RouteRule,
+    problems: &mut Vec<CheckProblem>,
+) {
+    if !snapshot.services.contains_key(&rule.service) {
+        let place = format_compact!("routes.{name}.service");
+        let message = format_compact!("service \"{}\" does not exist", rule.service);
+        push(problems, place, message);
+    }
+    if !rule.path.starts_with('/') {
+        let place = format_compact!("routes.{name}.path");
+        push(
+            problems,
+            place,
+            format_compact!("path {:?} does not start with \"/\"", rule.path),
+        );
+    }
+    if rule.timeout == TimeBudget::ZERO {
+        let place = format_compact!("routes.{name}.timeout");
+        push(
+            problems,
+            place,
+            "a timeout of zero refuses every request; use 1ms or more",
+        );
+    }
+}
+
+fn check_duplicate_paths(snapshot: &ConfigSnapshot, problems: &mut Vec<CheckProblem>) {
+    let rules: Vec<_> = snapshot.routes.iter().collect();
+    for (index, (name, rule)) in rules.iter().enumerate() {
+        let twin = rules[..index]
+            .iter()
+            .find(|(_, other)| other.path == rule.path && shares_method(other, rule));
+        if let Some((twin_name, _)) = twin {
+            let place = format_compact!("routes.{name}.path");
+            let message = format_compact!(
+                "path {:?} is already matched by route {twin_name}",
+                rule.path
+            );
+            push(problems, place, message);
+        }
+    }
+}
+
+fn shares_method(left: &RouteRule, right: &RouteRule) -> bool {
+    left.methods.is_empty()
+        || right.methods.is_empty()
+        || left
+            .methods
+            .iter()
+            .any(|method| right.methods.contains(method))
+}
--- /dev/null
+++ b/crates/kernel/src/config/config_snapshot.rs
@@ -0,0 +1,144 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::{ProxySpec, RouteRule, ServiceSpec, VersionStamp, check_snapshot},
+    error::{ErrorKind, MeshError},
+    ids::{ContentHash, DataCentre, MeshName, RouteName, ServiceName, VersionNumber},
+};
+
+/// Size limit of a configuration's canonical bytes.
+pub const MAX_SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
+
+/// A whole configuration: every service, every route, and what each data centre's proxies need.
+///
+/// A snapshot is replaced as a whole and never changed in place, so a route and the service that
+/// it points at always arrive together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigSnapshot {
+    /// Mesh that the configuration belongs to.
+    pub mesh: MeshName,
+    /// What differs between the proxies of different data centres.
+    pub proxies: BTreeMap<DataCentre, ProxySpec>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, ServiceSpec>,
+    /// Routes by name.
+    pub routes: BTreeMap<RouteName, RouteRule>,
+}
+
+impl ConfigSnapshot {
+    /// Returns the canonical bytes: the same snapshot gives the same bytes on every machine.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        let text = serde_json::to_vec(self).expect("a snapshot holds only serializable types");
+        Bytes::from(text)
+    }
+}
+
+/// A configuration version: its stamp, its content, and the bytes that the stamp's hash covers.
+///
+/// # Errors
+///
+/// The constructors refuse content that is oversized, malformed, fails a check, or does not match
+/// the expected hash. A value of this type has passed all checks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigVersion {
+    stamp: VersionStamp,
+    snapshot: Arc<ConfigSnapshot>,
+    body: Bytes,
+}
+
+impl ConfigVersion {
+    /// Builds the version `number` from a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Invalid`] when a check fails, [`ErrorKind::TooLarge`] when it is oversized.
+    pub fn from_snapshot(
+        number: VersionNumber,
+        snapshot: ConfigSnapshot,
+    ) -> Result<Self, MeshError> {
+        let body = snapshot.to_bytes();
+        check_size(&body)?;
+        check_all(&snapshot)?;
+        let hash = ContentHash::of(&body);
+        Ok(Self {
+            stamp: VersionStamp { number, hash },
+            snapshot: Arc::new(snapshot),
+            body,
+        })
+    }
+
+    /// Decodes and checks the bytes that were received for `stamp`.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Invalid`] when the bytes do not match the stamp's hash, are malformed, or fail
+    /// a check; [`ErrorKind::TooLarge`] when they are oversized.
+    pub fn from_bytes(stamp: VersionStamp, body: Bytes) -> Result<Self, MeshError> {
+        check_size(&body)?;
+        let hash = ContentHash::of(&body);
+        if hash != stamp.hash {
+            return Err(MeshError::invalid(format!(
+                "content of version {} has hash {hash} instead of {}",
+                stamp.number, stamp.hash
+            )));
+        }
+        let snapshot: ConfigSnapshot = serde_json::from_slice(&body).map_err(|error| {
+            MeshError::invalid(format!("content of version {}: {error}", stamp.number))
+        })?;
+        check_all(&snapshot)?;
+        Ok(Self {
+            stamp,
+            snapshot: Arc::new(snapshot),
+            body,
+        })
+    }
+
+    /// Returns the stamp.
+    #[must_use]
+    pub const fn stamp(&self) -> VersionStamp {
+        self.stamp
+    }
+
+    /// Returns the content.
+    #[must_use]
+    pub const fn snapshot(&self) -> &Arc<ConfigSnapshot> {
+        &self.snapshot
+    }
+
+    /// Returns the canonical bytes.
+    #[must_use]
+    pub const fn body(&self) -> &Bytes {
+        &self.body
+    }
+}
+
+fn check_size(body: &Bytes) -> Result<(), MeshError> {
+    if body.len() <= MAX_SNAPSHOT_BYTES {
+        return Ok(());
+    }
+    Err(MeshError::new(
+        ErrorKind::TooLarge,
+        format!(
+            "configuration has {} bytes, the limit is {MAX_SNAPSHOT_BYTES}",
+            body.len()
+        ),
+    ))
+}
+
+fn check_all(snapshot: &ConfigSnapshot) -> Result<(), MeshError> {
+    let problems = check_snapshot(snapshot);
+    let Some(first) = problems.first() else {
+        return Ok(());
+    };
+    let others = problems.len() - 1;
+    let message = match others {
+        0 => first.to_string(),
+        _ => format!("{first} (and {others} more)"),
+    };
+    Err(MeshError::invalid(message))
+}
--- /dev/null
+++ b/crates/kernel/src/config/mod.rs
@@ -0,0 +1,15 @@
+//! The configuration that a mesh runs, and its checks.
+
+mod config_check;
+mod config_snapshot;
+mod proxy_spec;
+mod route_rule;
+mod service_spec;
+mod version_stamp;
+
+pub use config_check::{CheckProblem, check_snapshot};
+pub use config_snapshot::{ConfigSnapshot, ConfigVersion, MAX_SNAPSHOT_BYTES};
+pub use proxy_spec::ProxySpec;
+pub use route_rule::{HttpMethod, RequestPriority, RouteObjective, RouteRule, ShareRatio};
+pub use service_spec::{RolloutRule, ServiceSpec};
+pub use version_stamp::VersionStamp;
--- /dev/null
+++ b/crates/kernel/src/config/route_rule.rs
@@ -0,0 +1,241 @@
+use std::{fmt, str::FromStr};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+use crate::{
+    clock::TimeBudget,
+    error::MeshError,
+    ids::{ByteCount, ServiceName},
+};
+
+/// A route: which requests it matches, and how they are treated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteRule {
+    /// Path prefix that the route matches; the longest matching prefix wins.
+    pub path: CompactString,
+    /// Methods that the route matches; empty matches every method.
+    pub methods: Vec<HttpMethod>,
+    /// Service that the requests go to.
+    pub service: ServiceName,
+    /// What happens to the requests under load.
+    pub priority: RequestPriority,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Time that a request without a deadline of its own gets.
+    pub timeout: TimeBudget,
+    /// Size limit of a request's body.
+    pub max_body: ByteCount,
+    /// What the route's callers are promised.
+    pub objective: RouteObjective,
+}
+
+/// Service-level objective of a route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteObjective {
+    /// Share of requests that must succeed within the latency.
+    pub success: ShareRatio,
+    /// Latency that a successful request stays under.
+    pub latency: TimeBudget,
+}
+
+/// Priority of a route's requests, most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RequestPriority {
+    /// Served first and shed last.
+    Urgent,
+    /// Served after urgent requests.
+    Normal,
+    /// Can wait: served last and shed first.
+    Deferrable,
+}
+
+impl RequestPriority {
+    /// Every priority, most urgent first.
+    pub const ALL: [Self; 3] = [Self::Urgent, Self::Normal, Self::Deferrable];
+
+    /// Returns the name that appears in answers, logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Urgent => "urgent",
+            Self::Normal => "normal",
+            Self::Deferrable => "deferrable",
+        }
+    }
+}
+
+impl fmt::Display for RequestPriority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for RequestPriority {
+    type Err = MeshError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|priority| priority.name() == text)
+            .ok_or_else(|| {
+                MeshError::invalid(format!(
+                    "priority {text:?} is not one of urgent, normal, deferrable"
+                ))
+            })
+    }
+}
+
+/// HTTP method that a route matches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum HttpMethod {
+    /// `GET`
+    Get,
+    /// `HEAD`
+    Head,
+    /// `POST`
+    Post,
+    /// `PUT`
+    Put,
+    /// `PATCH`
+    Patch,
+    /// `DELETE`
+    Delete,
+}
+
+impl HttpMethod {
+    /// Every method that a route can match.
+    pub const ALL: [Self; 6] = [
+        Self::Get,
+        Self::Head,
+        Self::Post,
+        Self::Put,
+        Self::Patch,
+        Self::Delete,
+    ];
+
+    /// Returns the method's name on the wire.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Get => "GET",
+            Self::Head => "HEAD",
+            Self::Post => "POST",
+            Self::Put => "PUT",
+            Self::Patch => "PATCH",
+            Self::Delete => "DELETE",
+        }
+    }
+}
+
+impl fmt::Display for HttpMethod {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for HttpMethod {
+    type Err = MeshError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|method| method.name() == text)
+            .ok_or_else(|| {
+                MeshError::invalid(format!(
+                    "method {text:?} is not one of GET, HEAD, POST, PUT, PATCH, DELETE"
+                ))
+            })
+    }
+}
+
+/// A share between nothing and all, in parts per million.
+///
+/// # Examples
+///
+/// ```
+/// use bronzelb_kernel::config::ShareRatio;
+///
+/// let share: ShareRatio = "99.9%".parse()?;
+/// assert_eq!(share.as_ppm(), 999_000);
+/// assert_eq!(share.to_string(), "99.9%");
+/// # Ok::<(), bronzelb_kernel::error::MeshError>(())
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ShareRatio(u32);
+
+impl ShareRatio {
+    /// Nothing.
+    pub const NONE: Self = Self(0);
+    /// All.
+    pub const ALL: Self = Self(PPM_OF_ALL);
+
+    /// Builds a share from parts per million, at most [`ShareRatio::ALL`].
+    #[must_use]
+    pub const fn from_ppm(ppm: u32) -> Self {
+        Self(if ppm > PPM_OF_ALL { PPM_OF_ALL } else { ppm })
+    }
+
+    /// Returns the share in parts per million.
+    #[must_use]
+    pub const fn as_ppm(self) -> u32 {
+        self.0
+    }
+
+    /// Returns the share as a number between zero and one.
+    #[must_use]
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / f64::from(PPM_OF_ALL)
+    }
+}
+
+const PPM_OF_ALL: u32 = 1_000_000;
+const PPM_OF_PERCENT: f64 = 10_000.0;
+
+impl fmt::Display for ShareRatio {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", f64::from(self.0) / PPM_OF_PERCENT)
+    }
+}
+
+impl FromStr for ShareRatio {
+    type Err = MeshError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let percent = text
+            .strip_suffix('%')
+            .and_then(|digits| digits.parse::<f64>().ok())
+            .filter(|percent| (0.0..=100.0).contains(percent))
+            .ok_or_else(|| {
+                MeshError::invalid(format!(
+                    "share {text:?} is not a percentage between 0% and 100%, such as \"99.9%\""
+                ))
+            })?;
+        Ok(Self((percent * PPM_OF_PERCENT).round() as u32))
+    }
+}
+
+impl Serialize for ShareRatio {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            serializer.serialize_u32(self.0)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for ShareRatio {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = CompactString::deserialize(deserializer)?;
+            text.parse().map_err(de::Error::custom)
+        } else {
+            u32::deserialize(deserializer).map(Self::from_ppm)
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/error/error_kind.rs
@@ -0,0 +1,146 @@
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{ErrorAnswer, MeshError, RunState};
+
+/// The closed list of reasons for which a request, command or message fails.
+///
+/// Every kind has one [`ErrorAnswer`]; see [`ErrorKind::answer`] for the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[non_exhaustive]
+pub enum ErrorKind {
+    /// The request, file or message is malformed.
+    Invalid,
+    /// The request, file or message exceeds a size limit.
+    TooLarge,
+    /// The sender did not finish its request in time.
+    SlowSender,
+    /// A token or key is missing or wrong.
+    Unauthorized,
+    /// No route matches the request.
+    UnknownRoute,
+    /// The named service, version or move does not exist.
+    NotFound,
+    /// Another writer changed the record first.
+    Conflict,
+    /// The deadline had passed before the request ran.
+    DeadlinePassed,
+    /// Admission refused the request because of load.
+    Overloaded,
+    /// No backend server of the service can be reached.
+    NoBackend,
+    /// The node is shutting down.
+    Draining,
+    /// The request is quarantined because it crashes backend servers.
+    Quarantined,
+    /// Another request with the same idempotency key is running.
+    InProgress,
+    /// The request with this idempotency key has already run.
+    AlreadyDone,
+    /// The platform's table service or object store does not answer.
+    PlatformAway,
+    /// The backend server failed after the request had reached it.
+    BackendFailed,
+    /// The request reached a backend server and its outcome is not known.
+    OutcomeUnknown,
+    /// The node has no configuration yet.
+    NotReady,
+    /// An input or output operation on the local machine failed.
+    LocalIo,
+}
+
+impl ErrorKind {
+    /// Every kind, in the order of the table.
+    pub const ALL: [Self; 19] = [
+        Self::Invalid,
+        Self::TooLarge,
+        Self::SlowSender,
+        Self::Unauthorized,
+        Self::UnknownRoute,
+        Self::NotFound,
+        Self::Conflict,
+        Self::DeadlinePassed,
+        Self::Overloaded,
+        Self::NoBackend,
+        Self::Draining,
+        Self::Quarantined,
+        Self::InProgress,
+        Self::AlreadyDone,
+        Self::PlatformAway,
+        Self::BackendFailed,
+        Self::OutcomeUnknown,
+        Self::NotReady,
+        Self::LocalIo,
+    ];
+
+    /// Returns the name that appears in answers, logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Invalid => "invalid",
+            Self::TooLarge => "too-large",
+            Self::SlowSender => "slow-sender",
+            Self::Unauthorized => "unauthorized",
+            Self::UnknownRoute => "unknown-route",
+            Self::NotFound => "not-found",
+            Self::Conflict => "conflict",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::Overloaded => "overloaded",
+            Self::NoBackend => "no-backend",
+            Self::Draining => "draining",
+            Self::Quarantined => "quarantined",
+            Self::InProgress => "in-progress",
+            Self::AlreadyDone => "already-done",
+            Self::PlatformAway => "platform-away",
+            Self::BackendFailed => "backend-failed",
+            Self::OutcomeUnknown => "outcome-unknown",
+            Self::NotReady => "not-ready",
+            Self::LocalIo => "local-io",
+        }
+    }
+
+    /// Returns the answer of this kind: HTTP status, exit code, and whether the request ran.
+    #[must_use]
+    pub const fn answer(self) -> ErrorAnswer {
+        use RunState::{NotRun, OutcomeUnknown, Ran};
+        match self {
+            Self::Invalid => ErrorAnswer::new(400, 2, NotRun, false),
+            Self::TooLarge => ErrorAnswer::new(413, 2, NotRun, false),
+            Self::SlowSender => ErrorAnswer::new(408, 2, NotRun, false),
+            Self::Unauthorized => ErrorAnswer::new(401, 3, NotRun, false),
+            Self::UnknownRoute | Self::NotFound => ErrorAnswer::new(404, 4, NotRun, false),
+            Self::Conflict => ErrorAnswer::new(409, 5, NotRun, false),
+            Self::DeadlinePassed => ErrorAnswer::new(504, 6, NotRun, false),
+            Self::Overloaded => ErrorAnswer::new(503, 6, NotRun, true),
+            Self::NoBackend | Self::Draining | Self::NotReady => {
+                ErrorAnswer::new(503, 6, NotRun, true)
+            }
+            Self::Quarantined => ErrorAnswer::new(422, 6, NotRun, false),
+            Self::InProgress => ErrorAnswer::new(409, 5, NotRun, true),
+            Self::AlreadyDone => ErrorAnswer::new(409, 5, Ran, false),
+            Self::PlatformAway => ErrorAnswer::new(503, 7, NotRun, true),
+            Self::BackendFailed => ErrorAnswer::new(502, 6, Ran, false),
+            Self::OutcomeUnknown => ErrorAnswer::new(504, 6, OutcomeUnknown, false),
+            Self::LocalIo => ErrorAnswer::new(500, 1, NotRun, false),
+        }
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for ErrorKind {
+    type Err = MeshError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|kind| kind.name() == text)
+            .ok_or_else(|| MeshError::invalid(format!("error kind {text:?} does not exist")))
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/error/mesh_error.rs
@@ -0,0 +1,77 @@
+use std::fmt;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::{clock::ClockInstant, error::ErrorKind};
+
+/// An error of the mesh: a closed kind, a message, and the instant at which to come back.
+///
+/// # Examples
+///
+/// ```
+/// use bronzelb_kernel::error::{ErrorKind, MeshError};
+///
+/// let error = MeshError::new(ErrorKind::NotFound, "service \"archive\" does not exist");
+/// assert_eq!(error.kind(), ErrorKind::NotFound);
+/// assert_eq!(error.to_string(), "not-found: service \"archive\" does not exist");
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
+#[snafu(display("{}", FormattedError { error: self }))]
+pub struct MeshError {
+    kind: ErrorKind,
+    message: CompactString,
+    retry_at: Option<ClockInstant>,
+}
+
+impl MeshError {
+    /// Builds an error of `kind` with a message for people.
+    pub fn new(kind: ErrorKind, message: impl Into<CompactString>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            retry_at: None,
+        }
+    }
+
+    /// Builds an error of kind [`ErrorKind::Invalid`].
+    pub fn invalid(message: impl Into<CompactString>) -> Self {
+        Self::new(ErrorKind::Invalid, message)
+    }
+
+    /// Sets the instant from which a retry may succeed.
+    #[must_use]
+    pub fn with_retry_at(mut self, instant: ClockInstant) -> Self {
+        self.retry_at = Some(instant);
+        self
+    }
+
+    /// Returns the kind.
+    #[must_use]
+    pub const fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+
+    /// Returns the message without the kind.
+    #[must_use]
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// Returns the instant from which a retry may succeed, if one is known.
+    #[must_use]
+    pub const fn retry_at(&self) -> Option<ClockInstant> {
+        self.retry_at
+    }
+}
+
+struct FormattedError<'a> {
+    error: &'a MeshError,
+}
+
+impl fmt::Display for FormattedError<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.error.kind, self.error.message)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/ids/counts.rs
@@ -0,0 +1,81 @@
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::MeshError;
+
+macro_rules! number_id {
+    ($(#[$meta:meta])* $name:ident, $repr:ty, $what:literal) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name($repr);
+
+        impl $name {
+            /// Wraps a plain number.
+            #[must_use]
+            pub const fn new(value: $repr) -> Self {
+                Self(value)
+            }
+
+            /// Returns the plain number.
+            #[must_use]
+            pub const fn get(self) -> $repr {
+                self.0
+            }
+
+            /// Returns the number that follows, saturating at the largest.
+            #[must_use]
+            pub const fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = MeshError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self).map_err(|_| {
+                    MeshError::invalid(format!("{} {text:?} is not a whole number", $what))
+                })
+            }
+        }
+    };
+}
+
+number_id!(
+    /// Number of a configuration version; a higher one replaces a lower one.
+    VersionNumber, u64, "configuration version"
+);
+number_id!(
+    /// Number of one run of a node; each start draws a higher one.
+    IncarnationNumber, u64, "incarnation"
+);
+number_id!(
+    /// Number of a version move, unique per service.
+    MoveNumber, u64, "move number"
+);
+number_id!(
+    /// Number of a request, unique per node and incarnation.
+    RequestNumber, u64, "request number"
+);
+number_id!(
+    /// Random token by which a writer recognises its own write after a lost answer.
+    AttemptToken, u128, "attempt token"
+);
+number_id!(
+    /// Number of requests that a backend server runs at once.
+    SlotCount, u32, "slot count"
+);
+number_id!(
+    /// Size in bytes.
+    ByteCount, u64, "byte count"
+);
--- /dev/null
+++ b/crates/kernel/src/ids/names.rs
@@ -0,0 +1,123 @@
+use std::{borrow::Borrow, fmt, str::FromStr};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Deserializer, Serialize, de};
+
+use crate::error::MeshError;
+
+const MAX_NAME_BYTES: usize = 64;
+const MAX_KEY_BYTES: usize = 128;
+
+macro_rules! text_id {
+    ($(#[$meta:meta])* $name:ident, $what:literal, $check:path) => {
+        $(#[$meta])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+        #[serde(transparent)]
+        pub struct $name(CompactString);
+
+        impl $name {
+            /// Returns the text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = MeshError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                $check($what, text)?;
+                Ok(Self(CompactString::from(text)))
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = CompactString::deserialize(deserializer)?;
+                $check($what, &text).map_err(de::Error::custom)?;
+                Ok(Self(text))
+            }
+        }
+    };
+}
+
+text_id!(
+    /// Name of a mesh, unique on one platform.
+    MeshName, "mesh name", check_name
+);
+text_id!(
+    /// Name of a crew: one team that a mesh is run for.
+    CrewName, "crew name", check_name
+);
+text_id!(
+    /// Name of a data centre.
+    DataCentre, "data centre", check_name
+);
+text_id!(
+    /// Name of a node, unique in its mesh.
+    NodeName, "node name", check_name
+);
+text_id!(
+    /// Name of a service.
+    ServiceName, "service name", check_name
+);
+text_id!(
+    /// Name of a route, unique in its mesh.
+    RouteName, "route name", check_name
+);
+text_id!(
+    /// Name of one backend server process, unique for its lifetime.
+    BackendName, "backend server name", check_name
+);
+text_id!(
+    /// Version of the software that a backend server runs.
+    BuildVersion, "version", check_name
+);
+text_id!(
+    /// Key under which a caller's non-idempotent request runs at most once.
+    IdempotencyKey, "idempotency key", check_key
+);
+
+fn check_name(what: &str, text: &str) -> Result<(), MeshError> {
+    let starts_well = text.starts_with(|c: char| c.is_ascii_alphanumeric());
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if starts_well && text.len() <= MAX_NAME_BYTES && text.chars().all(is_plain) {
+        return Ok(());
+    }
+    Err(MeshError::invalid(format!(
+        "{what} {:?} is not 1 to {MAX_NAME_BYTES} letters, digits, dots, dashes or underscores \
+         that start with a letter or digit",
+        shortened(text)
+    )))
+}
+
+fn check_key(what: &str, text: &str) -> Result<(), MeshError> {
+    let is_visible = |c: char| c.is_ascii_graphic();
+    if !text.is_empty() && text.len() <= MAX_KEY_BYTES && text.chars().all(is_visible) {
+        return Ok(());
+    }
+    Err(MeshError::invalid(format!(
+        "{what} {:?} is not 1 to {MAX_KEY_BYTES} visible ASCII characters",
+        shortened(text)
+    )))
+}
+
+fn shortened(text: &str) -> &str {
+    match text.char_indices().nth(MAX_NAME_BYTES) {
+        Some((end, _)) => &text[..end],
+        None => text,
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! Admission, choice of backend server, retries and at-most-once.
--- /dev/null
+++ b/crates/kernel/src/rollout/mod.rs
@@ -0,0 +1,1 @@
+//! Version moves: the curve, the evidence, and the state machine.
--- /dev/null
+++ b/crates/wire/src/handshake/mod.rs
@@ -0,0 +1,7 @@
+//! Mutual authentication of peers with the mesh key.
+
+mod mesh_key;
+mod peer_handshake;
+
+pub use mesh_key::MeshKey;
+pub use peer_handshake::{accept_peer, connect_peer};
--- /dev/null
+++ b/crates/wire/src/peer/mod.rs
@@ -0,0 +1,9 @@
+//! The remote procedures between nodes, and their messages.
+
+mod forward_message;
+mod gossip_message;
+mod peer_service;
+
+pub use forward_message::{ForwardAnswer, ForwardRequest, HeaderPair};
+pub use gossip_message::{GossipReply, GossipRequest, RecordEntry, SnapshotReply, SnapshotRequest};
+pub use peer_service::{PeerService, PeerServiceClient};
--- /dev/null
+++ b/crates/wire/src/peer/peer_service.rs
@@ -0,0 +1,21 @@
+// The tarpc macro generates items without doc comments.
+#![allow(missing_docs)]
+
+use bronzelb_kernel::error::MeshError;
+
+use crate::peer::{
+    ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, SnapshotReply, SnapshotRequest,
+};
+
+/// What one node asks of another.
+#[tarpc::service]
+pub trait PeerService {
+    /// Exchanges membership, the newest version stamp and replicated records.
+    async fn gossip(request: GossipRequest) -> Result<GossipReply, MeshError>;
+
+    /// Returns a configuration version's canonical bytes.
+    async fn snapshot(request: SnapshotRequest) -> Result<SnapshotReply, MeshError>;
+
+    /// Runs a caller's request on a backend server beside the called node.
+    async fn forward(request: ForwardRequest) -> Result<ForwardAnswer, MeshError>;
+}
