Add the client of the platform's table service and object store

PlatformClient is a struct of closures that a registered PlatformKind builds; the kind "http" speaks docs/PROTOCOLS.md over awc. Every call has a deadline and a size limit. A transact whose answer is lost is PlatformAway (outcome unknown); transact_with_token reads back and compares the attempt token, and sends the same conditional write again only while the row is unchanged.

--- /dev/null
+++ b/crates/platform/src/client/platform_client.rs
@@ -0,0 +1,139 @@
+use std::{fmt, rc::Rc};
+
+use bronzelb_kernel::{clock::ClockInstant, error::MeshError, ids::AttemptToken};
+use bytes::Bytes;
+use compact_str::CompactString;
+
+use crate::{
+    client::{PlatformCalls, PlatformKind, PlatformTarget, token_write},
+    table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
+};
+
+/// Client of the platform's table service and object store.
+///
+/// Every call ends by its deadline. A failed connection, a passed deadline and an answer with a
+/// server error are [`ErrorKind::PlatformAway`]. Clones share their connections, and stay on the
+/// thread that built them.
+///
+/// [`ErrorKind::PlatformAway`]: bronzelb_kernel::error::ErrorKind::PlatformAway
+#[derive(Clone)]
+pub struct PlatformClient {
+    calls: Rc<PlatformCalls>,
+}
+
+impl PlatformClient {
+    /// Builds a client of the registered kind `kind`; no connection is opened before the first
+    /// call.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` for an unknown kind and `Invalid` for an address that the kind does not take.
+    pub fn connect(kind: &str, target: &PlatformTarget) -> Result<Self, MeshError> {
+        let kind = PlatformKind::find(kind)?;
+        Ok(Self::from_calls((kind.connect)(target)?))
+    }
+
+    /// Builds a client from calls, such as those of a fake in a test.
+    #[must_use]
+    pub fn from_calls(calls: PlatformCalls) -> Self {
+        Self {
+            calls: Rc::new(calls),
+        }
+    }
+
+    /// Reads the row under `key`; `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformAway`, or `Invalid` for an answer that is malformed or oversized.
+    pub async fn get_row(
+        &self,
+        key: &RowKey,
+        deadline: ClockInstant,
+    ) -> Result<Option<TableRow>, MeshError> {
+        (self.calls.get_row)(key.clone(), deadline).await
+    }
+
+    /// Reads up to `limit` rows whose keys start with `prefix` and follow `after`.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformAway`, or `Invalid` for an answer that is malformed or oversized.
+    pub async fn scan_rows(
+        &self,
+        prefix: &str,
+        after: Option<&RowKey>,
+        limit: usize,
+        deadline: ClockInstant,
+    ) -> Result<ScanPage, MeshError> {
+        (self.calls.scan_rows)(prefix.into(), after.cloned(), limit, deadline).await
+    }
+
+    /// Writes rows atomically: all of them when every expectation is met, otherwise none.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` names the first row whose expectation failed; nothing was written.
+    /// `PlatformAway` means that the outcome is **unknown**: the write may have taken effect, may
+    /// still take effect, or may never do so. See [`transact_with_token`](Self::transact_with_token).
+    pub async fn transact(
+        &self,
+        writes: Vec<RowWrite>,
+        deadline: ClockInstant,
+    ) -> Result<RowRevision, MeshError> {
+        (self.calls.transact)(writes, deadline).await
+    }
+
+    /// Writes rows atomically and resolves a lost answer by reading back.
+    ///
+    /// The first write's value must be a JSON object with `token` in its field `attempt`, and its
+    /// expectation must be a revision or absence; this is what makes sending it again safe.
+    ///
+    /// # Errors
+    ///
+    /// - `Conflict`: another writer was first; nothing was written.
+    /// - `OutcomeUnknown`: an answer was lost, and another writer has replaced the row since.
+    /// - `PlatformAway`: the deadline passed first; the write may have taken effect.
+    /// - `Invalid`: the first write is not conditional or does not carry the token.
+    pub async fn transact_with_token(
+        &self,
+        writes: Vec<RowWrite>,
+        token: AttemptToken,
+        deadline: ClockInstant,
+    ) -> Result<RowRevision, MeshError> {
+        token_write::transact(self, writes, token, deadline).await
+    }
+
+    /// Stores `body` under `name`, replacing what was there.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformAway`; the object may have been stored.
+    pub async fn put_object(
+        &self,
+        name: &str,
+        body: Bytes,
+        deadline: ClockInstant,
+    ) -> Result<(), MeshError> {
+        (self.calls.put_object)(CompactString::from(name), body, deadline).await
+    }
+
+    /// Reads the object under `name`; `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformAway`, or `TooLarge` for an oversized object.
+    pub async fn get_object(
+        &self,
+        name: &str,
+        deadline: ClockInstant,
+    ) -> Result<Option<Bytes>, MeshError> {
+        (self.calls.get_object)(CompactString::from(name), deadline).await
+    }
+}
+
+impl fmt::Debug for PlatformClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("PlatformClient(..)")
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/http_platform.rs
@@ -0,0 +1,316 @@
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use awc::{
+    Client, Connector,
+    error::{PayloadError, SendRequestError},
+    http::{Method, StatusCode},
+};
+use bronzelb_kernel::{
+    clock::ClockInstant,
+    error::{ErrorKind, MeshError},
+};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{
+    client::{PlatformCalls, PlatformKind, PlatformTarget},
+    http::{path_encoding::encode_segment, wall_clock},
+    table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
+};
+
+const MAX_ROW_BYTES: usize = 1024 * 1024;
+const MAX_SCAN_BYTES: usize = 8 * 1024 * 1024;
+const MAX_OBJECT_BYTES: usize = 8 * 1024 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+const MAX_CONNECTIONS: usize = 16;
+
+inventory::submit! {
+    PlatformKind {
+        name: "http",
+        connect,
+    }
+}
+
+struct HttpPlatform {
+    client: Client,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct RowBody {
+    value: String,
+    revision: RowRevision,
+}
+
+#[derive(Serialize)]
+struct TransactBody {
+    writes: Vec<RowWrite>,
+}
+
+#[derive(Deserialize)]
+struct WrittenBody {
+    revision: RowRevision,
+}
+
+#[derive(Deserialize)]
+struct ConflictBody {
+    key: RowKey,
+    revision: u64,
+}
+
+/// A whole answer of the platform.
+struct HttpAnswer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+fn connect(target: &PlatformTarget) -> Result<PlatformCalls, MeshError> {
+    let address = target.address.parse().map_err(|_| {
+        MeshError::invalid(format!(
+            "platform address {:?} is not an IP address with a port, such as \"10.1.0.4:8080\"",
+            target.address
+        ))
+    })?;
+    let mut connector = Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(IDLE_TIMEOUT)
+        .limit(MAX_CONNECTIONS);
+    if let Some(local_address) = target.local_address {
+        connector = connector.local_address(local_address);
+    }
+    let client = Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish();
+    let platform = Rc::new(HttpPlatform { client, address });
+    Ok(build_calls(&platform))
+}
+
+fn build_calls(platform: &Rc<HttpPlatform>) -> PlatformCalls {
+    let getter = Rc::clone(platform);
+    let scanner = Rc::clone(platform);
+    let writer = Rc::clone(platform);
+    let storer = Rc::clone(platform);
+    let fetcher = Rc::clone(platform);
+    PlatformCalls {
+        get_row: Box::new(move |key, deadline| {
+            let platform = Rc::clone(&getter);
+            Box::pin(async move { platform.get_row(key, deadline).await })
+        }),
+        scan_rows: Box::new(move |prefix, after, limit, deadline| {
+            let platform = Rc::clone(&scanner);
+            Box::pin(async move { platform.scan_rows(&prefix, after, limit, deadline).await })
+        }),
+        transact: Box::new(move |writes, deadline| {
+            let platform = Rc::clone(&writer);
+            Box::pin(async move { platform.transact(writes, deadline).await })
+        }),
+        put_object: Box::new(move |name, body, deadline| {
+            let platform = Rc::clone(&storer);
+            Box::pin(async move { platform.put_object(&name, body, deadline).await })
+        }),
+        get_object: Box::new(move |name, deadline| {
+            let platform = Rc::clone(&fetcher);
+            Box::pin(async move { platform.get_object(&name, deadline).await })
+        }),
+    }
+}
+
+impl HttpPlatform {
+    async fn get_row(
+        &self,
+        key: RowKey,
+        deadline: ClockInstant,
+    ) -> Result<Option<TableRow>, MeshError> {
+        let path = format!("/table/rows/{}", encode_segment(key.as_str()));
+        let answer = self.read(&path, MAX_ROW_BYTES, deadline).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let body: RowBody = decode(&expect_success(answer)?)?;
+        Ok(Some(TableRow {
+            key,
+            value: body.value,
+            revision: body.revision,
+        }))
+    }
+
+    async fn scan_rows(
+        &self,
+        prefix: &str,
+        after: Option<RowKey>,
+        limit: usize,
+        deadline: ClockInstant,
+    ) -> Result<ScanPage, MeshError> {
+        let mut path = format!(
+            "/table/scan?prefix={}&limit={limit}",
+            encode_segment(prefix)
+        );
+        if let Some(after) = after {
+            path.push_str("&after=");
+            path.push_str(&encode_segment(after.as_str()));
+        }
+        let answer = self.read(&path, MAX_SCAN_BYTES, deadline).await?;
+        decode(&expect_success(answer)?)
+    }
+
+    async fn transact(
+        &self,
+        writes: Vec<RowWrite>,
+        deadline: ClockInstant,
+    ) -> Result<RowRevision, MeshError> {
+        let body = serde_json::to_vec(&TransactBody { writes })
+            .map_err(|error| MeshError::invalid(format!("transaction: {error}")))?;
+        let answer = self
+            .exchange(
+                Method::POST,
+                "/table/transact",
+                body.into(),
+                MAX_ROW_BYTES,
+                deadline,
+            )
+            .await?;
+        if answer.status == StatusCode::CONFLICT {
+            return Err(conflict(&answer.body));
+        }
+        let written: WrittenBody = decode(&expect_success(answer)?)?;
+        Ok(written.revision)
+    }
+
+    async fn put_object(
+        &self,
+        name: &str,
+        body: Bytes,
+        deadline: ClockInstant,
+    ) -> Result<(), MeshError> {
+        let path = format!("/objects/{}", encode_segment(name));
+        let answer = self
+            .exchange(Method::PUT, &path, body, MAX_ROW_BYTES, deadline)
+            .await?;
+        expect_success(answer).map(|_| ())
+    }
+
+    async fn get_object(
+        &self,
+        name: &str,
+        deadline: ClockInstant,
+    ) -> Result<Option<Bytes>, MeshError> {
+        let path = format!("/objects/{}", encode_segment(name));
+        let answer = self.read(&path, MAX_OBJECT_BYTES, deadline).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        expect_success(answer).map(Some)
+    }
+
+    async fn read(
+        &self,
+        path: &str,
+        max_bytes: usize,
+        deadline: ClockInstant,
+    ) -> Result<HttpAnswer, MeshError> {
+        self.exchange(Method::GET, path, Bytes::new(), max_bytes, deadline)
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        max_bytes: usize,
+        deadline: ClockInstant,
+    ) -> Result<HttpAnswer, MeshError> {
+        let left = deadline.left(wall_clock()).to_std();
+        let exchange = self.exchange_unbounded(method, path, body, max_bytes);
+        match tokio::time::timeout(left, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(self.away("no answer by the deadline")),
+        }
+    }
+
+    async fn exchange_unbounded(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        max_bytes: usize,
+    ) -> Result<HttpAnswer, MeshError> {
+        let url = format!("http://{}{path}", self.address);
+        let mut response = self
+            .client
+            .request(method, url)
+            .send_body(body)
+            .await
+            .map_err(|error| self.send_error(&error))?;
+        let status = response.status();
+        if status.is_server_error() {
+            return Err(self.away(status.as_str()));
+        }
+        let body = response
+            .body()
+            .limit(max_bytes)
+            .await
+            .map_err(|error| self.body_error(&error, max_bytes))?;
+        Ok(HttpAnswer { status, body })
+    }
+
+    fn send_error(&self, error: &SendRequestError) -> MeshError {
+        match error {
+            SendRequestError::Url(_) | SendRequestError::Http(_) => {
+                MeshError::invalid(format!("request to platform {}: {error}", self.address))
+            }
+            _ => self.away(&error.to_string()),
+        }
+    }
+
+    fn body_error(&self, error: &PayloadError, max_bytes: usize) -> MeshError {
+        if matches!(error, PayloadError::Overflow) {
+            return MeshError::new(
+                ErrorKind::TooLarge,
+                format!(
+                    "answer of platform {} exceeds {max_bytes} bytes",
+                    self.address
+                ),
+            );
+        }
+        self.away(&error.to_string())
+    }
+
+    fn away(&self, reason: &str) -> MeshError {
+        MeshError::new(
+            ErrorKind::PlatformAway,
+            format!("platform {}: {reason}", self.address),
+        )
+    }
+}
+
+fn expect_success(answer: HttpAnswer) -> Result<Bytes, MeshError> {
+    if answer.status.is_success() {
+        return Ok(answer.body);
+    }
+    Err(MeshError::invalid(format!(
+        "platform refused the request with status {}",
+        answer.status
+    )))
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, MeshError> {
+    serde_json::from_slice(body)
+        .map_err(|error| MeshError::invalid(format!("answer of the platform: {error}")))
+}
+
+fn conflict(body: &[u8]) -> MeshError {
+    match decode::<ConflictBody>(body) {
+        Ok(ConflictBody { key, revision: 0 }) => {
+            MeshError::new(ErrorKind::Conflict, format!("row {key} does not exist"))
+        }
+        Ok(ConflictBody { key, revision }) => MeshError::new(
+            ErrorKind::Conflict,
+            format!("row {key} is at revision {revision}"),
+        ),
+        Err(error) => error,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/table/mod.rs
@@ -0,0 +1,9 @@
+//! Rows of the table service, writes and scans.
+
+mod row_key;
+mod row_write;
+mod table_row;
+
+pub use row_key::{MAX_KEY_BYTES, RowKey};
+pub use row_write::{RowExpect, RowWrite};
+pub use table_row::{RowRevision, ScanPage, TableRow};
--- /dev/null
+++ b/crates/platform/src/table/row_key.rs
@@ -0,0 +1,51 @@
+use std::{fmt, str::FromStr};
+
+use bronzelb_kernel::error::MeshError;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// Size limit of a row's key.
+pub const MAX_KEY_BYTES: usize = 512;
+
+/// Key of a row, such as `hemelval/version`.
+///
+/// # Examples
+///
+/// ```
+/// use bronzelb_platform::table::RowKey;
+///
+/// let key: RowKey = "hemelval/version".parse()?;
+/// assert_eq!(key.as_str(), "hemelval/version");
+/// # Ok::<(), bronzelb_kernel::error::MeshError>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RowKey(CompactString);
+
+impl RowKey {
+    /// Returns the text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for RowKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0)
+    }
+}
+
+impl FromStr for RowKey {
+    type Err = MeshError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if !text.is_empty() && text.len() <= MAX_KEY_BYTES {
+            return Ok(Self(CompactString::from(text)));
+        }
+        Err(MeshError::invalid(format!(
+            "row key of {} bytes is not 1 to {MAX_KEY_BYTES} bytes long",
+            text.len()
+        )))
+    }
+}
