Add the platform stand-in with faults and counters

bronzelb-emulator platform serves docs/PROTOCOLS.md from memory; a control listener takes PUT /faults (away, hang, delay, lost answers, late writes, failing share with seed, rate limits) and shows GET /counters (totals, busiest second, source addresses of readers).

Tests drive it through PlatformClient: atomic writes, scans, objects, lost answers, deadlines. They first failed with status 400: the client sent no content type, which is mended here.

--- /dev/null
+++ b/crates/emulator/src/command/emulator_command.rs
@@ -0,0 +1,45 @@
+use std::{ffi::OsString, process::ExitCode};
+
+use bronzelb_kernel::error::MeshError;
+use clap::{ArgMatches, Command};
+
+use crate::command::platform_command;
+
+/// A subcommand: how its arguments look, and what it does.
+struct Subcommand {
+    define: fn() -> Command,
+    run: fn(&ArgMatches) -> Result<(), MeshError>,
+}
+
+const SUBCOMMANDS: [Subcommand; 1] = [Subcommand {
+    define: platform_command::define,
+    run: platform_command::run,
+}];
+
+/// Runs the program with `args`, the program's name first, and returns its exit code.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let matches = define().get_matches_from(args);
+    let Some((name, sub_matches)) = matches.subcommand() else {
+        return ExitCode::from(2);
+    };
+    let subcommand = SUBCOMMANDS
+        .iter()
+        .find(|subcommand| (subcommand.define)().get_name() == name)
+        .expect("clap accepts only defined subcommands");
+    match (subcommand.run)(sub_matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bronzelb-emulator {name}: {error}");
+            ExitCode::from(error.kind().answer().exit_code)
+        }
+    }
+}
+
+fn define() -> Command {
+    Command::new("bronzelb-emulator")
+        .version(clap::crate_version!())
+        .about("Stand-ins for what a bronzelb mesh serves, with a load and experiment tool")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(SUBCOMMANDS.iter().map(|subcommand| (subcommand.define)()))
+}
--- /dev/null
+++ b/crates/emulator/src/command/mod.rs
@@ -0,0 +1,6 @@
+//! The command line of `bronzelb-emulator`.
+
+mod emulator_command;
+mod platform_command;
+
+pub use emulator_command::run;
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -1,3 +1,9 @@
-//! .
+//! Program `bronzelb-emulator`: stand-ins, load tool and experiments.
 
-fn main() {}
+use std::process::ExitCode;
+
+use bronzelb_emulator::command;
+
+fn main() -> ExitCode {
+    command::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/emulator/src/platform/object_handler.rs
@@ -0,0 +1,50 @@
+use actix_web::{HttpRequest, HttpResponse, web};
+
+use crate::platform::{
+    fault_gate::{RequestSort, close, pass_gate},
+    platform_state::StateHandle,
+};
+
+pub(crate) async fn put_object(
+    state: web::Data<StateHandle>,
+    request: HttpRequest,
+    name: web::Path<String>,
+    body: web::Bytes,
+) -> HttpResponse {
+    if let Some(response) = pass_gate(&state, &request, RequestSort::Write).await {
+        return response;
+    }
+    let mut guard = state.lock();
+    guard.counters.objects_written += 1;
+    let name = name.into_inner();
+    let lost = &mut guard.faults.lose_answers;
+    let is_lost = lost.next > 0 && name.starts_with(&lost.key_prefix);
+    if is_lost {
+        lost.next -= 1;
+        guard.counters.faulted += 1;
+    }
+    guard.objects.insert(name, body);
+    if is_lost {
+        return close(&request);
+    }
+    HttpResponse::NoContent().finish()
+}
+
+pub(crate) async fn get_object(
+    state: web::Data<StateHandle>,
+    request: HttpRequest,
+    name: web::Path<String>,
+) -> HttpResponse {
+    if let Some(response) = pass_gate(&state, &request, RequestSort::Read).await {
+        return response;
+    }
+    let mut guard = state.lock();
+    let Some(body) = guard.objects.get(name.as_str()).cloned() else {
+        return HttpResponse::NotFound().finish();
+    };
+    guard.counters.objects_read += 1;
+    guard.counters.object_bytes_read += body.len() as u64;
+    HttpResponse::Ok()
+        .content_type("application/octet-stream")
+        .body(body)
+}
--- /dev/null
+++ b/crates/emulator/src/platform/platform_server.rs
@@ -0,0 +1,111 @@
+use std::{net::SocketAddr, time::Duration};
+
+use actix_web::{
+    App, HttpServer,
+    web::{self, ServiceConfig},
+};
+use bronzelb_kernel::error::{ErrorKind, MeshError};
+use futures::future::try_join;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    platform::{control_handler, object_handler, platform_state::StateHandle, table_handler},
+    server::{ConnectionHandle, local_error, print_listening},
+};
+
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+const SHUTDOWN_SECS: u64 = 1;
+
+/// Addresses that the stand-in prints when it is ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformAddresses {
+    /// Address of the table and the objects.
+    pub address: SocketAddr,
+    /// Address of the faults and counters.
+    pub control: SocketAddr,
+}
+
+/// Serves the stand-in until the process is told to stop.
+///
+/// # Errors
+///
+/// `LocalIo` when an address cannot be bound.
+pub fn serve(address: SocketAddr, control: SocketAddr) -> Result<(), MeshError> {
+    let state = StateHandle::new();
+    actix_web::rt::System::new().block_on(serve_both(state, address, control))
+}
+
+async fn serve_both(
+    state: StateHandle,
+    address: SocketAddr,
+    control: SocketAddr,
+) -> Result<(), MeshError> {
+    let gate_state = state.clone();
+    let main_state = web::Data::new(state.clone());
+    let main = HttpServer::new(move || {
+        App::new()
+            .app_data(main_state.clone())
+            .configure(configure_main)
+    })
+    .on_connect(move |connection, extensions| {
+        ConnectionHandle::store(connection, extensions);
+        if gate_state.lock().faults.away
+            && let Some(handle) = extensions.get::<ConnectionHandle>()
+        {
+            handle.close();
+        }
+    })
+    .workers(1)
+    .keep_alive(KEEP_ALIVE)
+    .shutdown_timeout(SHUTDOWN_SECS)
+    .bind(address)
+    .map_err(|error| local_error(&format!("listen on {address}"), &error))?;
+    let control_state = web::Data::new(state);
+    let controls = HttpServer::new(move || {
+        App::new()
+            .app_data(control_state.clone())
+            .configure(configure_control)
+    })
+    .workers(1)
+    .shutdown_timeout(SHUTDOWN_SECS)
+    .bind(control)
+    .map_err(|error| local_error(&format!("listen on {control}"), &error))?;
+    print_listening(&PlatformAddresses {
+        address: first_address(&main.addrs())?,
+        control: first_address(&controls.addrs())?,
+    })?;
+    try_join(main.run(), controls.run())
+        .await
+        .map_err(|error| local_error("serve", &error))?;
+    Ok(())
+}
+
+fn configure_main(config: &mut ServiceConfig) {
+    config
+        .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
+        .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+        .route("/table/rows/{key}", web::get().to(table_handler::get_row))
+        .route("/table/scan", web::get().to(table_handler::scan))
+        .route("/table/transact", web::post().to(table_handler::transact))
+        .route("/objects/{name}", web::put().to(object_handler::put_object))
+        .route("/objects/{name}", web::get().to(object_handler::get_object));
+}
+
+fn configure_control(config: &mut ServiceConfig) {
+    config
+        .route("/faults", web::put().to(control_handler::put_faults))
+        .route("/faults", web::get().to(control_handler::get_faults))
+        .route("/counters", web::get().to(control_handler::get_counters))
+        .route(
+            "/counters",
+            web::delete().to(control_handler::delete_counters),
+        );
+}
+
+fn first_address(addresses: &[SocketAddr]) -> Result<SocketAddr, MeshError> {
+    addresses
+        .first()
+        .copied()
+        .ok_or_else(|| MeshError::new(ErrorKind::LocalIo, "listener has no address"))
+}
--- /dev/null
+++ b/crates/emulator/src/platform/platform_state.rs
@@ -0,0 +1,47 @@
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use bytes::Bytes;
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::platform::{PlatformCounters, PlatformFaults, TableStore};
+
+/// Everything that the platform stand-in keeps.
+pub(crate) struct PlatformState {
+    pub(crate) table: TableStore,
+    pub(crate) objects: BTreeMap<String, Bytes>,
+    pub(crate) faults: PlatformFaults,
+    pub(crate) random: StdRng,
+    pub(crate) counters: PlatformCounters,
+}
+
+impl PlatformState {
+    /// Replaces the faults and restarts their random sequence.
+    pub(crate) fn set_faults(&mut self, faults: PlatformFaults) {
+        self.random = StdRng::seed_from_u64(faults.seed);
+        self.faults = faults;
+    }
+}
+
+/// Shared handle of the [`PlatformState`].
+#[derive(Clone)]
+pub(crate) struct StateHandle(Arc<Mutex<PlatformState>>);
+
+impl StateHandle {
+    pub(crate) fn new() -> Self {
+        let faults = PlatformFaults::default();
+        Self(Arc::new(Mutex::new(PlatformState {
+            table: TableStore::default(),
+            objects: BTreeMap::new(),
+            random: StdRng::seed_from_u64(faults.seed),
+            faults,
+            counters: PlatformCounters::default(),
+        })))
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/platform/table_store.rs
@@ -0,0 +1,94 @@
+use std::{collections::BTreeMap, ops::Bound};
+
+use bronzelb_platform::table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow};
+use serde::Serialize;
+
+/// Value and revision of a stored row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct StoredRow {
+    /// Value of the row.
+    pub value: String,
+    /// Revision that the row was written at.
+    pub revision: RowRevision,
+}
+
+/// The first write of a transaction whose expectation failed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct WriteConflict {
+    /// Row of the write.
+    pub key: RowKey,
+    /// Revision of the row, zero if it does not exist.
+    pub revision: RowRevision,
+}
+
+/// Rows in memory, written by atomic transactions.
+#[derive(Clone, Debug, Default)]
+pub struct TableStore {
+    rows: BTreeMap<RowKey, StoredRow>,
+    last_revision: u64,
+}
+
+impl TableStore {
+    /// Returns the row under `key`.
+    #[must_use]
+    pub fn get(&self, key: &RowKey) -> Option<&StoredRow> {
+        self.rows.get(key)
+    }
+
+    /// Returns up to `limit` rows whose keys start with `prefix` and follow `after`.
+    #[must_use]
+    pub fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> ScanPage {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut matching = self
+            .rows
+            .range((start, Bound::Unbounded))
+            .filter(|(key, _)| key.as_str().starts_with(prefix));
+        let rows = matching
+            .by_ref()
+            .take(limit)
+            .map(|(key, row)| TableRow {
+                key: key.clone(),
+                value: row.value.clone(),
+                revision: row.revision,
+            })
+            .collect();
+        ScanPage {
+            rows,
+            more: matching.next().is_some(),
+        }
+    }
+
+    /// Writes all rows, or none when an expectation fails.
+    ///
+    /// # Errors
+    ///
+    /// The first write whose expectation failed.
+    pub fn transact(&mut self, writes: Vec<RowWrite>) -> Result<RowRevision, WriteConflict> {
+        for write in &writes {
+            let held = self.rows.get(&write.key).map(|row| row.revision);
+            if !write.expect.is_met_by(held) {
+                return Err(WriteConflict {
+                    key: write.key.clone(),
+                    revision: held.unwrap_or(RowRevision::new(0)),
+                });
+            }
+        }
+        self.last_revision += 1;
+        let revision = RowRevision::new(self.last_revision);
+        for write in writes {
+            self.apply(write, revision);
+        }
+        Ok(revision)
+    }
+
+    fn apply(&mut self, write: RowWrite, revision: RowRevision) {
+        match write.value {
+            Some(value) => {
+                self.rows.insert(write.key, StoredRow { value, revision });
+            }
+            None => {
+                self.rows.remove(&write.key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/server/mod.rs
@@ -0,0 +1,9 @@
+//! What the stand-ins' HTTP listeners share.
+
+mod connection_handle;
+mod listening_event;
+mod wall_clock;
+
+pub use connection_handle::ConnectionHandle;
+pub use listening_event::{local_error, print_listening};
+pub use wall_clock::wall_clock;
--- /dev/null
+++ b/crates/emulator/tests/platform.rs
@@ -0,0 +1,225 @@
+//! The platform stand-in, seen through the platform's client.
+
+use std::{
+    io::{BufRead, BufReader},
+    process::{Child, Command, Stdio},
+};
+
+use bronzelb_emulator::{
+    platform::{LostAnswers, PlatformAddresses, PlatformCounters, PlatformFaults},
+    server::wall_clock,
+};
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    error::ErrorKind,
+    ids::AttemptToken,
+};
+use bronzelb_platform::{
+    PlatformClient, PlatformTarget,
+    table::{RowExpect, RowKey, RowRevision, RowWrite},
+};
+use bytes::Bytes;
+
+/// A running stand-in; it ends with the value.
+struct PlatformProcess {
+    child: Child,
+    addresses: PlatformAddresses,
+}
+
+impl PlatformProcess {
+    fn start() -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_bronzelb-emulator"))
+            .arg("platform")
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the emulator starts");
+        let mut line = String::new();
+        let output = child.stdout.take().expect("standard output is piped");
+        BufReader::new(output)
+            .read_line(&mut line)
+            .expect("the stand-in prints its addresses");
+        let addresses = serde_json::from_str(&line).expect("the line is JSON");
+        Self { child, addresses }
+    }
+
+    fn client(&self) -> PlatformClient {
+        let target = PlatformTarget::new(self.addresses.address.to_string());
+        PlatformClient::connect("http", &target).expect("kind http exists")
+    }
+
+    async fn set_faults(&self, faults: &PlatformFaults) {
+        let url = format!("http://{}/faults", self.addresses.control);
+        let response = awc::Client::default().put(url).send_json(faults).await;
+        assert!(response.expect("the control answers").status().is_success());
+    }
+
+    async fn counters(&self) -> PlatformCounters {
+        let url = format!("http://{}/counters", self.addresses.control);
+        let mut response = awc::Client::default()
+            .get(url)
+            .send()
+            .await
+            .expect("the control answers");
+        response.json().await.expect("counters are JSON")
+    }
+}
+
+impl Drop for PlatformProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn soon() -> ClockInstant {
+    wall_clock().after(TimeBudget::from_secs(10))
+}
+
+fn key(text: &str) -> RowKey {
+    text.parse().expect("the key is valid")
+}
+
+fn lose_next_answer() -> PlatformFaults {
+    PlatformFaults {
+        lose_answers: LostAnswers {
+            next: 1,
+            ..LostAnswers::default()
+        },
+        ..PlatformFaults::default()
+    }
+}
+
+#[actix_web::test]
+async fn transaction_writes_all_rows_or_none() {
+    let platform = PlatformProcess::start();
+    let client = platform.client();
+    let first = RowWrite::put(key("mesh/a b/ü"), "one").with_expect(RowExpect::Absent);
+    let revision = client.transact(vec![first], soon()).await.unwrap();
+
+    let good = RowWrite::put(key("mesh/good"), "two");
+    let stale = RowWrite::put(key("mesh/a b/ü"), "three")
+        .with_expect(RowExpect::Revision(RowRevision::new(revision.get() + 7)));
+    let error = client
+        .transact(vec![good, stale], soon())
+        .await
+        .unwrap_err();
+
+    assert_eq!(error.kind(), ErrorKind::Conflict);
+    assert_eq!(error.message(), "row mesh/a b/ü is at revision 1");
+    let good_row = client.get_row(&key("mesh/good"), soon()).await.unwrap();
+    assert_eq!(good_row, None);
+    let row = client
+        .get_row(&key("mesh/a b/ü"), soon())
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!((row.value.as_str(), row.revision), ("one", revision));
+}
+
+#[actix_web::test]
+async fn scan_pages_follow_each_other() {
+    let platform = PlatformProcess::start();
+    let client = platform.client();
+    let names = ["m/1", "m/2", "m/3", "n/1"];
+    let writes = names.map(|name| RowWrite::put(key(name), name)).to_vec();
+    client.transact(writes, soon()).await.unwrap();
+
+    let page = client.scan_rows("m/", None, 2, soon()).await.unwrap();
+    assert!(page.more);
+    let last = page.rows.last().map(|row| row.key.clone());
+    let rest = client
+        .scan_rows("m/", last.as_ref(), 2, soon())
+        .await
+        .unwrap();
+    assert!(!rest.more);
+    let keys: Vec<_> = page
+        .rows
+        .into_iter()
+        .chain(rest.rows)
+        .map(|row| row.key)
+        .collect();
+    assert_eq!(keys, [key("m/1"), key("m/2"), key("m/3")]);
+}
+
+#[actix_web::test]
+async fn object_comes_back_as_stored() {
+    let platform = PlatformProcess::start();
+    let client = platform.client();
+    let body = Bytes::from(vec![7; 300_000]);
+    client
+        .put_object("mesh/abc", body.clone(), soon())
+        .await
+        .unwrap();
+    assert_eq!(
+        client.get_object("mesh/abc", soon()).await.unwrap(),
+        Some(body)
+    );
+    assert_eq!(client.get_object("mesh/abd", soon()).await.unwrap(), None);
+    assert_eq!(platform.counters().await.objects_read, 1);
+}
+
+#[actix_web::test]
+async fn lost_answer_is_unknown_and_resolved_by_token() {
+    let platform = PlatformProcess::start();
+    let client = platform.client();
+    platform.set_faults(&lose_next_answer()).await;
+    let plain = RowWrite::put(key("m/plain"), "x");
+    let error = client.transact(vec![plain], soon()).await.unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::PlatformAway);
+    let row = client.get_row(&key("m/plain"), soon()).await.unwrap();
+    assert!(
+        row.is_some(),
+        "the write takes effect although its answer is lost"
+    );
+
+    platform.set_faults(&lose_next_answer()).await;
+    let write = RowWrite::put(key("m/version"), r#"{"attempt":11}"#).with_expect(RowExpect::Absent);
+    let token = AttemptToken::new(11);
+    let revision = client
+        .transact_with_token(vec![write], token, soon())
+        .await
+        .unwrap();
+    assert_eq!(revision, RowRevision::new(2));
+    assert_eq!(platform.counters().await.transacts, 2);
+}
+
+#[actix_web::test]
+async fn token_write_that_lost_the_race_is_a_conflict() {
+    let platform = PlatformProcess::start();
+    let client = platform.client();
+    let winner = RowWrite::put(key("m/version"), r#"{"attempt":1}"#);
+    client.transact(vec![winner], soon()).await.unwrap();
+    let write = RowWrite::put(key("m/version"), r#"{"attempt":2}"#).with_expect(RowExpect::Absent);
+    let error = client
+        .transact_with_token(vec![write], AttemptToken::new(2), soon())
+        .await
+        .unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::Conflict);
+}
+
+#[actix_web::test]
+async fn platform_that_is_away_or_hangs_ends_by_the_deadline() {
+    let platform = PlatformProcess::start();
+    let client = platform.client();
+    for faults in [
+        PlatformFaults {
+            away: true,
+            ..PlatformFaults::default()
+        },
+        PlatformFaults {
+            hang: true,
+            ..PlatformFaults::default()
+        },
+        PlatformFaults {
+            fail_share: 1.0,
+            ..PlatformFaults::default()
+        },
+    ] {
+        platform.set_faults(&faults).await;
+        let deadline = wall_clock().after(TimeBudget::from_millis(200));
+        let error = client.get_row(&key("m/a"), deadline).await.unwrap_err();
+        assert_eq!(error.kind(), ErrorKind::PlatformAway, "{faults:?}");
+    }
+    platform.set_faults(&PlatformFaults::default()).await;
+    assert_eq!(client.get_row(&key("m/a"), soon()).await.unwrap(), None);
+}
--- a/crates/platform/src/http/http_platform.rs
+++ b/crates/platform/src/http/http_platform.rs
@@ -239,9 +239,15 @@
         max_bytes: usize,
     ) -> Result<HttpAnswer, MeshError> {
         let url = format!("http://{}{path}", self.address);
+        let content_type = if method == Method::POST {
+            "application/json"
+        } else {
+            "application/octet-stream"
+        };
         let mut response = self
             .client
             .request(method, url)
+            .content_type(content_type)
             .send_body(body)
             .await
             .map_err(|error| self.send_error(&error))?;
--- a/crates/platform/src/table/row_key.rs
+++ b/crates/platform/src/table/row_key.rs
@@ -2,7 +2,7 @@
 
 use bronzelb_kernel::error::MeshError;
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de};
 
 /// Size limit of a row's key.
 pub const MAX_KEY_BYTES: usize = 512;
@@ -18,7 +18,7 @@
 /// assert_eq!(key.as_str(), "hemelval/version");
 /// # Ok::<(), bronzelb_kernel::error::MeshError>(())
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(transparent)]
 pub struct RowKey(CompactString);
 
@@ -49,3 +49,10 @@
         )))
     }
 }
+
+impl<'de> Deserialize<'de> for RowKey {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = CompactString::deserialize(deserializer)?;
+        text.parse().map_err(de::Error::custom)
+    }
+}
