--- /dev/null
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -0,0 +1,172 @@
+use actix_web::{
+    HttpRequest, HttpResponse,
+    http::{StatusCode, header::HeaderMap},
+    web,
+};
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    config::{HttpMethod, RouteRule},
+    error::{ErrorKind, MeshError, RunState},
+    ids::IdempotencyKey,
+};
+use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest, HeaderPair};
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use futures::StreamExt;
+use slog::info;
+use tokio::time;
+
+use crate::{
+    callers::{error_response, route_match::match_route},
+    forward::{PlannedRequest, RequestForwarder, is_hop_header},
+    log::EventName,
+};
+
+const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Answers one request of a caller.
+pub(crate) async fn handle_caller(
+    request: HttpRequest,
+    payload: web::Payload,
+    forwarder: web::Data<RequestForwarder>,
+) -> HttpResponse {
+    let state = forwarder.state();
+    let request_id = state.next_request_id();
+    let result = run_request(&request, payload, &forwarder, &request_id).await;
+    let mut response = match result {
+        Ok(answer) => answer_response(&answer),
+        Err(error) => {
+            state.count(error.kind().name());
+            info!(state.logger, "{}", EventName::RequestFailed;
+                "request" => request_id.as_str(), "kind" => error.kind().name(),
+                "message" => error.message().to_owned());
+            error_response(&error, Some(state.now()))
+        }
+    };
+    let headers = response.headers_mut();
+    if let Ok(value) = request_id.parse() {
+        headers.insert("x-bronzelb-request".parse().expect("a valid name"), value);
+    }
+    if let Some(config) = state.config() {
+        let number = config.stamp().number.get();
+        headers.insert("x-bronzelb-config".parse().expect("a valid name"), number.into());
+    }
+    response
+}
+
+async fn run_request(
+    request: &HttpRequest,
+    payload: web::Payload,
+    forwarder: &RequestForwarder,
+    request_id: &CompactString,
+) -> Result<ForwardAnswer, MeshError> {
+    let state = forwarder.state();
+    let now = state.now();
+    let config = state.config().ok_or_else(|| {
+        MeshError::new(ErrorKind::NotReady, "the node has no configuration yet")
+            .with_retry_at(now.after(TimeBudget::from_secs(1)))
+    })?;
+    let method: HttpMethod = request.method().as_str().parse()?;
+    let (route, rule) = match_route(config.snapshot(), method, request.path())?;
+    let deadline = read_deadline(request.headers(), rule, now)?;
+    let key = read_key(request.headers())?;
+    let left = deadline.left(now).to_std();
+    let body = time::timeout(left, read_body(payload, rule))
+        .await
+        .map_err(|_| MeshError::new(ErrorKind::SlowSender, "the body did not arrive in time"))??;
+    let planned = PlannedRequest {
+        service: rule.service.clone(),
+        deadline,
+        message: ForwardRequest {
+            request_id: request_id.clone(),
+            route: route.clone(),
+            backend: None,
+            key,
+            method,
+            target: request_target(request),
+            headers: end_to_end_headers(request.headers()),
+            body,
+        },
+    };
+    forwarder.run(planned).await
+}
+
+fn read_deadline(
+    headers: &HeaderMap,
+    rule: &RouteRule,
+    now: ClockInstant,
+) -> Result<ClockInstant, MeshError> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(now.after(rule.timeout));
+    };
+    let millis: i64 = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| {
+            MeshError::invalid(format!("{DEADLINE_HEADER} is not a number of milliseconds"))
+        })?;
+    let millis = u64::try_from(millis).unwrap_or(0);
+    if millis == 0 {
+        return Err(MeshError::new(
+            ErrorKind::DeadlinePassed,
+            "the deadline had passed when the request arrived",
+        ));
+    }
+    let wanted = TimeBudget::from_millis(millis);
+    Ok(now.after(wanted.min(rule.timeout)))
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, MeshError> {
+    let Some(value) = headers.get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| MeshError::invalid(format!("{KEY_HEADER} is not visible ASCII")))?;
+    text.parse().map(Some)
+}
+
+async fn read_body(mut payload: web::Payload, rule: &RouteRule) -> Result<Bytes, MeshError> {
+    let limit = usize::try_from(rule.max_body.get()).unwrap_or(usize::MAX);
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| MeshError::invalid(format!("request body: {error}")))?;
+        if body.len() + chunk.len() > limit {
+            return Err(MeshError::new(
+                ErrorKind::TooLarge,
+                format!("request body exceeds the route's limit of {limit} bytes"),
+            ));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn request_target(request: &HttpRequest) -> CompactString {
+    let uri = request.uri();
+    uri.path_and_query()
+        .map_or_else(|| CompactString::from(uri.path()), |target| target.as_str().into())
+}
+
+fn end_to_end_headers(headers: &HeaderMap) -> Vec<HeaderPair> {
+    headers
+        .iter()
+        .filter(|(name, _)| !is_hop_header(name.as_str()))
+        .map(|(name, value)| HeaderPair {
+            name: name.as_str().into(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
+
+fn answer_response(answer: &ForwardAnswer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    for pair in &answer.headers {
+        builder.append_header((pair.name.as_str(), pair.value.as_ref()));
+    }
+    builder.insert_header(("x-bronzelb-run", RunState::Ran.name()));
+    builder.body(answer.body.clone())
+}
--- /dev/null
+++ b/crates/daemon/src/callers/error_response.rs
@@ -0,0 +1,40 @@
+use actix_web::{HttpResponse, http::StatusCode};
+use bronzelb_kernel::{clock::ClockInstant, error::MeshError};
+use compact_str::CompactString;
+use serde::Serialize;
+
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+#[derive(Debug, Serialize)]
+struct ErrorBody {
+    kind: &'static str,
+    message: CompactString,
+    run: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// Builds the HTTP answer that the table of errors gives for `error`.
+///
+/// `now` turns the error's instant for a retry into the time that is left until then.
+#[must_use]
+pub fn error_response(error: &MeshError, now: Option<ClockInstant>) -> HttpResponse {
+    let answer = error.kind().answer();
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let retry_after_ms = error
+        .retry_at()
+        .zip(now)
+        .map(|(instant, now)| instant.left(now).as_millis());
+    let mut builder = HttpResponse::build(status);
+    builder.insert_header(("x-bronzelb-run", answer.run_state.name()));
+    if let Some(millis) = retry_after_ms {
+        builder.insert_header(("retry-after", millis.div_ceil(MILLIS_PER_SECOND).to_string()));
+        builder.insert_header(("x-bronzelb-retry-after-ms", millis.to_string()));
+    }
+    builder.json(ErrorBody {
+        kind: error.kind().name(),
+        message: CompactString::from(error.message()),
+        run: answer.run_state.name(),
+        retry_after_ms,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/command/daemon_command.rs
@@ -0,0 +1,31 @@
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, Command, crate_version, value_parser};
+
+const EXAMPLES: &str = "\
+Examples:
+  bronzelbd --settings /etc/bronzelb/node.yaml
+  bronzelbd --settings node.yaml --check-settings";
+
+/// Builds the definition of the daemon's command line.
+#[must_use]
+pub fn daemon_command() -> Command {
+    Command::new("bronzelbd")
+        .version(crate_version!())
+        .about("Node of the bronzelb service mesh: proxy, and holder of the configuration")
+        .after_help(EXAMPLES)
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .help("Settings of the node, in YAML")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("check-settings")
+                .long("check-settings")
+                .help("Check the settings, print the mistakes, and exit")
+                .action(ArgAction::SetTrue),
+        )
+}
--- /dev/null
+++ b/crates/daemon/src/command/mod.rs
@@ -0,0 +1,7 @@
+//! The daemon's command line.
+
+mod daemon_command;
+mod run_daemon;
+
+pub use daemon_command::daemon_command;
+pub use run_daemon::run_daemon;
--- /dev/null
+++ b/crates/daemon/src/log/event_name.rs
@@ -0,0 +1,58 @@
+use std::fmt;
+
+/// The closed list of events that a node logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[non_exhaustive]
+pub enum EventName {
+    /// Every listener is open; the addresses are in the fields.
+    Listening,
+    /// A configuration version came into force.
+    ConfigApplied,
+    /// A configuration version was refused; the old one stays in force.
+    ConfigRefused,
+    /// The platform stopped or resumed answering.
+    PlatformState,
+    /// A peer's connection was refused or closed.
+    PeerRefused,
+    /// A member's state changed.
+    MemberChanged,
+    /// A backend server announced itself.
+    BackendAnnounced,
+    /// A backend server left, or its lease lapsed.
+    BackendLeft,
+    /// A request failed or was refused.
+    RequestFailed,
+    /// A version move changed its state.
+    MoveChanged,
+    /// A graceful shutdown began.
+    Draining,
+    /// The process ends.
+    Stopped,
+}
+
+impl EventName {
+    /// Returns the name in the log.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Listening => "listening",
+            Self::ConfigApplied => "config-applied",
+            Self::ConfigRefused => "config-refused",
+            Self::PlatformState => "platform-state",
+            Self::PeerRefused => "peer-refused",
+            Self::MemberChanged => "member-changed",
+            Self::BackendAnnounced => "backend-announced",
+            Self::BackendLeft => "backend-left",
+            Self::RequestFailed => "request-failed",
+            Self::MoveChanged => "move-changed",
+            Self::Draining => "draining",
+            Self::Stopped => "stopped",
+        }
+    }
+}
+
+impl fmt::Display for EventName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/log/mod.rs
@@ -0,0 +1,7 @@
+//! Structured logs: JSON lines with a closed list of event names.
+
+mod event_name;
+mod node_logger;
+
+pub use event_name::EventName;
+pub use node_logger::NodeLogger;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,7 @@
-//! .
+//! Daemon of the bronzelb service mesh: one process beside the backend servers of each VM.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bronzelbd::command::run_daemon()
+}
--- /dev/null
+++ b/crates/daemon/src/metrics/mod.rs
@@ -0,0 +1,5 @@
+//! Metrics: written through cadence, kept in memory, read on the operators' port.
+
+mod metric_sink;
+
+pub use metric_sink::{MetricClient, MetricSink};
--- /dev/null
+++ b/crates/daemon/src/node/mod.rs
@@ -0,0 +1,11 @@
+//! The node: its shared state, its clock, and how it starts and stops.
+
+mod node_state;
+mod run_node;
+mod stop_signal;
+mod system_clock;
+
+pub use node_state::{NodeAddresses, NodeState, PlatformHealth};
+pub use run_node::run_node;
+pub use stop_signal::{StopSender, StopSignal};
+pub use system_clock::SystemClock;
--- /dev/null
+++ b/crates/daemon/src/node/run_node.rs
@@ -0,0 +1,110 @@
+use std::{net::TcpListener, sync::Arc};
+
+use actix::System;
+use bronzelb_kernel::error::{ErrorKind, MeshError};
+use slog::{Logger, info};
+use tokio::{
+    signal::unix::{self, SignalKind},
+    task::spawn_local,
+};
+
+use crate::{
+    callers::start_caller_server,
+    gossip::run_gossip,
+    log::{EventName, NodeLogger},
+    node::{NodeAddresses, NodeState, StopSignal},
+    operators::start_operator_server,
+    peers::start_peer_server,
+    settings::NodeSettings,
+    source::run_source,
+};
+
+/// Runs a node until a termination signal and a graceful shutdown.
+///
+/// # Errors
+///
+/// [`ErrorKind::LocalIo`] when a listener does not open.
+pub fn run_node(settings: NodeSettings) -> Result<(), MeshError> {
+    let listeners = NodeListeners::open(&settings)?;
+    let logger = NodeLogger::stdout(&settings.node, &settings.data_centre);
+    let state = NodeState::new(settings, listeners.addresses()?, logger);
+    System::new().block_on(serve(state, listeners))
+}
+
+struct NodeListeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+}
+
+impl NodeListeners {
+    fn open(settings: &NodeSettings) -> Result<Self, MeshError> {
+        Ok(Self {
+            callers: open(settings.callers.listen)?,
+            peers: open(settings.peers.listen)?,
+            operators: open(settings.operators.listen)?,
+        })
+    }
+
+    fn addresses(&self) -> Result<NodeAddresses, MeshError> {
+        Ok(NodeAddresses {
+            callers: self.callers.local_addr().map_err(io_error)?,
+            peers: self.peers.local_addr().map_err(io_error)?,
+            operators: self.operators.local_addr().map_err(io_error)?,
+        })
+    }
+}
+
+fn open(address: std::net::SocketAddr) -> Result<TcpListener, MeshError> {
+    let listener = TcpListener::bind(address).map_err(|error| {
+        MeshError::new(ErrorKind::LocalIo, format!("listener {address}: {error}"))
+    })?;
+    listener.set_nonblocking(true).map_err(io_error)?;
+    Ok(listener)
+}
+
+fn io_error(error: std::io::Error) -> MeshError {
+    MeshError::new(ErrorKind::LocalIo, error.to_string())
+}
+
+async fn serve(state: Arc<NodeState>, listeners: NodeListeners) -> Result<(), MeshError> {
+    let (sender, stop) = StopSignal::channel();
+    let callers = start_caller_server(Arc::clone(&state), listeners.callers)?;
+    let operators = start_operator_server(Arc::clone(&state), listeners.operators)?;
+    let peers = tokio::net::TcpListener::from_std(listeners.peers).map_err(io_error)?;
+    let caller_handle = callers.handle();
+    let operator_handle = operators.handle();
+    spawn_local(callers);
+    spawn_local(operators);
+    spawn_local(start_peer_server(Arc::clone(&state), peers, stop.clone()));
+    state.refresh_own_row();
+    spawn_local(run_gossip(Arc::clone(&state), stop.clone()));
+    spawn_local(run_source(Arc::clone(&state), stop));
+    announce_listening(&state);
+    wait_for_signal().await?;
+    state.start_draining();
+    caller_handle.stop(true).await;
+    drop(sender);
+    operator_handle.stop(false).await;
+    info!(state.logger, "{}", EventName::Stopped);
+    Ok(())
+}
+
+fn announce_listening(state: &NodeState) {
+    let addresses = state.addresses;
+    let logger: &Logger = &state.logger;
+    info!(logger, "{}", EventName::Listening;
+        "callers" => addresses.callers.to_string(),
+        "peers" => addresses.peers.to_string(),
+        "operators" => addresses.operators.to_string());
+}
+
+async fn wait_for_signal() -> Result<(), MeshError> {
+    let mut terminate = unix::signal(SignalKind::terminate()).map_err(io_error)?;
+    let mut interrupt = unix::signal(SignalKind::interrupt()).map_err(io_error)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/operators/backend_routes.rs
@@ -0,0 +1,79 @@
+use actix_web::{HttpResponse, Responder, web};
+use bronzelb_kernel::{
+    error::MeshError,
+    ids::{BackendName, SlotCount},
+};
+use serde::Serialize;
+use slog::info;
+
+use crate::{
+    backends::{BackendAnnouncement, LEASE_BUDGET},
+    callers::error_response,
+    log::EventName,
+    node::NodeState,
+};
+
+#[derive(Debug, Serialize)]
+struct LeaseAnswer {
+    lease_ms: u64,
+}
+
+/// Adds the routes by which backend servers announce themselves.
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
+    config.service(
+        web::resource("/v1/backends/{name}")
+            .route(web::put().to(announce))
+            .route(web::delete().to(leave)),
+    );
+}
+
+async fn announce(
+    state: web::Data<NodeState>,
+    name: web::Path<String>,
+    announcement: web::Json<BackendAnnouncement>,
+) -> impl Responder {
+    match take_in(&state, &name, announcement.into_inner()) {
+        Ok(()) => HttpResponse::Ok().json(LeaseAnswer {
+            lease_ms: LEASE_BUDGET.as_millis(),
+        }),
+        Err(error) => error_response(&error, None),
+    }
+}
+
+fn take_in(
+    state: &NodeState,
+    name: &str,
+    announcement: BackendAnnouncement,
+) -> Result<(), MeshError> {
+    let name: BackendName = name.parse()?;
+    if announcement.slots == SlotCount::new(0) {
+        return Err(MeshError::invalid(format!(
+            "backend server {name} announces zero slots; use 1 or more"
+        )));
+    }
+    let service = announcement.service.clone();
+    let backend_state = announcement.state;
+    let is_changed = state
+        .backends()
+        .announce(state.now(), name.clone(), announcement);
+    if is_changed {
+        state.refresh_own_row();
+        info!(state.logger, "{}", EventName::BackendAnnounced;
+            "backend" => name.to_string(), "service" => service.to_string(),
+            "state" => format!("{backend_state:?}"));
+    }
+    Ok(())
+}
+
+async fn leave(state: web::Data<NodeState>, name: web::Path<String>) -> impl Responder {
+    let name: BackendName = match name.parse() {
+        Ok(name) => name,
+        Err(error) => return error_response(&error, None),
+    };
+    let is_removed = state.backends().remove(&name);
+    if is_removed {
+        state.refresh_own_row();
+        info!(state.logger, "{}", EventName::BackendLeft; "backend" => name.to_string());
+    }
+    HttpResponse::NoContent().finish()
+}
--- /dev/null
+++ b/crates/daemon/src/operators/operator_guard.rs
@@ -0,0 +1,47 @@
+use actix_web::{
+    Error, HttpResponse,
+    body::{BoxBody, MessageBody},
+    dev::{ServiceRequest, ServiceResponse},
+    http::header::AUTHORIZATION,
+    middleware::Next,
+    web,
+};
+use bronzelb_kernel::error::{ErrorKind, MeshError};
+
+use crate::{callers::error_response, node::NodeState};
+
+/// Lets in requests from the VM itself, and others only with the operators' token.
+pub(crate) async fn check_operator(
+    request: ServiceRequest,
+    next: Next<impl MessageBody + 'static>,
+) -> Result<ServiceResponse<BoxBody>, Error> {
+    if is_allowed(&request) {
+        let response = next.call(request).await?;
+        return Ok(response.map_into_boxed_body());
+    }
+    let error = MeshError::new(
+        ErrorKind::Unauthorized,
+        "the operators' token is missing or wrong",
+    );
+    let response: HttpResponse = error_response(&error, None);
+    Ok(request.into_response(response))
+}
+
+fn is_allowed(request: &ServiceRequest) -> bool {
+    let is_local = request.peer_addr().is_some_and(|peer| peer.ip().is_loopback());
+    if is_local {
+        return true;
+    }
+    let Some(state) = request.app_data::<web::Data<NodeState>>() else {
+        return false;
+    };
+    let Some(token) = &state.settings.operators.token else {
+        return false;
+    };
+    let expected = format!("Bearer {token}");
+    let sent = request.headers().get(AUTHORIZATION);
+    // Hashes are compared in constant time.
+    sent.is_some_and(|sent| {
+        blake3::hash(sent.as_bytes()) == blake3::hash(expected.as_bytes())
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/operators/status_routes.rs
@@ -0,0 +1,42 @@
+use actix_web::{HttpResponse, Responder, web};
+use bronzelb_kernel::{
+    error::{ErrorKind, MeshError},
+    member::MemberState,
+};
+
+use crate::{callers::error_response, node::NodeState, operators::StatusReport};
+
+/// Adds the routes for health, readiness, status and metrics.
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/health", web::get().to(health))
+        .route("/v1/ready", web::get().to(ready))
+        .route("/v1/status", web::get().to(status))
+        .route("/v1/metrics", web::get().to(metrics));
+}
+
+async fn health() -> impl Responder {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn ready(state: web::Data<NodeState>) -> impl Responder {
+    match state.member_state() {
+        MemberState::Serving => HttpResponse::Ok().body("ready\n"),
+        MemberState::Draining => {
+            let error = MeshError::new(ErrorKind::Draining, "the node is shutting down");
+            error_response(&error, None)
+        }
+        _ => {
+            let error = MeshError::new(ErrorKind::NotReady, "the node has no configuration yet");
+            error_response(&error, None)
+        }
+    }
+}
+
+async fn status(state: web::Data<NodeState>) -> impl Responder {
+    HttpResponse::Ok().json(StatusReport::of(&state))
+}
+
+async fn metrics(state: web::Data<NodeState>) -> impl Responder {
+    HttpResponse::Ok().body(state.metric_sink.render())
+}
--- /dev/null
+++ b/crates/daemon/src/peers/transport.rs
@@ -0,0 +1,23 @@
+use serde::{Deserialize, Serialize};
+use tarpc::{serde_transport, tokio_serde::formats::Bincode};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Size limit of one message between nodes.
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Transport of typed messages over an authenticated connection.
+pub(crate) type PeerTransport<In, Out> =
+    serde_transport::Transport<TcpStream, In, Out, Bincode<In, Out>>;
+
+/// Wraps an authenticated connection; frames over the size limit end it.
+pub(crate) fn peer_transport<In, Out>(stream: TcpStream) -> PeerTransport<In, Out>
+where
+    In: for<'de> Deserialize<'de>,
+    Out: Serialize,
+{
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec();
+    serde_transport::new(Framed::new(stream, codec), Bincode::default())
+}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,9 @@
+//! The daemon's settings.
+
+mod node_settings;
+mod read_settings;
+
+pub use node_settings::{
+    CallerSettings, NodeSettings, OperatorSettings, PeerSettings, PlatformSettings,
+};
+pub use read_settings::read_settings;
--- a/crates/wire/src/peer/forward_message.rs
+++ b/crates/wire/src/peer/forward_message.rs
@@ -24,8 +24,8 @@
     pub request_id: CompactString,
     /// Route that the entry node matched.
     pub route: RouteName,
-    /// Backend server that the entry node chose.
-    pub backend: BackendName,
+    /// Backend server that the entry node chose; unset until then.
+    pub backend: Option<BackendName>,
     /// Caller's key, if it sent one.
     pub key: Option<IdempotencyKey>,
     /// Method of the request.
