Decide how a version is published in the kernel

A publisher whose answer was lost must not write blindly again, and of two publishers the loser must learn to what.

Ruled out: comparing hashes (two operators may publish the same content) and writing again without a read back.

--- a/crates/kernel/src/plugin/mod.rs
+++ b/crates/kernel/src/plugin/mod.rs
@@ -6,5 +6,5 @@
 mod record_kind;
 mod report_reader;
 
-pub use record_kind::RecordKind;
+pub use record_kind::{RecordKind, RecordMerge};
 pub use report_reader::{LoadReport, ReportReader};
--- a/crates/kernel/src/plugin/record_kind.rs
+++ b/crates/kernel/src/plugin/record_kind.rs
@@ -1,5 +1,8 @@
 use crate::error::{ErrorKind, MeshError};
 
+/// Merges the held value with a received one; fails when the received one is malformed.
+pub type RecordMerge = fn(held: Option<&[u8]>, received: &[u8]) -> Result<Vec<u8>, MeshError>;
+
 /// Kind of small mergeable record that the nodes replicate among themselves.
 ///
 /// A kind's merge must be commutative, associative and idempotent, so that every order of
@@ -11,7 +14,7 @@
     /// Size limit of one record's value.
     pub max_bytes: usize,
     /// Merges the held value with a received one; fails when the received one is malformed.
-    pub merge: fn(held: Option<&[u8]>, received: &[u8]) -> Result<Vec<u8>, MeshError>,
+    pub merge: RecordMerge,
 }
 
 inventory::collect!(RecordKind);
--- /dev/null
+++ b/crates/kernel/src/spread/publish_plan.rs
@@ -0,0 +1,234 @@
+use compact_str::{CompactString, format_compact};
+
+use crate::{
+    clock::ClockInstant,
+    config::{ConfigSnapshot, ConfigVersion, VersionStamp},
+    error::{ErrorKind, MeshError},
+    ids::{AttemptToken, MeshName, VersionNumber},
+    spread::{AcceptedAttempt, MAX_ACCEPTED_ATTEMPTS, VersionRow},
+};
+
+/// The row `MESH/version` with its revision, as read from the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CurrentRow {
+    /// Content of the row.
+    pub row: VersionRow,
+    /// Revision under which the table holds it.
+    pub revision: u64,
+}
+
+/// Identity of one attempt at publishing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PublishAttempt {
+    /// Fresh random token.
+    pub token: AttemptToken,
+    /// Who publishes.
+    pub publisher: CompactString,
+    /// Publisher's clock.
+    pub started_at: ClockInstant,
+}
+
+/// Answer of the platform to the compare-and-set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteAnswer {
+    /// The write took effect.
+    Written,
+    /// The row had another revision and nothing was written.
+    Conflict,
+    /// The answer was lost; the write may or may not have taken effect, now or later.
+    Unknown,
+}
+
+/// What a publisher does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PublishStep {
+    /// Send the same compare-and-set again; the attempt token makes that safe.
+    Write,
+    /// Read the row `MESH/version` and pass it to [`PublishPlan::after_read`].
+    ReadBack,
+    /// Nothing: the outcome is known.
+    Finished(PublishOutcome),
+}
+
+/// How an attempt at publishing ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PublishOutcome {
+    /// The version was accepted.
+    Accepted(VersionStamp),
+    /// Another publisher's version took the number.
+    Lost {
+        /// Number that was taken.
+        number: VersionNumber,
+        /// Who took it.
+        publisher: CompactString,
+    },
+    /// So many versions followed that the row no longer tells whether this one was accepted.
+    Unknown,
+}
+
+/// One attempt to make a snapshot the mesh's newest version.
+///
+/// The publisher first stores [`PublishPlan::version`]'s bytes as the object that the row names,
+/// then writes the row with the expectation [`PublishPlan::expect`]. It never reports an outcome
+/// that the table does not show: a lost answer is resolved by reading the row back and comparing
+/// attempt tokens.
+///
+/// # Examples
+///
+/// ```
+/// use bronzelb_kernel::{
+///     clock::ClockInstant,
+///     config::ConfigSnapshot,
+///     ids::AttemptToken,
+///     spread::{PublishAttempt, PublishOutcome, PublishPlan, PublishStep, WriteAnswer},
+/// };
+///
+/// let snapshot: ConfigSnapshot = serde_json::from_str(
+///     r#"{"mesh":"m","proxies":{"dc1":{"spill_order":[]}},"services":{},"routes":{}}"#,
+/// )
+/// .unwrap();
+/// let attempt = PublishAttempt {
+///     token: AttemptToken::new(7),
+///     publisher: "anna".into(),
+///     started_at: ClockInstant::from_millis(1),
+/// };
+/// let plan = PublishPlan::new(None, snapshot, attempt)?;
+/// assert_eq!(plan.expect(), 0);
+/// let step = plan.after_write(&WriteAnswer::Written);
+/// let accepted = PublishOutcome::Accepted(plan.version().stamp());
+/// assert_eq!(step, PublishStep::Finished(accepted));
+/// # Ok::<(), bronzelb_kernel::error::MeshError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct PublishPlan {
+    version: ConfigVersion,
+    row: VersionRow,
+    expect: u64,
+}
+
+impl PublishPlan {
+    /// Plans to publish `snapshot` on top of `current`, the row as it was just read.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Invalid`] when the snapshot fails a check and [`ErrorKind::TooLarge`] when it
+    /// is oversized; nothing has been written then.
+    pub fn new(
+        current: Option<&CurrentRow>,
+        snapshot: ConfigSnapshot,
+        attempt: PublishAttempt,
+    ) -> Result<Self, MeshError> {
+        let held = current.map(|current| &current.row);
+        let number = held.map_or(VersionNumber::new(1), |row| row.number.next());
+        let mesh = snapshot.mesh.clone();
+        let version = ConfigVersion::from_snapshot(number, snapshot)?;
+        let stamp = version.stamp();
+        let row = VersionRow {
+            number,
+            hash: stamp.hash,
+            object: object_name(&mesh, stamp),
+            attempt: attempt.token,
+            published_at: attempt.started_at,
+            publisher: attempt.publisher,
+            earlier: held.map(earlier_attempts).unwrap_or_default(),
+        };
+        Ok(Self {
+            version,
+            row,
+            expect: current.map_or(0, |current| current.revision),
+        })
+    }
+
+    /// Returns the version to store under the row's object name before the row is written.
+    #[must_use]
+    pub const fn version(&self) -> &ConfigVersion {
+        &self.version
+    }
+
+    /// Returns the row to write.
+    #[must_use]
+    pub const fn row(&self) -> &VersionRow {
+        &self.row
+    }
+
+    /// Returns the revision that the row must have for the write, 0 for a row that must not exist.
+    #[must_use]
+    pub const fn expect(&self) -> u64 {
+        self.expect
+    }
+
+    /// Decides what follows an answer to the write.
+    #[must_use]
+    pub fn after_write(&self, answer: &WriteAnswer) -> PublishStep {
+        match answer {
+            WriteAnswer::Written => self.accepted(),
+            // A conflict can be this attempt's own earlier write, whose answer was lost.
+            WriteAnswer::Conflict | WriteAnswer::Unknown => PublishStep::ReadBack,
+        }
+    }
+
+    /// Decides what follows a successful read of the row.
+    #[must_use]
+    pub fn after_read(&self, current: Option<&CurrentRow>) -> PublishStep {
+        let revision = current.map_or(0, |current| current.revision);
+        if revision == self.expect {
+            return PublishStep::Write;
+        }
+        let Some(current) = current else {
+            return PublishStep::Finished(PublishOutcome::Unknown);
+        };
+        self.judge_row(&current.row)
+    }
+
+    /// Turns an outcome other than acceptance into the error that the operator sees.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Conflict`] for a lost race and [`ErrorKind::OutcomeUnknown`] when the table no
+    /// longer tells.
+    pub fn report(&self, outcome: &PublishOutcome) -> Result<VersionStamp, MeshError> {
+        let wanted = self.row.number;
+        match outcome {
+            PublishOutcome::Accepted(stamp) => Ok(*stamp),
+            PublishOutcome::Lost { number, publisher } => Err(MeshError::new(
+                ErrorKind::Conflict,
+                format!("version {number} was published by {publisher} first"),
+            )),
+            PublishOutcome::Unknown => Err(MeshError::new(
+                ErrorKind::OutcomeUnknown,
+                format!("later versions hide whether version {wanted} was accepted"),
+            )),
+        }
+    }
+
+    fn accepted(&self) -> PublishStep {
+        PublishStep::Finished(PublishOutcome::Accepted(self.version.stamp()))
+    }
+
+    fn judge_row(&self, row: &VersionRow) -> PublishStep {
+        let mut acceptances = row.earlier.clone();
+        acceptances.push(row.acceptance());
+        let taken = acceptances
+            .iter()
+            .find(|accepted| accepted.number == self.row.number);
+        match taken {
+            Some(accepted) if accepted.attempt == self.row.attempt => self.accepted(),
+            Some(accepted) => PublishStep::Finished(PublishOutcome::Lost {
+                number: accepted.number,
+                publisher: accepted.publisher.clone(),
+            }),
+            None => PublishStep::Finished(PublishOutcome::Unknown),
+        }
+    }
+}
+
+fn object_name(mesh: &MeshName, stamp: VersionStamp) -> CompactString {
+    format_compact!("{mesh}-config-{}", stamp.hash)
+}
+
+fn earlier_attempts(row: &VersionRow) -> Vec<AcceptedAttempt> {
+    let mut attempts = vec![row.acceptance()];
+    attempts.extend(row.earlier.iter().cloned());
+    attempts.truncate(MAX_ACCEPTED_ATTEMPTS);
+    attempts
+}
--- a/crates/kernel/src/spread/record_table.rs
+++ b/crates/kernel/src/spread/record_table.rs
@@ -76,7 +76,7 @@
             ));
         }
         let held = self.records.get(&key);
-        let merged = (kind.merge)(held.map(|value| value.as_ref()), received)?;
+        let merged = (kind.merge)(held.map(AsRef::as_ref), received)?;
         if held.is_some_and(|value| value.as_ref() == merged.as_slice()) {
             return Ok(false);
         }
