Publish what the request path calls of version moves

Cause: the request path needs to know which version a request goes to and where to report outcomes. Change: MoveTable::version_split, VersionSplit::choose, VersionChoice::rank, MoveTable::record_outcome, the state table, the mark, the move record and the nodes' evidence as record kinds.

--- a/crates/kernel/src/rollout/mod.rs
+++ b/crates/kernel/src/rollout/mod.rs
@@ -1,1 +1,24 @@
 //! Version moves: the curve, the evidence, and the state machine.
+//!
+//! A request path asks [`MoveTable::version_split`] which version a request goes to, and tells
+//! [`MoveTable::record_outcome`] how it ended. Everything else follows from these two.
+
+mod latency_histogram;
+mod move_mark;
+mod move_record;
+mod move_state;
+mod move_table;
+mod node_evidence;
+mod outcome_report;
+mod version_split;
+
+pub use latency_histogram::LatencyHistogram;
+pub use move_mark::{MARK_KIND, MarkCause, MoveMark};
+pub use move_record::{MOVE_KIND, MoveRecord, MoveStatement};
+pub use move_state::{MoveEvent, MoveState, MoveTransition};
+pub use move_table::MoveTable;
+pub use node_evidence::{
+    EVIDENCE_KIND, EvidenceCell, EvidenceKey, NodeEvidence, NodeSlot, VersionSide,
+};
+pub use outcome_report::{OutcomeClass, OutcomeReport};
+pub use version_split::{VersionChoice, VersionSplit};
