Read a mesh's answers into its configuration

A new crate, bronzelb-yaml, holds the located reading, which the daemon's settings can use as well.

Ruled out: serde-saphyr with Spanned fields, because it stops at the first mistake; saphyr's MarkedYaml tree, because it resolves aliases while loading and merges repeated keys.

--- /dev/null
+++ b/crates/answers/src/reader/answers_reader.rs
@@ -0,0 +1,144 @@
+use std::path::Path;
+
+use bronzelb_kernel::{
+    config::ConfigSnapshot,
+    ids::{CrewName, MeshName},
+};
+use bronzelb_yaml::{
+    node::{FieldIndex, YamlNode},
+    parser,
+    problem::{FileError, ProblemList},
+    reader::{FieldNode, MapReader, parse_with},
+};
+use compact_str::format_compact;
+
+use crate::{
+    model::{RouteAnswers, ServiceAnswers},
+    reader::{
+        centre_reader::read_centres,
+        route_reader::{read_route_answers, read_routes},
+        service_reader::{read_service_answers, read_services},
+        snapshot_check::check_answers,
+    },
+};
+
+/// Reads the answers in the file at `path` and returns the configuration that they ask for.
+///
+/// # Errors
+///
+/// Every mistake in the file, each with its line and column.
+pub fn read_answers(path: impl AsRef<Path>) -> Result<ConfigSnapshot, FileError> {
+    let path = path.as_ref();
+    let problems = ProblemList::new(format_compact!("{}", path.display()));
+    let root = parser::read_file(path, &problems);
+    finish(root.as_ref(), problems)
+}
+
+/// Reads answers from a text; `file` names it in messages.
+///
+/// # Errors
+///
+/// Every mistake in the text, each with its line and column.
+///
+/// # Examples
+///
+/// ```
+/// use bronzelb_answers::parse_answers;
+///
+/// let error = parse_answers("answers.yaml", "mesh: hemelval\nservices: 12").unwrap_err();
+/// assert!(error.to_string().contains("answers.yaml:2:11: services: expected a map"));
+/// ```
+pub fn parse_answers(file: &str, text: &str) -> Result<ConfigSnapshot, FileError> {
+    let problems = ProblemList::new(file);
+    let root = parser::parse_text(text, &problems);
+    finish(root.as_ref(), problems)
+}
+
+fn finish(root: Option<&YamlNode>, problems: ProblemList) -> Result<ConfigSnapshot, FileError> {
+    let snapshot = root.and_then(|root| {
+        let snapshot = read_root(&FieldNode::root(root, &problems))?;
+        check_answers(&snapshot, &FieldIndex::new(root), &problems);
+        Some(snapshot)
+    });
+    match snapshot {
+        Some(snapshot) if problems.is_empty() => Ok(snapshot),
+        _ => Err(FileError::new(problems.into_sorted())),
+    }
+}
+
+fn read_root(root: &FieldNode<'_>) -> Option<ConfigSnapshot> {
+    let mut reader = root.map()?;
+    let mesh: Option<MeshName> = reader.required("mesh", "mesh: hemelval", parse_with);
+    let crews = read_crews(&mut reader);
+    let (service_defaults, route_defaults) = read_defaults(&mut reader);
+    let proxies = take_section(&mut reader, "data_centres", "data_centres: {leuven: {}}")
+        .map(|section| read_centres(&section))
+        .unwrap_or_default();
+    let services = take_section(&mut reader, "services", "services: {tracker: {slots: 12}}")
+        .map(|section| read_services(&section, &service_defaults, &crews))
+        .unwrap_or_default();
+    let routes = take_section(
+        &mut reader,
+        "routes",
+        "routes: {positions: {path: /positions, service: tracker}}",
+    )
+    .map(|section| read_routes(&section, &route_defaults))
+    .unwrap_or_default();
+    reader.finish();
+    Some(ConfigSnapshot {
+        mesh: mesh.unwrap_or_else(placeholder_mesh),
+        proxies,
+        services,
+        routes,
+    })
+}
+
+fn take_section<'a>(
+    reader: &mut MapReader<'a>,
+    key: &'static str,
+    example: &str,
+) -> Option<FieldNode<'a>> {
+    let section = reader.take(key);
+    if section.is_none() {
+        reader.refuse_missing(key, example);
+    }
+    section
+}
+
+fn read_crews(reader: &mut MapReader<'_>) -> Vec<CrewName> {
+    let items = reader.take("crews").and_then(|section| section.list());
+    let mut crews = Vec::new();
+    for item in items.unwrap_or_default() {
+        let Some(crew) = item.value(parse_with::<CrewName>) else {
+            continue;
+        };
+        if crews.contains(&crew) {
+            item.refuse(format_compact!("crew \"{crew}\" is listed twice"));
+        } else {
+            crews.push(crew);
+        }
+    }
+    crews
+}
+
+fn read_defaults(reader: &mut MapReader<'_>) -> (ServiceAnswers, RouteAnswers) {
+    let mut service_answers = ServiceAnswers::default();
+    let mut route_answers = RouteAnswers::default();
+    let section = reader.take("defaults").and_then(|section| section.map());
+    if let Some(mut section) = section {
+        if let Some(mut fields) = section.take("services").and_then(|field| field.map()) {
+            service_answers = read_service_answers(&mut fields);
+            fields.finish();
+        }
+        if let Some(mut fields) = section.take("routes").and_then(|field| field.map()) {
+            route_answers = read_route_answers(&mut fields);
+            fields.finish();
+        }
+        section.finish();
+    }
+    (service_answers, route_answers)
+}
+
+fn placeholder_mesh() -> MeshName {
+    "unnamed".parse().expect("is a valid name")
+}
--- /dev/null
+++ b/crates/answers/src/reader/centre_reader.rs
@@ -0,0 +1,60 @@
+use std::collections::BTreeMap;
+
+use bronzelb_kernel::{clock::TimeBudget, config::ProxySpec, ids::DataCentre};
+use bronzelb_yaml::reader::{FieldNode, parse_with};
+use compact_str::format_compact;
+
+use crate::model::CentreLatencies;
+
+/// Reads the data centres and derives each one's spill order from the latencies.
+pub(super) fn read_centres(section: &FieldNode<'_>) -> BTreeMap<DataCentre, ProxySpec> {
+    let Some(reader) = section.map() else {
+        return BTreeMap::new();
+    };
+    let fields = reader.named(parse_with::<DataCentre>);
+    let mut table = CentreLatencies::new(fields.iter().map(|(centre, _)| centre.clone()));
+    for (centre, field) in &fields {
+        read_centre(centre, field, &mut table);
+    }
+    for (from, to) in table.missing_pairs() {
+        section.refuse(format_compact!(
+            "the latency between \"{from}\" and \"{to}\" is missing; add it under one of the two, \
+             such as `{from}: {{latency: {{{to}: 500us}}}}`"
+        ));
+    }
+    table.to_proxies()
+}
+
+fn read_centre(centre: &DataCentre, field: &FieldNode<'_>, table: &mut CentreLatencies) {
+    let Some(mut reader) = field.map() else {
+        return;
+    };
+    let latencies = reader.take("latency").and_then(|section| section.map());
+    reader.finish();
+    let Some(latencies) = latencies else {
+        return;
+    };
+    for (other, field) in latencies.named(parse_with::<DataCentre>) {
+        if other == *centre {
+            field.refuse("a data centre has no latency to itself; remove the line");
+        } else if !table.contains(&other) {
+            field.refuse(format_compact!("data centre \"{other}\" does not exist"));
+        } else if let Some(latency) = field.value(parse_with::<TimeBudget>) {
+            set_latency(centre, &other, latency, &field, table);
+        }
+    }
+}
+
+fn set_latency(
+    centre: &DataCentre,
+    other: &DataCentre,
+    latency: TimeBudget,
+    field: &FieldNode<'_>,
+    table: &mut CentreLatencies,
+) {
+    if let Some(held) = table.set(centre, other, latency) {
+        field.refuse(format_compact!(
+            "the latency is {latency} here and {held} under the other data centre; write it once"
+        ));
+    }
+}
--- /dev/null
+++ b/crates/answers/src/reader/mod.rs
@@ -0,0 +1,9 @@
+//! From a file of answers to a checked configuration.
+
+mod answers_reader;
+mod centre_reader;
+mod route_reader;
+mod service_reader;
+mod snapshot_check;
+
+pub use answers_reader::{parse_answers, read_answers};
--- /dev/null
+++ b/crates/answers/src/reader/route_reader.rs
@@ -0,0 +1,110 @@
+use std::collections::BTreeMap;
+
+use bronzelb_kernel::{
+    config::{HttpMethod, RouteRule},
+    ids::{RouteName, ServiceName},
+};
+use bronzelb_yaml::reader::{FieldNode, MapReader, parse_bytes, parse_flag, parse_with};
+use compact_str::{CompactString, format_compact};
+
+use crate::model::{ObjectiveAnswers, RouteAnswers};
+
+/// Reads every route and fills what is missing from `fallback`.
+///
+/// A route without a readable path or service is left out after its mistakes are noted.
+pub(super) fn read_routes(
+    section: &FieldNode<'_>,
+    fallback: &RouteAnswers,
+) -> BTreeMap<RouteName, RouteRule> {
+    let Some(reader) = section.map() else {
+        return BTreeMap::new();
+    };
+    reader
+        .named(parse_with::<RouteName>)
+        .into_iter()
+        .filter_map(|(name, field)| Some((name, read_route(&field, fallback)?)))
+        .collect()
+}
+
+fn read_route(field: &FieldNode<'_>, fallback: &RouteAnswers) -> Option<RouteRule> {
+    let mut reader = field.map()?;
+    let path = reader.required("path", "path: /positions", |text| {
+        Ok(CompactString::from(text))
+    });
+    let service: Option<ServiceName> = reader.required("service", "service: tracker", parse_with);
+    let methods = read_methods(&mut reader);
+    let idempotent = read_idempotent(&mut reader, &methods);
+    let resolved = read_route_answers(&mut reader).resolve(fallback);
+    reader.finish();
+    Some(RouteRule {
+        path: path?,
+        methods,
+        service: service?,
+        priority: resolved.priority,
+        idempotent,
+        timeout: resolved.timeout,
+        max_body: resolved.max_body,
+        objective: resolved.objective,
+    })
+}
+
+/// Reads the keys that a route and the `defaults` block have in common.
+pub(super) fn read_route_answers(reader: &mut MapReader<'_>) -> RouteAnswers {
+    RouteAnswers {
+        priority: reader.optional("priority", parse_with),
+        timeout: reader.optional("timeout", parse_with),
+        max_body: reader.optional("max_body", parse_bytes),
+        objective: read_objective(reader),
+    }
+}
+
+fn read_objective(reader: &mut MapReader<'_>) -> ObjectiveAnswers {
+    let fields = reader.take("objective").and_then(|field| field.map());
+    let Some(mut fields) = fields else {
+        return ObjectiveAnswers::default();
+    };
+    let answers = ObjectiveAnswers {
+        success: fields.optional("success", parse_with),
+        latency: fields.optional("latency", parse_with),
+    };
+    fields.finish();
+    answers
+}
+
+/// Reads the methods in a fixed order, so that the file's order makes no difference.
+fn read_methods(reader: &mut MapReader<'_>) -> Vec<HttpMethod> {
+    let items = reader.take("methods").and_then(|field| field.list());
+    let mut methods = Vec::new();
+    for item in items.unwrap_or_default() {
+        let Some(method) = item.value(parse_with::<HttpMethod>) else {
+            continue;
+        };
+        if methods.contains(&method) {
+            item.refuse(format_compact!("method {method} is listed twice"));
+        } else {
+            methods.push(method);
+        }
+    }
+    methods.sort();
+    methods
+}
+
+/// Reads whether a request may run twice, which a route must say unless it only reads.
+fn read_idempotent(reader: &mut MapReader<'_>, methods: &[HttpMethod]) -> bool {
+    let only_reads = !methods.is_empty()
+        && methods
+            .iter()
+            .all(|method| matches!(method, HttpMethod::Get | HttpMethod::Head));
+    match reader.take("idempotent") {
+        Some(field) => field.value(parse_flag).unwrap_or_default(),
+        None => {
+            if !only_reads {
+                reader.refuse_missing(
+                    "idempotent",
+                    "idempotent: false` for requests that must not run twice, or `idempotent: true",
+                );
+            }
+            only_reads
+        }
+    }
+}
--- /dev/null
+++ b/crates/answers/src/reader/service_reader.rs
@@ -0,0 +1,89 @@
+use std::collections::BTreeMap;
+
+use bronzelb_kernel::{
+    config::ServiceSpec,
+    ids::{CrewName, ServiceName, SlotCount},
+};
+use bronzelb_yaml::reader::{FieldNode, MapReader, parse_count, parse_with};
+use compact_str::{CompactString, format_compact};
+
+use crate::model::{RolloutAnswers, ServiceAnswers};
+
+/// Reads every service and fills what is missing from `fallback`.
+pub(super) fn read_services(
+    section: &FieldNode<'_>,
+    fallback: &ServiceAnswers,
+    crews: &[CrewName],
+) -> BTreeMap<ServiceName, ServiceSpec> {
+    let Some(reader) = section.map() else {
+        return BTreeMap::new();
+    };
+    reader
+        .named(parse_with::<ServiceName>)
+        .into_iter()
+        .map(|(name, field)| (name, read_service(&field, fallback, crews)))
+        .collect()
+}
+
+fn read_service(
+    field: &FieldNode<'_>,
+    fallback: &ServiceAnswers,
+    crews: &[CrewName],
+) -> ServiceSpec {
+    let Some(mut reader) = field.map() else {
+        return fallback.clone().into_spec();
+    };
+    let answers = read_service_answers(&mut reader);
+    refuse_missing(&reader, &answers, fallback);
+    reader.finish();
+    let answers = answers.or(fallback);
+    if let Some(crew) = &answers.crew
+        && !crews.contains(crew)
+    {
+        field.refuse(format_compact!(
+            "crew \"{crew}\" does not exist; list it under `crews`"
+        ));
+    }
+    answers.into_spec()
+}
+
+/// Notes the keys that describe the team's own servers and have no default.
+fn refuse_missing(reader: &MapReader<'_>, answers: &ServiceAnswers, fallback: &ServiceAnswers) {
+    if answers.slots.or(fallback.slots).is_none() && !reader.has("slots") {
+        reader.refuse_missing("slots", "slots: 12");
+    }
+    if answers.connections.or(fallback.connections).is_none() && !reader.has("connections") {
+        reader.refuse_missing("connections", "connections: 110");
+    }
+    let has_format = answers.report_format.is_some() || fallback.report_format.is_some();
+    if !has_format && !reader.has("report_format") {
+        reader.refuse_missing("report_format", "report_format: json-load");
+    }
+}
+
+/// Reads the keys that a service and the `defaults` block have in common.
+pub(super) fn read_service_answers(reader: &mut MapReader<'_>) -> ServiceAnswers {
+    ServiceAnswers {
+        crew: reader.optional("crew", parse_with),
+        slots: reader.optional("slots", parse_count).map(SlotCount::new),
+        connections: reader.optional("connections", parse_count),
+        report_format: reader.optional("report_format", |text| Ok(CompactString::from(text))),
+        slow_start: reader.optional("slow_start", parse_with),
+        drain: reader.optional("drain", parse_with),
+        rollout: read_rollout(reader),
+    }
+}
+
+fn read_rollout(reader: &mut MapReader<'_>) -> RolloutAnswers {
+    let fields = reader.take("rollout").and_then(|field| field.map());
+    let Some(mut fields) = fields else {
+        return RolloutAnswers::default();
+    };
+    let answers = RolloutAnswers {
+        first_share: fields.optional("first_share", parse_with),
+        min_requests: fields.optional("min_requests", parse_count),
+        hold: fields.optional("hold", parse_with),
+    };
+    fields.finish();
+    answers
+}
--- /dev/null
+++ b/crates/yaml/src/parser/mod.rs
@@ -0,0 +1,8 @@
+//! From a file to a tree of values.
+
+mod file_text;
+mod text_parser;
+mod tree_builder;
+
+pub use file_text::{MAX_FILE_BYTES, read_file};
+pub use text_parser::parse_text;
--- /dev/null
+++ b/crates/yaml/src/parser/text_parser.rs
@@ -0,0 +1,50 @@
+use compact_str::format_compact;
+use saphyr_parser::{Event, Marker, Parser, ScanError};
+
+use crate::{
+    node::{TextPlace, YamlNode},
+    parser::tree_builder::TreeBuilder,
+    problem::ProblemList,
+};
+
+/// Parses a text that holds one YAML document.
+///
+/// Returns `None` after noting why when the text is empty or not YAML, holds several documents,
+/// or uses an alias, an anchor or a tag. Syntax errors end the reading, so at most one of them is
+/// noted.
+#[must_use]
+pub fn parse_text(text: &str, problems: &ProblemList) -> Option<YamlNode> {
+    let mut builder = TreeBuilder::default();
+    for parsed in Parser::new_from_str(text) {
+        let step = match parsed {
+            Ok((Event::StreamEnd, _)) => break,
+            Ok((event, span)) => builder.accept(event, place_of(&span.start)),
+            Err(error) => Err(syntax_problem(&error)),
+        };
+        if let Err((place, message)) = step {
+            problems.push(place, "", message);
+            return None;
+        }
+    }
+    let root = builder.into_root();
+    if root.is_none() {
+        problems.push(
+            TextPlace::START,
+            "",
+            "the file is empty; `bronzelb init` writes a commented one",
+        );
+    }
+    root
+}
+
+fn syntax_problem(error: &ScanError) -> (TextPlace, compact_str::CompactString) {
+    let message = format_compact!("the text is not YAML: {}", error.info());
+    (place_of(error.marker()), message)
+}
+
+fn place_of(marker: &Marker) -> TextPlace {
+    TextPlace {
+        line: marker.line().max(1),
+        column: marker.col() + 1,
+    }
+}
--- /dev/null
+++ b/crates/yaml/src/reader/similar_name.rs
@@ -0,0 +1,20 @@
+use std::collections::BTreeSet;
+
+/// Similarity from which a known name is suggested, between 0 and 1.
+const MIN_SIMILARITY: f64 = 0.8;
+
+/// Length beyond which no suggestion is sought, in bytes.
+const MAX_COMPARED_BYTES: usize = 64;
+
+/// Returns the known name that is most like `name`, if one is close.
+pub(crate) fn find_similar(name: &str, known: &BTreeSet<&'static str>) -> Option<&'static str> {
+    if name.len() > MAX_COMPARED_BYTES {
+        return None;
+    }
+    known
+        .iter()
+        .map(|candidate| (strsim::jaro_winkler(name, candidate), *candidate))
+        .filter(|(similarity, _)| *similarity >= MIN_SIMILARITY)
+        .max_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_, candidate)| candidate)
+}
