--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -14,16 +14,17 @@
 
 use crate::{forward::BackendClient, gossip::answer_gossip, node::NodeState};
 
-/// Answers what other nodes ask.
+/// Answers what other nodes ask; clones share one set of connections.
+#[derive(Clone)]
 pub(crate) struct PeerHandler {
     state: Arc<NodeState>,
-    backends: BackendClient,
+    backends: Rc<BackendClient>,
 }
 
 impl PeerHandler {
     pub(crate) fn new(state: Arc<NodeState>) -> Self {
         Self {
-            backends: BackendClient::new(Arc::clone(&state)),
+            backends: Rc::new(BackendClient::new(Arc::clone(&state))),
             state,
         }
     }
@@ -33,7 +34,7 @@
     }
 }
 
-impl PeerService for Rc<PeerHandler> {
+impl PeerService for PeerHandler {
     async fn gossip(self, _: Context, request: GossipRequest) -> Result<GossipReply, MeshError> {
         Ok(answer_gossip(&self.state, request))
     }
@@ -69,9 +70,10 @@
             .saturating_duration_since(std::time::Instant::now());
         let left = TimeBudget::from_micros(u64::try_from(left.as_micros()).unwrap_or(u64::MAX));
         let deadline = self.state.now().after(left);
-        let backend = request.backend.clone().ok_or_else(|| {
-            MeshError::invalid("a forwarded request names no backend server")
-        })?;
+        let backend = request
+            .backend
+            .clone()
+            .ok_or_else(|| MeshError::invalid("a forwarded request names no backend server"))?;
         self.backends.run(&backend, deadline, &request).await
     }
 }
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bronzelb_kernel::error::MeshError;
 use bronzelb_wire::{PeerService, handshake::accept_peer};
@@ -22,7 +22,7 @@
 
 /// Accepts connections of other nodes until the stop signal.
 pub async fn start_peer_server(state: Arc<NodeState>, listener: TcpListener, mut stop: StopSignal) {
-    let handler = Rc::new(PeerHandler::new(Arc::clone(&state)));
+    let handler = PeerHandler::new(Arc::clone(&state));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -30,7 +30,7 @@
         };
         match accepted {
             Ok((stream, address)) => {
-                spawn_local(serve_peer(Rc::clone(&handler), stream, address, stop.clone()));
+                spawn_local(serve_peer(handler.clone(), stream, address, stop.clone()));
             }
             // The process is out of file descriptors; accepting resumes once some are free.
             Err(_) => {
@@ -41,7 +41,7 @@
 }
 
 async fn serve_peer(
-    handler: Rc<PeerHandler>,
+    handler: PeerHandler,
     mut stream: TcpStream,
     address: SocketAddr,
     mut stop: StopSignal,
