--- a/crates/daemon/src/log/node_logger.rs
+++ b/crates/daemon/src/log/node_logger.rs
@@ -17,7 +17,6 @@
     /// Every line carries `ts` (milliseconds since the Unix epoch), `level`, `event`, the node and
     /// its data centre. A full buffer drops lines and counts them instead of blocking the request
     /// path.
-    #[must_use]
     pub fn stdout(node: &NodeName, data_centre: &DataCentre) -> Logger {
         let json = slog_json::Json::new(io::stdout())
             .set_flush(true)
