Add the command-line tool with check, generate and publish

publish stores the body as an object, then makes it the newest version by one compare-and-set, driven by the kernel's PublishPlan; a lost answer is resolved by reading back. Answers with a mistake write nothing. Content that the newest version already has is reported as unchanged and writes nothing, so publishing from a pipeline can be repeated.

Tests run the commands in process against a platform in memory, registered as its own kind.

--- a/crates/answers/tests/examples.rs
+++ b/crates/answers/tests/examples.rs
@@ -5,7 +5,7 @@
 use bronzelb_answers::read_answers;
 use bronzelb_kernel::{
     config::{ConfigSnapshot, RequestPriority},
-    ids::SlotCount,
+    ids::{ServiceName, SlotCount},
 };
 
 fn example(name: &str) -> ConfigSnapshot {
@@ -17,7 +17,7 @@
 }
 
 fn assert_sizes(snapshot: &ConfigSnapshot, services: [&str; 4], slots: u32) {
-    let names: Vec<_> = snapshot.services.keys().map(|name| name.as_str()).collect();
+    let names: Vec<_> = snapshot.services.keys().map(ServiceName::as_str).collect();
     assert_eq!(names, services);
     for spec in snapshot.services.values() {
         assert_eq!(spec.slots, SlotCount::new(slots));
--- /dev/null
+++ b/crates/cli/src/answers/mod.rs
@@ -0,0 +1,7 @@
+//! Commands that work on a file of answers alone.
+
+mod check_command;
+mod generate_command;
+
+pub(crate) use check_command::CHECK_COMMAND;
+pub(crate) use generate_command::GENERATE_COMMAND;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,7 @@
-//! .
+//! Command-line tool of the bronzelb service mesh.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bronzelb::run_process()
+}
--- /dev/null
+++ b/crates/cli/src/output/output_printer.rs
@@ -0,0 +1,109 @@
+use std::io::Write;
+
+use bronzelb_yaml::problem::FileProblem;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::{error::CommandError, output::OutputFormat};
+
+/// Prints a command's result and notes on two streams.
+///
+/// A closed stream, as after `| head`, is no error: the rest of the output is dropped.
+pub struct OutputPrinter<'a> {
+    stdout: &'a mut dyn Write,
+    stderr: &'a mut dyn Write,
+    format: OutputFormat,
+}
+
+impl<'a> OutputPrinter<'a> {
+    /// Builds a printer that writes results to `stdout` and notes to `stderr`.
+    pub fn new(stdout: &'a mut impl Write, stderr: &'a mut impl Write) -> Self {
+        Self {
+            stdout,
+            stderr,
+            format: OutputFormat::default(),
+        }
+    }
+
+    /// Sets the form of the output.
+    pub const fn set_format(&mut self, format: OutputFormat) {
+        self.format = format;
+    }
+
+    /// Returns the form of the output.
+    #[must_use]
+    pub const fn format(&self) -> OutputFormat {
+        self.format
+    }
+
+    /// Prints `text` as it is.
+    pub fn print(&mut self, text: &str) {
+        self.print_bytes(text.as_bytes());
+    }
+
+    /// Prints bytes as they are.
+    pub fn print_bytes(&mut self, bytes: &[u8]) {
+        let _ = self.stdout.write_all(bytes);
+        let _ = self.stdout.flush();
+    }
+
+    /// Prints a result: `plain` for people, or `document` as one line of JSON.
+    pub fn result(&mut self, plain: impl AsRef<str>, document: &impl Serialize) {
+        match self.format {
+            OutputFormat::Plain => self.print(&with_line_end(plain.as_ref())),
+            OutputFormat::Json => self.print(&with_line_end(&to_json(document))),
+        }
+    }
+
+    /// Prints a note for people beside the result.
+    pub fn note(&mut self, text: &str) {
+        let _ = self.stderr.write_all(with_line_end(text).as_bytes());
+    }
+
+    pub(crate) fn fail(&mut self, error: &CommandError) {
+        match self.format {
+            OutputFormat::Plain => self.note(&format!("error: {}", indent(&error.to_string()))),
+            OutputFormat::Json => self.note(&to_json(&error_document(error))),
+        }
+    }
+}
+
+/// Puts several lines below the word that opens the message.
+fn indent(message: &str) -> String {
+    if message.contains('\n') {
+        format!("\n{message}")
+    } else {
+        message.to_owned()
+    }
+}
+
+fn with_line_end(text: &str) -> String {
+    format!("{}\n", text.trim_end_matches('\n'))
+}
+
+fn to_json(document: &impl Serialize) -> String {
+    serde_json::to_string(document).expect("output holds only serializable types")
+}
+
+fn error_document(error: &CommandError) -> Value {
+    let problems: Vec<_> = match error {
+        CommandError::File { source } => source.problems().iter().map(problem_document).collect(),
+        _ => Vec::new(),
+    };
+    json!({
+        "error": error.kind(),
+        "exit_code": error.exit_code(),
+        "message": error.to_string(),
+        "problems": problems,
+    })
+}
+
+fn problem_document(problem: &FileProblem) -> Value {
+    json!({
+        "file": problem.file,
+        "line": problem.place.map(|place| place.line),
+        "column": problem.place.map(|place| place.column),
+        "field": problem.field,
+        "message": problem.message,
+    })
+}
--- /dev/null
+++ b/crates/cli/src/publish/mod.rs
@@ -0,0 +1,6 @@
+//! Making a configuration the mesh's newest version.
+
+mod publish_command;
+mod version_publisher;
+
+pub(crate) use publish_command::PUBLISH_COMMAND;
--- /dev/null
+++ b/crates/cli/src/publish/version_publisher.rs
@@ -0,0 +1,147 @@
+use bronzelb_kernel::{
+    config::{ConfigSnapshot, VersionStamp},
+    error::{ErrorKind, MeshError},
+    ids::{ContentHash, MeshName},
+    spread::{CurrentRow, PublishAttempt, PublishPlan, PublishStep, VersionRow, WriteAnswer},
+};
+use bronzelb_platform::table::{RowExpect, RowKey, RowRevision, RowWrite};
+use serde::Serialize;
+
+use crate::platform::PlatformAccess;
+
+/// How a command to publish ended well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "result", rename_all = "kebab-case")]
+pub(crate) enum PublishReport {
+    /// The configuration was accepted as a new version.
+    Accepted(VersionStamp),
+    /// The newest version already has this content, and nothing was written.
+    Unchanged(VersionStamp),
+}
+
+impl PublishReport {
+    /// Returns the version that holds the configuration.
+    pub(crate) const fn stamp(self) -> VersionStamp {
+        match self {
+            Self::Accepted(stamp) | Self::Unchanged(stamp) => stamp,
+        }
+    }
+}
+
+/// Stores a configuration and makes it the newest version by one compare-and-set.
+///
+/// A lost answer is resolved by reading the row back, see [`PublishPlan`].
+///
+/// # Errors
+///
+/// `Conflict` when another publisher was first, `PlatformAway` when time was up before the row
+/// was written, and `OutcomeUnknown` when it was up afterwards.
+pub(crate) async fn publish_snapshot(
+    access: &PlatformAccess,
+    snapshot: ConfigSnapshot,
+    attempt: PublishAttempt,
+) -> Result<PublishReport, MeshError> {
+    let key = row_key(&snapshot.mesh)?;
+    let current = read_row(access, &key).await?;
+    if let Some(stamp) = unchanged_stamp(current.as_ref(), &snapshot) {
+        return Ok(PublishReport::Unchanged(stamp));
+    }
+    let plan = PublishPlan::new(current.as_ref(), snapshot, attempt)?;
+    store_object(access, &plan).await?;
+    write_row(access, &key, &plan)
+        .await
+        .map(PublishReport::Accepted)
+}
+
+async fn write_row(
+    access: &PlatformAccess,
+    key: &RowKey,
+    plan: &PublishPlan,
+) -> Result<VersionStamp, MeshError> {
+    let mut step = PublishStep::Write;
+    loop {
+        step = match step {
+            PublishStep::Write if access.is_over() => return Err(time_is_up(plan)),
+            PublishStep::Write => {
+                let answer = send_write(access, key, plan).await?;
+                if answer == WriteAnswer::Unknown {
+                    access.pause().await;
+                }
+                plan.after_write(&answer)
+            }
+            PublishStep::ReadBack => {
+                let current = read_row(access, key).await.map_err(|_| time_is_up(plan))?;
+                plan.after_read(current.as_ref())
+            }
+            PublishStep::Finished(outcome) => return plan.report(&outcome),
+        }
+    }
+}
+
+async fn send_write(
+    access: &PlatformAccess,
+    key: &RowKey,
+    plan: &PublishPlan,
+) -> Result<WriteAnswer, MeshError> {
+    let expect = match plan.expect() {
+        0 => RowExpect::Absent,
+        revision => RowExpect::Revision(RowRevision::new(revision)),
+    };
+    let write = RowWrite::put(key.clone(), plan.row().to_json()).with_expect(expect);
+    match access.client.transact(vec![write], access.deadline).await {
+        Ok(_) => Ok(WriteAnswer::Written),
+        Err(error) => match error.kind() {
+            ErrorKind::Conflict => Ok(WriteAnswer::Conflict),
+            ErrorKind::PlatformAway => Ok(WriteAnswer::Unknown),
+            _ => Err(error),
+        },
+    }
+}
+
+async fn store_object(access: &PlatformAccess, plan: &PublishPlan) -> Result<(), MeshError> {
+    let name = &plan.row().object;
+    let body = plan.version().body();
+    access
+        .repeat(|| {
+            access
+                .client
+                .put_object(name, body.clone(), access.deadline)
+        })
+        .await
+}
+
+async fn read_row(access: &PlatformAccess, key: &RowKey) -> Result<Option<CurrentRow>, MeshError> {
+    let row = access
+        .repeat(|| access.client.get_row(key, access.deadline))
+        .await?;
+    let Some(row) = row else {
+        return Ok(None);
+    };
+    Ok(Some(CurrentRow {
+        row: VersionRow::from_json(&row.value)?,
+        revision: row.revision.get(),
+    }))
+}
+
+fn unchanged_stamp(
+    current: Option<&CurrentRow>,
+    snapshot: &ConfigSnapshot,
+) -> Option<VersionStamp> {
+    let stamp = current?.row.stamp();
+    (stamp.hash == ContentHash::of(&snapshot.to_bytes())).then_some(stamp)
+}
+
+fn row_key(mesh: &MeshName) -> Result<RowKey, MeshError> {
+    VersionRow::key(mesh).parse()
+}
+
+fn time_is_up(plan: &PublishPlan) -> MeshError {
+    let number = plan.row().number;
+    MeshError::new(
+        ErrorKind::OutcomeUnknown,
+        format!(
+            "the platform did not say in time whether version {number} was accepted; publish the \
+             same answers again to find out"
+        ),
+    )
+}
--- /dev/null
+++ b/crates/cli/tests/commands/publish.rs
@@ -0,0 +1,150 @@
+//! `publish` reports only what the platform's table shows.
+
+use std::fs;
+
+use bronzelb_kernel::{
+    ids::{AttemptToken, ContentHash, VersionNumber},
+    spread::VersionRow,
+};
+use expect_test::expect;
+
+use crate::support::{
+    CommandRun, example,
+    memory_platform::{WriteFault, with_store},
+    run,
+};
+
+const KEY: &str = "hemelval/version";
+
+fn publish_file(platform: &str, answers: &str, extra: &[&str]) -> CommandRun {
+    let mut args = vec!["publish", answers, "--platform", platform];
+    args.extend(["--platform-kind", "memory", "--publisher", "anna"]);
+    args.extend(extra);
+    run(&args)
+}
+
+fn publish(platform: &str, extra: &[&str]) -> CommandRun {
+    publish_file(platform, &example("hemelval"), extra)
+}
+
+fn plan_fault(platform: &str, fault: WriteFault) {
+    with_store(platform, |store| store.write_faults.push(fault));
+}
+
+fn stored_row(platform: &str) -> VersionRow {
+    let text = with_store(platform, |store| store.rows[KEY].value.clone());
+    VersionRow::from_json(&text).expect("is a row")
+}
+
+/// Row that another publisher would write on top of an empty table.
+fn rival_row() -> VersionRow {
+    let run = publish("rival", &[]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    let mut row = stored_row("rival");
+    row.publisher = "bert".into();
+    row.attempt = AttemptToken::new(1);
+    row.hash = ContentHash::of(b"other content");
+    row
+}
+
+#[test]
+fn a_new_version_is_stored_before_the_row_names_it() {
+    let run = publish("new", &[]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    let row = stored_row("new");
+    assert_eq!(row.publisher, "anna");
+    let expected = format!("accepted as version 1 (hash {})\n", row.hash);
+    assert_eq!(run.stdout, expected);
+    let body = with_store("new", |store| store.objects[row.object.as_str()].clone());
+    assert_eq!(ContentHash::of(&body), row.hash);
+}
+
+#[test]
+fn no_row_names_a_version_that_could_not_be_stored() {
+    with_store("no-objects", |store| store.refuses_objects = true);
+    let run = publish("no-objects", &["--timeout", "300ms"]);
+    assert_eq!(run.code, 7);
+    assert!(with_store("no-objects", |store| store.rows.is_empty()));
+}
+
+#[test]
+fn publishing_the_same_answers_again_writes_nothing() {
+    publish("again", &[]);
+    let revision = with_store("again", |store| store.rows[KEY].revision);
+    let run = publish("again", &["--output", "json"]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    assert!(
+        run.stdout
+            .starts_with(r#"{"result":"unchanged","number":1,"#)
+    );
+    assert_eq!(
+        with_store("again", |store| store.rows[KEY].revision),
+        revision
+    );
+}
+
+#[test]
+fn answers_with_a_mistake_are_not_published() {
+    let folder = tempfile::tempdir().expect("is writable");
+    let path = folder.path().join("answers.yaml");
+    let text = fs::read_to_string(example("hemelval")).expect("is readable");
+    fs::write(&path, text.replace("service: replay", "service: replays")).expect("is writable");
+    let run = publish_file("mistake", path.to_str().expect("is UTF-8"), &[]);
+    assert_eq!(run.code, 2);
+    assert!(run.stderr.contains("service \"replays\" does not exist"));
+    assert!(with_store("mistake", |store| store.rows.is_empty()));
+    assert!(with_store("mistake", |store| store.objects.is_empty()));
+}
+
+#[test]
+fn a_lost_answer_is_resolved_by_reading_back() {
+    plan_fault("lost-answer", WriteFault::LostAnswer);
+    let run = publish("lost-answer", &[]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    assert!(run.stdout.starts_with("accepted as version 1 "));
+}
+
+#[test]
+fn a_lost_write_is_sent_again() {
+    plan_fault("lost-write", WriteFault::LostWrite);
+    let run = publish("lost-write", &[]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    assert_eq!(stored_row("lost-write").number, VersionNumber::new(1));
+}
+
+#[test]
+fn the_loser_of_a_race_is_told_to_whom() {
+    plan_fault("race", WriteFault::Race(rival_row().to_json()));
+    let run = publish("race", &[]);
+    assert_eq!(run.code, 5);
+    expect![[r#"
+        error: version 1 was published by bert first
+    "#]]
+    .assert_eq(&run.stderr);
+    assert_eq!(stored_row("race").publisher, "bert");
+}
+
+#[test]
+fn an_outcome_that_the_table_does_not_show_is_unknown() {
+    let mut rival = rival_row();
+    rival.number = VersionNumber::new(40);
+    let fault = WriteFault::LostAnswerThenReplaced(rival.to_json());
+    plan_fault("hidden", fault);
+    let run = publish("hidden", &[]);
+    assert_eq!(run.code, 6);
+    expect![[r#"
+        error: later versions hide whether version 1 was accepted
+    "#]]
+    .assert_eq(&run.stderr);
+}
+
+#[test]
+fn a_platform_that_is_away_ends_the_command_in_time() {
+    with_store("away", |store| store.is_away = true);
+    let run = publish("away", &["--timeout", "300ms", "--output", "json"]);
+    assert_eq!(run.code, 7);
+    expect![[r#"
+        {"error":"platform-away","exit_code":7,"message":"the platform does not answer","problems":[]}
+    "#]]
+    .assert_eq(&run.stderr);
+}
--- a/crates/yaml/src/problem/problem_list.rs
+++ b/crates/yaml/src/problem/problem_list.rs
@@ -69,7 +69,7 @@
     #[must_use]
     pub fn into_sorted(self) -> Vec<FileProblem> {
         let mut problems = self.problems.into_inner();
-        problems.sort_by(|left, right| left.place.cmp(&right.place));
+        problems.sort_by_key(|problem| problem.place);
         problems
     }
 
