--- /dev/null
+++ b/crates/kernel/src/request/attempt_outcome.rs
@@ -0,0 +1,42 @@
+use serde::{Deserialize, Serialize};
+
+use crate::error::RunState;
+
+/// How one attempt at running a request on a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AttemptOutcome {
+    /// A whole answer came, and it does not report a failure of the server.
+    Served,
+    /// A whole answer came, and it reports a failure of the server.
+    Failed,
+    /// The server, or the node beside it, refused for lack of room before running the request.
+    Shed,
+    /// No byte of the request reached a server.
+    Unreached,
+    /// The request reached a server, and no whole answer of its own came back.
+    Lost,
+    /// The caller went away or its deadline passed while the request ran.
+    Abandoned,
+}
+
+impl AttemptOutcome {
+    /// Returns what is known about whether the request ran.
+    #[must_use]
+    pub const fn run_state(self) -> RunState {
+        match self {
+            Self::Served | Self::Failed => RunState::Ran,
+            Self::Shed | Self::Unreached => RunState::NotRun,
+            Self::Lost | Self::Abandoned => RunState::OutcomeUnknown,
+        }
+    }
+
+    /// Returns whether the attempt speaks against the server.
+    #[must_use]
+    pub const fn is_failure(self) -> bool {
+        matches!(
+            self,
+            Self::Failed | Self::Unreached | Self::Lost | Self::Abandoned
+        )
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/request/retry_budget.rs
@@ -0,0 +1,75 @@
+use crate::{
+    clock::{ClockInstant, TimeBudget},
+    config::ShareRatio,
+    error::RunState,
+    request::AttemptOutcome,
+};
+
+const MAX_ATTEMPTS: u32 = 3;
+const RETRY_SHARE: f64 = 0.1;
+const FIRST_TOKENS: f64 = 3.0;
+const MAX_TOKENS: f64 = 30.0;
+const MAX_FAILURE_SHARE: ShareRatio = ShareRatio::from_ppm(200_000);
+const MIN_TIME_LEFT: TimeBudget = TimeBudget::from_millis(1);
+
+/// What a node knows when it decides on a retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryCase {
+    /// How the last attempt ended.
+    pub outcome: AttemptOutcome,
+    /// Whether the route's requests may run more than once.
+    pub idempotent: bool,
+    /// Attempts so far, the first one included.
+    pub attempts: u32,
+    /// Whether the request is itself part of a retry further up a chain of calls.
+    pub is_nested_retry: bool,
+    /// Deadline of the request.
+    pub deadline: ClockInstant,
+    /// Recent share of failures over all servers of the service.
+    pub failure_share: ShareRatio,
+}
+
+/// A node's budget of retries, earned as a share of its fresh requests.
+///
+/// Retries of requests that ran and failed also stop while the whole service fails: another
+/// server would not help, and in a chain of calls every level would add its own retries.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    tokens: f64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            tokens: FIRST_TOKENS,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Earns a share of a retry for a fresh request.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + RETRY_SHARE).min(MAX_TOKENS);
+    }
+
+    /// Decides whether a request gets another attempt, and pays for it if so.
+    pub fn spend(&mut self, now: ClockInstant, case: &RetryCase) -> bool {
+        if !is_allowed(now, case) || self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+fn is_allowed(now: ClockInstant, case: &RetryCase) -> bool {
+    let has_time = case.deadline > now.after(MIN_TIME_LEFT);
+    if !has_time || case.is_nested_retry || case.attempts >= MAX_ATTEMPTS {
+        return false;
+    }
+    match case.outcome {
+        AttemptOutcome::Served | AttemptOutcome::Abandoned => false,
+        outcome if outcome.run_state() == RunState::NotRun => true,
+        _ => case.idempotent && case.failure_share <= MAX_FAILURE_SHARE,
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/request/server_stat.rs
@@ -0,0 +1,220 @@
+use crate::{
+    clock::{ClockInstant, TimeBudget},
+    config::ShareRatio,
+    ids::{BackendName, BuildVersion, DataCentre, NodeName},
+    member::BackendState,
+    request::AttemptOutcome,
+};
+
+const FAILURE_WEIGHT: f64 = 0.1;
+const LATENCY_WEIGHT: f64 = 0.2;
+const MAX_CONSECUTIVE_FAILURES: u32 = 5;
+const MAX_FAILURE_SHARE: f64 = 0.5;
+const MIN_FAILURE_SAMPLES: u32 = 20;
+const FAILURE_HALF_LIFE: TimeBudget = TimeBudget::from_secs(1);
+const FIRST_EJECTION: TimeBudget = TimeBudget::from_millis(500);
+const MAX_EJECTION_DOUBLINGS: u32 = 6;
+const REPORT_LIFETIME: TimeBudget = TimeBudget::from_millis(500);
+const STALL_FACTOR: f64 = 8.0;
+const STALL_FLOOR_MICROS: f64 = 50_000.0;
+const STALL_PENALTY: f64 = 16.0;
+const FIRST_WEIGHT: f64 = 0.1;
+const MIN_WEIGHT: f64 = 0.02;
+const UNHEALTHY_WEIGHT: f64 = 0.5;
+
+/// Where a backend server is and what it declares.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerPlace {
+    /// Node beside the server.
+    pub node: NodeName,
+    /// Name of the server.
+    pub backend: BackendName,
+    /// Version of the software that it runs.
+    pub version: BuildVersion,
+    /// Data centre that both are in.
+    pub data_centre: DataCentre,
+}
+
+/// Load of a backend server as the node beside it sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Requests that run on the server.
+    pub running: u32,
+    /// Requests that wait for one of its slots.
+    pub waiting: u32,
+}
+
+/// What a node knows of one backend server, mostly from its own attempts.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerStat {
+    pub(crate) place: ServerPlace,
+    pub(crate) slots: u32,
+    pub(crate) state: BackendState,
+    pub(crate) outstanding: u32,
+    pub(crate) is_healthy: bool,
+    full_from: ClockInstant,
+    slow_start: TimeBudget,
+    ejected_until: ClockInstant,
+    ejections: u32,
+    consecutive_failures: u32,
+    failure_share: f64,
+    failure_at: ClockInstant,
+    samples: u32,
+    latency_micros: f64,
+    progress_at: ClockInstant,
+    load: ServerLoad,
+    load_until: ClockInstant,
+}
+
+impl ServerStat {
+    pub(crate) fn new(place: ServerPlace, full_from: ClockInstant, slow_start: TimeBudget) -> Self {
+        Self {
+            place,
+            slots: 1,
+            state: BackendState::Starting,
+            outstanding: 0,
+            is_healthy: true,
+            full_from,
+            slow_start,
+            ejected_until: ClockInstant::default(),
+            ejections: 0,
+            consecutive_failures: 0,
+            failure_share: 0.0,
+            failure_at: ClockInstant::default(),
+            samples: 0,
+            latency_micros: 0.0,
+            progress_at: ClockInstant::default(),
+            load: ServerLoad::default(),
+            load_until: ClockInstant::default(),
+        }
+    }
+
+    pub(crate) fn is_ejected(&self, now: ClockInstant) -> bool {
+        !self.ejected_until.has_passed(now)
+    }
+
+    /// Restarts the slow start, for a server that has begun to serve.
+    pub(crate) fn begin_slow_start(&mut self, now: ClockInstant) {
+        self.full_from = now.after(self.slow_start);
+    }
+
+    pub(crate) fn begin(&mut self, now: ClockInstant) {
+        if self.outstanding == 0 {
+            self.progress_at = now;
+        }
+        self.outstanding += 1;
+    }
+
+    pub(crate) fn report(&mut self, now: ClockInstant, load: ServerLoad) {
+        self.load = load;
+        self.load_until = now.after(REPORT_LIFETIME);
+    }
+
+    /// Takes in the end of an attempt and returns whether the server ought to be ejected.
+    pub(crate) fn settle(
+        &mut self,
+        now: ClockInstant,
+        outcome: AttemptOutcome,
+        took: TimeBudget,
+    ) -> bool {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        self.progress_at = now;
+        self.failure_share = self.failure_share(now);
+        self.failure_at = now;
+        match outcome {
+            AttemptOutcome::Shed => return false,
+            AttemptOutcome::Served => self.succeed(took),
+            _ => self.fail(),
+        }
+        let is_failing =
+            self.samples >= MIN_FAILURE_SAMPLES && self.failure_share >= MAX_FAILURE_SHARE;
+        is_failing || self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
+    }
+
+    /// Keeps the server out of the choice, longer each time in a row, then starts it slowly.
+    pub(crate) fn eject(&mut self, now: ClockInstant) {
+        let doublings = self.ejections.min(MAX_EJECTION_DOUBLINGS);
+        let micros = FIRST_EJECTION.as_micros() << doublings;
+        self.ejected_until = now.after(TimeBudget::from_micros(micros));
+        self.ejections += 1;
+        self.consecutive_failures = MAX_CONSECUTIVE_FAILURES - 1;
+        self.samples = 0;
+        self.full_from = self.ejected_until.after(self.slow_start);
+    }
+
+    /// Returns the share of a full server's work that this one should get.
+    pub(crate) fn weight(&self, now: ClockInstant) -> f64 {
+        let health = if self.is_healthy {
+            1.0
+        } else {
+            UNHEALTHY_WEIGHT
+        };
+        let success = 1.0 - self.failure_share(now);
+        (self.warmth(now) * health * success * success).max(MIN_WEIGHT)
+    }
+
+    /// Returns outstanding work against the slots that the server has for its weight.
+    pub(crate) fn score(&self, now: ClockInstant) -> f64 {
+        let capacity = f64::from(self.slots.max(1)) * self.weight(now);
+        let score = f64::from(self.work(now)) / capacity;
+        if self.is_stalled(now) {
+            return score * STALL_PENALTY;
+        }
+        score
+    }
+
+    /// Returns requests at the server: our own, or everyone's by its last report if that is more.
+    pub(crate) fn work(&self, now: ClockInstant) -> u32 {
+        let reported = match self.load_until.has_passed(now) {
+            true => 0,
+            false => self.load.running + self.load.waiting,
+        };
+        self.outstanding.max(reported)
+    }
+
+    fn warmth(&self, now: ClockInstant) -> f64 {
+        if self.slow_start.is_zero() {
+            return 1.0;
+        }
+        let left = self.full_from.left(now).as_secs_f64() / self.slow_start.as_secs_f64();
+        (1.0 - left).clamp(FIRST_WEIGHT, 1.0)
+    }
+
+    fn is_stalled(&self, now: ClockInstant) -> bool {
+        let silence = self.progress_at.elapsed(now).as_micros() as f64;
+        let patience = (self.latency_micros * STALL_FACTOR).max(STALL_FLOOR_MICROS);
+        self.outstanding > 0 && silence > patience
+    }
+
+    fn succeed(&mut self, took: TimeBudget) {
+        self.consecutive_failures = 0;
+        self.ejections = self
+            .ejections
+            .saturating_sub(u32::from(self.samples > MIN_FAILURE_SAMPLES));
+        self.samples = self.samples.saturating_add(1);
+        self.failure_share *= 1.0 - FAILURE_WEIGHT;
+        let micros = took.as_micros() as f64;
+        self.latency_micros = match self.latency_micros == 0.0 {
+            true => micros,
+            false => self.latency_micros + LATENCY_WEIGHT * (micros - self.latency_micros),
+        };
+    }
+
+    fn fail(&mut self) {
+        self.consecutive_failures += 1;
+        self.samples = self.samples.saturating_add(1);
+        self.failure_share += FAILURE_WEIGHT * (1.0 - self.failure_share);
+    }
+
+    /// Returns the share of failures, which fades while the server gets no work.
+    fn failure_share(&self, now: ClockInstant) -> f64 {
+        let age = self.failure_at.elapsed(now).as_secs_f64();
+        self.failure_share * (-age / FAILURE_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    /// Returns the share of failures as a ratio.
+    pub(crate) fn failure_ratio(&self, now: ClockInstant) -> ShareRatio {
+        let ppm = self.failure_share(now) * f64::from(ShareRatio::ALL.as_ppm());
+        ShareRatio::from_ppm(ppm as u32)
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/request_choice.rs
@@ -0,0 +1,233 @@
+//! Choice of backend server under failing, slow, cold and lying servers.
+
+use std::collections::BTreeMap;
+
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    ids::{BackendName, DataCentre, IncarnationNumber, ServiceName, SlotCount},
+    member::{BackendRow, BackendState, MemberRow, MemberState},
+    request::{AttemptOutcome, ChoiceRule, ServerBook, ServerLoad},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+
+const SEED: u64 = 7;
+const SLOTS: u32 = 12;
+const STEP: TimeBudget = TimeBudget::from_millis(1);
+
+struct Bench {
+    book: ServerBook,
+    service: ServiceName,
+    home: DataCentre,
+    spill: Vec<DataCentre>,
+    now: ClockInstant,
+    rng: SmallRng,
+}
+
+impl Bench {
+    fn new(placement: &[(&str, &str)]) -> Self {
+        let mut bench = Self {
+            book: ServerBook::default(),
+            service: name("tracker"),
+            home: name("leuven"),
+            spill: vec![name("gent"), name("luik")],
+            now: ClockInstant::from_millis(1_000_000),
+            rng: SmallRng::seed_from_u64(SEED),
+        };
+        bench.sync(placement, TimeBudget::ZERO);
+        bench
+    }
+
+    fn sync(&mut self, placement: &[(&str, &str)], slow_start: TimeBudget) {
+        let rows: Vec<MemberRow> = placement.iter().map(|place| member(place)).collect();
+        self.book.sync(self.now, rows.iter(), |_| slow_start);
+    }
+
+    fn choose(&mut self, tried: &[BackendName]) -> Option<BackendName> {
+        let rule = ChoiceRule {
+            service: &self.service,
+            version: None,
+            data_centre: &self.home,
+            spill_order: &self.spill,
+            tried,
+        };
+        let place = self.book.choose(self.now, &rule, &mut self.rng)?;
+        Some(place.backend)
+    }
+
+    fn settle(&mut self, backend: &BackendName, outcome: AttemptOutcome, took: TimeBudget) {
+        self.book
+            .settle(self.now, &self.service, backend, outcome, took);
+    }
+
+    /// Runs `count` requests one after another and returns how many each server got.
+    fn run(
+        &mut self,
+        count: usize,
+        outcome: impl Fn(&str) -> AttemptOutcome,
+    ) -> BTreeMap<String, usize> {
+        let mut shares = BTreeMap::new();
+        for _ in 0..count {
+            let backend = self.choose(&[]).expect("a server is left");
+            self.now = self.now.after(STEP);
+            self.settle(&backend, outcome(backend.as_str()), STEP);
+            *shares.entry(backend.to_string()).or_insert(0) += 1;
+        }
+        shares
+    }
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("name is valid")
+}
+
+fn member(place: &(&str, &str)) -> MemberRow {
+    let (backend, data_centre) = *place;
+    MemberRow {
+        node: name(&format!("node-{backend}")),
+        incarnation: IncarnationNumber::new(1),
+        revision: 1,
+        state: MemberState::Serving,
+        data_centre: name(data_centre),
+        peer_address: "127.0.0.1:1".parse().expect("address is valid"),
+        backends: vec![BackendRow {
+            name: name(backend),
+            service: name("tracker"),
+            version: name("v1"),
+            slots: SlotCount::new(SLOTS),
+            state: BackendState::Serving,
+        }],
+    }
+}
+
+const THREE: [(&str, &str); 3] = [("a", "leuven"), ("b", "leuven"), ("c", "leuven")];
+
+#[test]
+fn fast_failing_server_draws_little_traffic() {
+    let mut bench = Bench::new(&THREE);
+    let shares = bench.run(3_000, |backend| match backend {
+        "a" => AttemptOutcome::Failed,
+        _ => AttemptOutcome::Served,
+    });
+    let failed = shares.get("a").copied().unwrap_or(0);
+    assert!(failed < 100, "the failing server got {failed} of 3000");
+}
+
+#[test]
+fn service_that_fails_everywhere_keeps_servers() {
+    let mut bench = Bench::new(&THREE);
+    bench.run(1_000, |_| AttemptOutcome::Failed);
+    let ejected = ["a", "b", "c"]
+        .iter()
+        .filter(|backend| {
+            bench
+                .book
+                .is_ejected(bench.now, &bench.service, &name(backend))
+        })
+        .count();
+    assert!(ejected <= 1, "{ejected} of 3 servers are ejected");
+}
+
+#[test]
+fn unreachable_servers_are_ejected_but_for_the_last() {
+    let mut bench = Bench::new(&THREE);
+    let shares = bench.run(2_000, |backend| match backend {
+        "c" => AttemptOutcome::Served,
+        _ => AttemptOutcome::Unreached,
+    });
+    assert!(shares["c"] > 1_900, "{shares:?}");
+    bench.run(200, |_| AttemptOutcome::Unreached);
+    assert!(bench.choose(&[]).is_some());
+}
+
+#[test]
+fn recovered_server_gets_its_share_back() {
+    let mut bench = Bench::new(&THREE);
+    bench.run(500, |backend| match backend {
+        "a" => AttemptOutcome::Failed,
+        _ => AttemptOutcome::Served,
+    });
+    bench.run(5_000, |_| AttemptOutcome::Served);
+    let shares = bench.run(3_000, |_| AttemptOutcome::Served);
+    assert!(shares["a"] > 600, "{shares:?}");
+}
+
+#[test]
+fn new_server_starts_slowly() {
+    let mut bench = Bench::new(&THREE[..2]);
+    bench.sync(&THREE, TimeBudget::from_secs(10));
+    let first = bench.run(900, |_| AttemptOutcome::Served);
+    let cold = first.get("c").copied().unwrap_or(0);
+    assert!(cold < 150, "the cold server got {cold} of 900");
+    bench.now = bench.now.after(TimeBudget::from_secs(20));
+    let later = bench.run(900, |_| AttemptOutcome::Served);
+    assert!(later["c"] > 200, "{later:?}");
+}
+
+#[test]
+fn frozen_server_is_passed_over_before_its_first_timeout() {
+    let mut bench = Bench::new(&THREE);
+    let mut stuck = 0;
+    for _ in 0..2_000 {
+        let backend = bench.choose(&[]).expect("a server is left");
+        bench.now = bench.now.after(STEP);
+        match backend.as_str() {
+            "a" => stuck += 1,
+            _ => bench.settle(&backend, AttemptOutcome::Served, STEP),
+        }
+    }
+    assert!(
+        stuck < 100,
+        "{stuck} of 2000 requests wait at the frozen server"
+    );
+}
+
+#[test]
+fn load_report_of_zero_draws_no_more_than_own_counts_allow() {
+    let mut bench = Bench::new(&THREE);
+    let mut held = BTreeMap::new();
+    for _ in 0..3 * SLOTS {
+        let backend = bench.choose(&[]).expect("a server is left");
+        let service = bench.service.clone();
+        let empty = ServerLoad::default();
+        bench
+            .book
+            .report_load(bench.now, &service, &name("a"), empty);
+        *held.entry(backend.to_string()).or_insert(0) += 1;
+    }
+    assert!(held["a"] <= SLOTS + 4, "{held:?}");
+}
+
+#[test]
+fn load_spills_in_order_only_when_home_is_full() {
+    let placement = [("a", "leuven"), ("b", "gent"), ("c", "luik")];
+    let mut bench = Bench::new(&placement);
+    let first: Vec<String> = (0..SLOTS)
+        .map(|_| bench.choose(&[]).expect("a server is left").to_string())
+        .collect();
+    assert!(first.iter().all(|backend| backend == "a"), "{first:?}");
+    let next = bench.choose(&[]).expect("a server is left");
+    assert_eq!(next.as_str(), "b");
+}
+
+#[test]
+fn server_that_was_tried_is_not_chosen_again() {
+    let mut bench = Bench::new(&THREE);
+    let tried: Vec<BackendName> = vec![name("a"), name("b")];
+    assert_eq!(bench.choose(&tried), Some(name("c")));
+    let all: Vec<BackendName> = vec![name("a"), name("b"), name("c")];
+    assert_eq!(bench.choose(&all), None);
+}
+
+#[test]
+fn draining_server_gets_no_new_work() {
+    let mut bench = Bench::new(&THREE);
+    let mut rows: Vec<MemberRow> = THREE.iter().map(member).collect();
+    rows[0].backends[0].state = BackendState::Draining;
+    rows[1].state = MemberState::Draining;
+    bench
+        .book
+        .sync(bench.now, rows.iter(), |_| TimeBudget::ZERO);
+    let shares = bench.run(300, |_| AttemptOutcome::Served);
+    assert_eq!(shares.len(), 1, "{shares:?}");
+    assert_eq!(shares["c"], 300);
+}
