Add tickets, key ledger, claim rows and crash records to the kernel

Change: KeyLedger and RequestTicket (a key runs at most once within one run of a node), ClaimRow (the table decides for callers' own keys; never taken over, since a paused holder may still be about to send), CrashRecord (two deaths quarantine; an answer after a death clears it). ServerBook takes the rollout's VersionChoice. Ruled out: a takeover of lapsed claims after their deadline, because the check of the clock and the send cannot be one step; clearing crash marks by comparing instants of two nodes' clocks.

--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -50,7 +50,10 @@
     }
     if let Some(config) = state.config() {
         let number = config.stamp().number.get();
-        headers.insert("x-bronzelb-config".parse().expect("a valid name"), number.into());
+        headers.insert(
+            "x-bronzelb-config".parse().expect("a valid name"),
+            number.into(),
+        );
     }
     response
 }
@@ -146,8 +149,10 @@
 
 fn request_target(request: &HttpRequest) -> CompactString {
     let uri = request.uri();
-    uri.path_and_query()
-        .map_or_else(|| CompactString::from(uri.path()), |target| target.as_str().into())
+    uri.path_and_query().map_or_else(
+        || CompactString::from(uri.path()),
+        |target| target.as_str().into(),
+    )
 }
 
 fn end_to_end_headers(headers: &HeaderMap) -> Vec<HeaderPair> {
--- a/crates/daemon/src/callers/error_response.rs
+++ b/crates/daemon/src/callers/error_response.rs
@@ -28,7 +28,10 @@
     let mut builder = HttpResponse::build(status);
     builder.insert_header(("x-bronzelb-run", answer.run_state.name()));
     if let Some(millis) = retry_after_ms {
-        builder.insert_header(("retry-after", millis.div_ceil(MILLIS_PER_SECOND).to_string()));
+        builder.insert_header((
+            "retry-after",
+            millis.div_ceil(MILLIS_PER_SECOND).to_string(),
+        ));
         builder.insert_header(("x-bronzelb-retry-after-ms", millis.to_string()));
     }
     builder.json(ErrorBody {
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -216,7 +216,10 @@
     /// Returns the address that other nodes connect to.
     #[must_use]
     pub fn peer_address(&self) -> SocketAddr {
-        self.settings.peers.advertise.unwrap_or(self.addresses.peers)
+        self.settings
+            .peers
+            .advertise
+            .unwrap_or(self.addresses.peers)
     }
 
     /// Draws an identifier for a request that enters at this node.
--- a/crates/daemon/src/operators/operator_guard.rs
+++ b/crates/daemon/src/operators/operator_guard.rs
@@ -28,7 +28,9 @@
 }
 
 fn is_allowed(request: &ServiceRequest) -> bool {
-    let is_local = request.peer_addr().is_some_and(|peer| peer.ip().is_loopback());
+    let is_local = request
+        .peer_addr()
+        .is_some_and(|peer| peer.ip().is_loopback());
     if is_local {
         return true;
     }
@@ -41,7 +43,5 @@
     let expected = format!("Bearer {token}");
     let sent = request.headers().get(AUTHORIZATION);
     // Hashes are compared in constant time.
-    sent.is_some_and(|sent| {
-        blake3::hash(sent.as_bytes()) == blake3::hash(expected.as_bytes())
-    })
+    sent.is_some_and(|sent| blake3::hash(sent.as_bytes()) == blake3::hash(expected.as_bytes()))
 }
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -69,9 +69,10 @@
             .saturating_duration_since(std::time::Instant::now());
         let left = TimeBudget::from_micros(u64::try_from(left.as_micros()).unwrap_or(u64::MAX));
         let deadline = self.state.now().after(left);
-        let backend = request.backend.clone().ok_or_else(|| {
-            MeshError::invalid("a forwarded request names no backend server")
-        })?;
+        let backend = request
+            .backend
+            .clone()
+            .ok_or_else(|| MeshError::invalid("a forwarded request names no backend server"))?;
         self.backends.run(&backend, deadline, &request).await
     }
 }
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -30,7 +30,12 @@
         };
         match accepted {
             Ok((stream, address)) => {
-                spawn_local(serve_peer(Rc::clone(&handler), stream, address, stop.clone()));
+                spawn_local(serve_peer(
+                    Rc::clone(&handler),
+                    stream,
+                    address,
+                    stop.clone(),
+                ));
             }
             // The process is out of file descriptors; accepting resumes once some are free.
             Err(_) => {
--- a/crates/daemon/src/source/source_task.rs
+++ b/crates/daemon/src/source/source_task.rs
@@ -58,7 +58,10 @@
     let body = body.ok_or_else(|| {
         MeshError::new(
             ErrorKind::NotFound,
-            format!("object {:?} of version {} does not exist", row.object, row.number),
+            format!(
+                "object {:?} of version {} does not exist",
+                row.object, row.number
+            ),
         )
     })?;
     let version = ConfigVersion::from_bytes(row.stamp(), body)?;
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -2,10 +2,16 @@
 //!
 //! The entry node asks [`ServerBook`] for a server and [`RetryBudget`] for a further attempt;
 //! [`AdaptiveLimit`] bounds what it keeps outstanding. The node beside a server holds its slots
-//! in a [`SlotGate`].
+//! in a [`SlotGate`]. [`KeyLedger`], [`RequestTicket`] and [`ClaimRow`] keep a request with an
+//! idempotency key from running twice, and [`CrashRecord`] keeps one that kills servers from
+//! running on a third.
 
 mod adaptive_limit;
 mod attempt_outcome;
+mod claim_row;
+mod crash_record;
+mod key_ledger;
+mod request_ticket;
 mod retry_budget;
 mod server_book;
 mod server_stat;
@@ -13,6 +19,10 @@
 
 pub use adaptive_limit::AdaptiveLimit;
 pub use attempt_outcome::AttemptOutcome;
+pub use claim_row::{ClaimOutcome, ClaimRow, ClaimSight, MAX_CLAIM_BODY};
+pub use crash_record::{CRASH_KIND, CrashRecord, CrashSuspicion, ServerLife};
+pub use key_ledger::{KEY_MEMORY, KeyEnd, KeyLedger, KeyVerdict};
+pub use request_ticket::RequestTicket;
 pub use retry_budget::{RetryBudget, RetryCase};
 pub use server_book::{ChoiceRule, ServerBook};
 pub use server_stat::{ServerLoad, ServerPlace};
--- a/crates/kernel/src/request/server_book.rs
+++ b/crates/kernel/src/request/server_book.rs
@@ -5,9 +5,10 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
-    ids::{BackendName, BuildVersion, DataCentre, ServiceName, SlotCount},
+    ids::{BackendName, DataCentre, ServiceName, SlotCount},
     member::{BackendRow, BackendState, MemberRow, MemberState},
     request::{AttemptOutcome, ServerLoad, ServerPlace, server_stat::ServerStat},
+    rollout::VersionChoice,
 };
 
 const MAX_EJECTED_DIVISOR: usize = 2;
@@ -19,8 +20,8 @@
 pub struct ChoiceRule<'a> {
     /// Service that the request goes to.
     pub service: &'a ServiceName,
-    /// Version that must answer it, if traffic is divided by version.
-    pub version: Option<&'a BuildVersion>,
+    /// Versions that may answer it.
+    pub versions: VersionChoice<'a>,
     /// Data centre of the node that chooses.
     pub data_centre: &'a DataCentre,
     /// Other data centres, nearest first.
@@ -245,14 +246,7 @@
     rule: &ChoiceRule<'_>,
     rng: &mut impl Rng,
 ) -> Option<BackendName> {
-    let usable = |stat: &&ServerStat| {
-        stat.state == BackendState::Serving
-            && rule
-                .version
-                .is_none_or(|version| stat.place.version == *version)
-            && !rule.tried.contains(&stat.place.backend)
-    };
-    let all: Vec<&ServerStat> = stats.values().filter(usable).collect();
+    let all = usable(stats, rule);
     let admitted: Vec<&ServerStat> = all
         .iter()
         .copied()
@@ -270,6 +264,31 @@
     Some(better_of_two(now, &near, rng)?.place.backend.clone())
 }
 
+/// Returns the untried servers that take work, of the best-ranked version that has any.
+fn usable<'a>(
+    stats: &'a BTreeMap<BackendName, ServerStat>,
+    rule: &ChoiceRule<'_>,
+) -> Vec<&'a ServerStat> {
+    let mut best = None;
+    let mut all = Vec::with_capacity(stats.len());
+    for stat in stats
+        .values()
+        .filter(|stat| stat.state == BackendState::Serving)
+    {
+        let Some(rank) = rule.versions.rank(&stat.place.version) else {
+            continue;
+        };
+        if best.is_none_or(|best| rank < best) {
+            best = Some(rank);
+            all.clear();
+        }
+        if best == Some(rank) && !rule.tried.contains(&stat.place.backend) {
+            all.push(stat);
+        }
+    }
+    all
+}
+
 fn nearest_with_room(
     now: ClockInstant,
     candidates: &[&ServerStat],
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -7,6 +7,7 @@
     ids::{BackendName, DataCentre, IncarnationNumber, ServiceName, SlotCount},
     member::{BackendRow, BackendState, MemberRow, MemberState},
     request::{AttemptOutcome, ChoiceRule, ServerBook, ServerLoad},
+    rollout::VersionSplit,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -21,6 +22,7 @@
     spill: Vec<DataCentre>,
     now: ClockInstant,
     rng: SmallRng,
+    split: VersionSplit,
 }
 
 impl Bench {
@@ -32,6 +34,7 @@
             spill: vec![name("gent"), name("luik")],
             now: ClockInstant::from_millis(1_000_000),
             rng: SmallRng::seed_from_u64(SEED),
+            split: VersionSplit::any(),
         };
         bench.sync(placement, TimeBudget::ZERO);
         bench
@@ -45,7 +48,7 @@
     fn choose(&mut self, tried: &[BackendName]) -> Option<BackendName> {
         let rule = ChoiceRule {
             service: &self.service,
-            version: None,
+            versions: self.split.choose(0),
             data_centre: &self.home,
             spill_order: &self.spill,
             tried,
