--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -41,7 +41,7 @@
     }
 
     fn sync(&mut self, placement: &[(&str, &str)], slow_start: TimeBudget) {
-        let rows: Vec<MemberRow> = placement.iter().map(|place| member(place)).collect();
+        let rows: Vec<MemberRow> = placement.iter().map(member).collect();
         self.book.sync(self.now, rows.iter(), |_| slow_start);
     }
 
