Judge a version move by the merged evidence of all nodes

Change: curve by time and by proof, sequential test per route (failures, latency at two quantiles) with a run without each new server, doubt that gives the old version traffic to compare with late faults, a node's quick stop, the outlook for operators. Nothing measured yet.

--- a/crates/kernel/src/rollout/move_table.rs
+++ b/crates/kernel/src/rollout/move_table.rs
@@ -1,27 +1,31 @@
 use std::collections::BTreeMap;
 
+use compact_str::{CompactString, format_compact};
+
 use crate::{
     clock::ClockInstant,
     ids::{DataCentre, RouteName, ServiceName},
     rollout::{
-        MoveMark, MoveRecord, MoveState, NodeEvidence, NodeSlot, OutcomeReport, VersionSide,
-        VersionSplit,
+        MarkCause, MoveJudge, MoveMark, MoveRecord, MoveState, NodeEvidence, NodeSlot,
+        OutcomeReport, QuickStop, RouteFault, VersionSide, VersionSplit,
     },
 };
 
-/// The version moves that a node knows, with what it saw of them itself.
+/// The version moves that a node knows, with what it and others saw of them.
 #[derive(Clone, Debug)]
 pub struct MoveTable {
     slot: NodeSlot,
     data_centre: DataCentre,
     entries: BTreeMap<ServiceName, MoveEntry>,
+    marks: BTreeMap<ServiceName, MoveMark>,
 }
 
 #[derive(Clone, Debug)]
 struct MoveEntry {
     record: MoveRecord,
-    mark: Option<MoveMark>,
     own: NodeEvidence,
+    judge: MoveJudge,
+    quick: QuickStop,
 }
 
 impl MoveTable {
@@ -32,34 +36,54 @@
             slot,
             data_centre,
             entries: BTreeMap::new(),
+            marks: BTreeMap::new(),
         }
     }
 
     /// Takes in a move record from the platform or a peer and returns whether it was news.
     pub fn merge_record(&mut self, record: MoveRecord, now: ClockInstant) -> bool {
-        let held = self.entries.get_mut(&record.service);
-        match held {
+        if let Some(mark) = record.mark.clone() {
+            self.merge_mark(&record.service, mark);
+        }
+        match self.entries.get_mut(&record.service) {
             Some(entry) if !record.replaces(&entry.record) => false,
             Some(entry) if entry.record.number == record.number => {
                 entry.record = record;
                 true
             }
             _ => {
-                let own = NodeEvidence::new(
-                    self.slot.clone(),
-                    self.data_centre.clone(),
-                    record.number,
-                    now,
-                );
-                let mark = record.mark.clone();
                 let service = record.service.clone();
-                let entry = MoveEntry { record, mark, own };
+                let entry = self.new_entry(record, now);
                 self.entries.insert(service, entry);
                 true
             }
         }
     }
 
+    /// Takes in a mark from a peer and returns whether it was news.
+    pub fn merge_mark(&mut self, service: &ServiceName, mark: MoveMark) -> bool {
+        let held = self.marks.get(service).cloned();
+        let merged = match held.clone() {
+            Some(held) => held.merge(mark),
+            None => mark,
+        };
+        let is_news = held.as_ref() != Some(&merged);
+        self.marks.insert(service.clone(), merged);
+        is_news
+    }
+
+    /// Merges what another node saw of a move.
+    pub fn merge_evidence(
+        &mut self,
+        service: &ServiceName,
+        evidence: NodeEvidence,
+        now: ClockInstant,
+    ) {
+        if let Some(entry) = self.entries.get_mut(service) {
+            entry.judge.merge(evidence, now);
+        }
+    }
+
     /// Returns the split of a route's requests between the versions of its service.
     ///
     /// Without any record of a move every version serves.
@@ -67,19 +91,24 @@
     pub fn version_split(
         &self,
         service: &ServiceName,
-        _route: &RouteName,
-        _now: ClockInstant,
+        route: &RouteName,
+        now: ClockInstant,
     ) -> VersionSplit {
         let Some(entry) = self.entries.get(service) else {
             return VersionSplit::any();
         };
         let record = &entry.record;
         let (from, to) = (record.from.clone(), record.to.clone());
+        let is_marked = self.mark(service).is_some();
         match record.state {
-            MoveState::Done => VersionSplit::done(from, to),
             MoveState::TakenBack => VersionSplit::taken_back(from, to),
-            MoveState::Running if entry.mark.is_some() => VersionSplit::taken_back(from, to),
-            MoveState::Running => VersionSplit::moving(from, to, record.rule.first_share),
+            MoveState::Running if is_marked => VersionSplit::taken_back(from, to),
+            MoveState::Done if is_marked => VersionSplit::done_but_faulty(from, to),
+            MoveState::Done => VersionSplit::done(from, to),
+            MoveState::Running if entry.quick.is_stopped(now) => {
+                VersionSplit::moving(from, to, crate::config::ShareRatio::NONE)
+            }
+            MoveState::Running => VersionSplit::moving(from, to, entry.judge.share(route, now)),
         }
     }
 
@@ -88,6 +117,9 @@
         let Some(entry) = self.entries.get_mut(&report.service) else {
             return;
         };
+        if entry.record.state.is_final() {
+            return;
+        }
         let side = if report.version == entry.record.to {
             VersionSide::New
         } else if report.version == entry.record.from {
@@ -96,5 +128,99 @@
             return;
         };
         entry.own.record(side, report, now);
+        entry.quick.observe(side, report, now);
+    }
+
+    /// Ends the interval of every running move, and returns the marks that the evidence asks
+    /// for; the table already keeps to them.
+    pub fn tick(&mut self, now: ClockInstant) -> Vec<(ServiceName, MoveMark)> {
+        let mut marks = Vec::new();
+        for (service, entry) in &mut self.entries {
+            if entry.record.state.is_final() {
+                continue;
+            }
+            entry.own.taken_at = now;
+            entry.judge.merge(entry.own.clone(), now);
+            let Some((route, fault)) = entry.judge.tick(now) else {
+                continue;
+            };
+            let mark = MoveMark {
+                number: entry.record.number,
+                marked_at: now,
+                node: Some(self.slot.node.clone()),
+                data_centre: Some(self.data_centre.clone()),
+                cause: fault.cause,
+                figures: figures_of(&route, &fault),
+                route: Some(route),
+            };
+            marks.push((service.clone(), mark));
+        }
+        marks.retain(|(service, _)| self.mark(service).is_none());
+        for (service, mark) in &marks {
+            self.merge_mark(service, mark.clone());
+        }
+        marks
+    }
+
+    /// Returns the mark of a service's latest move, if there is one.
+    #[must_use]
+    pub fn mark(&self, service: &ServiceName) -> Option<&MoveMark> {
+        let number = self.entries.get(service)?.record.number;
+        self.marks.get(service).filter(|mark| mark.number == number)
+    }
+
+    /// Returns the record of a service's latest move.
+    #[must_use]
+    pub fn record(&self, service: &ServiceName) -> Option<&MoveRecord> {
+        self.entries.get(service).map(|entry| &entry.record)
+    }
+
+    /// Returns the judge of a service's latest move.
+    #[must_use]
+    pub fn judge(&self, service: &ServiceName) -> Option<&MoveJudge> {
+        self.entries.get(service).map(|entry| &entry.judge)
+    }
+
+    /// Returns the latest move of every service.
+    pub fn records(&self) -> impl Iterator<Item = &MoveRecord> {
+        self.entries.values().map(|entry| &entry.record)
+    }
+
+    /// Returns what this node saw itself of each running move, to be sent to others.
+    pub fn own_evidence(&self) -> impl Iterator<Item = (&ServiceName, &NodeEvidence)> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| !entry.record.state.is_final())
+            .map(|(service, entry)| (service, &entry.own))
+    }
+
+    fn new_entry(&self, record: MoveRecord, now: ClockInstant) -> MoveEntry {
+        let own = NodeEvidence::new(
+            self.slot.clone(),
+            self.data_centre.clone(),
+            record.number,
+            now,
+        );
+        MoveEntry {
+            judge: MoveJudge::new(record.clone(), now),
+            record,
+            own,
+            quick: QuickStop::default(),
+        }
+    }
+}
+
+fn figures_of(route: &RouteName, fault: &RouteFault) -> CompactString {
+    match fault.cause {
+        MarkCause::Latency => format_compact!(
+            "route {route}: 95th percentile {:.0} ms against {:.0} ms on the old version",
+            fault.new * 1e3,
+            fault.old * 1e3
+        ),
+        _ => format_compact!(
+            "route {route}: {:.1}% of recent requests failed against {:.1}% on the old version",
+            fault.new * 1e2,
+            fault.old * 1e2
+        ),
     }
 }
--- a/crates/kernel/src/rollout/node_evidence.rs
+++ b/crates/kernel/src/rollout/node_evidence.rs
@@ -48,6 +48,15 @@
 }
 
 impl EvidenceCell {
+    /// Adds the counts of another cell.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.failures += other.failures;
+        for (bucket, count) in other.latency.iter() {
+            self.latency.add(bucket, count);
+        }
+    }
+
     fn max(&self, other: &Self) -> Self {
         Self {
             requests: self.requests.max(other.requests),
--- /dev/null
+++ b/crates/kernel/src/rollout/route_judge.rs
@@ -0,0 +1,235 @@
+use std::collections::BTreeMap;
+
+use crate::{
+    clock::{ClockInstant, TimeBudget},
+    config::ShareRatio,
+    ids::BackendName,
+    rollout::{
+        DoubtWatch, EventBin, EventCount, EvidenceCell, LatencyHistogram, MarkCause,
+        SequentialTest, VersionSide, fading_counts::FadingCounts,
+    },
+};
+
+/// Wealth at which a test speaks against a version: one false alarm in 2,000 moves and test.
+const WEALTH_LIMIT: f64 = 2_000.0;
+const FAILURE_ODDS: &[f64] = &[3.0, 10.0, 100.0, 1_000.0];
+const SLOW_ODDS: &[f64] = &[2.0, 4.0, 16.0];
+const MIN_FAILURES: f64 = 2.5;
+const MIN_EXCESS: f64 = 0.04;
+const MIN_BUCKETS_SLOWER: u8 = 2;
+const MIN_BASELINE_LATENCIES: f64 = 30.0;
+const MEMORY_OF_NEW: f64 = 60.0;
+const MEMORY_OF_OLD: f64 = 500.0;
+const MEMORY_OF_PART: f64 = 200.0;
+const SLOW_QUANTILES: [f64; 2] = [0.80, 0.95];
+
+/// Why a version is found bad on a route, in figures.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteFault {
+    /// Failures or latency.
+    pub cause: MarkCause,
+    /// Share of recent failures, or 95th percentile in seconds, on the old version.
+    pub old: f64,
+    /// The same on the new version.
+    pub new: f64,
+    /// Wealth of the test.
+    pub wealth: f64,
+}
+
+/// Outcomes of a route in one interval, by version and server.
+#[derive(Clone, Debug, Default)]
+pub struct RouteBin {
+    /// Outcomes on the old version.
+    pub old: EvidenceCell,
+    /// Outcomes on each server of the new version.
+    pub new: BTreeMap<BackendName, EvidenceCell>,
+}
+
+/// Comparison of the two versions of a move on one route.
+#[derive(Clone, Debug)]
+pub struct RouteJudge {
+    requests: BTreeMap<VersionSide, u64>,
+    old: FadingCounts,
+    new: FadingCounts,
+    part: EventCount,
+    failures: SequentialTest,
+    slow: [SequentialTest; 2],
+    doubt: DoubtWatch,
+}
+
+impl RouteJudge {
+    /// Builds a judge for a move of about `intervals` intervals.
+    #[must_use]
+    pub fn new(intervals: f64) -> Self {
+        let slow = || SequentialTest::new(SLOW_ODDS, intervals);
+        Self {
+            requests: BTreeMap::new(),
+            old: FadingCounts::new(MEMORY_OF_OLD),
+            new: FadingCounts::new(MEMORY_OF_NEW),
+            part: EventCount::default(),
+            failures: SequentialTest::new(FAILURE_ODDS, intervals),
+            slow: [slow(), slow()],
+            doubt: DoubtWatch::default(),
+        }
+    }
+
+    /// Takes in the outcomes of one interval, in which the new version had the share `wanted`.
+    pub fn observe(&mut self, bin: &RouteBin, wanted: ShareRatio, now: ClockInstant) {
+        let expected = self.expected_part(bin, wanted);
+        let limits = self.slow_limits();
+        self.failures.observe(&failure_bin(bin), expected);
+        if let Some(limits) = limits {
+            for (test, limit) in self.slow.iter_mut().zip(limits) {
+                test.observe(&slow_bin(bin, limit), expected);
+            }
+        }
+        let tail = limits.map(|[_, tail]| tail);
+        let baseline = self.old.total();
+        self.doubt.observe(bin, baseline, tail, wanted, now);
+        self.count(bin);
+    }
+
+    /// Counts requests that are too old to be compared by interval.
+    pub fn count_stale(&mut self, side: VersionSide, requests: u64) {
+        *self.requests.entry(side).or_default() += requests;
+    }
+
+    /// Returns the fault that the evidence shows, if any.
+    #[must_use]
+    pub fn fault(&self) -> Option<RouteFault> {
+        self.failure_fault().or_else(|| self.slow_fault())
+    }
+
+    /// Returns the share to which a doubt lowers the new version's, while there is one.
+    #[must_use]
+    pub fn doubt_share(&self, now: ClockInstant) -> Option<ShareRatio> {
+        self.doubt.share(now)
+    }
+
+    /// Returns how many requests one version got on the route.
+    #[must_use]
+    pub fn requests(&self, side: VersionSide) -> u64 {
+        self.requests.get(&side).copied().unwrap_or(0)
+    }
+
+    /// Returns the failure shares of the old and the new version over the remembered requests.
+    #[must_use]
+    pub fn failure_shares(&self) -> (f64, f64) {
+        (self.old.total().share(), self.new.total().share())
+    }
+
+    /// Returns the 95th percentiles of the old and the new version, where there are latencies.
+    #[must_use]
+    pub fn tails(&self) -> (Option<TimeBudget>, Option<TimeBudget>) {
+        let tail = |counts: &FadingCounts| {
+            counts
+                .quantile(SLOW_QUANTILES[1])
+                .map(LatencyHistogram::upper_bound)
+        };
+        (tail(&self.old), tail(&self.new))
+    }
+
+    fn failure_fault(&self) -> Option<RouteFault> {
+        let (old, new) = self.failure_shares();
+        let wealth = self.failures.wealth();
+        let is_bad = wealth >= WEALTH_LIMIT
+            && self.new.total().events >= MIN_FAILURES
+            && new - old >= MIN_EXCESS;
+        is_bad.then_some(RouteFault {
+            cause: MarkCause::Failures,
+            old,
+            new,
+            wealth,
+        })
+    }
+
+    fn slow_fault(&self) -> Option<RouteFault> {
+        let old = self.old.quantile(SLOW_QUANTILES[1])?;
+        let new = self.new.quantile(SLOW_QUANTILES[1])?;
+        let wealth = self
+            .slow
+            .iter()
+            .map(SequentialTest::wealth)
+            .fold(0.0, f64::max);
+        let is_bad = wealth >= WEALTH_LIMIT && new >= old.saturating_add(MIN_BUCKETS_SLOWER);
+        is_bad.then_some(RouteFault {
+            cause: MarkCause::Latency,
+            old: LatencyHistogram::upper_bound(old).as_secs_f64(),
+            new: LatencyHistogram::upper_bound(new).as_secs_f64(),
+            wealth,
+        })
+    }
+
+    fn slow_limits(&self) -> Option<[u8; 2]> {
+        if self.old.latencies() < MIN_BASELINE_LATENCIES {
+            return None;
+        }
+        let [near, far] = SLOW_QUANTILES.map(|part| self.old.quantile(part));
+        Some([near?, far?])
+    }
+
+    /// Blends the share that the new version really had lately with the wanted one.
+    fn expected_part(&self, bin: &RouteBin, wanted: ShareRatio) -> f64 {
+        let seen = self.part.requests + total_requests(bin);
+        let on_new = self.part.events + new_requests(bin);
+        let weight = MEMORY_OF_PART / 4.0;
+        (on_new + weight * wanted.as_f64()) / (seen + weight)
+    }
+
+    fn count(&mut self, bin: &RouteBin) {
+        let all = total_requests(bin);
+        let on_new = new_requests(bin);
+        let keep = (-all / MEMORY_OF_PART).exp();
+        self.part.requests = self.part.requests * keep + all;
+        self.part.events = self.part.events * keep + on_new;
+        *self.requests.entry(VersionSide::Old).or_default() += bin.old.requests;
+        *self.requests.entry(VersionSide::New).or_default() += on_new as u64;
+        self.old.add(failure_count(&bin.old), &bin.old.latency);
+        for cell in bin.new.values() {
+            self.new.add(failure_count(cell), &cell.latency);
+        }
+    }
+}
+
+fn new_requests(bin: &RouteBin) -> f64 {
+    bin.new.values().map(|cell| cell.requests as f64).sum()
+}
+
+fn total_requests(bin: &RouteBin) -> f64 {
+    bin.old.requests as f64 + new_requests(bin)
+}
+
+/// Returns the requests of a cell, with its failures as the events.
+pub(crate) fn failure_count(cell: &EvidenceCell) -> EventCount {
+    EventCount {
+        requests: cell.requests as f64,
+        events: cell.failures as f64,
+    }
+}
+
+/// Returns the latencies of a cell, with those above the bucket `limit` as the events.
+pub(crate) fn slow_count(cell: &EvidenceCell, limit: u8) -> EventCount {
+    let slow = cell.latency.iter().filter(|(bucket, _)| *bucket > limit);
+    EventCount {
+        requests: cell.latency.count() as f64,
+        events: slow.map(|(_, hits)| hits as f64).sum(),
+    }
+}
+
+fn failure_bin(bin: &RouteBin) -> EventBin {
+    map_bin(bin, failure_count)
+}
+
+fn slow_bin(bin: &RouteBin, limit: u8) -> EventBin {
+    map_bin(bin, |cell| slow_count(cell, limit))
+}
+
+fn map_bin(bin: &RouteBin, count: impl Fn(&EvidenceCell) -> EventCount) -> EventBin {
+    let new = bin.new.iter();
+    EventBin {
+        old: count(&bin.old),
+        new: new
+            .map(|(server, cell)| (server.clone(), count(cell)))
+            .collect(),
+    }
+}
--- a/crates/kernel/src/rollout/version_split.rs
+++ b/crates/kernel/src/rollout/version_split.rs
@@ -56,6 +56,13 @@
         Self::moving(from, to, ShareRatio::ALL)
     }
 
+    /// Builds the split of a move whose fault showed only after it was done: the new version
+    /// serves only where no server of the old one does.
+    #[must_use]
+    pub fn done_but_faulty(from: BuildVersion, to: BuildVersion) -> Self {
+        Self::done(to, from)
+    }
+
     /// Builds the split after a move was taken back: the new version gets nothing.
     #[must_use]
     pub fn taken_back(from: BuildVersion, to: BuildVersion) -> Self {
