Give each publish test a table of its own

Cause: two tests wrote the rival's row into one shared in-memory table, so one of them lost the race for it now and then (seen once in a workspace run: the_loser_of_a_race_is_told_to_whom, "version 1 was published by anna first"). Ruled out: a fault of publish, since the message was true. Change: the table's name is an argument.

--- a/crates/cli/tests/commands/publish.rs
+++ b/crates/cli/tests/commands/publish.rs
@@ -37,10 +37,10 @@
 }
 
 /// Row that another publisher would write on top of an empty table.
-fn rival_row() -> VersionRow {
-    let run = publish("rival", &[]);
+fn rival_row(platform: &str) -> VersionRow {
+    let run = publish(platform, &[]);
     assert_eq!(run.code, 0, "{}", run.stderr);
-    let mut row = stored_row("rival");
+    let mut row = stored_row(platform);
     row.publisher = "bert".into();
     row.attempt = AttemptToken::new(1);
     row.hash = ContentHash::of(b"other content");
@@ -114,7 +114,7 @@
 
 #[test]
 fn the_loser_of_a_race_is_told_to_whom() {
-    plan_fault("race", WriteFault::Race(rival_row().to_json()));
+    plan_fault("race", WriteFault::Race(rival_row("race-rival").to_json()));
     let run = publish("race", &[]);
     assert_eq!(run.code, 5);
     expect![[r#"
@@ -126,7 +126,7 @@
 
 #[test]
 fn an_outcome_that_the_table_does_not_show_is_unknown() {
-    let mut rival = rival_row();
+    let mut rival = rival_row("late-rival");
     rival.number = VersionNumber::new(40);
     let fault = WriteFault::LostAnswerThenReplaced(rival.to_json());
     plan_fault("hidden", fault);
