List every bad input of the answers with what it gets

The page docs/bad-inputs/answers.md is written and compared by a test from the real output of check; generate must refuse the same inputs with nothing on standard output. Limits on a route's timeout (1h) and body (8 MiB, which nodes hold in memory) join the kernel's checks, and a message about a missing service names those that exist.

Found by the listing: the YAML parser stops at a NUL byte as if the file ended there, so a file with one was taken without its rest. Control characters are now refused; the case in the listing failed before (the file was read as if complete).

--- a/crates/cli/src/output/output_printer.rs
+++ b/crates/cli/src/output/output_printer.rs
@@ -62,18 +62,19 @@
 
     pub(crate) fn fail(&mut self, error: &CommandError) {
         match self.format {
-            OutputFormat::Plain => self.note(&format!("error: {}", indent(&error.to_string()))),
+            OutputFormat::Plain => self.note(&format!("error: {}", describe(error))),
             OutputFormat::Json => self.note(&to_json(&error_document(error))),
         }
     }
 }
 
-/// Puts several lines below the word that opens the message.
-fn indent(message: &str) -> String {
-    if message.contains('\n') {
-        format!("\n{message}")
-    } else {
-        message.to_owned()
+/// Puts several mistakes below a line that counts them.
+fn describe(error: &CommandError) -> String {
+    match error {
+        CommandError::File { source } if source.problems().len() > 1 => {
+            format!("{} mistakes\n{error}", source.problems().len())
+        }
+        _ => error.to_string(),
     }
 }
 
--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -1,5 +1,6 @@
 //! Every command, run in the test's own process.
 
+mod bad_answers;
 mod definition;
 mod publish;
 mod support;
--- a/crates/kernel/src/config/config_check.rs
+++ b/crates/kernel/src/config/config_check.rs
@@ -5,9 +5,18 @@
 use crate::{
     clock::TimeBudget,
     config::{ConfigSnapshot, ProxySpec, RouteRule, ServiceSpec, ShareRatio},
-    ids::{DataCentre, RouteName, ServiceName, SlotCount},
+    ids::{ByteCount, DataCentre, RouteName, ServiceName, SlotCount},
 };
 
+/// Longest timeout of a route.
+const MAX_TIMEOUT: TimeBudget = TimeBudget::from_secs(3_600);
+
+/// Largest limit of a request's body, which nodes hold in memory.
+const MAX_BODY: ByteCount = ByteCount::new(8 * 1024 * 1024);
+
+/// Number of services that a message lists.
+const MAX_LISTED: usize = 5;
+
 /// One mistake in a configuration: where it is, and what is wrong.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CheckProblem {
@@ -113,7 +122,11 @@
 ) {
     if !snapshot.services.contains_key(&rule.service) {
         let place = format_compact!("routes.{name}.service");
-        let message = format_compact!("service \"{}\" does not exist", rule.service);
+        let message = format_compact!(
+            "service \"{}\" does not exist; services are {}",
+            rule.service,
+            list_services(snapshot)
+        );
         push(problems, place, message);
     }
     if !rule.path.starts_with('/') {
@@ -132,6 +145,32 @@
             "a timeout of zero refuses every request; use 1ms or more",
         );
     }
+    if rule.timeout > MAX_TIMEOUT {
+        let place = format_compact!("routes.{name}.timeout");
+        let message = format_compact!(
+            "timeout {} is longer than the limit of {MAX_TIMEOUT}",
+            rule.timeout
+        );
+        push(problems, place, message);
+    }
+    if rule.max_body > MAX_BODY {
+        let place = format_compact!("routes.{name}.max_body");
+        let message = format_compact!(
+            "{} bytes are more than the limit of {MAX_BODY}",
+            rule.max_body
+        );
+        push(problems, place, message);
+    }
+}
+
+fn list_services(snapshot: &ConfigSnapshot) -> String {
+    let names = snapshot.services.keys().map(ServiceName::as_str);
+    let listed: Vec<_> = names.take(MAX_LISTED).collect();
+    match snapshot.services.len().saturating_sub(MAX_LISTED) {
+        0 if listed.is_empty() => "none".to_owned(),
+        0 => listed.join(", "),
+        hidden => format!("{} and {hidden} more", listed.join(", ")),
+    }
 }
 
 fn check_duplicate_paths(snapshot: &ConfigSnapshot, problems: &mut Vec<CheckProblem>) {
@@ -143,7 +182,7 @@
         if let Some((twin_name, _)) = twin {
             let place = format_compact!("routes.{name}.path");
             let message = format_compact!(
-                "path {:?} is already matched by route {twin_name}",
+                "path {:?} is already matched by route {twin_name}; use another path or method",
                 rule.path
             );
             push(problems, place, message);
--- a/crates/yaml/src/parser/text_parser.rs
+++ b/crates/yaml/src/parser/text_parser.rs
@@ -14,6 +14,11 @@
 /// noted.
 #[must_use]
 pub fn parse_text(text: &str, problems: &ProblemList) -> Option<YamlNode> {
+    if let Some(place) = find_control_character(text) {
+        let message = "a control character stands here; remove it";
+        problems.push(place, "", message);
+        return None;
+    }
     let mut builder = TreeBuilder::default();
     for parsed in Parser::new_from_str(text) {
         let step = match parsed {
@@ -37,6 +42,18 @@
     root
 }
 
+/// Finds a character that YAML does not allow, and at some of which the parser would stop reading.
+fn find_control_character(text: &str) -> Option<TextPlace> {
+    let is_refused = |c: char| c.is_control() && !matches!(c, '\t' | '\n' | '\r' | '\u{85}');
+    let offset = text.find(is_refused)?;
+    let before = &text[..offset];
+    let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+    Some(TextPlace {
+        line: 1 + before.matches('\n').count(),
+        column: 1 + before[line_start..].chars().count(),
+    })
+}
+
 fn syntax_problem(error: &ScanError) -> (TextPlace, compact_str::CompactString) {
     let message = format_compact!("the text is not YAML: {}", error.info());
     (place_of(error.marker()), message)
--- a/crates/yaml/src/reader/map_reader.rs
+++ b/crates/yaml/src/reader/map_reader.rs
@@ -104,8 +104,8 @@
     pub fn refuse_missing(&self, key: &'static str, example: &str) {
         self.problems.push(
             self.place,
-            self.path.clone(),
-            format_compact!("key \"{key}\" is missing; add a line such as `{example}`"),
+            self.child(key),
+            format_compact!("the key is missing; add a line such as `{example}`"),
         );
     }
 
