Add the backend stand-in and readers of two report formats

bronzelb-emulator backend announces itself to its node, runs requests in slots, answers with its request's id, target and key, and takes PUT /faults (rules by path, share, load and time: delay, fail, shed, cut body, wrong request id, double answer, close before or after the run, freeze, crash; lying or lagging reports). The readers json-load and plain-status register themselves from crates/daemon/src/report/.

Found by the test of a cut body, which failed first: awc passes a body that ends before its content-length, or before its last chunk, as a whole one (PlStream returns None at end of file). PlatformClient now compares the length. The daemon's BackendClient needs the same or, better, a connector whose stream turns end of file inside an answer into an error, which covers chunked bodies too.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod node;
 pub mod operators;
 pub mod peers;
+pub mod report;
 pub mod settings;
 pub mod source;
--- /dev/null
+++ b/crates/daemon/src/report/plain_status.rs
@@ -0,0 +1,51 @@
+use std::str;
+
+use bronzelb_kernel::{
+    error::MeshError,
+    plugin::{LoadReport, ReportReader},
+};
+
+use crate::report::slot_share;
+
+const HEALTH_FIELD: &str = "health";
+const BUSY_FIELD: &str = "busy-slots";
+const SLOTS_FIELD: &str = "total-slots";
+const HEALTHY_VALUE: &str = "ok";
+
+inventory::submit! {
+    ReportReader {
+        name: "plain-status",
+        path: "/status.txt",
+        read,
+    }
+}
+
+/// Reads lines of the form `field: value`; further fields are ignored.
+fn read(body: &[u8]) -> Result<LoadReport, MeshError> {
+    let text = str::from_utf8(body)
+        .map_err(|_| MeshError::invalid("plain-status report is not UTF-8 text"))?;
+    let health = field(text, HEALTH_FIELD)?;
+    let busy = number_field(text, BUSY_FIELD)?;
+    let slots = number_field(text, SLOTS_FIELD)?;
+    Ok(LoadReport {
+        is_healthy: health == HEALTHY_VALUE,
+        load: slot_share(busy, slots)?,
+    })
+}
+
+fn field<'a>(text: &'a str, name: &str) -> Result<&'a str, MeshError> {
+    text.lines()
+        .filter_map(|line| line.split_once(':'))
+        .find(|(field, _)| field.trim() == name)
+        .map(|(_, value)| value.trim())
+        .ok_or_else(|| MeshError::invalid(format!("plain-status report has no field {name:?}")))
+}
+
+fn number_field(text: &str, name: &str) -> Result<u32, MeshError> {
+    let value = field(text, name)?;
+    value.parse().map_err(|_| {
+        MeshError::invalid(format!(
+            "field {name:?} of the plain-status report is {value:?} instead of a whole number"
+        ))
+    })
+}
--- /dev/null
+++ b/crates/emulator/src/backend/backend_state.rs
@@ -0,0 +1,100 @@
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use bronzelb_kernel::{
+    clock::ClockInstant, error::MeshError, ids::SlotCount, member::BackendState,
+};
+use tokio::sync::Semaphore;
+
+use crate::{
+    backend::{
+        BackendFaults, BackendSettings, BackendTally, fault_plan::FaultPlan,
+        run_journal::RunJournal,
+    },
+    server::wall_clock,
+};
+
+const MAX_LOAD_SAMPLES: usize = 100_000;
+
+/// Number of busy slots at an instant, kept for reports that lag.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadSample {
+    pub(crate) at: ClockInstant,
+    pub(crate) busy: u32,
+}
+
+/// What changes while a backend stand-in runs.
+pub(crate) struct BackendParts {
+    pub(crate) plan: FaultPlan,
+    pub(crate) tally: BackendTally,
+    pub(crate) journal: Option<RunJournal>,
+    pub(crate) state: BackendState,
+    pub(crate) node: Option<SocketAddr>,
+    pub(crate) in_flight: u32,
+    pub(crate) busy: u32,
+    pub(crate) samples: VecDeque<LoadSample>,
+}
+
+/// Everything that a backend stand-in keeps.
+pub(crate) struct BackendCore {
+    pub(crate) settings: BackendSettings,
+    pub(crate) slots: Semaphore,
+    pub(crate) started_at: ClockInstant,
+    parts: Mutex<BackendParts>,
+}
+
+/// Shared handle of the [`BackendCore`].
+pub(crate) type CoreHandle = Arc<BackendCore>;
+
+impl BackendCore {
+    pub(crate) fn new(settings: BackendSettings) -> Result<CoreHandle, MeshError> {
+        let now = wall_clock();
+        let journal = settings
+            .journal
+            .as_deref()
+            .map(RunJournal::open)
+            .transpose()?;
+        let parts = BackendParts {
+            plan: FaultPlan::new(BackendFaults::default(), now),
+            tally: BackendTally::default(),
+            journal,
+            state: BackendState::Starting,
+            node: settings.node,
+            in_flight: 0,
+            busy: 0,
+            samples: VecDeque::new(),
+        };
+        Ok(Arc::new(Self {
+            slots: Semaphore::new(slot_permits(settings.slots)),
+            settings,
+            started_at: now,
+            parts: Mutex::new(parts),
+        }))
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, BackendParts> {
+        self.parts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl BackendParts {
+    pub(crate) fn set_busy(&mut self, busy: u32) {
+        self.busy = busy;
+        if self.plan.faults.report.lag_ms == 0 {
+            self.samples.clear();
+            return;
+        }
+        if self.samples.len() == MAX_LOAD_SAMPLES {
+            self.samples.pop_front();
+        }
+        let at = wall_clock();
+        self.samples.push_back(LoadSample { at, busy });
+    }
+}
+
+fn slot_permits(slots: SlotCount) -> usize {
+    usize::try_from(slots.get()).unwrap_or(Semaphore::MAX_PERMITS)
+}
--- a/crates/emulator/src/command/emulator_command.rs
+++ b/crates/emulator/src/command/emulator_command.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::error::MeshError;
 use clap::{ArgMatches, Command};
 
-use crate::command::platform_command;
+use crate::command::{backend_command, platform_command};
 
 /// A subcommand: how its arguments look, and what it does.
 struct Subcommand {
@@ -11,10 +11,16 @@
     run: fn(&ArgMatches) -> Result<(), MeshError>,
 }
 
-const SUBCOMMANDS: [Subcommand; 1] = [Subcommand {
-    define: platform_command::define,
-    run: platform_command::run,
-}];
+const SUBCOMMANDS: [Subcommand; 2] = [
+    Subcommand {
+        define: backend_command::define,
+        run: backend_command::run,
+    },
+    Subcommand {
+        define: platform_command::define,
+        run: platform_command::run,
+    },
+];
 
 /// Runs the program with `args`, the program's name first, and returns its exit code.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
--- a/crates/emulator/src/command/mod.rs
+++ b/crates/emulator/src/command/mod.rs
@@ -1,5 +1,7 @@
 //! The command line of `bronzelb-emulator`.
 
+mod arguments;
+mod backend_command;
 mod emulator_command;
 mod platform_command;
 
--- a/crates/emulator/src/platform/platform_server.rs
+++ b/crates/emulator/src/platform/platform_server.rs
@@ -4,13 +4,13 @@
     App, HttpServer,
     web::{self, ServiceConfig},
 };
-use bronzelb_kernel::error::{ErrorKind, MeshError};
+use bronzelb_kernel::error::MeshError;
 use futures::future::try_join;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     platform::{control_handler, object_handler, platform_state::StateHandle, table_handler},
-    server::{ConnectionHandle, local_error, print_listening},
+    server::{ConnectionHandle, first_address, local_error, print_listening},
 };
 
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -102,10 +102,3 @@
             web::delete().to(control_handler::delete_counters),
         );
 }
-
-fn first_address(addresses: &[SocketAddr]) -> Result<SocketAddr, MeshError> {
-    addresses
-        .first()
-        .copied()
-        .ok_or_else(|| MeshError::new(ErrorKind::LocalIo, "listener has no address"))
-}
--- a/crates/emulator/src/server/connection_handle.rs
+++ b/crates/emulator/src/server/connection_handle.rs
@@ -1,5 +1,6 @@
 use std::{
     any::Any,
+    io::Write,
     net::{Shutdown, TcpStream},
     os::fd::AsFd,
 };
@@ -35,6 +36,13 @@
         }
     }
 
+    /// Sends `message` past the HTTP library, as far as the socket's buffer takes it.
+    pub fn send(&self, message: &[u8]) {
+        let mut stream = &self.0;
+        // A peer that is gone does not hear it.
+        let _ = stream.write_all(message);
+    }
+
     /// Closes the connection in both directions.
     pub fn close(&self) {
         // A connection that the peer has already closed needs no closing.
--- a/crates/emulator/src/server/listening_event.rs
+++ b/crates/emulator/src/server/listening_event.rs
@@ -1,4 +1,7 @@
-use std::io::{Write, stdout};
+use std::{
+    io::{Write, stdout},
+    net::SocketAddr,
+};
 
 use bronzelb_kernel::error::{ErrorKind, MeshError};
 use serde::Serialize;
@@ -34,3 +37,15 @@
 pub fn local_error(what: &str, error: &std::io::Error) -> MeshError {
     MeshError::new(ErrorKind::LocalIo, format!("{what}: {error}"))
 }
+
+/// Returns the address that a listener was bound to.
+///
+/// # Errors
+///
+/// `LocalIo` when there is none.
+pub fn first_address(addresses: &[SocketAddr]) -> Result<SocketAddr, MeshError> {
+    addresses
+        .first()
+        .copied()
+        .ok_or_else(|| MeshError::new(ErrorKind::LocalIo, "listener has no address"))
+}
--- a/crates/platform/src/http/http_platform.rs
+++ b/crates/platform/src/http/http_platform.rs
@@ -3,7 +3,10 @@
 use awc::{
     Client, Connector,
     error::{PayloadError, SendRequestError},
-    http::{Method, StatusCode},
+    http::{
+        Method, StatusCode,
+        header::{CONTENT_LENGTH, HeaderMap},
+    },
 };
 use bronzelb_kernel::{
     clock::ClockInstant,
@@ -255,11 +258,16 @@
         if status.is_server_error() {
             return Err(self.away(status.as_str()));
         }
+        let length = content_length(response.headers());
         let body = response
             .body()
             .limit(max_bytes)
             .await
             .map_err(|error| self.body_error(&error, max_bytes))?;
+        // The client library passes a body that ends early as a whole one.
+        if length.is_some_and(|length| length != body.len()) {
+            return Err(self.away("the answer's body is cut short"));
+        }
         Ok(HttpAnswer { status, body })
     }
 
@@ -293,6 +301,10 @@
     }
 }
 
+fn content_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 fn expect_success(answer: HttpAnswer) -> Result<Bytes, MeshError> {
     if answer.status.is_success() {
         return Ok(answer.body);
