--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -1,6 +1,9 @@
 use actix_web::{
     HttpRequest, HttpResponse,
-    http::{StatusCode, header::HeaderMap},
+    http::{
+        ConnectionType, StatusCode,
+        header::{HeaderMap, HeaderName},
+    },
     web,
 };
 use bronzelb_kernel::{
@@ -18,12 +21,15 @@
 
 use crate::{
     callers::{error_response, route_match::match_route},
-    forward::{PlannedRequest, RequestForwarder, is_hop_header},
+    forward::{PlannedRequest, RequestForwarder, fingerprint, is_hop_header},
     log::EventName,
 };
 
 const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
 const KEY_HEADER: &str = "idempotency-key";
+const ATTEMPT_HEADER: &str = "x-bronzelb-attempt";
+const REQUEST_HEADER: &str = "x-bronzelb-request";
+const CONFIG_HEADER: &str = "x-bronzelb-config";
 
 /// Answers one request of a caller.
 pub(crate) async fn handle_caller(
@@ -46,14 +52,17 @@
     };
     let headers = response.headers_mut();
     if let Ok(value) = request_id.parse() {
-        headers.insert("x-bronzelb-request".parse().expect("a valid name"), value);
+        headers.insert(HeaderName::from_static(REQUEST_HEADER), value);
     }
     if let Some(config) = state.config() {
         let number = config.stamp().number.get();
-        headers.insert(
-            "x-bronzelb-config".parse().expect("a valid name"),
-            number.into(),
-        );
+        headers.insert(HeaderName::from_static(CONFIG_HEADER), number.into());
+    }
+    if state.is_draining() {
+        // The caller's next request then opens a connection to another node.
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
     }
     response
 }
@@ -78,16 +87,23 @@
     let body = time::timeout(left, read_body(payload, rule))
         .await
         .map_err(|_| MeshError::new(ErrorKind::SlowSender, "the body did not arrive in time"))??;
+    let attempt = read_attempt(request.headers());
+    let target = request_target(request);
     let planned = PlannedRequest {
         service: rule.service.clone(),
         deadline,
+        idempotent: rule.idempotent,
+        is_nested_retry: attempt > 1,
         message: ForwardRequest {
             request_id: request_id.clone(),
             route: route.clone(),
             backend: None,
             key,
+            fingerprint: fingerprint(route.as_str(), method.name(), &target, &body),
+            priority: rule.priority,
+            attempt,
             method,
-            target: request_target(request),
+            target,
             headers: end_to_end_headers(request.headers()),
             body,
         },
@@ -121,6 +137,15 @@
     Ok(now.after(wanted.min(rule.timeout)))
 }
 
+/// Reads the number of the attempt further up a chain of calls that the request belongs to.
+fn read_attempt(headers: &HeaderMap) -> u32 {
+    headers
+        .get(ATTEMPT_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1)
+}
+
 fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, MeshError> {
     let Some(value) = headers.get(KEY_HEADER) else {
         return Ok(None);
@@ -173,5 +198,7 @@
         builder.append_header((pair.name.as_str(), pair.value.as_ref()));
     }
     builder.insert_header(("x-bronzelb-run", RunState::Ran.name()));
+    builder.insert_header(("x-bronzelb-backend", answer.backend.as_str()));
+    builder.insert_header(("x-bronzelb-build", answer.version.as_str()));
     builder.body(answer.body.clone())
 }
--- a/crates/daemon/src/callers/caller_server.rs
+++ b/crates/daemon/src/callers/caller_server.rs
@@ -3,7 +3,14 @@
 use actix_web::{App, HttpServer, dev::Server, web};
 use bronzelb_kernel::error::{ErrorKind, MeshError};
 
-use crate::{callers::caller_handler::handle_caller, forward::RequestForwarder, node::NodeState};
+use crate::{
+    callers::{
+        caller_handler::handle_caller,
+        ticket_handler::{TICKET_PATH, issue_ticket},
+    },
+    forward::RequestForwarder,
+    node::NodeState,
+};
 
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
@@ -24,6 +31,7 @@
         let forwarder = RequestForwarder::new(Arc::clone(&state));
         App::new()
             .app_data(web::Data::new(forwarder))
+            .route(TICKET_PATH, web::post().to(issue_ticket))
             .default_service(web::to(handle_caller))
     })
     .workers(workers)
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -1,147 +1,316 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
-use actix_web::http::{Method, header::HeaderName};
-use awc::{Client, Connector, error::SendRequestError};
+use actix_http::{ConnectionType, RequestHead, header::HeaderMap};
+use actix_web::http::{
+    Method, Uri,
+    header::{HOST, HeaderName, HeaderValue},
+};
 use bronzelb_kernel::{
-    clock::ClockInstant,
+    clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
     ids::BackendName,
+    member::BackendState,
+    request::{CrashSuspicion, ServerLife},
 };
 use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest, HeaderPair};
 use bytes::Bytes;
+use tokio::{net::TcpStream, time};
 
-use crate::{forward::is_hop_header, node::NodeState};
+use crate::{
+    backends::BackendAnnouncement,
+    forward::{
+        backend_connection::{BackendConnection, ExchangeError, MAX_ANSWER_BYTES, WholeAnswer},
+        crash_watch::CrashWatch,
+        gate_keeper::SlotPermit,
+        is_hop_header,
+        request_state::HostGate,
+    },
+    node::NodeState,
+    peers::PeerPool,
+};
 
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+const DEFAULT_PAUSE: TimeBudget = TimeBudget::from_millis(100);
 const REQUEST_HEADER: &str = "x-bronzelb-request";
 const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
+const ATTEMPT_HEADER: &str = "x-bronzelb-attempt";
+const BACKEND_RUN_HEADER: &str = "x-backend-run";
+const NOT_RUN: &str = "not-run";
 
-/// Client of the backend servers beside this node.
+/// Client of the backend servers beside this node; clones share their connections.
+#[derive(Clone)]
 pub struct BackendClient {
     state: Arc<NodeState>,
-    client: Client,
+    crashes: CrashWatch,
+    idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<BackendConnection>>>>,
 }
 
 impl BackendClient {
-    /// Builds a client with a connection pool of its own, for one thread.
+    /// Builds a client with connections of its own, for one thread.
     #[must_use]
-    pub fn new(state: Arc<NodeState>) -> Self {
-        let client = Client::builder()
-            .connector(Connector::new())
-            .disable_redirects()
-            .disable_timeout()
-            .no_default_headers()
-            .finish();
-        Self { state, client }
+    pub fn new(state: Arc<NodeState>, peers: PeerPool) -> Self {
+        Self {
+            crashes: CrashWatch::new(Arc::clone(&state), peers),
+            state,
+            idle: Rc::default(),
+        }
     }
 
     /// Runs a request on the backend server `name` and returns its whole answer.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::NoBackend`] when the server is not beside this node or refuses connections,
-    /// [`ErrorKind::BackendFailed`] when it breaks off or answers for another request, and
-    /// [`ErrorKind::OutcomeUnknown`] when the deadline passes while it runs.
+    /// - [`ErrorKind::NoBackend`]: the server is not beside this node or refuses connections.
+    /// - [`ErrorKind::Draining`]: the server takes no new work.
+    /// - [`ErrorKind::Overloaded`]: the server has no slot before the deadline, or sheds.
+    /// - [`ErrorKind::Quarantined`]: the request kills servers.
+    /// - [`ErrorKind::DeadlinePassed`]: the deadline passed before the request was sent.
+    /// - [`ErrorKind::OutcomeUnknown`]: the server broke off, answered for another request, or did
+    ///   not answer before the deadline.
+    /// - [`ErrorKind::BackendFailed`]: the answer is too large.
     pub async fn run(
         &self,
         name: &BackendName,
         deadline: ClockInstant,
         message: &ForwardRequest,
     ) -> Result<ForwardAnswer, MeshError> {
-        let address = self.address(name)?;
-        let left = deadline.left(self.state.now());
-        if left.is_zero() {
-            return Err(MeshError::new(
-                ErrorKind::DeadlinePassed,
-                "the deadline passed before the request ran",
-            ));
-        }
-        let exchange = self.exchange(address, left.as_millis(), message);
-        match tokio::time::timeout(left.to_std(), exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(MeshError::new(
-                ErrorKind::OutcomeUnknown,
-                format!("backend server {name} did not answer before the deadline"),
-            )),
+        let announcement = self.announcement(name)?;
+        let gate = self.state.requests.host_gate(name, announcement.slots);
+        let suspicion = self.crashes.check(message.fingerprint)?;
+        let alone = match suspicion {
+            CrashSuspicion::Suspect => Some(gate.suspects.enter(message.priority, deadline).await?),
+            _ => None,
+        };
+        let permit = gate.slots.enter(message.priority, deadline).await?;
+        let result = self
+            .run_in_slot(name, &announcement, &gate, deadline, message)
+            .await;
+        finish(permit, &result);
+        if let Some(alone) = alone {
+            self.settle_suspect(message, &result).await;
+            finish(alone, &result);
         }
+        let whole = result?;
+        let (status, headers, body) = (whole.status, whole.headers, whole.body);
+        Ok(ForwardAnswer {
+            status: status.as_u16(),
+            headers: end_to_end(&headers),
+            body,
+            backend: name.clone(),
+            version: announcement.version,
+            load: gate.slots.load(),
+        })
     }
 
-    fn address(&self, name: &BackendName) -> Result<SocketAddr, MeshError> {
+    fn announcement(&self, name: &BackendName) -> Result<BackendAnnouncement, MeshError> {
         let backends = self.state.backends();
         let entry = backends.get(name).ok_or_else(|| {
-            MeshError::new(
-                ErrorKind::NoBackend,
-                format!("backend server {name} is not beside this node"),
-            )
+            let message = format!("backend server {name} is not beside this node");
+            MeshError::new(ErrorKind::NoBackend, message).with_retry_at(self.pause())
         })?;
-        Ok(entry.announcement.address)
+        if entry.announcement.state == BackendState::Serving {
+            return Ok(entry.announcement.clone());
+        }
+        let message = format!("backend server {name} takes no new work");
+        Err(MeshError::new(ErrorKind::Draining, message).with_retry_at(self.pause()))
+    }
+
+    async fn run_in_slot(
+        &self,
+        name: &BackendName,
+        announcement: &BackendAnnouncement,
+        gate: &HostGate,
+        deadline: ClockInstant,
+        message: &ForwardRequest,
+    ) -> Result<WholeAnswer, MeshError> {
+        let life = ServerLife {
+            backend: name.clone(),
+            incarnation: self.state.incarnation,
+            deaths: u32::try_from(gate.deaths.load(Ordering::Relaxed)).unwrap_or(u32::MAX),
+        };
+        // The request may have waited; a third server must not be tried since.
+        self.crashes.check(message.fingerprint)?;
+        let left = deadline.left(self.state.now());
+        if left.is_zero() {
+            let message = "the deadline passed before the request ran";
+            return Err(MeshError::new(ErrorKind::DeadlinePassed, message));
+        }
+        let exchange = self.exchange(announcement.address, gate, left, message);
+        let Ok(result) = time::timeout(left.to_std(), exchange).await else {
+            let message = format!("backend server {name} did not answer before the deadline");
+            return Err(MeshError::new(ErrorKind::OutcomeUnknown, message));
+        };
+        match result {
+            Ok(answer) => self.check_shed(name, answer),
+            Err(ExchangeError::Unreached(reason)) => {
+                let message = format!("backend server {name} is not reachable: {reason}");
+                Err(MeshError::new(ErrorKind::NoBackend, message).with_retry_at(self.pause()))
+            }
+            Err(ExchangeError::TooLarge) => {
+                let message = format!("the answer exceeds {MAX_ANSWER_BYTES} bytes");
+                Err(MeshError::new(ErrorKind::BackendFailed, message))
+            }
+            Err(ExchangeError::Lost(reason)) => {
+                if is_dead(announcement.address).await {
+                    gate.note_death(life.deaths);
+                    self.crashes.note_death(message, life, announcement).await;
+                }
+                let message = format!("backend server {name} broke off: {reason}");
+                Err(MeshError::new(ErrorKind::OutcomeUnknown, message))
+            }
+        }
     }
 
     async fn exchange(
         &self,
         address: SocketAddr,
-        left_ms: u64,
+        gate: &HostGate,
+        left: TimeBudget,
         message: &ForwardRequest,
-    ) -> Result<ForwardAnswer, MeshError> {
-        let method = Method::from_bytes(message.method.name().as_bytes())
-            .expect("the method names are valid");
-        let uri = format!("http://{address}{}", message.target);
-        let mut request = self.client.request(method, uri);
-        for pair in &message.headers {
-            request = request.append_header((pair.name.as_str(), pair.value.as_ref()));
+    ) -> Result<WholeAnswer, ExchangeError> {
+        let echoes = gate.echoes.load(Ordering::Relaxed);
+        let connection = match self.take_idle(address) {
+            Some(connection) => connection,
+            None => BackendConnection::open(address).await?,
+        };
+        let head = request_head(address, echoes, left, message)?;
+        let (answer, connection) = connection.exchange(head, message.body.clone()).await?;
+        let echo = answer.headers.get(REQUEST_HEADER);
+        match echo {
+            Some(echo) if echo.as_bytes() == message.request_id.as_bytes() => {
+                gate.echoes.store(true, Ordering::Relaxed);
+            }
+            // A server that never echoes gets a connection for each request.
+            None if !echoes => {}
+            _ => {
+                let reason = "it answered for another request";
+                return Err(ExchangeError::Lost(reason.to_owned()));
+            }
         }
-        request = request
-            .insert_header((REQUEST_HEADER, message.request_id.as_str()))
-            .insert_header((DEADLINE_HEADER, left_ms.to_string()));
-        let mut response = request
-            .send_body(message.body.clone())
-            .await
-            .map_err(|error| send_error(&error))?;
-        let echoed = response.headers().get(REQUEST_HEADER);
-        if echoed.is_some_and(|echo| echo.as_bytes() != message.request_id.as_bytes()) {
-            return Err(MeshError::new(
-                ErrorKind::BackendFailed,
-                "the backend server answered for another request",
-            ));
+        if let Some(connection) = connection {
+            self.idle
+                .borrow_mut()
+                .entry(address)
+                .or_default()
+                .push(connection);
         }
-        let headers = response
-            .headers()
-            .iter()
-            .filter(|(name, _)| !is_hop_header(name.as_str()))
-            .map(|(name, value)| header_pair(name, value.as_bytes()))
-            .collect();
-        let status = response.status().as_u16();
-        let body = response
-            .body()
-            .limit(MAX_ANSWER_BYTES)
-            .await
-            .map_err(|error| {
-                MeshError::new(ErrorKind::BackendFailed, format!("answer body: {error}"))
-            })?;
-        Ok(ForwardAnswer {
-            status,
-            headers,
-            body,
-        })
+        Ok(answer)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<BackendConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        while let Some(connection) = connections.pop() {
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    /// Turns a shed request into an error that says so.
+    fn check_shed(
+        &self,
+        name: &BackendName,
+        answer: WholeAnswer,
+    ) -> Result<WholeAnswer, MeshError> {
+        let run = answer.headers.get(BACKEND_RUN_HEADER);
+        let is_shed = answer.status.as_u16() == 503
+            && run.is_some_and(|run| run.as_bytes() == NOT_RUN.as_bytes());
+        if !is_shed {
+            return Ok(answer);
+        }
+        let message = format!("backend server {name} shed the request");
+        Err(MeshError::new(ErrorKind::Overloaded, message).with_retry_at(self.pause()))
+    }
+
+    async fn settle_suspect(
+        &self,
+        message: &ForwardRequest,
+        result: &Result<WholeAnswer, MeshError>,
+    ) {
+        if result.is_ok() {
+            self.crashes.clear(message.fingerprint).await;
+        }
+    }
+
+    fn pause(&self) -> ClockInstant {
+        self.state.now().after(DEFAULT_PAUSE)
     }
 }
 
-fn header_pair(name: &HeaderName, value: &[u8]) -> HeaderPair {
-    HeaderPair {
-        name: name.as_str().into(),
-        value: Bytes::copy_from_slice(value),
+/// Frees a slot; only a whole answer teaches the gate how long a request takes.
+fn finish(permit: SlotPermit, result: &Result<WholeAnswer, MeshError>) {
+    if result.is_ok() {
+        permit.finish();
     }
 }
 
-fn send_error(error: &SendRequestError) -> MeshError {
-    match error {
-        SendRequestError::Connect(_) => MeshError::new(
-            ErrorKind::NoBackend,
-            format!("backend server does not accept the connection: {error}"),
+/// Returns whether nothing accepts connections at `address` any more.
+async fn is_dead(address: SocketAddr) -> bool {
+    let connected = time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(_)))
+}
+
+fn request_head(
+    address: SocketAddr,
+    echoes: bool,
+    left: TimeBudget,
+    message: &ForwardRequest,
+) -> Result<RequestHead, ExchangeError> {
+    let mut head = RequestHead::default();
+    head.method =
+        Method::from_bytes(message.method.name().as_bytes()).map_err(|error| unsendable(&error))?;
+    head.uri = Uri::try_from(message.target.as_str()).map_err(|error| unsendable(&error))?;
+    for pair in &message.headers {
+        let name = HeaderName::from_bytes(pair.name.as_bytes()).map_err(|e| unsendable(&e))?;
+        let value = HeaderValue::from_bytes(&pair.value).map_err(|e| unsendable(&e))?;
+        head.headers.append(name, value);
+    }
+    let own = [
+        (HOST, address.to_string()),
+        (
+            HeaderName::from_static(REQUEST_HEADER),
+            message.request_id.to_string(),
+        ),
+        (
+            HeaderName::from_static(DEADLINE_HEADER),
+            left.as_millis().max(1).to_string(),
         ),
-        _ => MeshError::new(
-            ErrorKind::BackendFailed,
-            format!("backend server broke off: {error}"),
+        (
+            HeaderName::from_static(ATTEMPT_HEADER),
+            message.attempt.to_string(),
         ),
+    ];
+    for (name, value) in own {
+        let value = HeaderValue::try_from(value).map_err(|error| unsendable(&error))?;
+        head.headers.insert(name, value);
     }
+    if !echoes {
+        head.set_connection_type(ConnectionType::Close);
+    }
+    Ok(head)
+}
+
+fn unsendable(error: &dyn std::fmt::Display) -> ExchangeError {
+    ExchangeError::Unreached(format!("the request cannot be written: {error}"))
+}
+
+fn end_to_end(headers: &HeaderMap) -> Vec<HeaderPair> {
+    headers
+        .iter()
+        .filter(|(name, _)| !is_hop_header(name.as_str()))
+        .map(|(name, value)| HeaderPair {
+            name: name.as_str().into(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
 }
--- /dev/null
+++ b/crates/daemon/src/forward/crash_watch.rs
@@ -0,0 +1,109 @@
+use std::{sync::Arc, time::Duration};
+
+use bronzelb_kernel::{
+    error::{ErrorKind, MeshError},
+    ids::{ContentHash, NodeName, ServiceName},
+    request::{CrashRecord, CrashSuspicion, ServerLife},
+};
+use bronzelb_wire::peer::{ForwardRequest, RecordEntry};
+use futures::future;
+use tokio::time;
+
+use crate::{backends::BackendAnnouncement, node::NodeState, peers::PeerPool};
+
+const MARK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Keeps requests that kill backend servers from running on a third one.
+///
+/// A record changes rarely; it is then sent at once to every node beside a server of the service,
+/// before the caller learns anything, and later spreads to all nodes by gossip.
+#[derive(Clone)]
+pub(crate) struct CrashWatch {
+    state: Arc<NodeState>,
+    peers: PeerPool,
+}
+
+impl CrashWatch {
+    pub(crate) const fn new(state: Arc<NodeState>, peers: PeerPool) -> Self {
+        Self { state, peers }
+    }
+
+    /// Returns what is known of the request.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Quarantined`] when two servers died of it.
+    pub(crate) fn check(&self, fingerprint: ContentHash) -> Result<CrashSuspicion, MeshError> {
+        let Some(record) = self.held(fingerprint) else {
+            return Ok(CrashSuspicion::Clear);
+        };
+        match record.suspicion(self.state.now()) {
+            CrashSuspicion::Quarantined => Err(MeshError::new(
+                ErrorKind::Quarantined,
+                "backend servers died of this request; it is not run again",
+            )),
+            suspicion => Ok(suspicion),
+        }
+    }
+
+    /// Records that a server died with the request in flight.
+    pub(crate) async fn note_death(
+        &self,
+        message: &ForwardRequest,
+        life: ServerLife,
+        announcement: &BackendAnnouncement,
+    ) {
+        let mut record = CrashRecord::default();
+        record.add_death(life, self.state.now());
+        self.state.count("crash_marked");
+        self.publish(message.fingerprint, &record, &announcement.service)
+            .await;
+    }
+
+    /// Records that a server has answered the request.
+    pub(crate) async fn clear(&self, fingerprint: ContentHash) {
+        let Some(mut record) = self.held(fingerprint) else {
+            return;
+        };
+        record.clear();
+        self.state.count("crash_cleared");
+        self.merge(fingerprint, &record);
+    }
+
+    fn held(&self, fingerprint: ContentHash) -> Option<CrashRecord> {
+        let records = self.state.records();
+        let value = records.get(&CrashRecord::key(fingerprint))?;
+        CrashRecord::decode(value).ok()
+    }
+
+    fn merge(&self, fingerprint: ContentHash, record: &CrashRecord) {
+        let key = CrashRecord::key(fingerprint);
+        // The record was built here and is neither malformed nor oversized.
+        let _ = self.state.records().merge(key, &record.encode());
+    }
+
+    async fn publish(&self, fingerprint: ContentHash, record: &CrashRecord, service: &ServiceName) {
+        self.merge(fingerprint, record);
+        let entry = RecordEntry {
+            key: CrashRecord::key(fingerprint),
+            value: record.encode().into(),
+        };
+        let nodes = self.nodes_beside(service);
+        let marks = nodes
+            .iter()
+            .map(|node| self.peers.mark(node, MARK_TIMEOUT, entry.clone()));
+        // A node that is not reached now learns of the record by gossip.
+        let _ = time::timeout(MARK_TIMEOUT, future::join_all(marks)).await;
+    }
+
+    fn nodes_beside(&self, service: &ServiceName) -> Vec<NodeName> {
+        let members = self.state.members();
+        let others = members
+            .iter()
+            .filter(|row| row.node != self.state.settings.node);
+        others
+            .filter(|row| row.backends.iter().any(|row| row.service == *service))
+            .map(|row| row.node.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/gate_keeper.rs
@@ -0,0 +1,175 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bronzelb_kernel::{
+    clock::ClockInstant,
+    config::RequestPriority,
+    error::{ErrorKind, MeshError},
+    ids::SlotCount,
+    request::{GateChange, GateVerdict, QueuePlace, ServerLoad, SlotGate},
+};
+use tokio::{sync::oneshot, time};
+
+use crate::node::SystemClock;
+
+type SlotSignal = Result<(), ClockInstant>;
+type SlotWaiter = oneshot::Sender<SlotSignal>;
+
+/// A [`SlotGate`] that requests wait at.
+#[derive(Debug)]
+pub(crate) struct GateKeeper {
+    clock: SystemClock,
+    gate: Mutex<SlotGate<SlotWaiter>>,
+}
+
+impl GateKeeper {
+    pub(crate) fn new(clock: SystemClock, slots: SlotCount, queue_limit: usize) -> Arc<Self> {
+        Arc::new(Self {
+            clock,
+            gate: Mutex::new(SlotGate::new(slots, queue_limit)),
+        })
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Overloaded`] as soon as it is certain that the deadline cannot be met, or that
+    /// more urgent requests take the room.
+    pub(crate) async fn enter(
+        self: &Arc<Self>,
+        priority: RequestPriority,
+        deadline: ClockInstant,
+    ) -> Result<SlotPermit, MeshError> {
+        let now = self.clock.now();
+        let (sender, receiver) = oneshot::channel();
+        let (verdict, refused) =
+            self.lock()
+                .offer(now, priority, deadline, sender, &mut rand::rng());
+        for waiter in refused {
+            // A waiter that has gone away needs no answer.
+            let _ = waiter.item.send(Err(waiter.retry_at));
+        }
+        match verdict {
+            GateVerdict::Run => Ok(self.permit()),
+            GateVerdict::Refuse { retry_at } => Err(overloaded(retry_at)),
+            GateVerdict::Wait { place, give_up_at } => {
+                let wait = SlotWait {
+                    keeper: self,
+                    place,
+                    receiver,
+                };
+                wait.finish(give_up_at).await
+            }
+        }
+    }
+
+    /// Changes the number of slots and of places to wait.
+    pub(crate) fn resize(&self, slots: SlotCount, queue_limit: usize) {
+        let mut gate = self.lock();
+        if gate.limit() == slots {
+            return;
+        }
+        gate.set_queue_limit(queue_limit);
+        let change = gate.set_limit(self.clock.now(), slots, &mut rand::rng());
+        drop(gate);
+        self.apply(change);
+    }
+
+    pub(crate) fn load(&self) -> ServerLoad {
+        let gate = self.lock();
+        ServerLoad {
+            running: gate.running(),
+            waiting: u32::try_from(gate.waiting()).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn permit(self: &Arc<Self>) -> SlotPermit {
+        SlotPermit {
+            keeper: Arc::clone(self),
+            started_at: self.clock.now(),
+            is_finished: false,
+        }
+    }
+
+    fn release(&self, took: Option<bronzelb_kernel::clock::TimeBudget>) {
+        let now = self.clock.now();
+        let change = self.lock().release(now, took, &mut rand::rng());
+        self.apply(change);
+    }
+
+    fn apply(&self, change: GateChange<SlotWaiter>) {
+        for waiter in change.refused {
+            // A waiter that has gone away needs no answer.
+            let _ = waiter.item.send(Err(waiter.retry_at));
+        }
+        for waiter in change.started {
+            if waiter.send(Ok(())).is_err() {
+                self.release(None);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SlotGate<SlotWaiter>> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A slot that a request holds; dropping it frees the slot.
+#[derive(Debug)]
+pub(crate) struct SlotPermit {
+    keeper: Arc<GateKeeper>,
+    started_at: ClockInstant,
+    is_finished: bool,
+}
+
+impl SlotPermit {
+    /// Frees the slot of a request that ran to its end, so that the gate learns its time.
+    pub(crate) fn finish(mut self) {
+        self.is_finished = true;
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        let took = self.started_at.elapsed(self.keeper.clock.now());
+        self.keeper.release(self.is_finished.then_some(took));
+    }
+}
+
+/// A request's wait for a slot; dropping it leaves the queue.
+struct SlotWait<'a> {
+    keeper: &'a Arc<GateKeeper>,
+    place: QueuePlace,
+    receiver: oneshot::Receiver<SlotSignal>,
+}
+
+impl SlotWait<'_> {
+    async fn finish(mut self, give_up_at: ClockInstant) -> Result<SlotPermit, MeshError> {
+        let left = give_up_at.left(self.keeper.clock.now()).to_std();
+        match time::timeout(left, &mut self.receiver).await {
+            Ok(Ok(Ok(()))) => Ok(self.keeper.permit()),
+            Ok(Ok(Err(retry_at))) => Err(overloaded(retry_at)),
+            _ => Err(overloaded(self.keeper.clock.now())),
+        }
+    }
+}
+
+impl Drop for SlotWait<'_> {
+    fn drop(&mut self) {
+        if self.keeper.lock().withdraw(self.place).is_some() {
+            return;
+        }
+        // The slot was given in the same moment; nobody uses it.
+        if self.receiver.try_recv() == Ok(Ok(())) {
+            self.keeper.release(None);
+        }
+    }
+}
+
+fn overloaded(retry_at: ClockInstant) -> MeshError {
+    MeshError::new(
+        ErrorKind::Overloaded,
+        "there is no room for the request before its deadline",
+    )
+    .with_retry_at(retry_at)
+}
--- /dev/null
+++ b/crates/daemon/src/forward/keyed_request.rs
@@ -0,0 +1,237 @@
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    error::{ErrorKind, MeshError, RunState},
+    ids::{IdempotencyKey, IncarnationNumber, NodeName},
+    request::{KeyEnd, KeyVerdict, RequestTicket},
+};
+use bronzelb_wire::peer::ForwardAnswer;
+use tokio::{sync::watch, task::spawn_local, time};
+
+use crate::forward::{
+    PlannedRequest, RequestForwarder,
+    claim_table::{Claim, ClaimSettlement},
+    request_state::{FlightGuard, ResultReceiver, SharedResult},
+};
+
+const JOIN_GRACE: TimeBudget = TimeBudget::from_millis(100);
+const MAX_REPLAY_BYTES: usize = 4 * 1024;
+
+/// The one request that runs for a key, while others wait for its result.
+struct KeyLead {
+    key: IdempotencyKey,
+    is_known_idle: bool,
+    may_ask: bool,
+    sender: watch::Sender<Option<SharedResult>>,
+    _flight: FlightGuard,
+}
+
+impl RequestForwarder {
+    /// Runs a request that runs at most once under its key, wherever it enters.
+    pub(crate) async fn run_keyed(
+        &self,
+        planned: PlannedRequest,
+    ) -> Result<ForwardAnswer, MeshError> {
+        let Some(key) = planned.key().cloned() else {
+            return Err(MeshError::invalid("the request has no idempotency key"));
+        };
+        if !RequestTicket::is_ticket(&key) {
+            return self.run_at_home(planned, &key, true).await;
+        }
+        let ticket: RequestTicket = key.as_str().parse()?;
+        if self.is_own_run(&ticket.node, ticket.incarnation) {
+            return self.run_at_home(planned, &key, false).await;
+        }
+        self.ask_holder(planned, &ticket.node, ticket.incarnation)
+            .await
+    }
+
+    /// Runs a request that another node sent here because this node holds its key.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::OutcomeUnknown`] when this run of the node does not hold the key.
+    pub(crate) async fn resume(&self, planned: PlannedRequest) -> Result<ForwardAnswer, MeshError> {
+        let _flight = self.state().requests.begin()?;
+        let Some(key) = planned.key().cloned() else {
+            return Err(MeshError::invalid("the request has no idempotency key"));
+        };
+        let is_held = match RequestTicket::is_ticket(&key) {
+            true => {
+                let ticket: RequestTicket = key.as_str().parse()?;
+                self.is_own_run(&ticket.node, ticket.incarnation)
+            }
+            false => self.state().requests.ledger().knows(&key),
+        };
+        if !is_held {
+            return Err(holder_lost());
+        }
+        self.run_at_home(planned, &key, false).await
+    }
+
+    fn is_own_run(&self, node: &NodeName, incarnation: IncarnationNumber) -> bool {
+        *node == self.state().settings.node && incarnation == self.state().incarnation
+    }
+
+    async fn run_at_home(
+        &self,
+        planned: PlannedRequest,
+        key: &IdempotencyKey,
+        may_ask: bool,
+    ) -> Result<ForwardAnswer, MeshError> {
+        let state = self.state();
+        let flight = state.requests.begin()?;
+        let (sender, receiver) = watch::channel(None);
+        let fingerprint = planned.message.fingerprint;
+        let deadline = planned.deadline;
+        let begun = {
+            let mut ledger = state.requests.ledger();
+            ledger.begin(state.now(), key, fingerprint, receiver.clone())
+        };
+        match begun? {
+            KeyVerdict::Join(running) => self.wait_for(running, deadline).await,
+            KeyVerdict::Replay(result) => result,
+            KeyVerdict::Unknown => Err(may_have_run()),
+            KeyVerdict::Run { is_known_idle } => {
+                // The request goes on when its caller goes away, so that its end is remembered.
+                let lead = KeyLead {
+                    key: key.clone(),
+                    is_known_idle,
+                    may_ask,
+                    sender,
+                    _flight: flight,
+                };
+                spawn_local(self.clone().lead(planned, lead));
+                self.wait_for(receiver, deadline).await
+            }
+        }
+    }
+
+    async fn wait_for(
+        &self,
+        mut running: ResultReceiver,
+        deadline: ClockInstant,
+    ) -> Result<ForwardAnswer, MeshError> {
+        let left = deadline.after(JOIN_GRACE).left(self.state().now()).to_std();
+        let ended = time::timeout(left, running.wait_for(Option::is_some)).await;
+        match ended {
+            Ok(Ok(result)) => result.clone().unwrap_or_else(|| Err(may_have_run())),
+            _ => Err(may_have_run()),
+        }
+    }
+
+    async fn lead(self, planned: PlannedRequest, lead: KeyLead) {
+        let (result, end) = match RequestTicket::is_ticket(&lead.key) {
+            true => {
+                let result = self.run_ticket(&planned).await;
+                let end = key_end(&result);
+                (result, end)
+            }
+            false => self.run_claimed(&planned, &lead).await,
+        };
+        let now = self.state().now();
+        self.state().requests.ledger().end(now, &lead.key, end);
+        // The caller may have gone away.
+        let _ = lead.sender.send(Some(result));
+    }
+
+    async fn run_ticket(&self, planned: &PlannedRequest) -> SharedResult {
+        let pass = self.admit(planned).await?;
+        self.run_admitted(planned, pass).await
+    }
+
+    /// Claims the caller's own key in the platform's table, then runs the request.
+    async fn run_claimed(
+        &self,
+        planned: &PlannedRequest,
+        lead: &KeyLead,
+    ) -> (SharedResult, KeyEnd<SharedResult>) {
+        let pass = match self.admit(planned).await {
+            Ok(pass) => pass,
+            Err(error) => return (Err(error), KeyEnd::NotRun),
+        };
+        match self
+            .claims
+            .claim(planned, &lead.key, lead.is_known_idle)
+            .await
+        {
+            Claim::Own(claim) => {
+                let result = self.run_admitted(planned, pass).await;
+                let end = key_end(&result);
+                let settlement = ClaimSettlement::of(&result);
+                spawn_local(self.claims.clone().settle(claim, settlement));
+                (result, end)
+            }
+            Claim::Ended(result) => {
+                let end = KeyEnd::Ended(result.clone());
+                (result, end)
+            }
+            Claim::Away(error) => (Err(error), KeyEnd::NotRun),
+            Claim::Unknown => (Err(may_have_run()), KeyEnd::Unknown),
+            Claim::Held(node, incarnation) if lead.may_ask => {
+                drop(pass);
+                let asked = self.ask_holder(planned.clone(), &node, incarnation).await;
+                (asked, KeyEnd::NotRun)
+            }
+            Claim::Held(..) => (Err(may_have_run()), KeyEnd::NotRun),
+        }
+    }
+
+    /// Passes a request to the node that holds its key.
+    async fn ask_holder(
+        &self,
+        planned: PlannedRequest,
+        node: &NodeName,
+        incarnation: IncarnationNumber,
+    ) -> Result<ForwardAnswer, MeshError> {
+        let known = self.state().members().get(node).map(|row| row.incarnation);
+        let is_gone = known.is_none_or(|known| known > incarnation);
+        if is_gone || *node == self.state().settings.node {
+            return Err(holder_lost());
+        }
+        let peers = &self.peers;
+        let asked = peers.resume(node, planned.deadline, planned.message).await;
+        asked.map_err(|error| match error.kind() {
+            ErrorKind::NoBackend => holder_lost(),
+            _ => error,
+        })
+    }
+}
+
+/// Returns what the ledger keeps of a request's end.
+fn key_end(result: &SharedResult) -> KeyEnd<SharedResult> {
+    let run_state = match result {
+        Ok(answer) if answer.body.len() > MAX_REPLAY_BYTES => {
+            return KeyEnd::Ended(Err(already_done()));
+        }
+        Ok(_) => RunState::Ran,
+        Err(error) => error.kind().answer().run_state,
+    };
+    match run_state {
+        RunState::NotRun => KeyEnd::NotRun,
+        RunState::Ran => KeyEnd::Ended(result.clone()),
+        RunState::OutcomeUnknown => KeyEnd::Unknown,
+    }
+}
+
+/// Returns the error for a key whose request has run and whose answer is not kept.
+pub(crate) fn already_done() -> MeshError {
+    MeshError::new(
+        ErrorKind::AlreadyDone,
+        "the request with this idempotency key has run; its answer is no longer kept",
+    )
+}
+
+fn may_have_run() -> MeshError {
+    MeshError::new(
+        ErrorKind::OutcomeUnknown,
+        "a request with this idempotency key may have run; it is not run again",
+    )
+}
+
+fn holder_lost() -> MeshError {
+    MeshError::new(
+        ErrorKind::OutcomeUnknown,
+        "the node that holds this idempotency key is not reachable; \
+         an earlier request with the key may have run, and this one did not",
+    )
+}
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -1,16 +1,19 @@
 use std::sync::Arc;
 
 use bronzelb_kernel::{
-    clock::TimeBudget,
-    error::{ErrorKind, MeshError},
-    ids::{BackendName, NodeName, ServiceName},
-    member::{BackendState, MemberState},
+    clock::{ClockInstant, TimeBudget},
+    error::{ErrorKind, MeshError, RunState},
+    ids::BackendName,
+    request::{AttemptOutcome, ChoiceRule, RetryCase, ServerPlace},
+    rollout::VersionSplit,
 };
 use bronzelb_wire::peer::ForwardAnswer;
-use rand::seq::IndexedRandom;
 
 use crate::{
-    forward::{BackendClient, PlannedRequest},
+    forward::{
+        BackendClient, PlannedRequest, claim_table::ClaimTable, crash_watch::CrashWatch,
+        gate_keeper::SlotPermit, request_state::EntryGate,
+    },
     node::NodeState,
     peers::PeerPool,
 };
@@ -19,20 +22,32 @@
 
 /// Runs callers' requests: chooses a backend server and passes the request to it.
 ///
-/// Each worker thread has its own forwarder, with its own connections.
+/// Each thread has its own forwarder, with its own connections, which clones share.
+#[derive(Clone)]
 pub struct RequestForwarder {
     state: Arc<NodeState>,
     backends: BackendClient,
-    peers: PeerPool,
+    crashes: CrashWatch,
+    pub(crate) peers: PeerPool,
+    pub(crate) claims: ClaimTable,
+}
+
+/// A request's place before the service that it goes to.
+pub(crate) struct EntryPass {
+    gate: Arc<EntryGate>,
+    permit: SlotPermit,
 }
 
 impl RequestForwarder {
     /// Builds a forwarder for one thread.
     #[must_use]
     pub fn new(state: Arc<NodeState>) -> Self {
+        let peers = PeerPool::new(Arc::clone(&state));
         Self {
-            backends: BackendClient::new(Arc::clone(&state)),
-            peers: PeerPool::new(Arc::clone(&state)),
+            backends: BackendClient::new(Arc::clone(&state), peers.clone()),
+            crashes: CrashWatch::new(Arc::clone(&state), peers.clone()),
+            claims: ClaimTable::new(Arc::clone(&state)),
+            peers,
             state,
         }
     }
@@ -43,51 +58,238 @@
         &self.state
     }
 
+    /// Returns the client of the backend servers beside this node.
+    #[must_use]
+    pub const fn backends(&self) -> &BackendClient {
+        &self.backends
+    }
+
     /// Runs a request and returns the backend server's whole answer.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::NoBackend`] when no server of the service is known, and whatever the exchange
-    /// with the chosen server gives.
+    /// The error's kind says whether the request ran; see
+    /// [`ErrorKind::answer`](bronzelb_kernel::error::ErrorKind::answer).
     pub async fn run(&self, planned: PlannedRequest) -> Result<ForwardAnswer, MeshError> {
-        let target = self.choose(&planned.service)?;
-        let mut message = planned.message;
-        message.backend = Some(target.backend.clone());
-        if target.node == self.state.settings.node {
-            return self
-                .backends
-                .run(&target.backend, planned.deadline, &message)
-                .await;
+        let _flight = self.state.requests.begin()?;
+        if planned.key().is_some() {
+            return self.run_keyed(planned).await;
+        }
+        let pass = self.admit(&planned).await?;
+        self.run_admitted(&planned, pass).await
+    }
+
+    /// Admits a request to its service, or refuses it at once.
+    pub(crate) async fn admit(&self, planned: &PlannedRequest) -> Result<EntryPass, MeshError> {
+        let now = self.state.now();
+        if planned.deadline.has_passed(now) {
+            return Err(deadline_passed());
+        }
+        self.crashes.check(planned.message.fingerprint)?;
+        if let Some(config) = self.state.config() {
+            let members = self.state.members();
+            self.state.requests.sync(now, &members, config.snapshot());
         }
-        self.peers
-            .forward(&target.node, planned.deadline, message)
-            .await
-    }
-
-    fn choose(&self, service: &ServiceName) -> Result<ChosenTarget, MeshError> {
-        let members = self.state.members();
-        let targets: Vec<_> = members
-            .iter()
-            .filter(|row| row.state == MemberState::Serving)
-            .flat_map(|row| row.backends.iter().map(move |backend| (row, backend)))
-            .filter(|(_, backend)| backend.service == *service)
-            .filter(|(_, backend)| backend.state == BackendState::Serving)
-            .collect();
-        let (row, backend) = targets.choose(&mut rand::rng()).ok_or_else(|| {
-            MeshError::new(
-                ErrorKind::NoBackend,
-                format!("no backend server of service {service} is known"),
-            )
+        if !self.state.requests.book().has_server(&planned.service) {
+            return Err(self.no_backend(planned));
+        }
+        let gate = self.state.requests.entry_gate(&planned.service);
+        let priority = planned.message.priority;
+        let permit = gate.keeper.enter(priority, planned.deadline).await?;
+        Ok(EntryPass { gate, permit })
+    }
+
+    /// Runs an admitted request, with retries where they are safe.
+    pub(crate) async fn run_admitted(
+        &self,
+        planned: &PlannedRequest,
+        pass: EntryPass,
+    ) -> Result<ForwardAnswer, MeshError> {
+        if !planned.is_nested_retry {
+            self.state.requests.budget().earn();
+        }
+        let mut tried = Vec::new();
+        let mut last = None;
+        loop {
+            let Some(place) = self.choose(planned, &tried) else {
+                return last.unwrap_or_else(|| Err(self.no_backend(planned)));
+            };
+            tried.push(place.backend.clone());
+            let attempt = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+            let (outcome, result) = self.attempt(planned, &place, attempt).await;
+            pass.gate.settle(self.state.now(), outcome);
+            let is_final = result.as_ref().is_err_and(is_final);
+            if outcome == AttemptOutcome::Served || is_final {
+                pass.permit.finish();
+                return result;
+            }
+            if !self.may_retry(planned, outcome, attempt) {
+                return result;
+            }
+            self.state.count("retries");
+            last = Some(result);
+        }
+    }
+
+    async fn attempt(
+        &self,
+        planned: &PlannedRequest,
+        place: &ServerPlace,
+        attempt: u32,
+    ) -> (AttemptOutcome, Result<ForwardAnswer, MeshError>) {
+        let guard = AttemptGuard::new(&self.state, planned, place);
+        let mut message = planned.message.clone();
+        message.backend = Some(place.backend.clone());
+        message.attempt = message.attempt.max(1) + attempt - 1;
+        let result = if place.node == self.state.settings.node {
+            let backends = &self.backends;
+            backends
+                .run(&place.backend, planned.deadline, &message)
+                .await
+        } else {
+            let peers = &self.peers;
+            peers.forward(&place.node, planned.deadline, message).await
+        };
+        let outcome = classify(&result, planned.deadline, self.state.now());
+        guard.settle(outcome, &result);
+        (outcome, result)
+    }
+
+    fn choose(&self, planned: &PlannedRequest, tried: &[BackendName]) -> Option<ServerPlace> {
+        let now = self.state.now();
+        let config = self.state.config()?;
+        let own = &self.state.settings.data_centre;
+        let proxy = config.snapshot().proxies.get(own);
+        let split = self.version_split(planned);
+        let rule = ChoiceRule {
+            service: &planned.service,
+            versions: split.choose(rand::random()),
+            data_centre: own,
+            spill_order: proxy.map_or(&[], |proxy| proxy.spill_order.as_slice()),
+            tried,
+        };
+        let mut book = self.state.requests.book();
+        book.choose(now, &rule, &mut rand::rng())
+    }
+
+    fn version_split(&self, _planned: &PlannedRequest) -> VersionSplit {
+        VersionSplit::any()
+    }
+
+    fn may_retry(&self, planned: &PlannedRequest, outcome: AttemptOutcome, attempts: u32) -> bool {
+        let now = self.state.now();
+        let failure_share = self
+            .state
+            .requests
+            .book()
+            .failure_share(now, &planned.service);
+        let case = RetryCase {
+            outcome,
+            idempotent: planned.idempotent,
+            attempts,
+            is_nested_retry: planned.is_nested_retry,
+            deadline: planned.deadline,
+            failure_share,
+        };
+        self.state.requests.budget().spend(now, &case)
+    }
+
+    fn no_backend(&self, planned: &PlannedRequest) -> MeshError {
+        let message = format!(
+            "no backend server of service {} takes work",
+            planned.service
+        );
+        MeshError::new(ErrorKind::NoBackend, message)
             .with_retry_at(self.state.now().after(RETRY_PAUSE))
-        })?;
-        Ok(ChosenTarget {
-            node: row.node.clone(),
-            backend: backend.name.clone(),
-        })
     }
 }
 
-struct ChosenTarget {
-    node: NodeName,
-    backend: BackendName,
+/// Counts an attempt as outstanding at its server until it ends or the caller goes away.
+struct AttemptGuard<'a> {
+    state: &'a NodeState,
+    planned: &'a PlannedRequest,
+    place: &'a ServerPlace,
+    started_at: ClockInstant,
+    is_settled: bool,
+}
+
+impl<'a> AttemptGuard<'a> {
+    fn new(state: &'a NodeState, planned: &'a PlannedRequest, place: &'a ServerPlace) -> Self {
+        Self {
+            state,
+            planned,
+            place,
+            started_at: state.now(),
+            is_settled: false,
+        }
+    }
+
+    fn settle(mut self, outcome: AttemptOutcome, result: &Result<ForwardAnswer, MeshError>) {
+        self.end(outcome);
+        self.is_settled = true;
+        if let Ok(answer) = result {
+            let mut book = self.state.requests.book();
+            let service = &self.planned.service;
+            book.report_load(self.state.now(), service, &self.place.backend, answer.load);
+        }
+    }
+
+    fn end(&self, outcome: AttemptOutcome) {
+        let now = self.state.now();
+        let took = self.started_at.elapsed(now);
+        let mut book = self.state.requests.book();
+        book.settle(
+            now,
+            &self.planned.service,
+            &self.place.backend,
+            outcome,
+            took,
+        );
+    }
+}
+
+impl Drop for AttemptGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.end(AttemptOutcome::Abandoned);
+        }
+    }
+}
+
+fn classify(
+    result: &Result<ForwardAnswer, MeshError>,
+    deadline: ClockInstant,
+    now: ClockInstant,
+) -> AttemptOutcome {
+    let error = match result {
+        Ok(answer) if answer.status >= 500 => return AttemptOutcome::Failed,
+        Ok(_) => return AttemptOutcome::Served,
+        Err(error) => error,
+    };
+    match error.kind().answer().run_state {
+        RunState::NotRun if error.kind() == ErrorKind::NoBackend => AttemptOutcome::Unreached,
+        RunState::NotRun => AttemptOutcome::Shed,
+        RunState::Ran => AttemptOutcome::Failed,
+        RunState::OutcomeUnknown if deadline.has_passed(now) => AttemptOutcome::TimedOut,
+        RunState::OutcomeUnknown => AttemptOutcome::Lost,
+    }
+}
+
+/// Returns whether another server would give the same error.
+fn is_final(error: &MeshError) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::Quarantined
+            | ErrorKind::DeadlinePassed
+            | ErrorKind::Invalid
+            | ErrorKind::TooLarge
+            | ErrorKind::Unauthorized
+    )
+}
+
+fn deadline_passed() -> MeshError {
+    MeshError::new(
+        ErrorKind::DeadlinePassed,
+        "the deadline passed before the request ran",
+    )
 }
--- /dev/null
+++ b/crates/daemon/src/forward/request_state.rs
@@ -0,0 +1,225 @@
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+};
+
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    config::ConfigSnapshot,
+    error::{ErrorKind, MeshError},
+    ids::{BackendName, ServiceName, SlotCount},
+    member::MemberTable,
+    request::{AdaptiveLimit, AttemptOutcome, KeyLedger, RetryBudget, ServerBook},
+};
+use bronzelb_wire::peer::ForwardAnswer;
+use tokio::sync::watch;
+
+use crate::{forward::gate_keeper::GateKeeper, node::SystemClock};
+
+const ENTRY_QUEUE_FACTOR: usize = 4;
+const HOST_QUEUE_FACTOR: usize = 2;
+const SUSPECT_QUEUE: usize = 64;
+const DRAINING_PAUSE: TimeBudget = TimeBudget::from_millis(200);
+
+/// Result of a request, shared by all that wait for the same idempotency key.
+pub(crate) type SharedResult = Result<ForwardAnswer, MeshError>;
+/// Receiver of a running request's result.
+pub(crate) type ResultReceiver = watch::Receiver<Option<SharedResult>>;
+
+/// What a node's threads share about the requests that it admits and runs.
+#[derive(Debug)]
+pub struct RequestState {
+    clock: SystemClock,
+    book: Mutex<ServerBook>,
+    members_seen: AtomicU64,
+    budget: Mutex<RetryBudget>,
+    entries: Mutex<BTreeMap<ServiceName, Arc<EntryGate>>>,
+    hosts: Mutex<BTreeMap<BackendName, Arc<HostGate>>>,
+    ledger: Mutex<KeyLedger<ResultReceiver, SharedResult>>,
+    in_flight: AtomicUsize,
+    is_closed: AtomicBool,
+}
+
+/// Gate of an entry node before one service.
+#[derive(Debug)]
+pub(crate) struct EntryGate {
+    pub(crate) keeper: Arc<GateKeeper>,
+    limit: Mutex<AdaptiveLimit>,
+}
+
+/// Gates of a backend server beside this node.
+#[derive(Debug)]
+pub(crate) struct HostGate {
+    /// Holds the server's slots.
+    pub(crate) slots: Arc<GateKeeper>,
+    /// Lets one suspect of a crash through at a time.
+    pub(crate) suspects: Arc<GateKeeper>,
+    /// Deaths of the server that this node has seen.
+    pub(crate) deaths: AtomicUsize,
+    /// Whether the server has ever echoed a request's identifier.
+    pub(crate) echoes: AtomicBool,
+}
+
+impl RequestState {
+    pub(crate) fn new(clock: SystemClock) -> Self {
+        Self {
+            clock,
+            book: Mutex::default(),
+            members_seen: AtomicU64::new(0),
+            budget: Mutex::default(),
+            entries: Mutex::default(),
+            hosts: Mutex::default(),
+            ledger: Mutex::default(),
+            in_flight: AtomicUsize::new(0),
+            is_closed: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns what the node knows of all backend servers, locked.
+    pub(crate) fn book(&self) -> MutexGuard<'_, ServerBook> {
+        lock(&self.book)
+    }
+
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.budget)
+    }
+
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, KeyLedger<ResultReceiver, SharedResult>> {
+        lock(&self.ledger)
+    }
+
+    /// Takes the members in when any of them has changed.
+    pub(crate) fn sync(&self, now: ClockInstant, members: &MemberTable, config: &ConfigSnapshot) {
+        let sum = members.iter().fold(1_u64, |sum, row| {
+            let own = row.revision ^ row.incarnation.get().rotate_left(32) ^ row.state as u64;
+            sum.wrapping_mul(31).wrapping_add(own)
+        });
+        if self.members_seen.swap(sum, Ordering::Relaxed) == sum {
+            return;
+        }
+        self.book().sync(now, members.iter(), |service| {
+            let spec = config.services.get(service);
+            spec.map_or(TimeBudget::ZERO, |spec| spec.slow_start)
+        });
+    }
+
+    /// Returns the gate before `service`, sized to the slots that its servers declare.
+    pub(crate) fn entry_gate(&self, service: &ServiceName) -> Arc<EntryGate> {
+        let declared = self.book().slots(service);
+        let mut entries = lock(&self.entries);
+        if let Some(gate) = entries.get(service) {
+            gate.declare(declared);
+            return Arc::clone(gate);
+        }
+        let gate = Arc::new(EntryGate::new(self.clock, declared));
+        entries.insert(service.clone(), Arc::clone(&gate));
+        gate
+    }
+
+    /// Returns the gates of the backend server `name` with `slots` slots.
+    pub(crate) fn host_gate(&self, name: &BackendName, slots: SlotCount) -> Arc<HostGate> {
+        let mut hosts = lock(&self.hosts);
+        if let Some(gate) = hosts.get(name) {
+            gate.slots.resize(slots, host_queue(slots));
+            return Arc::clone(gate);
+        }
+        let gate = Arc::new(HostGate {
+            slots: GateKeeper::new(self.clock, slots, host_queue(slots)),
+            suspects: GateKeeper::new(self.clock, SlotCount::new(1), SUSPECT_QUEUE),
+            deaths: AtomicUsize::new(0),
+            echoes: AtomicBool::new(false),
+        });
+        hosts.insert(name.clone(), Arc::clone(&gate));
+        gate
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Draining`] once the node takes no new requests.
+    pub(crate) fn begin(self: &Arc<Self>) -> Result<FlightGuard, MeshError> {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        let guard = FlightGuard {
+            state: Arc::clone(self),
+        };
+        if self.is_closed.load(Ordering::SeqCst) {
+            let retry_at = self.clock.now().after(DRAINING_PAUSE);
+            let error = MeshError::new(ErrorKind::Draining, "the node is shutting down");
+            return Err(error.with_retry_at(retry_at));
+        }
+        Ok(guard)
+    }
+
+    /// Refuses new requests from now on.
+    pub(crate) fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the number of requests in flight at this node.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+}
+
+impl HostGate {
+    /// Counts the death of the server's run that began after `earlier` deaths, once.
+    pub(crate) fn note_death(&self, earlier: u32) {
+        let (earlier, next) = (earlier as usize, earlier as usize + 1);
+        // Another request in flight may have counted the same death already.
+        let _ = self
+            .deaths
+            .compare_exchange(earlier, next, Ordering::Relaxed, Ordering::Relaxed);
+    }
+}
+
+impl EntryGate {
+    fn new(clock: SystemClock, declared: SlotCount) -> Self {
+        let limit = AdaptiveLimit::new(declared);
+        let slots = limit.get();
+        Self {
+            keeper: GateKeeper::new(clock, slots, entry_queue(slots)),
+            limit: Mutex::new(limit),
+        }
+    }
+
+    pub(crate) fn settle(&self, now: ClockInstant, outcome: AttemptOutcome) {
+        let mut limit = lock(&self.limit);
+        limit.settle(now, outcome);
+        self.keeper.resize(limit.get(), entry_queue(limit.get()));
+    }
+
+    fn declare(&self, declared: SlotCount) {
+        let mut limit = lock(&self.limit);
+        limit.declare(declared);
+        self.keeper.resize(limit.get(), entry_queue(limit.get()));
+    }
+}
+
+/// Counts one request in flight.
+#[derive(Debug)]
+pub(crate) struct FlightGuard {
+    state: Arc<RequestState>,
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.state.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn entry_queue(slots: SlotCount) -> usize {
+    slots.get() as usize * ENTRY_QUEUE_FACTOR
+}
+
+fn host_queue(slots: SlotCount) -> usize {
+    slots.get() as usize * HOST_QUEUE_FACTOR
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -26,6 +26,8 @@
     MoveChanged,
     /// A graceful shutdown began.
     Draining,
+    /// The graceful shutdown has ended.
+    Drained,
     /// The process ends.
     Stopped,
 }
@@ -46,6 +48,7 @@
             Self::RequestFailed => "request-failed",
             Self::MoveChanged => "move-changed",
             Self::Draining => "draining",
+            Self::Drained => "drained",
             Self::Stopped => "stopped",
         }
     }
--- /dev/null
+++ b/crates/daemon/src/node/drain_node.rs
@@ -0,0 +1,48 @@
+use std::time::Duration;
+
+use actix_web::dev::ServerHandle;
+use bronzelb_kernel::clock::TimeBudget;
+use slog::info;
+use tokio::time;
+
+use crate::{log::EventName, node::NodeState};
+
+/// Time for which a draining node still takes new requests while the others learn of it.
+const NOTICE_TIME: Duration = Duration::from_millis(1_500);
+/// Time after the notice that requests in flight get at least.
+const MIN_DRAIN_TIME: TimeBudget = TimeBudget::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
+/// Shuts a node down without cutting off a request.
+///
+/// The node announces that it drains and for a short time still takes requests from callers and
+/// nodes that have not heard of it. Then it refuses new ones as not run, and waits for those in
+/// flight until the drain deadline: the longest drain time of any service, and at least 30 s.
+pub(crate) async fn drain_node(state: &NodeState, callers: &ServerHandle) {
+    state.start_draining();
+    time::sleep(NOTICE_TIME).await;
+    state.requests.close();
+    let deadline = state.now().after(drain_time(state));
+    let stopped = callers.stop(true);
+    while state.requests.in_flight() > 0 && !deadline.has_passed(state.now()) {
+        time::sleep(POLL_INTERVAL).await;
+    }
+    let left = deadline.left(state.now()).to_std();
+    let is_cut = time::timeout(left, stopped).await.is_err();
+    // Answers to other nodes may still be on their way into the socket.
+    time::sleep(FLUSH_TIME).await;
+    let in_flight = state.requests.in_flight();
+    info!(state.logger, "{}", EventName::Drained;
+        "cut" => is_cut || in_flight > 0, "in_flight" => in_flight);
+}
+
+fn drain_time(state: &NodeState) -> TimeBudget {
+    let config = state.config();
+    let services = config
+        .iter()
+        .flat_map(|config| config.snapshot().services.values());
+    services
+        .map(|service| service.drain)
+        .fold(MIN_DRAIN_TIME, TimeBudget::max)
+}
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! The node: its shared state, its clock, and how it starts and stops.
 
+mod drain_node;
 mod node_state;
 mod run_node;
 mod stop_signal;
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     backends::BackendTable,
+    forward::RequestState,
     log::EventName,
     metrics::{MetricClient, MetricSink},
     node::SystemClock,
@@ -70,6 +71,8 @@
     members: Mutex<MemberTable>,
     backends: Mutex<BackendTable>,
     records: Mutex<RecordTable>,
+    /// Requests that the node admits and runs.
+    pub requests: Arc<RequestState>,
     is_draining: AtomicBool,
     is_platform_away: AtomicBool,
     revision: AtomicU64,
@@ -95,6 +98,7 @@
             members: Mutex::default(),
             backends: Mutex::default(),
             records: Mutex::default(),
+            requests: Arc::new(RequestState::new(clock)),
             is_draining: AtomicBool::new(false),
             is_platform_away: AtomicBool::new(false),
             revision: AtomicU64::new(0),
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -4,7 +4,7 @@
 use bronzelb_kernel::error::{ErrorKind, MeshError};
 use slog::{Logger, info};
 use tokio::{
-    signal::unix::{self, SignalKind},
+    signal::unix::{self, Signal, SignalKind},
     task::spawn_local,
 };
 
@@ -12,7 +12,7 @@
     callers::start_caller_server,
     gossip::run_gossip,
     log::{EventName, NodeLogger},
-    node::{NodeAddresses, NodeState, StopSignal},
+    node::{NodeAddresses, NodeState, StopSignal, drain_node::drain_node},
     operators::start_operator_server,
     peers::start_peer_server,
     settings::NodeSettings,
@@ -81,9 +81,13 @@
     spawn_local(run_gossip(Arc::clone(&state), stop.clone()));
     spawn_local(run_source(Arc::clone(&state), stop));
     announce_listening(&state);
-    wait_for_signal().await?;
-    state.start_draining();
-    caller_handle.stop(true).await;
+    let mut signals = StopSignals::open()?;
+    signals.recv().await;
+    tokio::select! {
+        () = drain_node(&state, &caller_handle) => {}
+        // A second signal ends the process at once.
+        () = signals.recv() => {}
+    }
     drop(sender);
     operator_handle.stop(false).await;
     info!(state.logger, "{}", EventName::Stopped);
@@ -99,12 +103,23 @@
         "operators" => addresses.operators.to_string());
 }
 
-async fn wait_for_signal() -> Result<(), MeshError> {
-    let mut terminate = unix::signal(SignalKind::terminate()).map_err(io_error)?;
-    let mut interrupt = unix::signal(SignalKind::interrupt()).map_err(io_error)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn open() -> Result<Self, MeshError> {
+        Ok(Self {
+            terminate: unix::signal(SignalKind::terminate()).map_err(io_error)?,
+            interrupt: unix::signal(SignalKind::interrupt()).map_err(io_error)?,
+        })
+    }
+
+    async fn recv(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -2,6 +2,7 @@
     cell::RefCell,
     collections::BTreeMap,
     net::SocketAddr,
+    rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -15,12 +16,18 @@
     PeerServiceClient,
     handshake::connect_peer,
     peer::{
-        ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, SnapshotReply, SnapshotRequest,
+        ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, RecordEntry, SnapshotReply,
+        SnapshotRequest,
     },
 };
-use tarpc::{client, client::RpcError, context};
+use tarpc::{
+    client,
+    client::{NewClient, RpcError},
+    context,
+};
 use tokio::{
     net::{TcpSocket, TcpStream},
+    task::spawn_local,
     time,
 };
 
@@ -30,10 +37,11 @@
 const GOSSIP_TIMEOUT: Duration = Duration::from_secs(2);
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Outgoing connections to other nodes, opened on demand, for one thread.
+/// Outgoing connections to other nodes, opened on demand, for one thread; clones share them.
+#[derive(Clone)]
 pub struct PeerPool {
     state: Arc<NodeState>,
-    clients: RefCell<BTreeMap<SocketAddr, PeerServiceClient>>,
+    clients: Rc<RefCell<BTreeMap<SocketAddr, PeerServiceClient>>>,
 }
 
 impl PeerPool {
@@ -42,7 +50,7 @@
     pub fn new(state: Arc<NodeState>) -> Self {
         Self {
             state,
-            clients: RefCell::default(),
+            clients: Rc::default(),
         }
     }
 
@@ -66,6 +74,41 @@
         self.settle(address, result)?
     }
 
+    /// Passes a request to the node that holds its idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// As [`PeerPool::forward`].
+    pub async fn resume(
+        &self,
+        node: &NodeName,
+        deadline: ClockInstant,
+        message: ForwardRequest,
+    ) -> Result<ForwardAnswer, MeshError> {
+        let address = self.address(node)?;
+        let client = self.client(address).await?;
+        let context = context_until(deadline.left(self.state.now()).to_std());
+        let result = client.resume(context, message).await;
+        self.settle(address, result)?
+    }
+
+    /// Sends one replicated record to a node.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NoBackend`] when the node is not reachable, and whatever it answers.
+    pub async fn mark(
+        &self,
+        node: &NodeName,
+        timeout: Duration,
+        record: RecordEntry,
+    ) -> Result<(), MeshError> {
+        let address = self.address(node)?;
+        let client = self.client(address).await?;
+        let result = client.mark(context_until(timeout), record).await;
+        self.settle(address, result)?
+    }
+
     /// Exchanges gossip with the node at `address`.
     ///
     /// # Errors
@@ -114,8 +157,15 @@
             .await
             .map_err(|_| unreachable(address, "no answer in time"))??;
         let transport = peer_transport(stream);
-        let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
+        let NewClient { client, dispatch } =
+            PeerServiceClient::new(client::Config::default(), transport);
         self.clients.borrow_mut().insert(address, client.clone());
+        let clients = Rc::clone(&self.clients);
+        spawn_local(async move {
+            // Once the connection has ended, the next request opens a new one.
+            let _ = dispatch.await;
+            clients.borrow_mut().remove(&address);
+        });
         Ok(client)
     }
 
--- a/crates/kernel/src/request/attempt_outcome.rs
+++ b/crates/kernel/src/request/attempt_outcome.rs
@@ -16,7 +16,9 @@
     Unreached,
     /// The request reached a server, and no whole answer of its own came back.
     Lost,
-    /// The caller went away or its deadline passed while the request ran.
+    /// The request reached a server, and its deadline passed before an answer came.
+    TimedOut,
+    /// The caller went away while the request ran.
     Abandoned,
 }
 
@@ -27,16 +29,7 @@
         match self {
             Self::Served | Self::Failed => RunState::Ran,
             Self::Shed | Self::Unreached => RunState::NotRun,
-            Self::Lost | Self::Abandoned => RunState::OutcomeUnknown,
+            Self::Lost | Self::TimedOut | Self::Abandoned => RunState::OutcomeUnknown,
         }
     }
-
-    /// Returns whether the attempt speaks against the server.
-    #[must_use]
-    pub const fn is_failure(self) -> bool {
-        matches!(
-            self,
-            Self::Failed | Self::Unreached | Self::Lost | Self::Abandoned
-        )
-    }
 }
--- a/crates/kernel/src/request/key_ledger.rs
+++ b/crates/kernel/src/request/key_ledger.rs
@@ -3,21 +3,20 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
-    ids::{AttemptToken, ContentHash, IdempotencyKey, IncarnationNumber, NodeName, RequestNumber},
+    ids::{ContentHash, IdempotencyKey, IncarnationNumber, NodeName, RequestNumber},
     request::RequestTicket,
 };
 
 /// Time for which a node remembers a key after its last change.
 pub const KEY_MEMORY: TimeBudget = TimeBudget::from_secs(600);
 
-const MAX_KEYS: usize = 100_000;
+const MAX_KEYS: usize = 20_000;
 const FULL_PAUSE: TimeBudget = TimeBudget::from_secs(5);
 
 /// What a node knows of one key; `J` joins a running request and `A` is its answer.
 #[derive(Clone, Debug)]
 enum KeyState<J, A> {
-    /// The key may run; a claim with this token may exist in the table.
-    Idle(Option<AttemptToken>),
+    Idle,
     Running(J),
     Ended(A),
     Unknown,
@@ -34,8 +33,12 @@
 /// What a request with an idempotency key may do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum KeyVerdict<J, A> {
-    /// It runs, under the token of an earlier claim if there was one.
-    Run(Option<AttemptToken>),
+    /// It runs.
+    Run {
+        /// Whether the ledger knows that no request with the key has run before; a claim that
+        /// this run of the node left in the table is then its own.
+        is_known_idle: bool,
+    },
     /// An earlier request with the key runs; this one gets the same answer.
     Join(J),
     /// An earlier request with the key has ended; this one gets the same answer.
@@ -47,8 +50,8 @@
 /// How a request with an idempotency key ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum KeyEnd<A> {
-    /// It did not run; a claim with this token may remain in the table.
-    NotRun(Option<AttemptToken>),
+    /// It did not run.
+    NotRun,
     /// It ran, and this is its answer.
     Ended(A),
     /// It may have run.
@@ -98,7 +101,7 @@
             number: self.next_ticket,
         };
         self.next_ticket = self.next_ticket.next();
-        self.put(now, ticket.to_key(), None, KeyState::Idle(None));
+        self.put(now, ticket.to_key(), None, KeyState::Idle);
         Ok(ticket)
     }
 
@@ -121,7 +124,9 @@
             }
             self.make_room(now)?;
             self.put(now, key.clone(), Some(fingerprint), KeyState::Running(join));
-            return Ok(KeyVerdict::Run(None));
+            return Ok(KeyVerdict::Run {
+                is_known_idle: false,
+            });
         };
         if entry.fingerprint.is_some_and(|held| held != fingerprint) {
             return Err(MeshError::new(
@@ -133,10 +138,11 @@
             KeyState::Running(join) => Ok(KeyVerdict::Join(join.clone())),
             KeyState::Ended(answer) => Ok(KeyVerdict::Replay(answer.clone())),
             KeyState::Unknown => Ok(KeyVerdict::Unknown),
-            KeyState::Idle(token) => {
-                let token = *token;
+            KeyState::Idle => {
                 self.put(now, key.clone(), Some(fingerprint), KeyState::Running(join));
-                Ok(KeyVerdict::Run(token))
+                Ok(KeyVerdict::Run {
+                    is_known_idle: true,
+                })
             }
         }
     }
@@ -148,7 +154,7 @@
         };
         let fingerprint = entry.fingerprint;
         let state = match end {
-            KeyEnd::NotRun(token) => KeyState::Idle(token),
+            KeyEnd::NotRun => KeyState::Idle,
             KeyEnd::Ended(answer) => KeyState::Ended(answer),
             KeyEnd::Unknown => KeyState::Unknown,
         };
--- a/crates/kernel/src/request/retry_budget.rs
+++ b/crates/kernel/src/request/retry_budget.rs
@@ -68,7 +68,7 @@
         return false;
     }
     match case.outcome {
-        AttemptOutcome::Served | AttemptOutcome::Abandoned => false,
+        AttemptOutcome::Served | AttemptOutcome::TimedOut | AttemptOutcome::Abandoned => false,
         outcome if outcome.run_state() == RunState::NotRun => true,
         _ => case.idempotent && case.failure_share <= MAX_FAILURE_SHARE,
     }
--- a/crates/kernel/src/request/server_stat.rs
+++ b/crates/kernel/src/request/server_stat.rs
@@ -1,3 +1,5 @@
+use serde::{Deserialize, Serialize};
+
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
@@ -15,6 +17,7 @@
 const FIRST_EJECTION: TimeBudget = TimeBudget::from_millis(500);
 const MAX_EJECTION_DOUBLINGS: u32 = 6;
 const REPORT_LIFETIME: TimeBudget = TimeBudget::from_millis(500);
+const TIMEOUT_FACTOR: f64 = 4.0;
 const STALL_FACTOR: f64 = 8.0;
 const STALL_FLOOR_MICROS: f64 = 50_000.0;
 const STALL_PENALTY: f64 = 16.0;
@@ -36,7 +39,7 @@
 }
 
 /// Load of a backend server as the node beside it sees it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
     /// Requests that run on the server.
     pub running: u32,
@@ -122,7 +125,8 @@
         self.failure_share = self.failure_share(now);
         self.failure_at = now;
         match outcome {
-            AttemptOutcome::Shed => return false,
+            AttemptOutcome::Shed | AttemptOutcome::Abandoned => return false,
+            AttemptOutcome::TimedOut if !self.is_overlong(took) => return false,
             AttemptOutcome::Served => self.succeed(took),
             _ => self.fail(),
         }
@@ -186,6 +190,11 @@
         self.outstanding > 0 && silence > patience
     }
 
+    /// Returns whether an unanswered request had far more time than the server usually takes.
+    fn is_overlong(&self, took: TimeBudget) -> bool {
+        took.as_micros() as f64 > self.latency_micros * TIMEOUT_FACTOR
+    }
+
     fn succeed(&mut self, took: TimeBudget) {
         self.consecutive_failures = 0;
         self.ejections = self
--- a/crates/kernel/tests/request_keys.rs
+++ b/crates/kernel/tests/request_keys.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     error::ErrorKind,
-    ids::{AttemptToken, ContentHash, IdempotencyKey, IncarnationNumber, NodeName},
+    ids::{ContentHash, IdempotencyKey, IncarnationNumber, NodeName},
     request::{
         CrashRecord, CrashSuspicion, KEY_MEMORY, KeyEnd, KeyLedger, KeyVerdict, RequestTicket,
         ServerLife,
@@ -34,7 +34,12 @@
     let mut ledger = Ledger::default();
     let order = key("order-1");
     let first = ledger.begin(now(), &order, print("a"), 1);
-    assert_eq!(first, Ok(KeyVerdict::Run(None)));
+    assert_eq!(
+        first,
+        Ok(KeyVerdict::Run {
+            is_known_idle: false
+        })
+    );
     let second = ledger.begin(now(), &order, print("a"), 2);
     assert_eq!(second, Ok(KeyVerdict::Join(1)));
     ledger.end(now(), &order, KeyEnd::Ended("done"));
@@ -54,14 +59,18 @@
 }
 
 #[test]
-fn key_that_did_not_run_runs_again_under_the_same_claim() {
+fn key_that_did_not_run_runs_again() {
     let mut ledger = Ledger::default();
     let order = key("order-1");
-    let token = AttemptToken::new(9);
     let _ = ledger.begin(now(), &order, print("a"), 1);
-    ledger.end(now(), &order, KeyEnd::NotRun(Some(token)));
+    ledger.end(now(), &order, KeyEnd::NotRun);
     let again = ledger.begin(now(), &order, print("a"), 2);
-    assert_eq!(again, Ok(KeyVerdict::Run(Some(token))));
+    assert_eq!(
+        again,
+        Ok(KeyVerdict::Run {
+            is_known_idle: true
+        })
+    );
 }
 
 #[test]
@@ -103,18 +112,18 @@
             if running[index] && rng.random_bool(0.5) {
                 running[index] = false;
                 let end = match rng.random_range(0..3) {
-                    0 => KeyEnd::NotRun(None),
+                    0 => KeyEnd::NotRun,
                     1 => KeyEnd::Ended("done"),
                     _ => KeyEnd::Unknown,
                 };
-                may_have_run[index] |= end != KeyEnd::NotRun(None);
+                may_have_run[index] |= end != KeyEnd::NotRun;
                 ledger.end(at, &order, end);
                 continue;
             }
             let verdict = ledger
                 .begin(at, &order, print("a"), 0)
                 .expect("same request");
-            if matches!(verdict, KeyVerdict::Run(_)) {
+            if matches!(verdict, KeyVerdict::Run { .. }) {
                 assert!(
                     !running[index] && !may_have_run[index],
                     "seed {seed} step {step}"
--- a/crates/wire/src/peer/forward_message.rs
+++ b/crates/wire/src/peer/forward_message.rs
@@ -1,6 +1,7 @@
 use bronzelb_kernel::{
-    config::HttpMethod,
-    ids::{BackendName, IdempotencyKey, RouteName},
+    config::{HttpMethod, RequestPriority},
+    ids::{BackendName, BuildVersion, ContentHash, IdempotencyKey, RouteName},
+    request::ServerLoad,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -28,6 +29,12 @@
     pub backend: Option<BackendName>,
     /// Caller's key, if it sent one.
     pub key: Option<IdempotencyKey>,
+    /// Hash of route, method, target and body.
+    pub fingerprint: ContentHash,
+    /// Priority of the route.
+    pub priority: RequestPriority,
+    /// Number of this attempt, 1 for the first; further up a chain of calls it counts on.
+    pub attempt: u32,
     /// Method of the request.
     pub method: HttpMethod,
     /// Path and query of the request.
@@ -47,4 +54,10 @@
     pub headers: Vec<HeaderPair>,
     /// Whole body of the answer.
     pub body: Bytes,
+    /// Backend server that answered.
+    pub backend: BackendName,
+    /// Version of the software that answered.
+    pub version: BuildVersion,
+    /// Load of the server, as the node beside it sees it.
+    pub load: ServerLoad,
 }
--- a/crates/wire/src/peer/peer_service.rs
+++ b/crates/wire/src/peer/peer_service.rs
@@ -4,7 +4,8 @@
 use bronzelb_kernel::error::MeshError;
 
 use crate::peer::{
-    ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, SnapshotReply, SnapshotRequest,
+    ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, RecordEntry, SnapshotReply,
+    SnapshotRequest,
 };
 
 /// What one node asks of another.
@@ -18,4 +19,10 @@
 
     /// Runs a caller's request on a backend server beside the called node.
     async fn forward(request: ForwardRequest) -> Result<ForwardAnswer, MeshError>;
+
+    /// Runs or answers a request whose idempotency key the called node holds.
+    async fn resume(request: ForwardRequest) -> Result<ForwardAnswer, MeshError>;
+
+    /// Takes in one replicated record without waiting for the next exchange.
+    async fn mark(record: RecordEntry) -> Result<(), MeshError>;
 }
