--- a/crates/kernel/src/member/member_table.rs
+++ b/crates/kernel/src/member/member_table.rs
@@ -1,24 +1,35 @@
 use std::collections::BTreeMap;
 
-use crate::{ids::NodeName, member::MemberRow};
+use crate::{
+    ids::{DataCentre, NodeName},
+    member::{MemberRow, MemberState},
+    spread::{BucketIndex, TableDigest},
+};
 
 /// The members of a mesh as one node knows them.
 #[derive(Clone, Debug, Default)]
 pub struct MemberTable {
     rows: BTreeMap<NodeName, MemberRow>,
+    digest: TableDigest,
 }
 
 impl MemberTable {
     /// Takes in a row and returns whether it replaced what was held.
     pub fn merge(&mut self, row: MemberRow) -> bool {
-        let is_newer = self
-            .rows
-            .get(&row.node)
-            .is_none_or(|held| row.replaces(held));
-        if is_newer {
-            self.rows.insert(row.node.clone(), row);
+        let held = self.rows.get(&row.node);
+        if held.is_some_and(|held| !row.replaces(held)) {
+            return false;
         }
-        is_newer
+        toggle(&mut self.digest, held);
+        toggle(&mut self.digest, Some(&row));
+        self.rows.insert(row.node.clone(), row);
+        true
+    }
+
+    /// Removes the row of `node`.
+    pub fn remove(&mut self, node: &NodeName) {
+        let removed = self.rows.remove(node);
+        toggle(&mut self.digest, removed.as_ref());
     }
 
     /// Returns the row of `node`.
@@ -31,4 +42,56 @@
     pub fn iter(&self) -> impl Iterator<Item = &MemberRow> {
         self.rows.values()
     }
+
+    /// Returns the rows of members that may answer: neither suspected nor gone.
+    pub fn live(&self) -> impl Iterator<Item = &MemberRow> {
+        self.iter().filter(|row| row.state < MemberState::Suspect)
+    }
+
+    /// Returns the number of live members in `centre`.
+    #[must_use]
+    pub fn live_in(&self, centre: &DataCentre) -> usize {
+        self.live().filter(|row| row.data_centre == *centre).count()
+    }
+
+    /// Returns the sum of the rows that are not gone.
+    #[must_use]
+    pub const fn digest(&self) -> &TableDigest {
+        &self.digest
+    }
+
+    /// Returns the rows in `buckets` that are not gone.
+    #[must_use]
+    pub fn rows_in(&self, buckets: &[BucketIndex]) -> Vec<MemberRow> {
+        self.iter()
+            .filter(|row| row.state != MemberState::Gone)
+            .filter(|row| buckets.contains(&bucket_of(row)))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the rows of members that are gone here and have a row in `told`.
+    #[must_use]
+    pub fn gone_among(&self, told: &[MemberRow]) -> Vec<MemberRow> {
+        told.iter()
+            .filter_map(|row| self.get(&row.node))
+            .filter(|held| held.state == MemberState::Gone)
+            .cloned()
+            .collect()
+    }
+}
+
+fn bucket_of(row: &MemberRow) -> BucketIndex {
+    BucketIndex::of(row.node.as_str().as_bytes())
+}
+
+fn toggle(digest: &mut TableDigest, row: Option<&MemberRow>) {
+    let Some(row) = row.filter(|row| row.state != MemberState::Gone) else {
+        return;
+    };
+    let mut version = [0; 2 * size_of::<u64>() + 1];
+    version[..8].copy_from_slice(&row.incarnation.get().to_le_bytes());
+    version[8..16].copy_from_slice(&row.revision.to_le_bytes());
+    version[16] = row.state as u8;
+    digest.toggle(row.node.as_str().as_bytes(), &version);
 }
--- /dev/null
+++ b/crates/kernel/src/spread/config_delta.rs
@@ -0,0 +1,101 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::{ConfigSnapshot, ConfigVersion, ProxySpec, RouteRule, ServiceSpec, VersionStamp},
+    error::MeshError,
+    ids::{DataCentre, RouteName, ServiceName},
+};
+
+/// Changes of one map of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MapDelta<K: Ord, V> {
+    /// Entries that are new or have another value.
+    pub put: BTreeMap<K, V>,
+    /// Keys that no longer exist.
+    pub removed: BTreeSet<K>,
+}
+
+impl<K: Ord + Clone, V: Clone + PartialEq> MapDelta<K, V> {
+    fn between(base: &BTreeMap<K, V>, target: &BTreeMap<K, V>) -> Self {
+        let put = target
+            .iter()
+            .filter(|(key, value)| base.get(key) != Some(value))
+            .map(|(key, value)| (key.clone(), value.clone()))
+            .collect();
+        let removed = base
+            .keys()
+            .filter(|key| !target.contains_key(key))
+            .cloned()
+            .collect();
+        Self { put, removed }
+    }
+
+    fn apply_to(self, map: &mut BTreeMap<K, V>) {
+        for key in &self.removed {
+            map.remove(key);
+        }
+        map.extend(self.put);
+    }
+}
+
+/// Difference between two versions of a mesh's configuration.
+///
+/// A delta is trusted only as far as its result: the bytes of the resulting snapshot must have the
+/// hash of the wanted version, and pass every check, before any part of it is used.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigDelta {
+    /// Version to which the delta applies.
+    pub base: VersionStamp,
+    /// Changed data centres.
+    pub proxies: MapDelta<DataCentre, ProxySpec>,
+    /// Changed services.
+    pub services: MapDelta<ServiceName, ServiceSpec>,
+    /// Changed routes.
+    pub routes: MapDelta<RouteName, RouteRule>,
+}
+
+impl ConfigDelta {
+    /// Computes the changes from `base` to `target`.
+    #[must_use]
+    pub fn between(base: &ConfigVersion, target: &ConfigVersion) -> Self {
+        let (old, new) = (base.snapshot(), target.snapshot());
+        Self {
+            base: base.stamp(),
+            proxies: MapDelta::between(&old.proxies, &new.proxies),
+            services: MapDelta::between(&old.services, &new.services),
+            routes: MapDelta::between(&old.routes, &new.routes),
+        }
+    }
+
+    /// Applies the changes to a copy of `base` and returns the canonical bytes of the result.
+    #[must_use]
+    pub fn apply(self, base: &ConfigSnapshot) -> Bytes {
+        let mut snapshot = base.clone();
+        self.proxies.apply_to(&mut snapshot.proxies);
+        self.services.apply_to(&mut snapshot.services);
+        self.routes.apply_to(&mut snapshot.routes);
+        snapshot.to_bytes()
+    }
+
+    /// Encodes the delta as JSON, in the same forms as a snapshot's canonical bytes.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        let text = serde_json::to_vec(self).expect("a delta holds only serializable types");
+        Bytes::from(text)
+    }
+
+    /// Decodes a received delta.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Invalid`](crate::error::ErrorKind::Invalid) when the bytes are malformed.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, MeshError> {
+        serde_json::from_slice(bytes)
+            .map_err(|error| MeshError::invalid(format!("configuration delta: {error}")))
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/spread/node_receive.rs
@@ -0,0 +1,148 @@
+//! How a node answers its peers.
+
+use rand::Rng;
+
+use crate::{
+    clock::ClockInstant,
+    ids::ByteCount,
+    member::{MemberRow, MemberState, MergeOutcome},
+    spread::{
+        BucketIndex, FetchSource, GossipReply, GossipRequest, PeerCard, ReconcileReply,
+        ReconcileRequest, RecordEntry, SnapshotReply, SnapshotRequest, SpreadChange, SpreadMode,
+        SpreadNode,
+    },
+};
+
+impl SpreadNode {
+    /// Answers a push or an exchange.
+    pub fn receive_gossip(&mut self, request: GossipRequest, now: ClockInstant) -> GossipReply {
+        let is_exchange = request.digest.is_some();
+        self.note_contact(&request.from, is_exchange, now);
+        let named: Vec<_> = request.members.iter().map(|row| row.node.clone()).collect();
+        let received = request.members.clone();
+        self.merge_members(request.members, now);
+        self.merge_records(request.records, now);
+        let table = self.agent.table();
+        let mut members: Vec<_> = named
+            .iter()
+            .zip(&received)
+            .filter_map(|(node, row)| table.get(node).filter(|held| held.replaces(row)))
+            .cloned()
+            .collect();
+        members.extend(self.accusation(&request.from));
+        GossipReply {
+            from: self.card(),
+            digest: request.digest.map(|_| self.root_digest()),
+            members,
+        }
+    }
+
+    /// Answers a request for differing entries.
+    pub fn receive_reconcile(
+        &mut self,
+        request: &ReconcileRequest,
+        now: ClockInstant,
+        rng: &mut impl Rng,
+    ) -> ReconcileReply {
+        self.note_contact(&request.from, true, now);
+        let limit = usize::from(request.max_buckets);
+        let differing = self.agent.table().digest().differing(&request.members);
+        let member_buckets = some_buckets(differing, limit, rng);
+        let differing = self.records.digest().differing(&request.records);
+        let record_buckets = some_buckets(differing, limit, rng);
+        ReconcileReply {
+            from: self.card(),
+            members: self.agent.table().rows_in(&member_buckets),
+            records: self.records.entries_in(&record_buckets),
+            member_buckets,
+            record_buckets,
+        }
+    }
+
+    /// Answers a request for a version's content.
+    pub fn receive_snapshot(
+        &mut self,
+        request: &SnapshotRequest,
+        now: ClockInstant,
+        rng: &mut impl Rng,
+    ) -> SnapshotReply {
+        self.note_contact(&request.from, false, now);
+        let reply = self.holder.answer(request);
+        let SnapshotReply::Whole(body) = &reply else {
+            return reply;
+        };
+        let size = ByteCount::new(body.len() as u64);
+        match self.transfers.enter(size, now, rng) {
+            Ok(()) => reply,
+            Err(wait) => {
+                self.counters.put_off += 1;
+                SnapshotReply::Busy(wait)
+            }
+        }
+    }
+
+    /// Returns the card under which this node answers a helper's or a probing peer's call.
+    pub fn receive_contact(&mut self, from: &PeerCard, now: ClockInstant) -> PeerCard {
+        self.note_contact(from, false, now);
+        self.card()
+    }
+
+    /// Notes that a message came from a peer, and which version the peer holds.
+    pub(crate) fn note_contact(&mut self, from: &PeerCard, is_exchange: bool, now: ClockInstant) {
+        self.agent.heard_from(&from.data_centre, now);
+        self.picker.answered(&from.node);
+        self.probes.remove(&from.node);
+        let is_hidden = match self.rule.mode {
+            SpreadMode::Mixed | SpreadMode::Pull => false,
+            SpreadMode::Push => is_exchange && self.gate.is_open(),
+            SpreadMode::Poll => true,
+        };
+        let Some(stamp) = from.stamp.filter(|_| !is_hidden) else {
+            return;
+        };
+        if self.holder.wants(stamp) {
+            let source = FetchSource::Peer(from.node.clone());
+            self.fetches.heard(stamp, source);
+        }
+    }
+
+    pub(crate) fn merge_members(&mut self, rows: Vec<MemberRow>, now: ClockInstant) {
+        let mut has_changed = false;
+        for row in rows {
+            let outcome = self.agent.merge(row, now);
+            has_changed |= outcome != MergeOutcome::Known;
+        }
+        if has_changed {
+            self.hasten_push(now);
+            self.report(SpreadChange::Members);
+        }
+    }
+
+    pub(crate) fn merge_records(&mut self, entries: Vec<RecordEntry>, now: ClockInstant) {
+        for entry in entries {
+            if let Err(error) = self.merge_record(entry, now) {
+                self.counters.bad_records += 1;
+                self.report(SpreadChange::BadRecord(error));
+            }
+        }
+    }
+
+    /// Returns the sender's own row when this node holds it for suspected or gone.
+    fn accusation(&self, from: &PeerCard) -> Option<MemberRow> {
+        let row = self.agent.table().get(&from.node)?;
+        (row.state >= MemberState::Suspect).then(|| row.clone())
+    }
+}
+
+fn some_buckets(
+    mut buckets: Vec<BucketIndex>,
+    limit: usize,
+    rng: &mut impl Rng,
+) -> Vec<BucketIndex> {
+    if buckets.len() > limit {
+        let start = rng.random_range(0..buckets.len());
+        buckets.rotate_left(start);
+        buckets.truncate(limit);
+    }
+    buckets
+}
--- /dev/null
+++ b/crates/kernel/src/spread/reader_choice.rs
@@ -0,0 +1,35 @@
+use std::cmp::Reverse;
+
+use crate::{
+    ids::{DataCentre, NodeName},
+    member::{MemberState, MemberTable},
+};
+
+/// Number of nodes in each data centre that read the platform's version row.
+pub const READERS_PER_CENTRE: usize = 2;
+
+/// Chooses which nodes of a data centre read the source, by rendezvous hashing.
+///
+/// Nodes that know the same live members choose the same readers without a word between them, and
+/// a change of members moves a reader's duty only when a reader comes or goes. Nodes that disagree
+/// for a while cause a few more reads and no harm.
+#[must_use]
+pub fn choose_readers(table: &MemberTable, centre: &DataCentre) -> Vec<NodeName> {
+    let mut ranked: Vec<_> = table
+        .iter()
+        .filter(|row| row.data_centre == *centre)
+        .filter(|row| matches!(row.state, MemberState::Starting | MemberState::Serving))
+        .map(|row| (Reverse(weight(centre, &row.node)), &row.node))
+        .collect();
+    ranked.sort_unstable();
+    let chosen = ranked.into_iter().take(READERS_PER_CENTRE);
+    chosen.map(|(_, node)| node.clone()).collect()
+}
+
+fn weight(centre: &DataCentre, node: &NodeName) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(centre.as_str().as_bytes());
+    hasher.update(b"/");
+    hasher.update(node.as_str().as_bytes());
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/crates/kernel/src/spread/rumour_queue.rs
@@ -0,0 +1,57 @@
+use std::{cmp::Reverse, collections::BTreeMap};
+
+/// Keys of changed entries that are still to be pushed to peers.
+///
+/// Each key is pushed in a few rounds and then left to the periodic exchange of digests.
+#[derive(Clone, Debug)]
+pub struct RumourQueue<K> {
+    rounds: BTreeMap<K, u8>,
+}
+
+impl<K> Default for RumourQueue<K> {
+    fn default() -> Self {
+        Self {
+            rounds: BTreeMap::new(),
+        }
+    }
+}
+
+impl<K: Ord + Clone> RumourQueue<K> {
+    /// Queues `key` for `rounds` pushes.
+    pub fn add(&mut self, key: K, rounds: u8) {
+        if rounds > 0 {
+            self.rounds.insert(key, rounds);
+        }
+    }
+
+    /// Returns whether nothing is queued.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rounds.is_empty()
+    }
+
+    /// Takes at most `limit` keys for one round, those with the most rounds left first.
+    pub fn take(&mut self, limit: usize) -> Vec<K> {
+        let mut keys: Vec<_> = self.rounds.iter().map(|(key, left)| (*left, key)).collect();
+        keys.sort_by_key(|(left, _)| Reverse(*left));
+        let taken: Vec<K> = keys
+            .into_iter()
+            .take(limit)
+            .map(|(_, key)| key.clone())
+            .collect();
+        for key in &taken {
+            self.count_round(key);
+        }
+        taken
+    }
+
+    fn count_round(&mut self, key: &K) {
+        let Some(left) = self.rounds.get_mut(key) else {
+            return;
+        };
+        *left -= 1;
+        if *left == 0 {
+            self.rounds.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/spread/spread_action.rs
@@ -0,0 +1,77 @@
+use std::sync::Arc;
+
+use crate::{
+    clock::ClockInstant,
+    config::{ConfigVersion, VersionStamp},
+    error::MeshError,
+    spread::{
+        GossipRequest, PeerTarget, ProbeRequest, ReconcileRequest, RecordEntry, VersionFetch,
+    },
+};
+
+/// What a [`SpreadNode`](crate::spread::SpreadNode) asks its caller to do.
+#[derive(Clone, Debug)]
+pub enum SpreadAction {
+    /// Send a message and pass the answer to `gossip_answered`.
+    Gossip {
+        /// Receiver.
+        to: PeerTarget,
+        /// Message.
+        request: GossipRequest,
+        /// When the message counts as unanswered.
+        deadline: ClockInstant,
+    },
+    /// Ask for differing entries and pass the answer to `reconcile_answered`.
+    Reconcile {
+        /// Receiver.
+        to: PeerTarget,
+        /// Message.
+        request: ReconcileRequest,
+        /// When the message counts as unanswered.
+        deadline: ClockInstant,
+    },
+    /// Ask a helper to probe a member and pass the answer to `probe_answered`.
+    ProbeVia {
+        /// Helper.
+        to: PeerTarget,
+        /// Message.
+        request: ProbeRequest,
+        /// When the message counts as unanswered.
+        deadline: ClockInstant,
+    },
+    /// Fetch a version's content and pass it to `fetch_answered`.
+    Fetch(VersionFetch),
+    /// Read the platform's version row and pass it to `source_answered`.
+    ReadSource,
+    /// Tell the rest of the process what has changed.
+    Changed(SpreadChange),
+}
+
+/// A change that the rest of the process acts on or logs.
+#[derive(Clone, Debug)]
+pub enum SpreadChange {
+    /// This version is in force from now on.
+    InForce(Arc<ConfigVersion>),
+    /// Members, or the backend servers beside them, changed.
+    Members,
+    /// A record changed.
+    Record(RecordEntry),
+    /// A version was refused as a whole.
+    Refused {
+        /// Refused version.
+        stamp: VersionStamp,
+        /// Why.
+        error: MeshError,
+    },
+    /// A source sent content that does not match its stamp.
+    Altered {
+        /// Fetch that brought the content.
+        fetch: VersionFetch,
+        /// What did not match.
+        error: MeshError,
+    },
+    /// A received record was malformed and dropped.
+    BadRecord(MeshError),
+    /// The process was paused for longer than its lease and rejoins.
+    Woke,
+}
--- /dev/null
+++ b/crates/kernel/src/spread/spread_node.rs
@@ -0,0 +1,292 @@
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use rand::Rng;
+
+use crate::{
+    clock::{ClockInstant, TimeBudget},
+    config::{ConfigVersion, VersionStamp},
+    error::MeshError,
+    ids::{BackendName, DataCentre, MeshName, NodeName},
+    member::{
+        BackendLeases, BackendRow, LeaseGuard, MemberAgent, MemberRow, MemberState, MemberTable,
+    },
+    spread::{
+        FetchPlan, PeerCard, PeerPicker, PlatformState, RecordEntry, RecordKey, RecordLog,
+        RecordTable, RecordValue, RootDigest, SourcePoll, SpreadAction, SpreadChange, SpreadRule,
+        StartGate, TransferGate, VersionHolder,
+    },
+};
+
+/// Counts of what went wrong while spreading, since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SpreadCounters {
+    /// Versions that were refused as a whole.
+    pub refused: u64,
+    /// Contents that did not match their stamp.
+    pub altered: u64,
+    /// Transfers that were put off because too many were under way.
+    pub put_off: u64,
+    /// Messages that a peer did not answer.
+    pub unanswered: u64,
+    /// Records that were malformed.
+    pub bad_records: u64,
+    /// Pauses longer than the lease.
+    pub pauses: u64,
+}
+
+/// Everything by which one node takes part in spreading: versions, members and records.
+///
+/// The node is a state machine: the caller passes in time, randomness, messages and answers, and
+/// carries out the actions that [`SpreadNode::take_actions`] returns. It calls
+/// [`SpreadNode::tick`] every few tens of milliseconds.
+#[derive(Clone, Debug)]
+pub struct SpreadNode {
+    pub(crate) rule: SpreadRule,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) agent: MemberAgent,
+    pub(crate) leases: BackendLeases,
+    pub(crate) guard: LeaseGuard,
+    pub(crate) records: RecordLog,
+    pub(crate) holder: VersionHolder,
+    pub(crate) in_force: Option<Arc<ConfigVersion>>,
+    pub(crate) in_force_at: Option<ClockInstant>,
+    pub(crate) fetches: FetchPlan,
+    pub(crate) transfers: TransferGate,
+    pub(crate) gate: StartGate,
+    pub(crate) poll: SourcePoll,
+    pub(crate) picker: PeerPicker,
+    /// Indirect probes that are still out, by probed member.
+    pub(crate) probes: BTreeMap<NodeName, usize>,
+    pub(crate) stamp_rounds: u8,
+    pub(crate) next_push: ClockInstant,
+    pub(crate) next_exchange: ClockInstant,
+    pub(crate) exchange_count: u32,
+    pub(crate) counters: SpreadCounters,
+    pub(crate) actions: Vec<SpreadAction>,
+}
+
+impl SpreadNode {
+    /// Builds a starting node that holds nothing.
+    ///
+    /// `seeds` are addresses at which the node may find first peers.
+    pub fn new(
+        mesh: MeshName,
+        own: MemberRow,
+        seeds: Vec<SocketAddr>,
+        rule: SpreadRule,
+        now: ClockInstant,
+        rng: &mut impl Rng,
+    ) -> Self {
+        let agent = MemberAgent::new(own, rule.push_rounds, rule.suspicion, rule.tombstone);
+        Self {
+            seeds,
+            agent,
+            leases: BackendLeases::default(),
+            guard: LeaseGuard::new(now, rule.lease),
+            records: RecordLog::default(),
+            holder: VersionHolder::new(mesh),
+            in_force: None,
+            in_force_at: None,
+            fetches: FetchPlan::default(),
+            transfers: TransferGate::new(rule.max_transfers),
+            gate: StartGate::new(now.after(rule.survey), now.after(rule.last_wait)),
+            poll: SourcePoll::new(now, rng),
+            picker: PeerPicker::default(),
+            probes: BTreeMap::new(),
+            stamp_rounds: 0,
+            next_push: now,
+            next_exchange: now,
+            exchange_count: 0,
+            counters: SpreadCounters::default(),
+            actions: Vec::new(),
+            rule,
+        }
+    }
+
+    /// Takes the actions that have come up since the last call.
+    #[must_use]
+    pub fn take_actions(&mut self) -> Vec<SpreadAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the version that is in force on this node.
+    #[must_use]
+    pub const fn in_force(&self) -> Option<&Arc<ConfigVersion>> {
+        self.in_force.as_ref()
+    }
+
+    /// Returns since when the version in force has been so.
+    #[must_use]
+    pub const fn in_force_at(&self) -> Option<ClockInstant> {
+        self.in_force_at
+    }
+
+    /// Returns whether the node may take requests: a version is in force, the node's own lease
+    /// holds, and it is neither starting nor draining.
+    #[must_use]
+    pub fn is_ready(&self, now: ClockInstant) -> bool {
+        self.gate.is_open()
+            && self.guard.holds(now)
+            && self.in_force.is_some()
+            && self.own().state == MemberState::Serving
+    }
+
+    /// Returns when this node's lease lapses unless its timer renews it.
+    #[must_use]
+    pub const fn lease_deadline(&self) -> ClockInstant {
+        self.guard.deadline()
+    }
+
+    /// Returns this node's own row.
+    #[must_use]
+    pub fn own(&self) -> &MemberRow {
+        self.agent.own()
+    }
+
+    /// Returns the members that this node knows.
+    #[must_use]
+    pub const fn members(&self) -> &MemberTable {
+        self.agent.table()
+    }
+
+    /// Returns the records.
+    #[must_use]
+    pub const fn records(&self) -> &RecordTable {
+        self.records.table()
+    }
+
+    /// Returns the versions that this node refused, and why.
+    #[must_use]
+    pub const fn refused(&self) -> &BTreeMap<VersionStamp, MeshError> {
+        self.holder.refused()
+    }
+
+    /// Returns what is known of the platform.
+    #[must_use]
+    pub const fn platform_state(&self) -> PlatformState {
+        self.poll.state()
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub const fn counters(&self) -> SpreadCounters {
+        self.counters
+    }
+
+    /// Returns the data centres that have not been heard from for a while.
+    #[must_use]
+    pub fn silent_centres(&self, now: ClockInstant) -> Vec<DataCentre> {
+        self.agent.silent_centres(now.before(self.rule.silence))
+    }
+
+    /// Returns whether no other data centre has been heard from for a while.
+    #[must_use]
+    pub fn is_cut_off(&self, now: ClockInstant) -> bool {
+        self.agent.is_cut_off(now.before(self.rule.silence))
+    }
+
+    /// Adds an address at which first peers may be found.
+    pub fn add_seed(&mut self, address: SocketAddr) {
+        if !self.seeds.contains(&address) {
+            self.seeds.push(address);
+        }
+    }
+
+    /// Takes an announcement of a backend server beside this node, to be repeated within `lease`.
+    pub fn announce_backend(&mut self, row: BackendRow, now: ClockInstant, lease: TimeBudget) {
+        if self.leases.announce(row, now, lease) {
+            self.publish_backends(now);
+        }
+    }
+
+    /// Ends the announcement of a backend server; returns whether it was announced.
+    pub fn withdraw_backend(&mut self, name: &BackendName, now: ClockInstant) -> bool {
+        let was_announced = self.leases.withdraw(name);
+        if was_announced {
+            self.publish_backends(now);
+        }
+        was_announced
+    }
+
+    /// Takes no new requests from now on and tells the mesh.
+    pub fn drain(&mut self, now: ClockInstant) {
+        self.change_state(MemberState::Draining, now);
+    }
+
+    /// Tells the mesh that this node ends.
+    pub fn leave(&mut self, now: ClockInstant) {
+        self.change_state(MemberState::Gone, now);
+    }
+
+    /// Merges a record and spreads it when that changed it; returns whether it did.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`RecordTable::merge`].
+    pub fn put_record(
+        &mut self,
+        key: RecordKey,
+        value: RecordValue,
+        now: ClockInstant,
+    ) -> Result<bool, MeshError> {
+        self.merge_record(RecordEntry { key, value }, now)
+    }
+
+    pub(crate) fn merge_record(
+        &mut self,
+        entry: RecordEntry,
+        now: ClockInstant,
+    ) -> Result<bool, MeshError> {
+        let has_changed = self.records.merge(&entry, self.rule.push_rounds)?;
+        if has_changed {
+            self.hasten_push(now);
+            let value = self.records.table().get(&entry.key);
+            let value = value.cloned().unwrap_or(entry.value);
+            let merged = RecordEntry {
+                key: entry.key,
+                value,
+            };
+            self.report(SpreadChange::Record(merged));
+        }
+        Ok(has_changed)
+    }
+
+    pub(crate) fn publish_backends(&mut self, now: ClockInstant) {
+        if self.agent.set_backends(self.leases.rows()) {
+            self.hasten_push(now);
+            self.report(SpreadChange::Members);
+        }
+    }
+
+    pub(crate) fn change_state(&mut self, state: MemberState, now: ClockInstant) {
+        if self.agent.set_state(state) {
+            self.hasten_push(now);
+            self.report(SpreadChange::Members);
+        }
+    }
+
+    pub(crate) fn report(&mut self, change: SpreadChange) {
+        self.actions.push(SpreadAction::Changed(change));
+    }
+
+    /// Lets the next tick push, without waiting for the next round.
+    pub(crate) fn hasten_push(&mut self, now: ClockInstant) {
+        self.next_push = self.next_push.min(now);
+    }
+
+    pub(crate) fn card(&self) -> PeerCard {
+        let own = self.agent.own();
+        PeerCard {
+            node: own.node.clone(),
+            data_centre: own.data_centre.clone(),
+            stamp: self.holder.stamp(),
+        }
+    }
+
+    pub(crate) fn root_digest(&self) -> RootDigest {
+        RootDigest {
+            members: self.agent.table().digest().root(),
+            records: self.records.digest().root(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/spread/transfer_gate.rs
@@ -0,0 +1,54 @@
+use rand::Rng;
+
+use crate::{
+    clock::{ClockInstant, TimeBudget},
+    ids::ByteCount,
+};
+
+const SLOT_BYTES_PER_MILLI: u64 = 1_000;
+const MAX_JITTER_MS: u64 = 200;
+
+/// Limit on the whole snapshots that a node sends at once.
+///
+/// Each transfer takes one slot for as long as its bytes need at one megabyte a second. When every
+/// slot is taken, the asking peer is told when to come back instead of being queued.
+#[derive(Clone, Debug)]
+pub struct TransferGate {
+    /// When each slot falls free.
+    slots: Vec<ClockInstant>,
+}
+
+impl TransferGate {
+    /// Builds a gate for `limit` transfers at once.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            slots: vec![ClockInstant::default(); limit.max(1)],
+        }
+    }
+
+    /// Takes a slot for a transfer of `size` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which to come back when every slot is taken.
+    pub fn enter(
+        &mut self,
+        size: ByteCount,
+        now: ClockInstant,
+        rng: &mut impl Rng,
+    ) -> Result<(), TimeBudget> {
+        let slot = self
+            .slots
+            .iter_mut()
+            .min()
+            .expect("a gate has at least one slot");
+        if slot.has_passed(now) {
+            let millis = size.get().div_ceil(SLOT_BYTES_PER_MILLI);
+            *slot = now.after(TimeBudget::from_millis(millis));
+            return Ok(());
+        }
+        let jitter = TimeBudget::from_millis(rng.random_range(0..=MAX_JITTER_MS));
+        Err(slot.after(jitter).left(now))
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/spread/version_holder.rs
@@ -0,0 +1,182 @@
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+
+use crate::{
+    config::{ConfigVersion, MAX_SNAPSHOT_BYTES, VersionStamp},
+    error::{ErrorKind, MeshError},
+    ids::{ContentHash, MeshName},
+    spread::{ConfigDelta, SnapshotReply, SnapshotRequest},
+};
+
+const MAX_EARLIER_VERSIONS: usize = 8;
+const MAX_REFUSED_STAMPS: usize = 64;
+
+/// What became of received content.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OfferOutcome {
+    /// The version is now the held one.
+    Installed(VersionStamp),
+    /// The held version is as new or newer.
+    Stale,
+    /// The content is not what the stamp names; another source may have the right one.
+    Altered(MeshError),
+    /// The content is what the stamp names and fails a check; it is never asked for again.
+    Refused(MeshError),
+}
+
+/// Holder of the newest configuration version that a node has received and checked.
+///
+/// The number of the held version only rises. Content is used whole or not at all.
+#[derive(Clone, Debug)]
+pub struct VersionHolder {
+    mesh: MeshName,
+    held: Option<Arc<ConfigVersion>>,
+    earlier: VecDeque<Arc<ConfigVersion>>,
+    refused: BTreeMap<VersionStamp, MeshError>,
+}
+
+impl VersionHolder {
+    /// Builds a holder that holds nothing.
+    #[must_use]
+    pub const fn new(mesh: MeshName) -> Self {
+        Self {
+            mesh,
+            held: None,
+            earlier: VecDeque::new(),
+            refused: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the held version.
+    #[must_use]
+    pub const fn held(&self) -> Option<&Arc<ConfigVersion>> {
+        self.held.as_ref()
+    }
+
+    /// Returns the held version's stamp.
+    #[must_use]
+    pub fn stamp(&self) -> Option<VersionStamp> {
+        self.held.as_ref().map(|version| version.stamp())
+    }
+
+    /// Returns the refused versions and why each was refused.
+    #[must_use]
+    pub const fn refused(&self) -> &BTreeMap<VersionStamp, MeshError> {
+        &self.refused
+    }
+
+    /// Returns whether `stamp` is newer than what is held and has not been refused.
+    #[must_use]
+    pub fn wants(&self, stamp: VersionStamp) -> bool {
+        let is_newer = self.stamp().is_none_or(|held| stamp.number > held.number);
+        is_newer && !self.refused.contains_key(&stamp)
+    }
+
+    /// Takes in the whole content that was received for `stamp`.
+    pub fn offer_whole(&mut self, stamp: VersionStamp, body: Bytes) -> OfferOutcome {
+        if let Some(error) = self.refused.get(&stamp) {
+            return OfferOutcome::Refused(error.clone());
+        }
+        if !self.wants(stamp) {
+            return OfferOutcome::Stale;
+        }
+        if let Err(error) = check_identity(stamp, &body) {
+            return OfferOutcome::Altered(error);
+        }
+        match self.decode(stamp, body) {
+            Ok(version) => self.install(version),
+            Err(error) => self.refuse(stamp, error),
+        }
+    }
+
+    /// Takes in a delta that was received for `stamp`.
+    pub fn offer_delta(&mut self, stamp: VersionStamp, bytes: &[u8]) -> OfferOutcome {
+        if !self.wants(stamp) {
+            return OfferOutcome::Stale;
+        }
+        let delta = match ConfigDelta::from_bytes(bytes) {
+            Ok(delta) => delta,
+            Err(error) => return OfferOutcome::Altered(error),
+        };
+        let Some(base) = self.find(delta.base) else {
+            let message = format!("delta of version {} has an unknown base", stamp.number);
+            return OfferOutcome::Altered(MeshError::invalid(message));
+        };
+        let body = delta.apply(base.snapshot());
+        self.offer_whole(stamp, body)
+    }
+
+    /// Returns the content that answers a peer's request.
+    #[must_use]
+    pub fn answer(&self, request: &SnapshotRequest) -> SnapshotReply {
+        let Some(version) = self.find(request.stamp) else {
+            return SnapshotReply::Missing;
+        };
+        let base = request.base.and_then(|base| self.find(base));
+        let delta = base.map(|base| ConfigDelta::between(base, version).to_bytes());
+        match delta {
+            Some(delta) if delta.len() < version.body().len() => SnapshotReply::Delta(delta),
+            _ => SnapshotReply::Whole(version.body().clone()),
+        }
+    }
+
+    fn find(&self, stamp: VersionStamp) -> Option<&Arc<ConfigVersion>> {
+        let held = self.held.iter();
+        held.chain(&self.earlier)
+            .find(|version| version.stamp() == stamp)
+    }
+
+    fn decode(&self, stamp: VersionStamp, body: Bytes) -> Result<ConfigVersion, MeshError> {
+        let version = ConfigVersion::from_bytes(stamp, body)?;
+        let mesh = &version.snapshot().mesh;
+        if *mesh == self.mesh {
+            return Ok(version);
+        }
+        Err(MeshError::invalid(format!(
+            "content of version {} belongs to mesh {mesh}, not to {}",
+            stamp.number, self.mesh
+        )))
+    }
+
+    fn install(&mut self, version: ConfigVersion) -> OfferOutcome {
+        let stamp = version.stamp();
+        if let Some(replaced) = self.held.replace(Arc::new(version)) {
+            self.earlier.push_front(replaced);
+            self.earlier.truncate(MAX_EARLIER_VERSIONS);
+        }
+        OfferOutcome::Installed(stamp)
+    }
+
+    fn refuse(&mut self, stamp: VersionStamp, error: MeshError) -> OfferOutcome {
+        self.refused.insert(stamp, error.clone());
+        if self.refused.len() > MAX_REFUSED_STAMPS {
+            self.refused.pop_first();
+        }
+        OfferOutcome::Refused(error)
+    }
+}
+
+fn check_identity(stamp: VersionStamp, body: &Bytes) -> Result<(), MeshError> {
+    if body.len() > MAX_SNAPSHOT_BYTES {
+        return Err(MeshError::new(
+            ErrorKind::TooLarge,
+            format!(
+                "content of version {} has {} bytes, the limit is {MAX_SNAPSHOT_BYTES}",
+                stamp.number,
+                body.len()
+            ),
+        ));
+    }
+    let hash = ContentHash::of(body);
+    if hash == stamp.hash {
+        return Ok(());
+    }
+    Err(MeshError::invalid(format!(
+        "content of version {} has hash {hash} instead of {}",
+        stamp.number, stamp.hash
+    )))
+}
