Spread versions, members and records by the kernel's state machine

The thin daemon sent every member row and record to one random peer each 200 ms and every node polled the platform.

The daemon carries its actions out. Records: NodeState::put_record, record, records and record_changes. Malformed and oversized peer messages are counted in one event and close the connection.

--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -68,7 +68,11 @@
 
     fn address(&self, name: &BackendName) -> Result<SocketAddr, MeshError> {
         let backends = self.state.backends();
-        let entry = backends.get(name).ok_or_else(|| {
+        let now = self.state.now();
+        let entry = backends
+            .get(name)
+            .filter(|entry| !entry.lease_deadline.has_passed(now));
+        let entry = entry.ok_or_else(|| {
             MeshError::new(
                 ErrorKind::NoBackend,
                 format!("backend server {name} is not beside this node"),
--- a/crates/daemon/src/gossip/mod.rs
+++ b/crates/daemon/src/gossip/mod.rs
@@ -1,7 +1,9 @@
-//! The task that exchanges membership, versions and records with other nodes.
+//! How the node spreads versions, members and records: the shell around the kernel's state machine.
 
-mod answer_gossip;
-mod gossip_task;
+mod gossip_pool;
+mod spread_state;
+mod spread_task;
 
-pub use answer_gossip::answer_gossip;
-pub use gossip_task::run_gossip;
+pub use gossip_pool::GossipPool;
+pub use spread_state::SpreadState;
+pub use spread_task::run_spread;
--- /dev/null
+++ b/crates/daemon/src/gossip/spread_task.rs
@@ -0,0 +1,196 @@
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    spread::{
+        FetchSource, PeerCard, SnapshotRequest, SpreadAction, SpreadChange, SpreadNode,
+        VersionFetch,
+    },
+};
+use bronzelb_platform::PlatformClient;
+use slog::{info, warn};
+use tokio::{task::spawn_local, time};
+
+use crate::{
+    gossip::GossipPool,
+    log::EventName,
+    node::{NodeState, StopSignal},
+    source::{connect_platform, read_object, read_version_row},
+};
+
+const TICK: Duration = Duration::from_millis(50);
+const FAREWELL: Duration = Duration::from_millis(300);
+const FETCH_BUDGET: TimeBudget = TimeBudget::from_secs(10);
+
+/// Carries out what the kernel decides about spreading, until the stop signal.
+pub async fn run_spread(state: Arc<NodeState>, pool: Rc<GossipPool>, mut stop: StopSignal) {
+    let platform = connect_platform(&state);
+    if let Err(error) = &platform {
+        warn!(state.logger, "{}", EventName::PlatformState; "message" => error.to_string());
+    }
+    let runner = ActionRunner {
+        platform: platform.ok(),
+        state,
+        pool,
+    };
+    loop {
+        runner.tick();
+        tokio::select! {
+            () = time::sleep(TICK) => {}
+            () = runner.state.spread.stepped() => {}
+            () = stop.stopped() => break,
+        }
+    }
+    runner.leave().await;
+}
+
+/// Carries out actions; clones share their connections.
+#[derive(Clone)]
+struct ActionRunner {
+    state: Arc<NodeState>,
+    pool: Rc<GossipPool>,
+    platform: Option<PlatformClient>,
+}
+
+impl ActionRunner {
+    fn tick(&self) {
+        let now = self.state.now();
+        self.state.expire_backends();
+        let actions = self.state.spread.drive(|node, rng| {
+            node.tick(now, rng);
+            node.take_actions()
+        });
+        for action in actions {
+            self.start(action);
+        }
+        self.pool.close_idle(now);
+    }
+
+    /// Tells the mesh that this node ends, and leaves the message a moment to go out.
+    async fn leave(&self) {
+        let now = self.state.now();
+        self.state.spread.drive(|node, _| node.leave(now));
+        self.tick();
+        time::sleep(FAREWELL).await;
+    }
+
+    fn start(&self, action: SpreadAction) {
+        if let SpreadAction::Changed(change) = action {
+            self.report(change);
+            return;
+        }
+        let runner = self.clone();
+        spawn_local(async move { runner.run(action).await });
+    }
+
+    async fn run(&self, action: SpreadAction) {
+        let spread = &self.state.spread;
+        match action {
+            SpreadAction::Gossip {
+                to,
+                request,
+                deadline,
+            } => {
+                let result = self.pool.gossip(to.address, request, deadline).await;
+                let now = self.state.now();
+                spread.step(|node, rng| node.gossip_answered(&to, result, now, rng));
+            }
+            SpreadAction::Reconcile {
+                to,
+                request,
+                deadline,
+            } => {
+                let result = self.pool.reconcile(to.address, request, deadline).await;
+                let now = self.state.now();
+                spread.step(|node, rng| node.reconcile_answered(&to, result, now, rng));
+            }
+            SpreadAction::ProbeVia {
+                to,
+                request,
+                deadline,
+            } => {
+                let target = request.target.clone();
+                let result = self.pool.probe(to.address, request, deadline).await;
+                let now = self.state.now();
+                spread.step(|node, _| node.probe_answered(&target, result, now));
+            }
+            SpreadAction::Fetch(fetch) => self.fetch(fetch).await,
+            SpreadAction::ReadSource => self.read_source().await,
+            SpreadAction::Changed(change) => self.report(change),
+        }
+    }
+
+    async fn fetch(&self, fetch: VersionFetch) {
+        let deadline = self.state.now().after(FETCH_BUDGET);
+        let result = match &fetch.source {
+            FetchSource::Store(object) => {
+                read_object(self.platform.as_ref(), object, deadline).await
+            }
+            FetchSource::Peer(peer) => match self.state.peer_address_of(peer) {
+                Ok(address) => {
+                    let request = SnapshotRequest {
+                        from: self.card(),
+                        stamp: fetch.stamp,
+                        base: fetch.base,
+                    };
+                    self.pool.snapshot(address, request, deadline).await
+                }
+                Err(error) => Err(error),
+            },
+        };
+        let now = self.state.now();
+        self.state
+            .spread
+            .step(|node, rng| node.fetch_answered(&fetch, result, now, rng));
+    }
+
+    async fn read_source(&self) {
+        let result = read_version_row(&self.state, self.platform.as_ref()).await;
+        if let Err(error) = &result {
+            self.state.count("source_read_failed");
+            if error.kind() != bronzelb_kernel::error::ErrorKind::PlatformAway {
+                warn!(self.state.logger, "{}", EventName::PlatformState;
+                    "message" => error.to_string());
+            }
+        }
+        self.state.count("source_read");
+        let now = self.state.now();
+        self.state
+            .spread
+            .step(|node, rng| node.source_answered(result, now, rng));
+    }
+
+    fn card(&self) -> PeerCard {
+        self.state.spread.read(SpreadNode::card)
+    }
+
+    fn report(&self, change: SpreadChange) {
+        let state = &self.state;
+        match change {
+            SpreadChange::InForce(version) => state.apply_config(version),
+            SpreadChange::Members => {}
+            SpreadChange::Record(entry) => state.spread.announce_record(entry),
+            SpreadChange::Refused { stamp, error } => {
+                state.count("config_refused");
+                warn!(state.logger, "{}", EventName::ConfigRefused;
+                    "version" => stamp.number.get(), "hash" => stamp.hash.to_string(),
+                    "message" => error.to_string());
+            }
+            SpreadChange::Altered { fetch, error } => {
+                state.count("config_altered");
+                warn!(state.logger, "{}", EventName::ConfigAltered;
+                    "version" => fetch.stamp.number.get(),
+                    "source" => format!("{:?}", fetch.source),
+                    "message" => error.to_string());
+            }
+            SpreadChange::BadRecord(error) => {
+                state.count("record_refused");
+                warn!(state.logger, "{}", EventName::RecordRefused; "message" => error.to_string());
+            }
+            SpreadChange::Woke => {
+                state.count("pause");
+                info!(state.logger, "{}", EventName::Woke);
+            }
+        }
+    }
+}
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -10,6 +10,12 @@
     ConfigApplied,
     /// A configuration version was refused; the old one stays in force.
     ConfigRefused,
+    /// A source sent content that does not match its version; it is fetched from elsewhere.
+    ConfigAltered,
+    /// A malformed record was dropped.
+    RecordRefused,
+    /// The process was paused for longer than its lease and rejoins.
+    Woke,
     /// The platform stopped or resumed answering.
     PlatformState,
     /// A peer's connection was refused or closed.
@@ -38,6 +44,9 @@
             Self::Listening => "listening",
             Self::ConfigApplied => "config-applied",
             Self::ConfigRefused => "config-refused",
+            Self::ConfigAltered => "config-altered",
+            Self::RecordRefused => "record-refused",
+            Self::Woke => "woke",
             Self::PlatformState => "platform-state",
             Self::PeerRefused => "peer-refused",
             Self::MemberChanged => "member-changed",
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -10,19 +10,26 @@
 use bronzelb_kernel::{
     clock::ClockInstant,
     config::ConfigVersion,
-    ids::IncarnationNumber,
+    error::{ErrorKind, MeshError},
+    ids::{IncarnationNumber, NodeName},
     member::{MemberRow, MemberState, MemberTable},
-    spread::RecordTable,
+    spread::{
+        PlatformState, RecordEntry, RecordKey, RecordTable, RecordValue, SpreadNode, SpreadRule,
+    },
 };
 use cadence::CountedExt;
 use compact_str::{CompactString, format_compact};
+use rand::{SeedableRng, rngs::StdRng};
 use slog::{Logger, info};
+use tokio::sync::broadcast;
 
 use crate::{
     backends::BackendTable,
+    gossip::SpreadState,
     log::EventName,
     metrics::{MetricClient, MetricSink},
     node::SystemClock,
+    peers::PeerTraffic,
     settings::NodeSettings,
 };
 
@@ -55,8 +62,6 @@
     pub settings: NodeSettings,
     /// Addresses of the node's listeners.
     pub addresses: NodeAddresses,
-    /// Run of the node.
-    pub incarnation: IncarnationNumber,
     /// Clock of the node.
     pub clock: SystemClock,
     /// Logger of the node.
@@ -65,14 +70,14 @@
     pub metrics: MetricClient,
     /// Metrics that were counted.
     pub metric_sink: MetricSink,
+    /// Bytes exchanged with other nodes.
+    pub peer_traffic: PeerTraffic,
+    /// Members, versions and records, as they spread between the nodes.
+    pub spread: SpreadState,
     config: ArcSwapOption<ConfigVersion>,
     applied_at: AtomicU64,
-    members: Mutex<MemberTable>,
     backends: Mutex<BackendTable>,
-    records: Mutex<RecordTable>,
     is_draining: AtomicBool,
-    is_platform_away: AtomicBool,
-    revision: AtomicU64,
     request_count: AtomicU64,
 }
 
@@ -82,22 +87,20 @@
     pub fn new(settings: NodeSettings, addresses: NodeAddresses, logger: Logger) -> Arc<Self> {
         let clock = SystemClock::start();
         let metric_sink = MetricSink::default();
+        let spread = start_spread(&settings, addresses, clock.now());
         Arc::new(Self {
             settings,
             addresses,
-            incarnation: IncarnationNumber::new(clock.now().as_micros()),
+            spread,
+            peer_traffic: PeerTraffic::default(),
             clock,
             logger,
             metrics: metric_sink.client(),
             metric_sink,
             config: ArcSwapOption::empty(),
             applied_at: AtomicU64::new(0),
-            members: Mutex::default(),
             backends: Mutex::default(),
-            records: Mutex::default(),
             is_draining: AtomicBool::new(false),
-            is_platform_away: AtomicBool::new(false),
-            revision: AtomicU64::new(0),
             request_count: AtomicU64::new(0),
         })
     }
@@ -120,28 +123,41 @@
         ClockInstant::from_micros(self.applied_at.load(Ordering::Relaxed))
     }
 
-    /// Puts `version` in force unless a version as high is already, and returns whether it did.
-    pub fn apply_config(&self, version: ConfigVersion) -> bool {
+    /// Puts a version in force, which the kernel has found newer than the one before.
+    pub(crate) fn apply_config(&self, version: Arc<ConfigVersion>) {
         let stamp = version.stamp();
-        let version = Arc::new(version);
-        let replaced = self.config.rcu(|held| match held {
-            Some(held) if held.stamp().number >= stamp.number => Some(Arc::clone(held)),
-            _ => Some(Arc::clone(&version)),
-        });
-        let is_newer = replaced.is_none_or(|held| held.stamp().number < stamp.number);
-        if is_newer {
-            let now = self.now().as_micros();
-            self.applied_at.store(now, Ordering::Relaxed);
-            self.count("config_applied");
-            info!(self.logger, "{}", EventName::ConfigApplied;
-                "version" => stamp.number.get(), "hash" => stamp.hash.to_string());
-        }
-        is_newer
+        self.applied_at
+            .store(self.now().as_micros(), Ordering::Relaxed);
+        self.config.store(Some(version));
+        self.count("config_applied");
+        info!(self.logger, "{}", EventName::ConfigApplied;
+            "version" => stamp.number.get(), "hash" => stamp.hash.to_string());
+    }
+
+    /// Returns the run of the node; a new one begins when it rejoins after a pause.
+    #[must_use]
+    pub fn incarnation(&self) -> IncarnationNumber {
+        self.spread.read(|node| node.own().incarnation)
+    }
+
+    /// Returns the members as they are now.
+    #[must_use]
+    pub fn members(&self) -> Arc<MemberTable> {
+        self.spread.members()
     }
 
-    /// Returns the members, locked.
-    pub fn members(&self) -> MutexGuard<'_, MemberTable> {
-        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the address at which the peer `node` listens for other nodes.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NoBackend`] when the node is not known.
+    pub fn peer_address_of(&self, node: &NodeName) -> Result<SocketAddr, MeshError> {
+        let address = self
+            .spread
+            .read(|spread| spread.members().get(node).map(|row| row.peer_address));
+        address.ok_or_else(|| {
+            MeshError::new(ErrorKind::NoBackend, format!("node {node} is not known"))
+        })
     }
 
     /// Returns the backend servers beside this node, locked.
@@ -149,9 +165,66 @@
         self.backends.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the replicated records, locked.
-    pub fn records(&self) -> MutexGuard<'_, RecordTable> {
-        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Merges a record, and spreads it to every node when that changed it; returns whether it did.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`RecordTable::merge`](bronzelb_kernel::spread::RecordTable::merge).
+    pub fn put_record(
+        &self,
+        key: RecordKey,
+        value: impl Into<RecordValue>,
+    ) -> Result<bool, MeshError> {
+        let (now, value) = (self.now(), value.into());
+        self.spread.step(|node, _| node.put_record(key, value, now))
+    }
+
+    /// Returns the record under `key`.
+    #[must_use]
+    pub fn record(&self, key: &RecordKey) -> Option<RecordValue> {
+        self.spread.read(|node| node.records().get(key).cloned())
+    }
+
+    /// Returns every record.
+    #[must_use]
+    pub fn records(&self) -> RecordTable {
+        self.spread.read(|node| node.records().clone())
+    }
+
+    /// Returns a receiver of every record that changes from now on, by this node or another.
+    ///
+    /// A receiver that falls behind by many changes gets an error and reads
+    /// [`NodeState::records`] anew.
+    #[must_use]
+    pub fn record_changes(&self) -> broadcast::Receiver<RecordEntry> {
+        self.spread.record_changes()
+    }
+
+    /// Checks that the process was not paused for longer than its lease.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NotReady`] until the node has rejoined.
+    pub fn check_lease(&self) -> Result<(), MeshError> {
+        let now = self.now();
+        if self.spread.read(SpreadNode::lease_deadline).has_passed(now) {
+            return Err(MeshError::new(
+                ErrorKind::NotReady,
+                "the node was paused and has not rejoined yet",
+            ));
+        }
+        Ok(())
+    }
+
+    /// Drops the backend servers whose lease has lapsed.
+    pub(crate) fn expire_backends(&self) {
+        let lapsed = self.backends().expire(self.now());
+        for name in &lapsed {
+            info!(self.logger, "{}", EventName::BackendLeft; "backend" => name.to_string());
+        }
+        if !lapsed.is_empty() {
+            self.refresh_own_row();
+        }
     }
 
     /// Returns whether a graceful shutdown has begun.
@@ -164,24 +237,17 @@
     pub fn start_draining(&self) {
         self.is_draining.store(true, Ordering::Relaxed);
         info!(self.logger, "{}", EventName::Draining);
-        self.refresh_own_row();
+        let now = self.now();
+        self.spread.step(|node, _| node.drain(now));
     }
 
-    /// Returns whether the platform answered at the latest attempt.
+    /// Returns whether the platform answered lately, this node or another that told it.
     #[must_use]
     pub fn platform_health(&self) -> PlatformHealth {
-        if self.is_platform_away.load(Ordering::Relaxed) {
-            PlatformHealth::Away
-        } else {
-            PlatformHealth::Present
-        }
-    }
-
-    /// Records whether the platform answered.
-    pub fn set_platform_health(&self, health: PlatformHealth) {
-        let is_away = health == PlatformHealth::Away;
-        if self.is_platform_away.swap(is_away, Ordering::Relaxed) != is_away {
-            info!(self.logger, "{}", EventName::PlatformState; "away" => is_away);
+        let now = self.now();
+        match self.spread.read(|node| node.platform_state(now)) {
+            PlatformState::Away(_) => PlatformHealth::Away,
+            PlatformState::Unknown | PlatformState::Reachable(_) => PlatformHealth::Present,
         }
     }
 
@@ -189,43 +255,28 @@
     #[must_use]
     pub fn member_state(&self) -> MemberState {
         if self.is_draining() {
-            MemberState::Draining
-        } else if self.config.load().is_some() {
-            MemberState::Serving
-        } else {
-            MemberState::Starting
+            return MemberState::Draining;
         }
+        self.spread.read(|node| node.own().state)
     }
 
-    /// Raises the revision of this node's own row and takes in its current content.
+    /// Tells the mesh which backend servers are beside this node.
     pub fn refresh_own_row(&self) {
-        let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
-        let backends = self.backends().rows();
-        let row = MemberRow {
-            node: self.settings.node.clone(),
-            incarnation: self.incarnation,
-            revision,
-            state: self.member_state(),
-            data_centre: self.settings.data_centre.clone(),
-            peer_address: self.peer_address(),
-            backends,
-        };
-        self.members().merge(row);
+        let now = self.now();
+        let rows = self.backends().rows();
+        self.spread.step(|node, _| node.set_backends(rows, now));
     }
 
     /// Returns the address that other nodes connect to.
     #[must_use]
     pub fn peer_address(&self) -> SocketAddr {
-        self.settings
-            .peers
-            .advertise
-            .unwrap_or(self.addresses.peers)
+        advertised(&self.settings, self.addresses)
     }
 
     /// Draws an identifier for a request that enters at this node.
     pub fn next_request_id(&self) -> CompactString {
         let number = self.request_count.fetch_add(1, Ordering::Relaxed);
-        format_compact!("{}-{}-{number}", self.settings.node, self.incarnation)
+        format_compact!("{}-{}-{number}", self.settings.node, self.incarnation())
     }
 
     /// Adds one to the counter `name`.
@@ -234,3 +285,31 @@
         let _ = self.metrics.incr(name);
     }
 }
+
+fn advertised(settings: &NodeSettings, addresses: NodeAddresses) -> SocketAddr {
+    settings.peers.advertise.unwrap_or(addresses.peers)
+}
+
+fn start_spread(
+    settings: &NodeSettings,
+    addresses: NodeAddresses,
+    now: ClockInstant,
+) -> SpreadState {
+    let own = MemberRow {
+        node: settings.node.clone(),
+        incarnation: IncarnationNumber::new(now.as_micros()),
+        revision: 0,
+        state: MemberState::Starting,
+        data_centre: settings.data_centre.clone(),
+        peer_address: advertised(settings, addresses),
+        backends: Vec::new(),
+    };
+    let rule = SpreadRule {
+        mode: settings.spread.mode,
+        ..SpreadRule::default()
+    };
+    let seeds = settings.peers.first.clone();
+    let mut rng = StdRng::from_os_rng();
+    let node = SpreadNode::new(settings.mesh.clone(), own, seeds, rule, now, &mut rng);
+    SpreadState::new(node, rng)
+}
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -1,4 +1,4 @@
-use std::{net::TcpListener, sync::Arc};
+use std::{net::TcpListener, rc::Rc, sync::Arc};
 
 use actix::System;
 use bronzelb_kernel::error::{ErrorKind, MeshError};
@@ -10,13 +10,12 @@
 
 use crate::{
     callers::start_caller_server,
-    gossip::run_gossip,
+    gossip::{GossipPool, run_spread},
     log::{EventName, NodeLogger},
     node::{NodeAddresses, NodeState, StopSignal},
     operators::start_operator_server,
     peers::start_peer_server,
     settings::NodeSettings,
-    source::run_source,
 };
 
 /// Runs a node until a termination signal and a graceful shutdown.
@@ -76,15 +75,21 @@
     let operator_handle = operators.handle();
     spawn_local(callers);
     spawn_local(operators);
-    spawn_local(start_peer_server(Arc::clone(&state), peers, stop.clone()));
-    state.refresh_own_row();
-    spawn_local(run_gossip(Arc::clone(&state), stop.clone()));
-    spawn_local(run_source(Arc::clone(&state), stop));
+    let pool = Rc::new(GossipPool::new(Arc::clone(&state)));
+    spawn_local(start_peer_server(
+        Arc::clone(&state),
+        Rc::clone(&pool),
+        peers,
+        stop.clone(),
+    ));
+    let spread = spawn_local(run_spread(Arc::clone(&state), pool, stop));
     announce_listening(&state);
     wait_for_signal().await?;
     state.start_draining();
     caller_handle.stop(true).await;
     drop(sender);
+    // The task ends by itself once it has told the mesh that this node leaves.
+    let _ = spread.await;
     operator_handle.stop(false).await;
     info!(state.logger, "{}", EventName::Stopped);
     Ok(())
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -7,4 +7,4 @@
 mod status_routes;
 
 pub use operator_server::start_operator_server;
-pub use status_report::{MemberStatus, StatusReport};
+pub use status_report::{MemberStatus, RefusedStatus, StatusReport};
--- a/crates/daemon/src/operators/status_routes.rs
+++ b/crates/daemon/src/operators/status_routes.rs
@@ -38,5 +38,9 @@
 }
 
 async fn metrics(state: web::Data<NodeState>) -> impl Responder {
-    HttpResponse::Ok().body(state.metric_sink.render())
+    let traffic = &state.peer_traffic;
+    let mut text = state.metric_sink.render();
+    text += &format!("bronzelb.peer_bytes_sent {}\n", traffic.sent());
+    text += &format!("bronzelb.peer_bytes_received {}\n", traffic.received());
+    HttpResponse::Ok().body(text)
 }
--- /dev/null
+++ b/crates/daemon/src/peers/peer_connection.rs
@@ -0,0 +1,61 @@
+use std::{net::SocketAddr, time::Duration};
+
+use bronzelb_kernel::error::{ErrorKind, MeshError};
+use bronzelb_wire::{PeerServiceClient, handshake::connect_peer};
+use tarpc::client;
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time,
+};
+
+use crate::{
+    node::NodeState,
+    peers::{counted_stream::CountedStream, transport::peer_transport},
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Opens an authenticated connection to the node at `address`.
+///
+/// # Errors
+///
+/// [`ErrorKind::NoBackend`] when the node is not reachable in time, and those of the handshake.
+pub(crate) async fn open_connection(
+    state: &NodeState,
+    address: SocketAddr,
+) -> Result<PeerServiceClient, MeshError> {
+    let stream = time::timeout(CONNECT_TIMEOUT, connect(state, address))
+        .await
+        .map_err(|_| unreachable(address, "no answer in time"))??;
+    let transport = peer_transport(stream);
+    Ok(PeerServiceClient::new(client::Config::default(), transport).spawn())
+}
+
+async fn connect(state: &NodeState, address: SocketAddr) -> Result<CountedStream, MeshError> {
+    let stream = dial(state.settings.peers.listen, address)
+        .await
+        .map_err(|error| unreachable(address, &error.to_string()))?;
+    let mut stream = CountedStream::new(stream, state.peer_traffic.clone());
+    connect_peer(&mut stream, &state.settings.mesh_key, rand::random()).await?;
+    Ok(stream)
+}
+
+async fn dial(own: SocketAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    if own.is_ipv4() == address.is_ipv4() {
+        socket.bind(SocketAddr::new(own.ip(), 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn unreachable(address: SocketAddr, reason: &str) -> MeshError {
+    MeshError::new(
+        ErrorKind::NoBackend,
+        format!("node at {address} is not reachable: {reason}"),
+    )
+}
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -1,31 +1,33 @@
 use std::{rc::Rc, sync::Arc};
 
-use bronzelb_kernel::{
-    clock::TimeBudget,
-    error::{ErrorKind, MeshError},
-};
+use bronzelb_kernel::{clock::TimeBudget, error::MeshError};
 use bronzelb_wire::{
     PeerService,
     peer::{
-        ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, SnapshotReply, SnapshotRequest,
+        ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, ProbeReply, ProbeRequest,
+        ReconcileReply, ReconcileRequest, SnapshotReply, SnapshotRequest,
     },
 };
 use tarpc::context::Context;
 
-use crate::{forward::BackendClient, gossip::answer_gossip, node::NodeState};
+use crate::{forward::BackendClient, gossip::GossipPool, node::NodeState};
+
+const PROBE_BUDGET: TimeBudget = TimeBudget::from_millis(500);
 
 /// Answers what other nodes ask; clones share one set of connections.
 #[derive(Clone)]
 pub(crate) struct PeerHandler {
     state: Arc<NodeState>,
     backends: Rc<BackendClient>,
+    pool: Rc<GossipPool>,
 }
 
 impl PeerHandler {
-    pub(crate) fn new(state: Arc<NodeState>) -> Self {
+    pub(crate) fn new(state: Arc<NodeState>, pool: Rc<GossipPool>) -> Self {
         Self {
             backends: Rc::new(BackendClient::new(Arc::clone(&state))),
             state,
+            pool,
         }
     }
 
@@ -36,7 +38,37 @@
 
 impl PeerService for PeerHandler {
     async fn gossip(self, _: Context, request: GossipRequest) -> Result<GossipReply, MeshError> {
-        Ok(answer_gossip(&self.state, request))
+        let now = self.state.now();
+        let spread = &self.state.spread;
+        Ok(spread.step(|node, _| node.receive_gossip(request, now)))
+    }
+
+    async fn reconcile(
+        self,
+        _: Context,
+        request: ReconcileRequest,
+    ) -> Result<ReconcileReply, MeshError> {
+        let now = self.state.now();
+        let spread = &self.state.spread;
+        Ok(spread.step(|node, rng| node.receive_reconcile(&request, now, rng)))
+    }
+
+    async fn probe(self, _: Context, request: ProbeRequest) -> Result<ProbeReply, MeshError> {
+        let state = &self.state;
+        let now = state.now();
+        let from = state
+            .spread
+            .step(|node, _| node.receive_contact(&request.from, now));
+        let contact = GossipRequest {
+            from: from.clone(),
+            digest: None,
+            members: Vec::new(),
+            records: Vec::new(),
+        };
+        let deadline = now.after(PROBE_BUDGET);
+        let answer = self.pool.gossip(request.address, contact, deadline).await;
+        let is_alive = answer.is_ok_and(|reply| reply.from.node == request.target);
+        Ok(ProbeReply { from, is_alive })
     }
 
     async fn snapshot(
@@ -44,20 +76,9 @@
         _: Context,
         request: SnapshotRequest,
     ) -> Result<SnapshotReply, MeshError> {
-        let config = self
-            .state
-            .config()
-            .filter(|config| config.stamp() == request.stamp)
-            .ok_or_else(|| {
-                MeshError::new(
-                    ErrorKind::NotFound,
-                    format!("version {} is not held", request.stamp.number),
-                )
-            })?;
-        Ok(SnapshotReply {
-            stamp: config.stamp(),
-            body: config.body().clone(),
-        })
+        let now = self.state.now();
+        let spread = &self.state.spread;
+        Ok(spread.step(|node, rng| node.receive_snapshot(&request, now, rng)))
     }
 
     async fn forward(
@@ -65,6 +86,7 @@
         context: Context,
         request: ForwardRequest,
     ) -> Result<ForwardAnswer, MeshError> {
+        self.state.check_lease()?;
         let left = context
             .deadline
             .saturating_duration_since(std::time::Instant::now());
--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -13,22 +13,11 @@
 };
 use bronzelb_wire::{
     PeerServiceClient,
-    handshake::connect_peer,
-    peer::{
-        ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, SnapshotReply, SnapshotRequest,
-    },
+    peer::{ForwardAnswer, ForwardRequest},
 };
-use tarpc::{client, client::RpcError, context};
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    time,
-};
-
-use crate::{node::NodeState, peers::transport::peer_transport};
+use tarpc::{client::RpcError, context};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const GOSSIP_TIMEOUT: Duration = Duration::from_secs(2);
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(10);
+use crate::{node::NodeState, peers::open_connection};
 
 /// Outgoing connections to other nodes, opened on demand, for one thread.
 pub struct PeerPool {
@@ -66,38 +55,6 @@
         self.settle(address, result)?
     }
 
-    /// Exchanges gossip with the node at `address`.
-    ///
-    /// # Errors
-    ///
-    /// [`ErrorKind::NoBackend`] when the node is not reachable, and whatever it answers.
-    pub async fn gossip(
-        &self,
-        address: SocketAddr,
-        message: GossipRequest,
-    ) -> Result<GossipReply, MeshError> {
-        let client = self.client(address).await?;
-        let result = client.gossip(context_until(GOSSIP_TIMEOUT), message).await;
-        self.settle(address, result)?
-    }
-
-    /// Fetches a configuration version's content from the node at `address`.
-    ///
-    /// # Errors
-    ///
-    /// [`ErrorKind::NoBackend`] when the node is not reachable, and whatever it answers.
-    pub async fn snapshot(
-        &self,
-        address: SocketAddr,
-        message: SnapshotRequest,
-    ) -> Result<SnapshotReply, MeshError> {
-        let client = self.client(address).await?;
-        let result = client
-            .snapshot(context_until(SNAPSHOT_TIMEOUT), message)
-            .await;
-        self.settle(address, result)?
-    }
-
     fn address(&self, node: &NodeName) -> Result<SocketAddr, MeshError> {
         let members = self.state.members();
         let row = members.get(node).ok_or_else(|| {
@@ -110,38 +67,11 @@
         if let Some(client) = self.clients.borrow().get(&address) {
             return Ok(client.clone());
         }
-        let stream = time::timeout(CONNECT_TIMEOUT, self.connect(address))
-            .await
-            .map_err(|_| unreachable(address, "no answer in time"))??;
-        let transport = peer_transport(stream);
-        let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
+        let client = open_connection(&self.state, address).await?;
         self.clients.borrow_mut().insert(address, client.clone());
         Ok(client)
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, MeshError> {
-        let own_ip = self.state.settings.peers.listen.ip();
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4(),
-            SocketAddr::V6(_) => TcpSocket::new_v6(),
-        };
-        let socket = socket.map_err(|error| unreachable(address, &error.to_string()))?;
-        if own_ip.is_ipv4() == address.is_ipv4() {
-            socket
-                .bind(SocketAddr::new(own_ip, 0))
-                .map_err(|error| unreachable(address, &error.to_string()))?;
-        }
-        let mut stream = socket
-            .connect(address)
-            .await
-            .map_err(|error| unreachable(address, &error.to_string()))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|error| unreachable(address, &error.to_string()))?;
-        connect_peer(&mut stream, &self.state.settings.mesh_key, rand::random()).await?;
-        Ok(stream)
-    }
-
     fn settle<T>(&self, address: SocketAddr, result: Result<T, RpcError>) -> Result<T, MeshError> {
         result.map_err(|error| {
             if !matches!(error, RpcError::DeadlineExceeded | RpcError::Server(_)) {
@@ -160,10 +90,3 @@
     context.deadline = Instant::now() + left;
     context
 }
-
-fn unreachable(address: SocketAddr, reason: &str) -> MeshError {
-    MeshError::new(
-        ErrorKind::NoBackend,
-        format!("node at {address} is not reachable: {reason}"),
-    )
-}
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{error::Error, io, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use bronzelb_kernel::error::MeshError;
 use bronzelb_wire::{PeerService, handshake::accept_peer};
@@ -12,17 +12,23 @@
 };
 
 use crate::{
+    gossip::GossipPool,
     log::EventName,
     node::{NodeState, StopSignal},
-    peers::{peer_handler::PeerHandler, transport::peer_transport},
+    peers::{counted_stream::CountedStream, peer_handler::PeerHandler, transport::peer_transport},
 };
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts connections of other nodes until the stop signal.
-pub async fn start_peer_server(state: Arc<NodeState>, listener: TcpListener, mut stop: StopSignal) {
-    let handler = PeerHandler::new(Arc::clone(&state));
+pub async fn start_peer_server(
+    state: Arc<NodeState>,
+    pool: Rc<GossipPool>,
+    listener: TcpListener,
+    mut stop: StopSignal,
+) {
+    let handler = PeerHandler::new(Arc::clone(&state), pool);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -42,11 +48,13 @@
 
 async fn serve_peer(
     handler: PeerHandler,
-    mut stream: TcpStream,
+    stream: TcpStream,
     address: SocketAddr,
     mut stop: StopSignal,
 ) {
     let state = Arc::clone(handler.state());
+    let _ = stream.set_nodelay(true);
+    let mut stream = CountedStream::new(stream, state.peer_traffic.clone());
     let key = &state.settings.mesh_key;
     let handshake = accept_peer(&mut stream, key, rand::random());
     let refused = match time::timeout(HANDSHAKE_TIMEOUT, handshake).await {
@@ -55,19 +63,46 @@
         Err(_) => Some(MeshError::invalid("the handshake did not end in time")),
     };
     if let Some(error) = refused {
-        state.count("peer_refused");
-        info!(state.logger, "{}", EventName::PeerRefused;
-            "peer" => address.to_string(), "message" => error.to_string());
+        refuse_peer(&state, address, &error.to_string());
         return;
     }
-    let _ = stream.set_nodelay(true);
-    let transport = peer_transport(stream);
-    let requests = BaseChannel::with_defaults(transport).execute(handler.serve());
-    let answers = requests.for_each(|answer| async {
-        spawn_local(answer);
-    });
     tokio::select! {
-        () = answers => {}
+        () = answer_requests(handler, stream, address) => {}
         () = stop.stopped() => {}
     }
 }
+
+async fn answer_requests(handler: PeerHandler, stream: CountedStream, address: SocketAddr) {
+    let channel = BaseChannel::with_defaults(peer_transport(stream));
+    let mut requests = pin!(channel.requests());
+    while let Some(next) = requests.next().await {
+        match next {
+            Ok(request) => {
+                spawn_local(request.execute(handler.clone().serve()));
+            }
+            Err(error) => {
+                note_broken(handler.state(), address, &error);
+                return;
+            }
+        }
+    }
+}
+
+/// Counts a message that was malformed or oversized; a lost connection is not worth an event.
+fn note_broken(state: &NodeState, address: SocketAddr, error: &(dyn Error + 'static)) {
+    let mut next = Some(error);
+    while let Some(cause) = next {
+        let broken = cause.downcast_ref::<io::Error>();
+        if broken.is_some_and(|broken| broken.kind() == io::ErrorKind::InvalidData) {
+            refuse_peer(state, address, &error.to_string());
+            return;
+        }
+        next = cause.source();
+    }
+}
+
+fn refuse_peer(state: &NodeState, address: SocketAddr, message: &str) {
+    state.count("peer_refused");
+    info!(state.logger, "{}", EventName::PeerRefused;
+        "peer" => address.to_string(), "message" => message.to_owned());
+}
--- a/crates/daemon/src/peers/transport.rs
+++ b/crates/daemon/src/peers/transport.rs
@@ -1,17 +1,18 @@
 use serde::{Deserialize, Serialize};
 use tarpc::{serde_transport, tokio_serde::formats::Bincode};
-use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::peers::counted_stream::CountedStream;
+
 /// Size limit of one message between nodes.
 const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
 /// Transport of typed messages over an authenticated connection.
 pub(crate) type PeerTransport<In, Out> =
-    serde_transport::Transport<TcpStream, In, Out, Bincode<In, Out>>;
+    serde_transport::Transport<CountedStream, In, Out, Bincode<In, Out>>;
 
 /// Wraps an authenticated connection; frames over the size limit end it.
-pub(crate) fn peer_transport<In, Out>(stream: TcpStream) -> PeerTransport<In, Out>
+pub(crate) fn peer_transport<In, Out>(stream: CountedStream) -> PeerTransport<In, Out>
 where
     In: for<'de> Deserialize<'de>,
     Out: Serialize,
--- a/crates/daemon/src/settings/node_settings.rs
+++ b/crates/daemon/src/settings/node_settings.rs
@@ -1,6 +1,9 @@
 use std::net::SocketAddr;
 
-use bronzelb_kernel::ids::{DataCentre, MeshName, NodeName};
+use bronzelb_kernel::{
+    ids::{DataCentre, MeshName, NodeName},
+    spread::SpreadMode,
+};
 use bronzelb_wire::handshake::MeshKey;
 use compact_str::CompactString;
 use serde::Deserialize;
@@ -28,6 +31,9 @@
     pub operators: OperatorSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
+    /// How versions spread; for measurements only.
+    #[serde(default)]
+    pub spread: SpreadSettings,
     /// Worker threads of the listener for callers.
     #[serde(default = "default_workers")]
     pub workers: usize,
@@ -85,6 +91,14 @@
     pub address: SocketAddr,
 }
 
+/// Settings by which measurements compare ways of spreading.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SpreadSettings {
+    /// How versions spread.
+    pub mode: SpreadMode,
+}
+
 fn default_workers() -> usize {
     DEFAULT_WORKERS
 }
--- a/crates/daemon/src/source/mod.rs
+++ b/crates/daemon/src/source/mod.rs
@@ -1,5 +1,5 @@
-//! The task that reads accepted configuration versions from the platform.
+//! What the node reads from the platform: the version row and the content of versions.
 
-mod source_task;
+mod source_reader;
 
-pub use source_task::run_source;
+pub use source_reader::{connect_platform, read_object, read_version_row};
--- a/crates/kernel/src/member/member_table.rs
+++ b/crates/kernel/src/member/member_table.rs
@@ -11,6 +11,7 @@
 pub struct MemberTable {
     rows: BTreeMap<NodeName, MemberRow>,
     digest: TableDigest,
+    generation: u64,
 }
 
 impl MemberTable {
@@ -23,6 +24,7 @@
         toggle(&mut self.digest, held);
         toggle(&mut self.digest, Some(&row));
         self.rows.insert(row.node.clone(), row);
+        self.generation += 1;
         true
     }
 
@@ -30,6 +32,13 @@
     pub fn remove(&mut self, node: &NodeName) {
         let removed = self.rows.remove(node);
         toggle(&mut self.digest, removed.as_ref());
+        self.generation += 1;
+    }
+
+    /// Returns a number that rises with every change of the table.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
     }
 
     /// Returns the row of `node`.
--- a/crates/kernel/src/member/mod.rs
+++ b/crates/kernel/src/member/mod.rs
@@ -1,13 +1,11 @@
 //! Which nodes are alive, and the backend servers beside them.
 
-mod backend_leases;
 mod backend_row;
 mod lease_guard;
 mod member_agent;
 mod member_row;
 mod member_table;
 
-pub use backend_leases::BackendLeases;
 pub use backend_row::{BackendRow, BackendState};
 pub use lease_guard::LeaseGuard;
 pub use member_agent::{MemberAgent, MergeOutcome};
--- a/crates/kernel/src/spread/gossip_message.rs
+++ b/crates/kernel/src/spread/gossip_message.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    clock::TimeBudget,
+    clock::{ClockInstant, TimeBudget},
     config::VersionStamp,
     ids::{DataCentre, NodeName},
     member::MemberRow,
@@ -40,6 +40,8 @@
     pub data_centre: DataCentre,
     /// Newest version that the sender holds.
     pub stamp: Option<VersionStamp>,
+    /// When the platform last answered a node, as far as the sender knows.
+    pub source_seen: Option<ClockInstant>,
 }
 
 /// What a node tells a peer: changes that it pushes, and its digest at a periodic exchange.
--- a/crates/kernel/src/spread/node_answer.rs
+++ b/crates/kernel/src/spread/node_answer.rs
@@ -92,6 +92,7 @@
         let Ok(row) = result else {
             return;
         };
+        self.source_seen = Some(now);
         self.gate.source_answered();
         if let Some(row) = row.filter(|row| self.holder.wants(row.stamp())) {
             let source = FetchSource::Store(row.object.clone());
--- a/crates/kernel/src/spread/node_receive.rs
+++ b/crates/kernel/src/spread/node_receive.rs
@@ -92,6 +92,9 @@
         self.agent.heard_from(&from.data_centre, now);
         self.picker.answered(&from.node);
         self.probes.remove(&from.node);
+        // A peer's clock may run ahead of this node's.
+        let seen = from.source_seen.map(|seen| seen.min(now));
+        self.source_seen = self.source_seen.max(seen);
         let is_hidden = match self.rule.mode {
             SpreadMode::Mixed | SpreadMode::Pull => false,
             SpreadMode::Push => is_exchange && self.gate.is_open(),
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -22,7 +22,6 @@
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: ClockInstant, rng: &mut impl Rng) {
         self.keep_lease(now);
-        self.expire_backends(now);
         self.expire_members(now);
         self.poll_source(now, rng);
         self.exchange(now, rng);
@@ -36,7 +35,6 @@
             return;
         }
         self.counters.pauses += 1;
-        self.leases = Default::default();
         self.agent.rejoin(now);
         self.probes.clear();
         self.gate = StartGate::new(now.after(self.rule.survey), now.after(self.rule.last_wait));
@@ -46,12 +44,6 @@
         self.report(SpreadChange::Members);
     }
 
-    fn expire_backends(&mut self, now: ClockInstant) {
-        if !self.leases.expire(now).is_empty() {
-            self.publish_backends(now);
-        }
-    }
-
     fn expire_members(&mut self, now: ClockInstant) {
         if !self.agent.expire(now).is_empty() {
             self.hasten_push(now);
--- a/crates/kernel/src/spread/spread_node.rs
+++ b/crates/kernel/src/spread/spread_node.rs
@@ -3,13 +3,11 @@
 use rand::Rng;
 
 use crate::{
-    clock::{ClockInstant, TimeBudget},
+    clock::ClockInstant,
     config::{ConfigVersion, VersionStamp},
     error::MeshError,
-    ids::{BackendName, DataCentre, MeshName, NodeName},
-    member::{
-        BackendLeases, BackendRow, LeaseGuard, MemberAgent, MemberRow, MemberState, MemberTable,
-    },
+    ids::{DataCentre, MeshName, NodeName},
+    member::{BackendRow, LeaseGuard, MemberAgent, MemberRow, MemberState, MemberTable},
     spread::{
         FetchPlan, PeerCard, PeerPicker, PlatformState, RecordEntry, RecordKey, RecordLog,
         RecordTable, RecordValue, RootDigest, SourcePoll, SpreadAction, SpreadChange, SpreadRule,
@@ -44,7 +42,6 @@
     pub(crate) rule: SpreadRule,
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) agent: MemberAgent,
-    pub(crate) leases: BackendLeases,
     pub(crate) guard: LeaseGuard,
     pub(crate) records: RecordLog,
     pub(crate) holder: VersionHolder,
@@ -54,6 +51,8 @@
     pub(crate) transfers: TransferGate,
     pub(crate) gate: StartGate,
     pub(crate) poll: SourcePoll,
+    /// When any node last heard from the platform, as far as this node knows.
+    pub(crate) source_seen: Option<ClockInstant>,
     pub(crate) picker: PeerPicker,
     /// Indirect probes that are still out, by probed member.
     pub(crate) probes: BTreeMap<NodeName, usize>,
@@ -81,7 +80,6 @@
         Self {
             seeds,
             agent,
-            leases: BackendLeases::default(),
             guard: LeaseGuard::new(now, rule.lease),
             records: RecordLog::default(),
             holder: VersionHolder::new(mesh),
@@ -91,6 +89,7 @@
             transfers: TransferGate::new(rule.max_transfers),
             gate: StartGate::new(now.after(rule.survey), now.after(rule.last_wait)),
             poll: SourcePoll::new(now, rng),
+            source_seen: None,
             picker: PeerPicker::default(),
             probes: BTreeMap::new(),
             stamp_rounds: 0,
@@ -161,10 +160,17 @@
         self.holder.refused()
     }
 
-    /// Returns what is known of the platform.
+    /// Returns what is known of the platform: by this node's own reads, or by what its peers tell.
     #[must_use]
-    pub const fn platform_state(&self) -> PlatformState {
-        self.poll.state()
+    pub fn platform_state(&self, now: ClockInstant) -> PlatformState {
+        match (self.poll.state(), self.source_seen) {
+            (PlatformState::Away(since), Some(seen)) if seen <= since => PlatformState::Away(since),
+            (_, Some(seen)) if seen >= now.before(self.rule.silence) => {
+                PlatformState::Reachable(seen)
+            }
+            (_, Some(seen)) => PlatformState::Away(seen),
+            (state, None) => state,
+        }
     }
 
     /// Returns the counters.
@@ -192,20 +198,12 @@
         }
     }
 
-    /// Takes an announcement of a backend server beside this node, to be repeated within `lease`.
-    pub fn announce_backend(&mut self, row: BackendRow, now: ClockInstant, lease: TimeBudget) {
-        if self.leases.announce(row, now, lease) {
-            self.publish_backends(now);
-        }
-    }
-
-    /// Ends the announcement of a backend server; returns whether it was announced.
-    pub fn withdraw_backend(&mut self, name: &BackendName, now: ClockInstant) -> bool {
-        let was_announced = self.leases.withdraw(name);
-        if was_announced {
-            self.publish_backends(now);
+    /// Replaces the backend servers beside this node and tells the mesh when they changed.
+    pub fn set_backends(&mut self, backends: Vec<BackendRow>, now: ClockInstant) {
+        if self.agent.set_backends(backends) {
+            self.hasten_push(now);
+            self.report(SpreadChange::Members);
         }
-        was_announced
     }
 
     /// Takes no new requests from now on and tells the mesh.
@@ -251,13 +249,6 @@
         Ok(has_changed)
     }
 
-    pub(crate) fn publish_backends(&mut self, now: ClockInstant) {
-        if self.agent.set_backends(self.leases.rows()) {
-            self.hasten_push(now);
-            self.report(SpreadChange::Members);
-        }
-    }
-
     pub(crate) fn change_state(&mut self, state: MemberState, now: ClockInstant) {
         if self.agent.set_state(state) {
             self.hasten_push(now);
@@ -274,12 +265,15 @@
         self.next_push = self.next_push.min(now);
     }
 
-    pub(crate) fn card(&self) -> PeerCard {
+    /// Returns the card that this node's messages carry.
+    #[must_use]
+    pub fn card(&self) -> PeerCard {
         let own = self.agent.own();
         PeerCard {
             node: own.node.clone(),
             data_centre: own.data_centre.clone(),
             stamp: self.holder.stamp(),
+            source_seen: self.source_seen,
         }
     }
 
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -5,5 +5,8 @@
 mod peer_service;
 
 pub use forward_message::{ForwardAnswer, ForwardRequest, HeaderPair};
-pub use gossip_message::{GossipReply, GossipRequest, RecordEntry, SnapshotReply, SnapshotRequest};
+pub use gossip_message::{
+    GossipReply, GossipRequest, PeerCard, ProbeReply, ProbeRequest, ReconcileReply,
+    ReconcileRequest, RecordEntry, RootDigest, SnapshotReply, SnapshotRequest,
+};
 pub use peer_service::{PeerService, PeerServiceClient};
--- a/crates/wire/src/peer/peer_service.rs
+++ b/crates/wire/src/peer/peer_service.rs
@@ -4,7 +4,8 @@
 use bronzelb_kernel::error::MeshError;
 
 use crate::peer::{
-    ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, SnapshotReply, SnapshotRequest,
+    ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, ProbeReply, ProbeRequest,
+    ReconcileReply, ReconcileRequest, SnapshotReply, SnapshotRequest,
 };
 
 /// What one node asks of another.
@@ -13,7 +14,13 @@
     /// Exchanges membership, the newest version stamp and replicated records.
     async fn gossip(request: GossipRequest) -> Result<GossipReply, MeshError>;
 
-    /// Returns a configuration version's canonical bytes.
+    /// Returns the entries of buckets in which the two nodes' tables differ.
+    async fn reconcile(request: ReconcileRequest) -> Result<ReconcileReply, MeshError>;
+
+    /// Probes a third node for a caller that got no answer from it.
+    async fn probe(request: ProbeRequest) -> Result<ProbeReply, MeshError>;
+
+    /// Returns a configuration version's content, as a delta where that is smaller.
     async fn snapshot(request: SnapshotRequest) -> Result<SnapshotReply, MeshError>;
 
     /// Runs a caller's request on a backend server beside the called node.
