--- a/crates/daemon/src/callers/ticket_handler.rs
+++ b/crates/daemon/src/callers/ticket_handler.rs
@@ -19,7 +19,7 @@
     let now = state.now();
     let issued = {
         let mut ledger = state.requests.ledger();
-        ledger.issue(now, &state.settings.node, state.incarnation)
+        ledger.issue(now, &state.settings.node, state.incarnation())
     };
     match issued {
         Ok(ticket) => HttpResponse::Ok().json(TicketAnswer {
