--- a/crates/emulator/src/command/emulator_command.rs
+++ b/crates/emulator/src/command/emulator_command.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::error::MeshError;
 use clap::{ArgMatches, Command};
 
-use crate::command::{backend_command, platform_command};
+use crate::command::{backend_command, platform_command, proxy_command};
 
 /// A subcommand: how its arguments look, and what it does.
 struct Subcommand {
@@ -11,7 +11,7 @@
     run: fn(&ArgMatches) -> Result<(), MeshError>,
 }
 
-const SUBCOMMANDS: [Subcommand; 2] = [
+const SUBCOMMANDS: [Subcommand; 3] = [
     Subcommand {
         define: backend_command::define,
         run: backend_command::run,
@@ -20,6 +20,10 @@
         define: platform_command::define,
         run: platform_command::run,
     },
+    Subcommand {
+        define: proxy_command::define,
+        run: proxy_command::run,
+    },
 ];
 
 /// Runs the program with `args`, the program's name first, and returns its exit code.
--- a/crates/emulator/src/command/mod.rs
+++ b/crates/emulator/src/command/mod.rs
@@ -4,5 +4,6 @@
 mod backend_command;
 mod emulator_command;
 mod platform_command;
+mod proxy_command;
 
 pub use emulator_command::run;
--- /dev/null
+++ b/crates/emulator/src/http/caller_client.rs
@@ -0,0 +1,219 @@
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use awc::{Client, Connector, http::Method};
+use bronzelb_kernel::{
+    config::HttpMethod,
+    error::{ErrorKind, MeshError},
+};
+use bytes::Bytes;
+
+use crate::backend::AnswerBody;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+const MAX_CONNECTIONS: usize = 4096;
+
+/// A request of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallRequest {
+    /// Method of the request.
+    pub method: HttpMethod,
+    /// Path and query of the request.
+    pub target: String,
+    /// Headers by name.
+    pub headers: BTreeMap<String, String>,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Time after which the caller gives up.
+    pub timeout: Duration,
+}
+
+/// A whole answer to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers by name in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// Body of the answer.
+    pub body: Bytes,
+}
+
+/// HTTP client of a caller, for one thread.
+#[derive(Clone)]
+pub struct CallerClient {
+    client: Client,
+}
+
+impl CallRequest {
+    /// Builds a request without headers and body.
+    pub fn new(method: HttpMethod, target: impl Into<String>) -> Self {
+        Self {
+            method,
+            target: target.into(),
+            headers: BTreeMap::new(),
+            body: Bytes::new(),
+            timeout: DEFAULT_TIMEOUT,
+        }
+    }
+
+    /// Builds a GET request.
+    pub fn get(target: impl Into<String>) -> Self {
+        Self::new(HttpMethod::Get, target)
+    }
+
+    /// Builds a POST request with a body.
+    pub fn post(target: impl Into<String>, body: impl Into<Bytes>) -> Self {
+        Self {
+            body: body.into(),
+            ..Self::new(HttpMethod::Post, target)
+        }
+    }
+
+    /// Sets a header.
+    #[must_use]
+    pub fn with_header(mut self, name: impl Into<String>, value: impl Into<String>) -> Self {
+        self.headers.insert(name.into(), value.into());
+        self
+    }
+
+    /// Sets the idempotency key.
+    #[must_use]
+    pub fn with_key(self, key: impl Into<String>) -> Self {
+        self.with_header("idempotency-key", key)
+    }
+
+    /// Sets the time left until the caller's deadline, in milliseconds.
+    #[must_use]
+    pub fn with_deadline_ms(self, millis: u64) -> Self {
+        self.with_header("x-bronzelb-deadline-ms", millis.to_string())
+    }
+
+    /// Sets the time after which the caller gives up.
+    #[must_use]
+    pub const fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+}
+
+impl CallAnswer {
+    /// Returns a header, empty if it is absent.
+    #[must_use]
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// Returns what the mesh says of the run: `ran`, `not-run`, `outcome-unknown`, or nothing.
+    #[must_use]
+    pub fn run_state(&self) -> &str {
+        self.header("x-bronzelb-run")
+    }
+
+    /// Decodes the body of a backend stand-in.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` when the body is another.
+    pub fn answer_body(&self) -> Result<AnswerBody, MeshError> {
+        serde_json::from_slice(&self.body)
+            .map_err(|error| MeshError::invalid(format!("answer {:?}: {error}", self.body)))
+    }
+
+    /// Returns whether this is a backend stand-in's answer to `request`.
+    #[must_use]
+    pub fn is_answer_to(&self, request: &CallRequest) -> bool {
+        self.answer_body().is_ok_and(|body| {
+            body.target == request.target
+                && body.method == request.method.name()
+                && body.body_bytes == request.body.len()
+        })
+    }
+}
+
+impl CallerClient {
+    /// Builds a client with a connection pool of its own.
+    #[must_use]
+    pub fn new() -> Self {
+        let connector = Connector::new()
+            .timeout(CONNECT_TIMEOUT)
+            .limit(MAX_CONNECTIONS);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .disable_timeout()
+            .finish();
+        Self { client }
+    }
+
+    /// Sends a request and returns the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when the connection fails or breaks, or when no whole answer comes in time.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: &CallRequest,
+    ) -> Result<CallAnswer, MeshError> {
+        match tokio::time::timeout(request.timeout, self.exchange(address, request)).await {
+            Ok(result) => result,
+            Err(_) => Err(failure(&format!("no answer within {:?}", request.timeout))),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &CallRequest,
+    ) -> Result<CallAnswer, MeshError> {
+        let method = Method::from_bytes(request.method.name().as_bytes())
+            .expect("the method names are valid");
+        let url = format!("http://{address}{}", request.target);
+        let mut message = self.client.request(method, url);
+        for (name, value) in &request.headers {
+            message = message.insert_header((name.as_str(), value.as_str()));
+        }
+        let mut response = message
+            .send_body(request.body.clone())
+            .await
+            .map_err(|error| failure(&error.to_string()))?;
+        let headers: BTreeMap<_, _> = response
+            .headers()
+            .iter()
+            .map(|(name, value)| {
+                let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+                (name.as_str().to_owned(), value)
+            })
+            .collect();
+        let body = response
+            .body()
+            .limit(MAX_BODY_BYTES)
+            .await
+            .map_err(|error| failure(&error.to_string()))?;
+        // The client library passes a body that ends early as a whole one.
+        let length = headers
+            .get("content-length")
+            .and_then(|text| text.parse::<usize>().ok());
+        let has_body = request.method != HttpMethod::Head;
+        if has_body && length.is_some_and(|length| length != body.len()) {
+            return Err(failure("the answer's body is cut short"));
+        }
+        Ok(CallAnswer {
+            status: response.status().as_u16(),
+            headers,
+            body,
+        })
+    }
+}
+
+impl Default for CallerClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn failure(what: &str) -> MeshError {
+    MeshError::new(ErrorKind::LocalIo, format!("call: {what}"))
+}
--- /dev/null
+++ b/crates/emulator/src/http/json_client.rs
@@ -0,0 +1,128 @@
+use std::{fmt::Display, net::SocketAddr, time::Duration};
+
+use awc::{Client, ClientRequest, http::Method};
+use bronzelb_kernel::error::{ErrorKind, MeshError};
+use bytes::Bytes;
+use serde::{Serialize, de::DeserializeOwned};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_BODY_BYTES: usize = 256 * 1024 * 1024;
+
+/// Client of a listener that speaks JSON.
+#[derive(Clone)]
+pub struct JsonClient {
+    client: Client,
+}
+
+impl JsonClient {
+    /// Builds a client for one thread.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            client: Client::builder().timeout(TIMEOUT).finish(),
+        }
+    }
+
+    /// Reads and decodes what is at `path`.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` for a failed exchange or an error status, `Invalid` for a malformed answer.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, MeshError> {
+        let request = self.request(Method::GET, address, path);
+        let body = exchange(request, Bytes::new(), path).await?;
+        decode(&body, path)
+    }
+
+    /// Sends `body` to `path` and ignores what is answered.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` for a failed exchange or an error status.
+    pub async fn put(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<(), MeshError> {
+        let request = self.request(Method::PUT, address, path);
+        exchange(request, encode(body, path)?, path)
+            .await
+            .map(|_| ())
+    }
+
+    /// Sends `body` to `path` and decodes the answer.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` for a failed exchange or an error status, `Invalid` for a malformed answer.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, MeshError> {
+        let request = self.request(Method::POST, address, path);
+        let body = exchange(request, encode(body, path)?, path).await?;
+        decode(&body, path)
+    }
+
+    /// Deletes what is at `path`.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` for a failed exchange or an error status.
+    pub async fn delete(&self, address: SocketAddr, path: &str) -> Result<(), MeshError> {
+        let request = self.request(Method::DELETE, address, path);
+        exchange(request, Bytes::new(), path).await.map(|_| ())
+    }
+
+    fn request(&self, method: Method, address: SocketAddr, path: &str) -> ClientRequest {
+        self.client
+            .request(method, format!("http://{address}{path}"))
+            .content_type("application/json")
+    }
+}
+
+impl Default for JsonClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+async fn exchange(request: ClientRequest, body: Bytes, path: &str) -> Result<Bytes, MeshError> {
+    let mut response = request
+        .send_body(body)
+        .await
+        .map_err(|error| io_error(path, &error))?;
+    let status = response.status();
+    let body = response
+        .body()
+        .limit(MAX_BODY_BYTES)
+        .await
+        .map_err(|error| io_error(path, &error))?;
+    if status.is_success() {
+        return Ok(body);
+    }
+    let text = String::from_utf8_lossy(&body);
+    Err(io_error(path, &format!("status {status}: {text}")))
+}
+
+fn encode(body: &impl Serialize, path: &str) -> Result<Bytes, MeshError> {
+    let text = serde_json::to_vec(body)
+        .map_err(|error| MeshError::invalid(format!("body for {path}: {error}")))?;
+    Ok(Bytes::from(text))
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8], path: &str) -> Result<T, MeshError> {
+    serde_json::from_slice(body)
+        .map_err(|error| MeshError::invalid(format!("answer of {path}: {error}")))
+}
+
+fn io_error(path: &str, error: &impl Display) -> MeshError {
+    MeshError::new(ErrorKind::LocalIo, format!("{path}: {error}"))
+}
--- /dev/null
+++ b/crates/emulator/src/http/mod.rs
@@ -0,0 +1,7 @@
+//! HTTP clients of the stand-ins' control listeners and of a mesh's nodes.
+
+mod caller_client;
+mod json_client;
+
+pub use caller_client::{CallAnswer, CallRequest, CallerClient};
+pub use json_client::JsonClient;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,11 +4,19 @@
 //! bring about their faults.
 //!
 //! - [`backend`]: stand-in for a vendor's backend server
+//! - [`http`]: clients of the control listeners and of nodes
+//! - [`mesh`]: a whole mesh of separate processes
 //! - [`platform`]: stand-in for the table service and the object store
+//! - [`process`]: processes that a test or an experiment starts
+//! - [`proxy`]: fault-injecting TCP proxy
 //! - [`server`]: what the stand-ins' HTTP listeners share
 //! - [`command`]: the command line of `bronzelb-emulator`
 
 pub mod backend;
 pub mod command;
+pub mod http;
+pub mod mesh;
 pub mod platform;
+pub mod process;
+pub mod proxy;
 pub mod server;
--- /dev/null
+++ b/crates/emulator/src/mesh/local_mesh.rs
@@ -0,0 +1,499 @@
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    error::{ErrorKind, MeshError},
+    ids::ServiceName,
+};
+use tempfile::TempDir;
+
+use crate::{
+    backend::{BackendAddresses, BackendFaults, BackendTally, JournalEntry, read_journal},
+    http::{CallAnswer, CallRequest, CallerClient, JsonClient},
+    mesh::{
+        BackendSpec, MeshBuilder, MeshNode, NodeStatus, PlatformStandIn, ProxyStandIn,
+        mesh_names::{PLATFORM_LISTENER, node_name, peer_listener},
+        wait_until,
+    },
+    process::{ChildProcess, program_path},
+    proxy::ProxyRules,
+    server::local_error,
+};
+
+const COMMAND_LIMIT: TimeBudget = TimeBudget::from_secs(60);
+const MAX_FIRST_PEERS: usize = 8;
+const START_PAUSE: Duration = Duration::from_millis(1);
+
+/// A running mesh; dropping it ends every process.
+pub struct LocalMesh {
+    pub(crate) proxy: ProxyStandIn,
+    pub(crate) rules: ProxyRules,
+    platform: PlatformStandIn,
+    nodes: BTreeMap<String, MeshNode>,
+    backends: BTreeMap<String, MeshBackend>,
+    backend_count: usize,
+    programs: MeshPrograms,
+    client: JsonClient,
+    caller: CallerClient,
+    // The last field, so that the directory goes after the processes that write to it.
+    directory: TempDir,
+}
+
+/// A backend server of a local mesh.
+pub struct MeshBackend {
+    node: String,
+    addresses: BackendAddresses,
+    process: ChildProcess,
+}
+
+/// What a run of the command-line tool came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommandOutput {
+    /// Exit code; none when a signal ended it.
+    pub exit_code: Option<i32>,
+    /// Standard output and standard error, as printed.
+    pub text: String,
+}
+
+struct MeshPrograms {
+    daemon: PathBuf,
+    tool: PathBuf,
+    emulator: PathBuf,
+}
+
+impl MeshPrograms {
+    fn find() -> Result<Self, MeshError> {
+        Ok(Self {
+            daemon: program_path("bronzelbd")?,
+            tool: program_path("bronzelb")?,
+            emulator: program_path("bronzelb-emulator")?,
+        })
+    }
+}
+
+impl LocalMesh {
+    /// Starts describing a mesh.
+    #[must_use]
+    pub fn builder() -> MeshBuilder {
+        MeshBuilder::new()
+    }
+
+    pub(crate) async fn start(builder: MeshBuilder) -> Result<Self, MeshError> {
+        let programs = MeshPrograms::find()?;
+        let directory =
+            tempfile::tempdir().map_err(|error| local_error("temporary directory", &error))?;
+        let platform = PlatformStandIn::start(&programs.emulator, directory.path()).await?;
+        let proxy = ProxyStandIn::start(&programs.emulator, directory.path()).await?;
+        let mut mesh = Self {
+            proxy,
+            rules: ProxyRules::default(),
+            platform,
+            nodes: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            backend_count: 0,
+            programs,
+            client: JsonClient::new(),
+            caller: CallerClient::new(),
+            directory,
+        };
+        mesh.add_nodes(&builder).await?;
+        for name in mesh.node_names() {
+            mesh.start_node(&name).await?;
+        }
+        for name in mesh.node_names() {
+            for spec in &builder.backends {
+                mesh.add_backend(&name, spec).await?;
+            }
+        }
+        Ok(mesh)
+    }
+
+    async fn add_nodes(&mut self, builder: &MeshBuilder) -> Result<(), MeshError> {
+        let platform = self
+            .proxy
+            .listen(PLATFORM_LISTENER, Some(self.platform.address()))
+            .await?;
+        for centre in 1..=builder.centres {
+            for number in 1..=builder.nodes_per_centre {
+                let advertised = self
+                    .proxy
+                    .listen(peer_listener(centre, number), None)
+                    .await?;
+                let place = (centre, number);
+                let directory = self.directory.path();
+                let mut node = MeshNode::new(place, advertised, platform, &builder.mesh, directory);
+                node.extra_settings.clone_from(&builder.extra_settings);
+                self.nodes.insert(node_name(centre, number), node);
+            }
+        }
+        let mut first_peers: Vec<_> = self.nodes.values().collect();
+        first_peers.sort_by_key(|node| (node.number, node.centre));
+        let first_peers: Vec<SocketAddr> = first_peers
+            .into_iter()
+            .take(MAX_FIRST_PEERS)
+            .map(|node| node.advertised)
+            .collect();
+        for node in self.nodes.values_mut() {
+            let own = node.advertised;
+            node.first_peers = first_peers
+                .iter()
+                .copied()
+                .filter(|peer| *peer != own)
+                .collect();
+        }
+        Ok(())
+    }
+
+    /// Returns the directory with the settings, answers, journals and outputs.
+    #[must_use]
+    pub fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+
+    /// Returns the platform stand-in.
+    pub const fn platform(&mut self) -> &mut PlatformStandIn {
+        &mut self.platform
+    }
+
+    /// Returns the fault proxy.
+    #[must_use]
+    pub const fn proxy(&self) -> &ProxyStandIn {
+        &self.proxy
+    }
+
+    /// Returns the names of all nodes, in order.
+    #[must_use]
+    pub fn node_names(&self) -> Vec<String> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    /// Returns a node.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` when no node has that name.
+    pub fn node(&self, name: &str) -> Result<&MeshNode, MeshError> {
+        self.nodes.get(name).ok_or_else(|| no_node(name))
+    }
+
+    /// Returns a node, to freeze or kill its process.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` when no node has that name.
+    pub fn node_mut(&mut self, name: &str) -> Result<&mut MeshNode, MeshError> {
+        self.nodes.get_mut(name).ok_or_else(|| no_node(name))
+    }
+
+    /// Starts a node that does not run, on the addresses that it had before.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when it does not start.
+    pub async fn start_node(&mut self, name: &str) -> Result<(), MeshError> {
+        let daemon = self.programs.daemon.clone();
+        let node = self.node_mut(name)?;
+        node.start(&daemon).await?;
+        let listener = node.peer_listener();
+        let peers = node.addresses().peers;
+        self.proxy.set_target(listener, peers).await
+    }
+
+    /// Shuts a node down gracefully and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when it does not end within `limit`.
+    pub async fn stop_node(&mut self, name: &str, limit: TimeBudget) -> Result<(), MeshError> {
+        self.node_mut(name)?.stop(limit).await
+    }
+
+    /// Reads what a node says of itself.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when it does not answer.
+    pub async fn status(&self, name: &str) -> Result<NodeStatus, MeshError> {
+        let operators = self.node(name)?.addresses().operators;
+        self.client.get(operators, "/v1/status").await
+    }
+
+    /// Sends a caller's request to a node.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when no whole answer comes in time.
+    pub async fn call(&self, node: &str, request: &CallRequest) -> Result<CallAnswer, MeshError> {
+        let callers = self.node(node)?.addresses().callers;
+        self.caller.call(callers, request).await
+    }
+
+    /// Starts a backend server beside a node and returns its name.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when it does not start.
+    pub async fn add_backend(
+        &mut self,
+        node: &str,
+        spec: &BackendSpec,
+    ) -> Result<String, MeshError> {
+        self.backend_count += 1;
+        let name = format!("{}-{}-{}", spec.service, spec.version, self.backend_count);
+        let addresses = self.node(node)?.addresses();
+        let journal = self.journal_path(&name);
+        let mut args: Vec<String> = [
+            "backend",
+            "--name",
+            &name,
+            "--service",
+            &spec.service,
+            "--version",
+            &spec.version,
+            "--slots",
+            &spec.slots.to_string(),
+            "--service-time",
+            &spec.service_time,
+            "--node",
+            &addresses.operators.to_string(),
+            "--callers",
+            &addresses.callers.to_string(),
+            "--journal",
+            &journal.display().to_string(),
+        ]
+        .map(str::to_owned)
+        .to_vec();
+        args.extend(spec.args.iter().cloned());
+        let mut listener = None;
+        if spec.is_proxied {
+            let centre = self.node(node)?.centre();
+            let listener_name = format!("dc{centre}/{node}/backend/{name}");
+            let advertised = self.proxy.listen(&listener_name, None).await?;
+            args.extend(["--advertise".to_owned(), advertised.to_string()]);
+            listener = Some(listener_name);
+        }
+        let mut process =
+            ChildProcess::start(&name, &self.programs.emulator, args, self.directory.path())?;
+        let addresses: BackendAddresses = process.listening().await?;
+        if let Some(listener) = listener {
+            self.proxy.set_target(listener, addresses.address).await?;
+        }
+        let backend = MeshBackend {
+            node: node.to_owned(),
+            addresses,
+            process,
+        };
+        self.backends.insert(name.clone(), backend);
+        Ok(name)
+    }
+
+    /// Returns the names of all backend servers that were started, in order.
+    #[must_use]
+    pub fn backend_names(&self) -> Vec<String> {
+        self.backends.keys().cloned().collect()
+    }
+
+    /// Returns a backend server, to freeze or kill its process.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` when no backend server has that name.
+    pub fn backend_mut(&mut self, name: &str) -> Result<&mut MeshBackend, MeshError> {
+        self.backends.get_mut(name).ok_or_else(|| no_backend(name))
+    }
+
+    /// Returns a backend server.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` when no backend server has that name.
+    pub fn backend(&self, name: &str) -> Result<&MeshBackend, MeshError> {
+        self.backends.get(name).ok_or_else(|| no_backend(name))
+    }
+
+    /// Replaces the faults of a backend server.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when it does not take them.
+    pub async fn set_backend_faults(
+        &self,
+        name: &str,
+        faults: &BackendFaults,
+    ) -> Result<(), MeshError> {
+        let control = self.backend(name)?.addresses.control;
+        self.client.put(control, "/faults", faults).await
+    }
+
+    /// Reads what a running backend server ran.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when it does not answer.
+    pub async fn tally(&self, name: &str) -> Result<BackendTally, MeshError> {
+        let control = self.backend(name)?.addresses.control;
+        self.client.get(control, "/tally").await
+    }
+
+    /// Reads every run of every backend server, also of those that have ended.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when a journal is unreadable.
+    pub fn runs(&self) -> Result<Vec<JournalEntry>, MeshError> {
+        let mut entries = Vec::new();
+        for name in self.backends.keys() {
+            entries.extend(read_journal(self.journal_path(name))?);
+        }
+        entries.sort_by_key(|entry| entry.at);
+        Ok(entries)
+    }
+
+    /// Runs the command-line tool and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when it does not start or end.
+    pub async fn run_tool(&self, args: &[&str]) -> Result<CommandOutput, MeshError> {
+        let tool = &self.programs.tool;
+        let mut process = ChildProcess::start("bronzelb", tool, args, self.directory.path())?;
+        let status = process.wait(COMMAND_LIMIT).await?;
+        Ok(CommandOutput {
+            exit_code: status.code(),
+            text: process.output_text(),
+        })
+    }
+
+    /// Publishes answers with the command-line tool, past the fault proxy.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` with what the tool printed when it refuses them.
+    pub async fn publish(&self, answers: &str) -> Result<CommandOutput, MeshError> {
+        let path = self.directory.path().join("answers.yaml");
+        fs::write(&path, answers)
+            .map_err(|error| local_error(&path.display().to_string(), &error))?;
+        let path = path.display().to_string();
+        let platform = self.platform.address().to_string();
+        let output = self
+            .run_tool(&["publish", &path, "--platform", &platform])
+            .await?;
+        if output.exit_code == Some(0) {
+            return Ok(output);
+        }
+        Err(MeshError::invalid(format!("publish: {}", output.text)))
+    }
+
+    /// Waits until every running node has configuration version `number` or a later one in force.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` names the nodes that do not.
+    pub async fn wait_version(&mut self, number: u64, limit: TimeBudget) -> Result<(), MeshError> {
+        let what = format!("version {number} in force on every node");
+        self.wait_status(&what, limit, |status| status.version_number() >= number)
+            .await
+    }
+
+    /// Waits until every running node knows `count` serving backend servers of `service`.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` names the nodes that do not.
+    pub async fn wait_backends(
+        &mut self,
+        service: &str,
+        count: usize,
+        limit: TimeBudget,
+    ) -> Result<(), MeshError> {
+        let service: ServiceName = service.parse()?;
+        let what = format!("{count} backend servers of {service} known to every node");
+        self.wait_status(&what, limit, |status| {
+            status.serving_backends(&service) == count
+        })
+        .await
+    }
+
+    /// Waits until the status of every running node meets a condition.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` names a node that does not, after its last lines were printed.
+    pub async fn wait_status(
+        &mut self,
+        what: &str,
+        limit: TimeBudget,
+        condition: impl Fn(&NodeStatus) -> bool,
+    ) -> Result<(), MeshError> {
+        let running: Vec<_> = self
+            .nodes
+            .iter_mut()
+            .filter_map(|(name, node)| node.is_running().then(|| name.clone()))
+            .collect();
+        for name in running {
+            let is_met = async || {
+                self.status(&name)
+                    .await
+                    .is_ok_and(|status| condition(&status))
+            };
+            let waited = wait_until(&format!("node {name}: {what}"), limit, is_met).await;
+            if let Err(error) = waited {
+                self.print_state(&name).await;
+                return Err(error);
+            }
+            tokio::time::sleep(START_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Prints a node's status and its last log lines to standard error.
+    pub async fn print_state(&self, name: &str) {
+        match self.status(name).await {
+            Ok(status) => eprintln!("--- {name}: {status:?}"),
+            Err(error) => eprintln!("--- {name}: {error}"),
+        }
+        if let Ok(node) = self.node(name) {
+            eprintln!("--- {name} logged last:\n{}", node.tail());
+        }
+    }
+
+    fn journal_path(&self, backend: &str) -> PathBuf {
+        self.directory.path().join(format!("{backend}.journal"))
+    }
+}
+
+impl MeshBackend {
+    /// Returns the node that the server is beside.
+    #[must_use]
+    pub fn node(&self) -> &str {
+        &self.node
+    }
+
+    /// Returns the addresses of the server.
+    #[must_use]
+    pub const fn addresses(&self) -> BackendAddresses {
+        self.addresses
+    }
+
+    /// Returns the process of the server, to freeze or kill it.
+    pub const fn process(&mut self) -> &mut ChildProcess {
+        &mut self.process
+    }
+}
+
+fn no_node(name: &str) -> MeshError {
+    MeshError::new(ErrorKind::NotFound, format!("node {name:?} does not exist"))
+}
+
+fn no_backend(name: &str) -> MeshError {
+    MeshError::new(
+        ErrorKind::NotFound,
+        format!("backend server {name:?} does not exist"),
+    )
+}
--- /dev/null
+++ b/crates/emulator/src/mesh/mod.rs
@@ -0,0 +1,24 @@
+//! A whole mesh of separate processes on loopback addresses, for tests, trials and experiments.
+//!
+//! Node `n` of data centre `d` listens on `127.0.d.n` and binds its outgoing connections to that
+//! address. Its peers' listener and the platform are reached through the fault proxy, which tells
+//! the data centres apart by their source addresses.
+
+mod backend_spec;
+mod local_mesh;
+mod mesh_builder;
+mod mesh_faults;
+mod mesh_names;
+mod mesh_node;
+mod node_status;
+mod stand_ins;
+mod wait;
+
+pub use backend_spec::BackendSpec;
+pub use local_mesh::{CommandOutput, LocalMesh, MeshBackend};
+pub use mesh_builder::MeshBuilder;
+pub use mesh_names::{data_centre_name, node_name};
+pub use mesh_node::{MeshNode, NodeAddresses};
+pub use node_status::{MemberStatus, NodeStatus};
+pub use stand_ins::{PlatformStandIn, ProxyStandIn};
+pub use wait::wait_until;
--- /dev/null
+++ b/crates/emulator/src/process/child_process.rs
@@ -0,0 +1,224 @@
+use std::{
+    ffi::OsStr,
+    fs::{self, File},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    error::{ErrorKind, MeshError},
+};
+use serde::de::DeserializeOwned;
+
+use crate::server::{local_error, wall_clock};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+const START_LIMIT: TimeBudget = TimeBudget::from_secs(20);
+const LISTENING_MARK: &str = "\"listening\"";
+const TAIL_LINES: usize = 30;
+
+/// A started process whose output goes to a file; dropping the value kills it.
+#[derive(Debug)]
+pub struct ChildProcess {
+    name: String,
+    child: Child,
+    output: PathBuf,
+    exit_status: Option<ExitStatus>,
+}
+
+impl ChildProcess {
+    /// Starts `program` with its output in `directory`.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when the program does not start or the file cannot be written.
+    pub fn start(
+        name: impl Into<String>,
+        program: &Path,
+        args: impl IntoIterator<Item = impl AsRef<OsStr>>,
+        directory: &Path,
+    ) -> Result<Self, MeshError> {
+        let name = name.into();
+        let output = unused_path(directory, &name);
+        let place = output.display().to_string();
+        let stdout = File::create(&output).map_err(|error| local_error(&place, &error))?;
+        let stderr = stdout
+            .try_clone()
+            .map_err(|error| local_error(&place, &error))?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(stdout)
+            .stderr(stderr)
+            .spawn()
+            .map_err(|error| local_error(&program.display().to_string(), &error))?;
+        Ok(Self {
+            name,
+            child,
+            output,
+            exit_status: None,
+        })
+    }
+
+    /// Returns the name that the process was started under.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Waits for the line by which the process tells its addresses, and decodes it.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when the process ends or does not print the line in time.
+    pub async fn listening<T: DeserializeOwned>(&mut self) -> Result<T, MeshError> {
+        let deadline = wall_clock().after(START_LIMIT);
+        loop {
+            let text = self.output_text();
+            let line = text
+                .split_inclusive('\n')
+                .find(|line| line.ends_with('\n') && line.contains(LISTENING_MARK));
+            if let Some(line) = line {
+                return serde_json::from_str(line).map_err(|error| {
+                    MeshError::invalid(format!("{} printed {line:?}: {error}", self.name))
+                });
+            }
+            if self.poll_exit().is_some() || deadline.has_passed(wall_clock()) {
+                return Err(self.failure("did not print its addresses"));
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether the process has not ended yet; a frozen one has not.
+    pub fn is_running(&mut self) -> bool {
+        self.poll_exit().is_none()
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when it does not end in time.
+    pub async fn wait(&mut self, limit: TimeBudget) -> Result<ExitStatus, MeshError> {
+        let deadline: ClockInstant = wall_clock().after(limit);
+        loop {
+            if let Some(status) = self.poll_exit() {
+                return Ok(status);
+            }
+            if deadline.has_passed(wall_clock()) {
+                return Err(self.failure(&format!("did not end within {limit}")));
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Ends the process at once and waits for its end.
+    pub fn kill(&mut self) {
+        if self.poll_exit().is_some() {
+            return;
+        }
+        // A process that has just ended by itself needs no killing.
+        let _ = self.child.kill();
+        self.exit_status = self.child.wait().ok();
+    }
+
+    /// Stops the process in its tracks (SIGSTOP).
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when the process has ended.
+    pub fn freeze(&mut self) -> Result<(), MeshError> {
+        self.signal("-STOP")
+    }
+
+    /// Lets a frozen process go on (SIGCONT).
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when the process has ended.
+    pub fn thaw(&mut self) -> Result<(), MeshError> {
+        self.signal("-CONT")
+    }
+
+    /// Asks the process to shut down gracefully (SIGTERM).
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when the process has ended.
+    pub fn terminate(&mut self) -> Result<(), MeshError> {
+        self.signal("-TERM")
+    }
+
+    /// Returns everything that the process has printed.
+    #[must_use]
+    pub fn output_text(&self) -> String {
+        let bytes = fs::read(&self.output).unwrap_or_default();
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
+    /// Returns the last lines that the process has printed.
+    #[must_use]
+    pub fn tail(&self) -> String {
+        let text = self.output_text();
+        let lines: Vec<_> = text.lines().collect();
+        let start = lines.len().saturating_sub(TAIL_LINES);
+        lines[start..].join("\n")
+    }
+
+    fn poll_exit(&mut self) -> Option<ExitStatus> {
+        if self.exit_status.is_none() {
+            self.exit_status = self.child.try_wait().ok().flatten();
+        }
+        self.exit_status
+    }
+
+    fn signal(&mut self, signal: &str) -> Result<(), MeshError> {
+        // The process is not reaped before this check, so its id cannot be another's.
+        if self.poll_exit().is_some() {
+            return Err(self.failure("has ended"));
+        }
+        let status = Command::new("kill")
+            .arg(signal)
+            .arg(self.id().to_string())
+            .status()
+            .map_err(|error| local_error("kill", &error))?;
+        if status.success() {
+            return Ok(());
+        }
+        Err(self.failure(&format!("did not take signal {signal}")))
+    }
+
+    fn failure(&mut self, what: &str) -> MeshError {
+        let status = match self.poll_exit() {
+            Some(status) => format!("ended with {status}"),
+            None => "runs".to_owned(),
+        };
+        eprintln!("--- {} ({status}):\n{}", self.name, self.tail());
+        MeshError::new(
+            ErrorKind::LocalIo,
+            format!("process {} {what} ({status})", self.name),
+        )
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn unused_path(directory: &Path, name: &str) -> PathBuf {
+    (1..)
+        .map(|start| directory.join(format!("{name}.{start}.log")))
+        .find(|path| !path.exists())
+        .expect("a directory holds finitely many files")
+}
--- /dev/null
+++ b/crates/emulator/src/proxy/proxy_server.rs
@@ -0,0 +1,60 @@
+use std::net::SocketAddr;
+
+use actix_web::{
+    App, HttpServer,
+    web::{self, ServiceConfig},
+};
+use bronzelb_kernel::error::MeshError;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    proxy::{control_handler, proxy_state::ProxyState},
+    server::{first_address, local_error, print_listening},
+};
+
+const SHUTDOWN_SECS: u64 = 1;
+
+/// Address that the proxy prints when it is ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProxyAddresses {
+    /// Address of the listeners, rules and counters.
+    pub control: SocketAddr,
+}
+
+/// Serves the proxy until the process is told to stop.
+///
+/// # Errors
+///
+/// `LocalIo` when the control address cannot be bound.
+pub fn serve(control: SocketAddr) -> Result<(), MeshError> {
+    actix_web::rt::System::new().block_on(serve_control(control))
+}
+
+async fn serve_control(control: SocketAddr) -> Result<(), MeshError> {
+    let state = web::Data::new(ProxyState::new());
+    let controls = HttpServer::new(move || {
+        App::new()
+            .app_data(state.clone())
+            .configure(configure_control)
+    })
+    .workers(1)
+    .shutdown_timeout(SHUTDOWN_SECS)
+    .bind(control)
+    .map_err(|error| local_error(&format!("listen on {control}"), &error))?;
+    print_listening(&ProxyAddresses {
+        control: first_address(&controls.addrs())?,
+    })?;
+    controls
+        .run()
+        .await
+        .map_err(|error| local_error("serve", &error))
+}
+
+fn configure_control(config: &mut ServiceConfig) {
+    config
+        .route("/listeners", web::post().to(control_handler::post_listener))
+        .route("/targets", web::put().to(control_handler::put_target))
+        .route("/rules", web::put().to(control_handler::put_rules))
+        .route("/rules", web::get().to(control_handler::get_rules))
+        .route("/counters", web::get().to(control_handler::get_counters));
+}
