--- /dev/null
+++ b/crates/emulator/tests/proxy.rs
@@ -0,0 +1,148 @@
+//! The fault proxy between a client and the backend stand-in.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use bronzelb_emulator::{
+    backend::BackendAddresses,
+    http::{CallAnswer, CallRequest, CallerClient, JsonClient},
+    mesh::ProxyStandIn,
+    process::ChildProcess,
+    proxy::{ProxyAction, ProxyRule, ProxyRules},
+};
+use bronzelb_kernel::error::MeshError;
+
+const LISTENER: &str = "dc1/server";
+
+struct ProxiedServer {
+    proxy: ProxyStandIn,
+    front: SocketAddr,
+    server: BackendAddresses,
+    caller: CallerClient,
+    _process: ChildProcess,
+    _directory: tempfile::TempDir,
+}
+
+impl ProxiedServer {
+    async fn start() -> Self {
+        let emulator = Path::new(env!("CARGO_BIN_EXE_bronzelb-emulator"));
+        let directory = tempfile::tempdir().expect("a directory");
+        let args = ["backend", "--name", "t1", "--service", "tracker"];
+        let mut process =
+            ChildProcess::start("t1", emulator, args, directory.path()).expect("a server");
+        let server: BackendAddresses = process.listening().await.expect("addresses");
+        let proxy = ProxyStandIn::start(emulator, directory.path())
+            .await
+            .expect("a proxy");
+        let front = proxy
+            .listen(LISTENER, Some(server.address))
+            .await
+            .expect("a listener");
+        Self {
+            proxy,
+            front,
+            server,
+            caller: CallerClient::new(),
+            _process: process,
+            _directory: directory,
+        }
+    }
+
+    async fn call(&self, timeout: Duration) -> Result<CallAnswer, MeshError> {
+        let request = CallRequest::get("/a").with_timeout(timeout);
+        self.caller.call(self.front, &request).await
+    }
+
+    async fn set(&self, rules: impl Into<Vec<ProxyRule>>) {
+        let rules = ProxyRules {
+            rules: rules.into(),
+        };
+        self.proxy
+            .set_rules(&rules)
+            .await
+            .expect("the rules are taken");
+    }
+
+    async fn runs(&self) -> u64 {
+        let totals: bronzelb_emulator::backend::TallyTotals = JsonClient::new()
+            .get(self.server.control, "/totals")
+            .await
+            .expect("totals");
+        totals.run
+    }
+}
+
+const PATIENT: Duration = Duration::from_secs(10);
+const SHORT: Duration = Duration::from_millis(200);
+
+#[actix_web::test]
+async fn cut_closes_and_healing_restores() {
+    let server = ProxiedServer::start().await;
+    assert!(server.call(PATIENT).await.is_ok());
+    server
+        .set([ProxyRule::new(ProxyAction::Cut).with_listener("dc1/")])
+        .await;
+    for _ in 0..3 {
+        assert!(server.call(PATIENT).await.is_err());
+    }
+    let other_source = ProxyRule::new(ProxyAction::Cut).with_source("127.0.9.");
+    server.set([other_source]).await;
+    assert!(server.call(PATIENT).await.is_ok());
+    assert_eq!(server.runs().await, 2, "nothing passes a cut link");
+}
+
+#[actix_web::test]
+async fn stall_holds_the_request_until_it_is_lifted() {
+    let server = ProxiedServer::start().await;
+    assert!(server.call(PATIENT).await.is_ok());
+    server.set([ProxyRule::new(ProxyAction::Stall)]).await;
+    assert!(server.call(SHORT).await.is_err());
+    assert_eq!(server.runs().await, 1);
+    let lift = async {
+        tokio::time::sleep(SHORT).await;
+        server.set([]).await;
+    };
+    let (answer, ()) = tokio::join!(server.call(PATIENT), lift);
+    assert!(answer.is_ok(), "{answer:?}");
+}
+
+#[actix_web::test]
+async fn lost_and_truncated_answers_follow_a_run() {
+    let server = ProxiedServer::start().await;
+    for action in [ProxyAction::LoseAnswer, ProxyAction::Truncate(150)] {
+        server.set([ProxyRule::new(action).with_next(1)]).await;
+        assert!(server.call(PATIENT).await.is_err(), "{action:?}");
+        assert!(server.call(PATIENT).await.is_ok(), "{action:?}");
+    }
+    assert_eq!(server.runs().await, 4);
+}
+
+#[actix_web::test]
+async fn duplicate_runs_the_request_twice() {
+    let server = ProxiedServer::start().await;
+    let rule = ProxyRule::new(ProxyAction::Duplicate).with_next(1);
+    server.set([rule]).await;
+    assert!(server.call(PATIENT).await.is_ok());
+    let is_doubled = async || server.runs().await == 2;
+    bronzelb_emulator::mesh::wait_until(
+        "a second run",
+        bronzelb_kernel::clock::TimeBudget::from_secs(10),
+        is_doubled,
+    )
+    .await
+    .expect("the duplicate runs");
+}
+
+#[actix_web::test]
+async fn delay_and_throttle_pass_whole_answers() {
+    let server = ProxiedServer::start().await;
+    server
+        .set([
+            ProxyRule::new(ProxyAction::Delay(20)),
+            ProxyRule::new(ProxyAction::Throttle(10_000)),
+        ])
+        .await;
+    let started_at = std::time::Instant::now();
+    let answer = server.call(PATIENT).await.expect("a whole answer");
+    assert!(answer.is_answer_to(&CallRequest::get("/a")));
+    assert!(started_at.elapsed() >= Duration::from_millis(40));
+}
