--- /dev/null
+++ b/crates/answers/src/change/mod.rs
@@ -0,0 +1,7 @@
+//! What a change of answers does to the proxies.
+
+mod config_change;
+mod snapshot_compare;
+
+pub use config_change::{ChangeKind, ConfigChange};
+pub use snapshot_compare::compare_snapshots;
--- /dev/null
+++ b/crates/answers/src/draft/mesh_draft.rs
@@ -0,0 +1,139 @@
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    ids::{DataCentre, MeshName, ServiceName, SlotCount},
+};
+use compact_str::{CompactString, format_compact};
+
+use crate::draft::{ServiceDraft, draft_text};
+
+const DEFAULT_SLOTS: SlotCount = SlotCount::new(12);
+const DEFAULT_CONNECTIONS: u32 = 110;
+const DEFAULT_FORMAT: &str = "json-load";
+const DEFAULT_LATENCY: TimeBudget = TimeBudget::from_micros(500);
+
+const SAMPLE_REGION_CENTRES: usize = 3;
+const SAMPLE_NEAR_LATENCY: TimeBudget = TimeBudget::from_millis(1);
+const SAMPLE_FAR_LATENCY: TimeBudget = TimeBudget::from_millis(40);
+const SAMPLE_WAIT_EVERY: usize = 10;
+const SAMPLE_ONCE_EVERY: usize = 4;
+
+/// Latency between two data centres.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CentrePair {
+    /// One of the two.
+    pub from: DataCentre,
+    /// The other one.
+    pub to: DataCentre,
+    /// Latency between them.
+    pub latency: TimeBudget,
+}
+
+/// What a new team says of its mesh; [`MeshDraft::to_yaml`] writes it as answers.
+///
+/// # Examples
+///
+/// ```
+/// use bronzelb_answers::{draft::MeshDraft, parse_answers};
+///
+/// let text = MeshDraft::new("trial".parse()?).to_yaml();
+/// let snapshot = parse_answers("answers.yaml", &text).expect("a draft is valid");
+/// assert_eq!(snapshot.mesh.as_str(), "trial");
+/// # Ok::<(), bronzelb_kernel::error::MeshError>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MeshDraft {
+    /// Name of the mesh.
+    pub mesh: MeshName,
+    /// Data centres.
+    pub data_centres: Vec<DataCentre>,
+    /// Latency of each pair of data centres.
+    pub latencies: Vec<CentrePair>,
+    /// Requests that one backend server runs at once.
+    pub slots: SlotCount,
+    /// Connections that one backend server accepts.
+    pub connections: u32,
+    /// Format of the backend servers' health and load reports.
+    pub report_format: CompactString,
+    /// Services.
+    pub services: Vec<ServiceDraft>,
+}
+
+impl MeshDraft {
+    /// Builds a draft with three data centres and three services.
+    #[must_use]
+    pub fn new(mesh: MeshName) -> Self {
+        let data_centres = names(&["dc1", "dc2", "dc3"]);
+        let latencies = all_pairs(&data_centres, |_, _| DEFAULT_LATENCY);
+        let [tracker, dispatcher, archive] = ["tracker", "dispatcher", "archive"].map(service_name);
+        Self {
+            mesh,
+            data_centres,
+            latencies,
+            slots: DEFAULT_SLOTS,
+            connections: DEFAULT_CONNECTIONS,
+            report_format: DEFAULT_FORMAT.into(),
+            services: vec![
+                ServiceDraft::new(tracker),
+                ServiceDraft::new(dispatcher).runs_once(true),
+                ServiceDraft::new(archive).can_wait(true),
+            ],
+        }
+    }
+
+    /// Builds a draft with `count` services in five data centres of two regions, for measurements.
+    #[must_use]
+    pub fn sample(mesh: MeshName, count: usize) -> Self {
+        let data_centres = names(&["east1", "east2", "east3", "west1", "west2"]);
+        let latencies = all_pairs(&data_centres, |from, to| {
+            let is_near = (from < SAMPLE_REGION_CENTRES) == (to < SAMPLE_REGION_CENTRES);
+            if is_near {
+                SAMPLE_NEAR_LATENCY
+            } else {
+                SAMPLE_FAR_LATENCY
+            }
+        });
+        let services = (1..=count).map(|number| {
+            ServiceDraft::new(service_name(&format_compact!("service{number:03}")))
+                .can_wait(number.is_multiple_of(SAMPLE_WAIT_EVERY))
+                .runs_once(number.is_multiple_of(SAMPLE_ONCE_EVERY))
+        });
+        Self {
+            data_centres,
+            latencies,
+            services: services.collect(),
+            ..Self::new(mesh)
+        }
+    }
+
+    /// Writes the draft as a commented file of answers.
+    #[must_use]
+    pub fn to_yaml(&self) -> String {
+        draft_text::write_draft(self)
+    }
+}
+
+fn names(texts: &[&str]) -> Vec<DataCentre> {
+    let parsed = texts.iter().map(|text| text.parse());
+    parsed.map(|name| name.expect("is a valid name")).collect()
+}
+
+fn service_name(text: &str) -> ServiceName {
+    text.parse().expect("is a valid name")
+}
+
+fn all_pairs(
+    centres: &[DataCentre],
+    latency: impl Fn(usize, usize) -> TimeBudget,
+) -> Vec<CentrePair> {
+    let mut pairs = Vec::new();
+    for (index, from) in centres.iter().enumerate() {
+        for (offset, to) in centres[index + 1..].iter().enumerate() {
+            pairs.push(CentrePair {
+                from: from.clone(),
+                to: to.clone(),
+                latency: latency(index, index + 1 + offset),
+            });
+        }
+    }
+    pairs
+}
--- /dev/null
+++ b/crates/answers/src/draft/mod.rs
@@ -0,0 +1,8 @@
+//! First answers of a new team, written as a commented file.
+
+mod draft_text;
+mod mesh_draft;
+mod service_draft;
+
+pub use mesh_draft::{CentrePair, MeshDraft};
+pub use service_draft::ServiceDraft;
--- a/crates/cli/src/answers/mod.rs
+++ b/crates/cli/src/answers/mod.rs
@@ -1,7 +1,9 @@
 //! Commands that work on a file of answers alone.
 
 mod check_command;
+mod diff_command;
 mod generate_command;
 
 pub(crate) use check_command::CHECK_COMMAND;
+pub(crate) use diff_command::DIFF_COMMAND;
 pub(crate) use generate_command::GENERATE_COMMAND;
--- a/crates/cli/src/builder/command_list.rs
+++ b/crates/cli/src/builder/command_list.rs
@@ -1,10 +1,14 @@
-use crate::{answers, builder::CommandSpec, publish};
+use crate::{answers, builder::CommandSpec, completions, init, publish, status};
 
 /// Every command, in the order of the help.
 ///
 /// A new command takes a module with its [`CommandSpec`] and a line here.
 pub const COMMANDS: &[CommandSpec] = &[
+    init::INIT_COMMAND,
     answers::CHECK_COMMAND,
     answers::GENERATE_COMMAND,
+    answers::DIFF_COMMAND,
     publish::PUBLISH_COMMAND,
+    status::STATUS_COMMAND,
+    completions::COMPLETIONS_COMMAND,
 ];
--- /dev/null
+++ b/crates/cli/src/completions/mod.rs
@@ -0,0 +1,5 @@
+//! Completions for shells.
+
+mod completions_command;
+
+pub(crate) use completions_command::COMPLETIONS_COMMAND;
--- /dev/null
+++ b/crates/cli/src/init/question_list.rs
@@ -0,0 +1,152 @@
+use std::{collections::BTreeSet, str::FromStr};
+
+use bronzelb_answers::draft::{CentrePair, MeshDraft, ServiceDraft};
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    error::MeshError,
+    ids::{DataCentre, ServiceName, SlotCount},
+};
+use bronzelb_yaml::reader::{parse_count, parse_with};
+use compact_str::CompactString;
+
+use crate::init::text_prompt::TextPrompt;
+
+const NOBODY: &str = "none";
+
+/// Puts every question of the questionnaire, with the parts of `draft` as defaults.
+pub(super) fn ask_questions(
+    prompt: &mut TextPrompt<'_, '_>,
+    mut draft: MeshDraft,
+) -> Result<MeshDraft, MeshError> {
+    draft.mesh = prompt.ask("Name of the mesh", draft.mesh.as_str(), parse_with)?;
+    draft.data_centres = prompt.ask(
+        "Data centres, separated by spaces",
+        &join(draft.data_centres.iter().map(DataCentre::as_str)),
+        parse_names::<DataCentre>,
+    )?;
+    draft.latencies = ask_latencies(prompt, &draft.data_centres)?;
+    ask_sizes(prompt, &mut draft)?;
+    draft.services = ask_services(prompt, &draft)?;
+    Ok(draft)
+}
+
+fn ask_latencies(
+    prompt: &mut TextPrompt<'_, '_>,
+    centres: &[DataCentre],
+) -> Result<Vec<CentrePair>, MeshError> {
+    let mut pairs = Vec::new();
+    for (index, from) in centres.iter().enumerate() {
+        for to in &centres[index + 1..] {
+            let question = format!("Latency between {from} and {to}");
+            pairs.push(CentrePair {
+                from: from.clone(),
+                to: to.clone(),
+                latency: prompt.ask(&question, "500us", parse_with::<TimeBudget>)?,
+            });
+        }
+    }
+    Ok(pairs)
+}
+
+fn ask_sizes(prompt: &mut TextPrompt<'_, '_>, draft: &mut MeshDraft) -> Result<(), MeshError> {
+    draft.slots = prompt.ask(
+        "Requests that one backend server runs at once",
+        &draft.slots.to_string(),
+        |text| parse_positive(text).map(SlotCount::new),
+    )?;
+    draft.connections = prompt.ask(
+        "Connections that one backend server accepts",
+        &draft.connections.to_string(),
+        parse_positive,
+    )?;
+    draft.report_format = prompt.ask(
+        "Format of the servers' health and load reports",
+        &draft.report_format.clone(),
+        |text| Ok(CompactString::from(text)),
+    )?;
+    Ok(())
+}
+
+fn ask_services(
+    prompt: &mut TextPrompt<'_, '_>,
+    draft: &MeshDraft,
+) -> Result<Vec<ServiceDraft>, MeshError> {
+    let names = prompt.ask(
+        "Services, separated by spaces",
+        &join(draft.services.iter().map(|service| service.name.as_str())),
+        parse_names::<ServiceName>,
+    )?;
+    let waiting = ask_some(
+        prompt,
+        "Services whose requests can wait",
+        &names,
+        draft.services.iter().filter(|service| service.can_wait),
+    )?;
+    let once = ask_some(
+        prompt,
+        "Services with requests that must not run twice",
+        &names,
+        draft.services.iter().filter(|service| service.runs_once),
+    )?;
+    let services = names.into_iter().map(|name| {
+        let can_wait = waiting.contains(&name);
+        let runs_once = once.contains(&name);
+        ServiceDraft::new(name)
+            .can_wait(can_wait)
+            .runs_once(runs_once)
+    });
+    Ok(services.collect())
+}
+
+fn ask_some<'a>(
+    prompt: &mut TextPrompt<'_, '_>,
+    question: &str,
+    names: &[ServiceName],
+    defaults: impl Iterator<Item = &'a ServiceDraft>,
+) -> Result<Vec<ServiceName>, MeshError> {
+    let defaults: Vec<_> = defaults
+        .filter(|service| names.contains(&service.name))
+        .map(|service| service.name.as_str())
+        .collect();
+    let default = match defaults.len() {
+        0 => NOBODY.to_owned(),
+        _ => defaults.join(" "),
+    };
+    prompt.ask(question, &default, |text| {
+        if text == NOBODY {
+            return Ok(Vec::new());
+        }
+        let chosen = parse_names::<ServiceName>(text)?;
+        match chosen.iter().find(|name| !names.contains(name)) {
+            Some(name) => Err(MeshError::invalid(format!(
+                "service \"{name}\" does not exist; services are {}",
+                join(names.iter().map(ServiceName::as_str))
+            ))),
+            None => Ok(chosen),
+        }
+    })
+}
+
+fn parse_names<T>(text: &str) -> Result<Vec<T>, MeshError>
+where
+    T: FromStr<Err = MeshError> + Clone + Ord,
+{
+    let parts = text.split([' ', ',']).filter(|part| !part.is_empty());
+    let names = parts.map(str::parse).collect::<Result<Vec<T>, _>>()?;
+    let distinct: BTreeSet<_> = names.iter().collect();
+    if distinct.len() < names.len() {
+        return Err(MeshError::invalid("a name is listed twice"));
+    }
+    Ok(names)
+}
+
+fn parse_positive(text: &str) -> Result<u32, MeshError> {
+    match parse_count(text)? {
+        0 => Err(MeshError::invalid("0 is too few; use 1 or more")),
+        count => Ok(count),
+    }
+}
+
+fn join<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    names.collect::<Vec<_>>().join(" ")
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,8 +9,12 @@
 pub mod output;
 
 mod answers;
+mod completions;
+mod init;
+mod nodes;
 mod platform;
 mod process;
 mod publish;
+mod status;
 
 pub use process::{run, run_process};
--- a/crates/cli/src/output/mod.rs
+++ b/crates/cli/src/output/mod.rs
@@ -2,6 +2,8 @@
 
 mod output_format;
 mod output_printer;
+mod text_table;
 
 pub use output_format::OutputFormat;
 pub use output_printer::OutputPrinter;
+pub(crate) use text_table::{format_age, format_table};
--- a/crates/cli/src/output/output_printer.rs
+++ b/crates/cli/src/output/output_printer.rs
@@ -60,6 +60,12 @@
         let _ = self.stderr.write_all(with_line_end(text).as_bytes());
     }
 
+    /// Prints the question that a person answers on the same line.
+    pub(crate) fn prompt(&mut self, text: &str) {
+        let _ = self.stderr.write_all(text.as_bytes());
+        let _ = self.stderr.flush();
+    }
+
     pub(crate) fn fail(&mut self, error: &CommandError) {
         match self.format {
             OutputFormat::Plain => self.note(&format!("error: {}", describe(error))),
--- a/crates/cli/src/platform/platform_access.rs
+++ b/crates/cli/src/platform/platform_access.rs
@@ -29,34 +29,45 @@
 impl PlatformAccess {
     /// Builds the options that name the platform and limit the time.
     pub(crate) fn args() -> [Arg; 3] {
+        let [address, kind] = Self::optional_args();
+        [address.required(true), kind, timeout_arg(DEFAULT_TIMEOUT)]
+    }
+
+    /// Builds the options that name the platform, for commands that can do without it and have a
+    /// timeout of their own.
+    pub(crate) fn optional_args() -> [Arg; 2] {
         [
             Arg::new(ADDRESS)
                 .long("platform")
                 .value_name("ADDRESS")
-                .required(true)
                 .help("Address of the platform, such as 10.1.0.4:8080"),
             Arg::new(KIND)
                 .long("platform-kind")
                 .value_name("KIND")
                 .default_value("http")
                 .help("Kind of the platform"),
-            timeout_arg(DEFAULT_TIMEOUT),
         ]
     }
 
     /// Builds the client that the options ask for.
     pub(crate) fn from_matches(matches: &ArgMatches) -> Result<Self, MeshError> {
-        let address = matches
-            .get_one::<String>(ADDRESS)
-            .expect("the option is required");
+        let access = Self::from_optional(matches)?;
+        Ok(access.expect("the option is required"))
+    }
+
+    /// Builds the client that the options ask for, if they name a platform.
+    pub(crate) fn from_optional(matches: &ArgMatches) -> Result<Option<Self>, MeshError> {
+        let Some(address) = matches.get_one::<String>(ADDRESS) else {
+            return Ok(None);
+        };
         let kind = matches
             .get_one::<String>(KIND)
             .expect("the option has a default");
         let target = PlatformTarget::new(address.as_str());
-        Ok(Self {
+        Ok(Some(Self {
             client: PlatformClient::connect(kind, &target)?,
             deadline: timeout_deadline(matches),
-        })
+        }))
     }
 
     /// Repeats a call that may safely run twice until the platform answers or time is up.
--- a/crates/cli/src/publish/mod.rs
+++ b/crates/cli/src/publish/mod.rs
@@ -2,5 +2,6 @@
 
 mod publish_command;
 mod version_publisher;
+mod version_wait;
 
 pub(crate) use publish_command::PUBLISH_COMMAND;
--- a/crates/cli/src/publish/publish_command.rs
+++ b/crates/cli/src/publish/publish_command.rs
@@ -1,16 +1,24 @@
 use std::env;
 
 use bronzelb_answers::read_answers;
-use bronzelb_kernel::{ids::AttemptToken, spread::PublishAttempt};
-use clap::{Arg, ArgMatches, Command};
+use bronzelb_kernel::{
+    error::MeshError,
+    ids::{AttemptToken, VersionNumber},
+    spread::PublishAttempt,
+};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use compact_str::CompactString;
 
 use crate::{
-    builder::{CommandSpec, answers_arg, answers_path},
+    builder::{CommandSpec, answers_arg, answers_path, timeout_deadline},
     error::CommandError,
+    nodes::{NodeArgs, NodeClient},
     output::OutputPrinter,
     platform::{PlatformAccess, wall_clock},
-    publish::version_publisher::{PublishReport, publish_snapshot},
+    publish::{
+        version_publisher::{PublishReport, publish_snapshot},
+        version_wait::wait_for_version,
+    },
 };
 
 pub(crate) const PUBLISH_COMMAND: CommandSpec = CommandSpec {
@@ -19,6 +27,7 @@
     run,
 };
 
+const WAIT: &str = "wait";
 const PUBLISHER: &str = "publisher";
 const UNKNOWN_PUBLISHER: &str = "unknown";
 
@@ -26,10 +35,12 @@
 Examples:
   bronzelb publish answers.yaml --platform 10.1.0.4:8080
   bronzelb publish answers.yaml --platform 10.1.0.4:8080 --publisher anna --output json
+  bronzelb publish answers.yaml --platform 10.1.0.4:8080 --wait --node 127.0.0.1:9200
 
 Answers with a mistake are not published, not even in part. Of two operators who publish at the
 same time one is accepted, and the other gets exit code 5. Publishing the same answers again
-changes nothing.";
+changes nothing. With --wait the command ends once every --node has the version in force, or with
+exit code 6 when time is up; the version stays accepted then.";
 
 fn build(command: Command) -> Command {
     command
@@ -37,6 +48,14 @@
         .after_help(EXAMPLES)
         .arg(answers_arg())
         .args(PlatformAccess::args())
+        .args(NodeArgs::args())
+        .arg(
+            Arg::new(WAIT)
+                .long(WAIT)
+                .action(ArgAction::SetTrue)
+                .requires("node")
+                .help("Waits until every --node has the version in force"),
+        )
         .arg(
             Arg::new(PUBLISHER)
                 .long("publisher")
@@ -52,14 +71,25 @@
         publisher: publisher(matches),
         started_at: wall_clock(),
     };
-    let report = actix_web::rt::System::new().block_on(async {
+    let system = actix_web::rt::System::new();
+    let report = system.block_on(async {
         let access = PlatformAccess::from_matches(matches)?;
         publish_snapshot(&access, snapshot, attempt).await
     })?;
     printer.result(describe(report), &report);
+    if matches.get_flag(WAIT) {
+        system.block_on(wait(matches, report.stamp().number))?;
+    }
     Ok(())
 }
 
+async fn wait(matches: &ArgMatches, number: VersionNumber) -> Result<(), MeshError> {
+    let client = NodeClient::new(NodeArgs::token_path(matches))?;
+    let addresses = NodeArgs::addresses(matches);
+    let deadline = timeout_deadline(matches);
+    wait_for_version(&client, &addresses, number, deadline).await
+}
+
 fn publisher(matches: &ArgMatches) -> CompactString {
     matches
         .get_one::<String>(PUBLISHER)
--- a/crates/cli/src/publish/version_publisher.rs
+++ b/crates/cli/src/publish/version_publisher.rs
@@ -2,12 +2,12 @@
     config::{ConfigSnapshot, VersionStamp},
     error::{ErrorKind, MeshError},
     ids::{ContentHash, MeshName},
-    spread::{CurrentRow, PublishAttempt, PublishPlan, PublishStep, VersionRow, WriteAnswer},
+    spread::{CurrentRow, PublishAttempt, PublishPlan, PublishStep, WriteAnswer},
 };
 use bronzelb_platform::table::{RowExpect, RowKey, RowRevision, RowWrite};
 use serde::Serialize;
 
-use crate::platform::PlatformAccess;
+use crate::platform::{PlatformAccess, read_version_row, version_key};
 
 /// How a command to publish ended well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -41,36 +41,39 @@
     snapshot: ConfigSnapshot,
     attempt: PublishAttempt,
 ) -> Result<PublishReport, MeshError> {
-    let key = row_key(&snapshot.mesh)?;
-    let current = read_row(access, &key).await?;
+    let mesh = snapshot.mesh.clone();
+    let current = read_version_row(access, &mesh).await?;
     if let Some(stamp) = unchanged_stamp(current.as_ref(), &snapshot) {
         return Ok(PublishReport::Unchanged(stamp));
     }
     let plan = PublishPlan::new(current.as_ref(), snapshot, attempt)?;
     store_object(access, &plan).await?;
-    write_row(access, &key, &plan)
+    write_row(access, &mesh, &plan)
         .await
         .map(PublishReport::Accepted)
 }
 
 async fn write_row(
     access: &PlatformAccess,
-    key: &RowKey,
+    mesh: &MeshName,
     plan: &PublishPlan,
 ) -> Result<VersionStamp, MeshError> {
+    let key = version_key(mesh)?;
     let mut step = PublishStep::Write;
     loop {
         step = match step {
             PublishStep::Write if access.is_over() => return Err(time_is_up(plan)),
             PublishStep::Write => {
-                let answer = send_write(access, key, plan).await?;
+                let answer = send_write(access, &key, plan).await?;
                 if answer == WriteAnswer::Unknown {
                     access.pause().await;
                 }
                 plan.after_write(&answer)
             }
             PublishStep::ReadBack => {
-                let current = read_row(access, key).await.map_err(|_| time_is_up(plan))?;
+                let current = read_version_row(access, mesh)
+                    .await
+                    .map_err(|_| time_is_up(plan))?;
                 plan.after_read(current.as_ref())
             }
             PublishStep::Finished(outcome) => return plan.report(&outcome),
@@ -110,19 +113,6 @@
         .await
 }
 
-async fn read_row(access: &PlatformAccess, key: &RowKey) -> Result<Option<CurrentRow>, MeshError> {
-    let row = access
-        .repeat(|| access.client.get_row(key, access.deadline))
-        .await?;
-    let Some(row) = row else {
-        return Ok(None);
-    };
-    Ok(Some(CurrentRow {
-        row: VersionRow::from_json(&row.value)?,
-        revision: row.revision.get(),
-    }))
-}
-
 fn unchanged_stamp(
     current: Option<&CurrentRow>,
     snapshot: &ConfigSnapshot,
@@ -131,10 +121,6 @@
     (stamp.hash == ContentHash::of(&snapshot.to_bytes())).then_some(stamp)
 }
 
-fn row_key(mesh: &MeshName) -> Result<RowKey, MeshError> {
-    VersionRow::key(mesh).parse()
-}
-
 fn time_is_up(plan: &PublishPlan) -> MeshError {
     let number = plan.row().number;
     MeshError::new(
--- /dev/null
+++ b/crates/cli/src/status/mod.rs
@@ -0,0 +1,7 @@
+//! What the nodes of a mesh run.
+
+mod mesh_status;
+mod status_command;
+mod status_table;
+
+pub(crate) use status_command::STATUS_COMMAND;
--- /dev/null
+++ b/crates/cli/src/status/status_table.rs
@@ -0,0 +1,77 @@
+use bronzelb_kernel::ids::VersionNumber;
+
+use crate::{
+    output::{format_age, format_table},
+    status::mesh_status::{AcceptedVersion, CentreSummary, MeshStatus, NodeLine, state_name},
+};
+
+const HEADINGS: [&str; 7] = [
+    "DATA CENTRE",
+    "NODE",
+    "STATE",
+    "VERSION",
+    "AGE",
+    "PLATFORM",
+    "BACKEND SERVERS",
+];
+
+/// Writes a mesh's status for people.
+pub(super) fn to_text(status: &MeshStatus) -> String {
+    let mut lines = Vec::new();
+    lines.extend(status.accepted.as_ref().map(accepted_line));
+    lines.push(format_table(HEADINGS, status.nodes.iter().map(node_cells)));
+    for (centre, summary) in &status.data_centres {
+        lines.push(format!("{centre}: {}", centre_line(summary)));
+    }
+    if !status.not_heard.is_empty() {
+        lines.push("not heard:".to_owned());
+        lines.extend(status.not_heard.iter().map(|line| format!("  {line}")));
+    }
+    lines.join("\n")
+}
+
+fn accepted_line(accepted: &AcceptedVersion) -> String {
+    format!(
+        "newest accepted version: {} (by {}, {} ago)",
+        accepted.number,
+        accepted.publisher,
+        format_age(accepted.age_ms)
+    )
+}
+
+fn node_cells(line: &NodeLine) -> [String; 7] {
+    let platform = if line.is_platform_away {
+        "away"
+    } else {
+        "answers"
+    };
+    let age = line.version.map(|_| format_age(line.age_ms));
+    [
+        line.data_centre.to_string(),
+        line.node.to_string(),
+        state_name(line.state).to_owned(),
+        version_text(line.version),
+        age.unwrap_or_else(|| "-".to_owned()),
+        platform.to_owned(),
+        line.backends.to_string(),
+    ]
+}
+
+fn centre_line(summary: &CentreSummary) -> String {
+    let versions = match (summary.lowest, summary.highest) {
+        (lowest, highest) if lowest == highest => format!("version {}", version_text(highest)),
+        (lowest, highest) => format!(
+            "versions {} to {}",
+            version_text(lowest),
+            version_text(highest)
+        ),
+    };
+    format!(
+        "{} heard with {versions}, {} not heard",
+        summary.heard, summary.not_heard
+    )
+}
+
+fn version_text(version: Option<VersionNumber>) -> String {
+    version.map_or_else(|| "-".to_owned(), |number| number.to_string())
+}
--- /dev/null
+++ b/crates/cli/tests/commands/diff.rs
@@ -0,0 +1,92 @@
+//! `diff` shows what a change of answers does, by the proxies that it reaches.
+
+use std::fs;
+
+use expect_test::expect;
+
+use crate::support::{CommandRun, example, run};
+
+/// Compares the example's answers with the same ones after `edits`.
+fn diff_after(edits: &[(&str, &str)], extra: &[&str]) -> CommandRun {
+    let old = example("hemelval");
+    let mut text = fs::read_to_string(&old).expect("is readable");
+    for (from, to) in edits {
+        assert!(text.contains(from), "{from:?} is in the answers");
+        text = text.replacen(from, to, 1);
+    }
+    let folder = tempfile::tempdir().expect("is writable");
+    let path = folder.path().join("answers.yaml");
+    fs::write(&path, text).expect("is writable");
+    let mut args = vec!["diff", &old, path.to_str().expect("is UTF-8")];
+    args.extend(extra);
+    run(&args)
+}
+
+#[test]
+fn equal_answers_change_nothing() {
+    let run = diff_after(
+        &[("# Answers of Hemelval", "# Questionnaire of Hemelval")],
+        &[],
+    );
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    expect![[r#"
+        every proxy: no change
+        proxies in antwerp: no change
+        proxies in brussels: no change
+        proxies in leuven: no change
+    "#]]
+    .assert_eq(&run.stdout);
+}
+
+#[test]
+fn changes_are_shown_where_they_act() {
+    let edits = [
+        (
+            "brussels: 500us, antwerp: 500us",
+            "brussels: 2ms, antwerp: 500us",
+        ),
+        ("drain: 60s", "drain: 45s"),
+        (
+            "  replay: {report_format: plain-status}\n",
+            "  replay: {slots: 3}\n",
+        ),
+        (
+            "    path: /positions\n    methods: [GET]",
+            "    path: /places\n    methods: [GET]",
+        ),
+    ];
+    let run = diff_after(&edits, &[]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    expect![[r#"
+        every proxy: 4 changes
+          ~ routes.positions.path: /positions -> /places
+          ~ services.dispatcher.drain: 1m -> 45s
+          ~ services.replay.report_format: plain-status -> json-load
+          ~ services.replay.slots: 12 -> 3
+        proxies in antwerp: no change
+        proxies in brussels: 1 change
+          ~ proxies.brussels.spill_order: ["leuven","antwerp"] -> ["antwerp","leuven"]
+        proxies in leuven: no change
+    "#]]
+    .assert_eq(&run.stdout);
+}
+
+#[test]
+fn programs_get_old_and_new_values() {
+    let run = diff_after(&[("drain: 60s", "drain: 45s")], &["--output", "json"]);
+    expect![[r#"
+        {"every_proxy":[{"field":"services.dispatcher.drain","change":"changed","old":"1m","new":"45s"}],"data_centres":{"antwerp":[],"brussels":[],"leuven":[]}}
+    "#]].assert_eq(&run.stdout);
+}
+
+#[test]
+fn a_mistake_on_either_side_is_reported() {
+    let run = diff_after(&[("drain: 60s", "drain: 60")], &[]);
+    assert_eq!(run.code, 2);
+    assert_eq!(run.stdout, "");
+    assert!(
+        run.stderr.contains("services.dispatcher.drain"),
+        "{}",
+        run.stderr
+    );
+}
--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -1,6 +1,10 @@
 //! Every command, run in the test's own process.
 
 mod bad_answers;
+mod completions;
 mod definition;
+mod diff;
+mod init;
 mod publish;
+mod status;
 mod support;
--- /dev/null
+++ b/crates/cli/tests/commands/status.rs
@@ -0,0 +1,101 @@
+//! `status` and `publish --wait` say what they heard and what they could not hear.
+
+use expect_test::expect;
+
+use crate::support::{CommandRun, example, run, stand_in_node::StandInNode};
+
+fn status(extra: &[&str]) -> CommandRun {
+    let mut args = vec!["status"];
+    args.extend(extra);
+    run(&args)
+}
+
+#[test]
+fn nodes_are_shown_with_version_age_and_state() {
+    let first = StandInNode::start("leuven-1", "leuven", 3);
+    let second = StandInNode::start("ghent-1", "ghent", 2);
+    let run = status(&["--node", &first.address(), "--node", &second.address()]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    expect![[r#"
+        DATA CENTRE  NODE      STATE    VERSION  AGE  PLATFORM  BACKEND SERVERS
+        leuven       leuven-1  serving  3        1m   answers   0
+        ghent        ghent-1   serving  2        1m   answers   0
+        ghent: 1 heard with version 2, 1 not heard
+        leuven: 1 heard with version 3, 0 not heard
+        not heard:
+          node ghent-2 in ghent: not asked; ghent-1 knows it as suspect
+    "#]]
+    .assert_eq(&run.stdout);
+}
+
+#[test]
+fn a_node_that_does_not_answer_is_listed() {
+    let node = StandInNode::start("leuven-1", "leuven", 3);
+    let gone = StandInNode::start("ghent-1", "ghent", 3).stop();
+    let run = status(&["--node", &node.address(), "--node", &gone]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    let heard = format!("not heard:\n  node {gone} does not answer");
+    assert!(run.stdout.contains(&heard), "{}", run.stdout);
+}
+
+#[test]
+fn silence_of_every_node_is_a_failure() {
+    let gone = StandInNode::start("ghent-1", "ghent", 3).stop();
+    let run = status(&["--node", &gone]);
+    assert_eq!(run.code, 6);
+    assert!(run.stderr.contains("no node answered"), "{}", run.stderr);
+}
+
+#[test]
+fn a_node_that_never_ends_its_answer_is_given_up() {
+    let silent = StandInNode::start_silent();
+    let run = status(&["--node", &silent.address(), "--timeout", "300ms"]);
+    assert_eq!(run.code, 6);
+    assert!(run.stdout.contains("no answer in time"), "{}", run.stdout);
+}
+
+#[test]
+fn programs_get_one_document() {
+    let node = StandInNode::start("leuven-1", "leuven", 3);
+    let run = status(&["--node", &node.address(), "--output", "json"]);
+    let document: serde_json::Value = serde_json::from_str(&run.stdout).expect("is JSON");
+    assert_eq!(document["nodes"][0]["version"], 3);
+    assert_eq!(document["data_centres"]["ghent"]["not_heard"], 1);
+}
+
+#[test]
+fn publish_waits_for_the_nodes_that_it_is_given() {
+    let node = StandInNode::start("leuven-1", "leuven", 1);
+    let run = publish("wait-reached", &node, "5s");
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    assert_eq!(run.stderr, "", "nothing but the result in a pipe");
+}
+
+#[test]
+fn publish_names_the_nodes_that_were_not_there_in_time() {
+    let node = StandInNode::start("leuven-1", "leuven", 0);
+    let run = publish("wait-late", &node, "400ms");
+    assert_eq!(run.code, 6);
+    assert!(run.stdout.starts_with("accepted as version 1 "));
+    expect![[r#"
+        error: version 1 is accepted and not yet in force everywhere: node leuven-1 has version 0
+    "#]]
+    .assert_eq(&run.stderr);
+}
+
+fn publish(platform: &str, node: &StandInNode, timeout: &str) -> CommandRun {
+    let answers = example("hemelval");
+    run(&[
+        "publish",
+        &answers,
+        "--platform",
+        platform,
+        "--platform-kind",
+        "memory",
+        "--timeout",
+        timeout,
+        "--wait",
+        "--node",
+        &node.address(),
+    ])
+}
--- a/crates/cli/tests/commands/support/mod.rs
+++ b/crates/cli/tests/commands/support/mod.rs
@@ -1,6 +1,7 @@
 //! Runs commands in the test's own process, against a platform in memory.
 
 pub(crate) mod memory_platform;
+pub(crate) mod stand_in_node;
 
 use bronzelb::output::OutputPrinter;
 
--- /dev/null
+++ b/crates/cli/tests/commands/support/stand_in_node.rs
@@ -0,0 +1,114 @@
+//! A stand-in for a node's listener for operators.
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+};
+
+use serde_json::{Value, json};
+
+/// Answers every request with one status, until it is dropped.
+pub(crate) struct StandInNode {
+    address: SocketAddr,
+    is_stopped: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl StandInNode {
+    /// Starts a node whose version `number` has been in force for 90 s.
+    ///
+    /// It knows one more node, `ghent-2` in `ghent`.
+    pub(crate) fn start(name: &str, centre: &str, number: u64) -> Self {
+        let body = status(name, centre, number).to_string();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+             connection: close\r\n\r\n",
+            body.len()
+        );
+        Self::serve(move |stream| {
+            let _ = stream.write_all(format!("{head}{body}").as_bytes());
+        })
+    }
+
+    /// Starts a node that announces an answer and never sends it.
+    pub(crate) fn start_silent() -> Self {
+        let mut held = Vec::new();
+        Self::serve(move |stream| {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{");
+            held.extend(stream.try_clone());
+        })
+    }
+
+    /// Returns the address of the listener.
+    pub(crate) fn address(&self) -> String {
+        self.address.to_string()
+    }
+
+    /// Stops the node and returns the address at which it no longer answers.
+    pub(crate) fn stop(self) -> String {
+        self.address()
+    }
+
+    fn serve(mut answer: impl FnMut(&mut TcpStream) + Send + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("is bound");
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let stop = Arc::clone(&is_stopped);
+        let thread = thread::spawn(move || {
+            for stream in listener.incoming() {
+                if stop.load(Ordering::SeqCst) {
+                    return;
+                }
+                let mut stream = stream.expect("a connection arrives");
+                read_head(&stream);
+                answer(&mut stream);
+            }
+        });
+        Self {
+            address,
+            is_stopped,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for StandInNode {
+    fn drop(&mut self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        // Wakes the thread, which waits for a connection.
+        let _ = TcpStream::connect(self.address);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn read_head(stream: &TcpStream) {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    while reader.read_line(&mut line).is_ok_and(|count| count > 2) {
+        line.clear();
+    }
+}
+
+fn status(name: &str, centre: &str, number: u64) -> Value {
+    let member = |name: &str, centre: &str, state: &str| json!({"node": name, "data_centre": centre, "state": state, "backends": []});
+    json!({
+        "mesh": "hemelval",
+        "node": name,
+        "data_centre": centre,
+        "incarnation": 1,
+        "state": "serving",
+        "callers": "127.0.0.1:1",
+        "version": {"number": number, "hash": "0".repeat(64)},
+        "applied_at": 10_000_000,
+        "now": 100_000_000,
+        "is_platform_away": false,
+        "members": [member(name, centre, "serving"), member("ghent-2", "ghent", "suspect")],
+    })
+}
