--- a/crates/kernel/src/rollout/doubt_watch.rs
+++ b/crates/kernel/src/rollout/doubt_watch.rs
@@ -7,18 +7,25 @@
     },
 };
 
-const DOUBT_LIMIT: f64 = 6.9;
-const DOUBT_TIME: TimeBudget = TimeBudget::from_secs(15);
-const REST_TIME: TimeBudget = TimeBudget::from_secs(20);
+/// Level of a cumulative sum at which a doubt begins.
+const DOUBT_LIMIT: f64 = 4.6;
+const SHORTEST_DOUBT: TimeBudget = TimeBudget::from_secs(10);
+const LONGEST_DOUBT: TimeBudget = TimeBudget::from_secs(120);
+const DOUBT_REQUESTS: f64 = 120.0;
+const REST_TIME: TimeBudget = TimeBudget::from_secs(5);
 const FAILURE_TOLERANCE: f64 = 0.02;
 const FAILURE_EXCESS: f64 = 0.12;
 const SLOW_SHARE: f64 = 0.08;
 const SLOW_EXCESS_SHARE: f64 = 0.22;
 const PRIOR_REQUESTS: f64 = 50.0;
+const LARGEST_USUAL_SHARE: f64 = 0.80;
+
+/// Shares of the new version in the first, second and third doubt. The first tells two versions
+/// apart soonest; the others keep a fault alive that shows only under load.
 const DOUBT_SHARES: [ShareRatio; 3] = [
+    ShareRatio::from_ppm(370_000),
     ShareRatio::from_ppm(750_000),
-    ShareRatio::from_ppm(850_000),
-    ShareRatio::from_ppm(920_000),
+    ShareRatio::from_ppm(900_000),
 ];
 
 /// Watch for a fault that begins when little traffic is left on the old version.
@@ -31,7 +38,8 @@
     failures: f64,
     slow: f64,
     doubts: usize,
-    doubt_until: ClockInstant,
+    requests: f64,
+    begun_at: Option<ClockInstant>,
     rest_until: ClockInstant,
 }
 
@@ -45,45 +53,71 @@
         wanted: ShareRatio,
         now: ClockInstant,
     ) {
-        let is_idle = wanted <= DOUBT_SHARES[0] || !self.rest_until.has_passed(now);
-        if is_idle {
-            self.failures = 0.0;
-            self.slow = 0.0;
+        if self.begun_at.is_some() {
+            self.requests += sum_of(bin, failure_count).requests + bin.old.requests as f64;
+            self.end_if_over(now);
             return;
         }
+        self.sum_up(bin, baseline, tail);
+        let is_doubtful = self.failures.max(self.slow) >= DOUBT_LIMIT;
+        if is_doubtful && wanted > self.next_share() && self.rest_until.has_passed(now) {
+            self.doubts += 1;
+            self.requests = 0.0;
+            self.begun_at = Some(now);
+        }
+    }
+
+    /// Returns the share of the new version while there is a doubt.
+    #[must_use]
+    pub fn share(&self) -> Option<ShareRatio> {
+        self.begun_at?;
+        let step = self.doubts.saturating_sub(1) % DOUBT_SHARES.len();
+        Some(DOUBT_SHARES[step])
+    }
+
+    fn next_share(&self) -> ShareRatio {
+        DOUBT_SHARES[self.doubts % DOUBT_SHARES.len()]
+    }
+
+    fn sum_up(&mut self, bin: &RouteBin, baseline: EventCount, tail: Option<u8>) {
         let usual = baseline.events / (baseline.requests + PRIOR_REQUESTS);
+        let usual = usual.min(LARGEST_USUAL_SHARE);
         let failed = sum_of(bin, failure_count);
-        self.failures = raised(
-            self.failures,
-            failed,
-            usual + FAILURE_TOLERANCE,
-            usual + FAILURE_EXCESS,
-        );
+        let odds = (usual + FAILURE_TOLERANCE, usual + FAILURE_EXCESS);
+        self.failures = sum_after(self.failures, failed, odds);
         if let Some(tail) = tail {
             let slow = sum_of(bin, |cell| slow_count(cell, tail));
-            self.slow = raised(self.slow, slow, SLOW_SHARE, SLOW_EXCESS_SHARE);
-        }
-        if self.failures.max(self.slow) >= DOUBT_LIMIT {
-            self.begin(now);
+            self.slow = sum_after(self.slow, slow, (SLOW_SHARE, SLOW_EXCESS_SHARE));
         }
     }
 
-    /// Returns the share of the new version while there is a doubt.
-    #[must_use]
-    pub fn share(&self, now: ClockInstant) -> Option<ShareRatio> {
-        let step = self.doubts.checked_sub(1)? % DOUBT_SHARES.len();
-        (!self.doubt_until.has_passed(now)).then_some(DOUBT_SHARES[step])
+    fn end_if_over(&mut self, now: ClockInstant) {
+        let Some(begun_at) = self.begun_at else {
+            return;
+        };
+        let has_enough =
+            self.requests >= DOUBT_REQUESTS && begun_at.after(SHORTEST_DOUBT).has_passed(now);
+        if has_enough || begun_at.after(LONGEST_DOUBT).has_passed(now) {
+            self.begun_at = None;
+            self.rest_until = now.after(REST_TIME);
+            self.failures = 0.0;
+            self.slow = 0.0;
+        }
     }
+}
 
-    fn begin(&mut self, now: ClockInstant) {
-        self.doubts += 1;
-        self.doubt_until = now.after(DOUBT_TIME);
-        self.rest_until = now.after(REST_TIME);
-        self.failures = 0.0;
-        self.slow = 0.0;
-    }
+/// Returns a cumulative sum after more requests; `shares` are the usual and the raised share of
+/// events among them.
+fn sum_after(sum: f64, count: EventCount, shares: (f64, f64)) -> f64 {
+    let (usual, raised) = shares;
+    let misses = count.requests - count.events;
+    let gain = count.events * (raised / usual).ln();
+    let loss = misses * ((1.0 - raised) / (1.0 - usual)).ln();
+    (sum + gain + loss).clamp(0.0, LARGEST_SUM)
 }
 
+const LARGEST_SUM: f64 = 2.0 * DOUBT_LIMIT;
+
 fn sum_of(
     bin: &RouteBin,
     count: impl Fn(&crate::rollout::EvidenceCell) -> EventCount,
@@ -92,12 +126,3 @@
     bin.new.values().for_each(|cell| sum.add(count(cell)));
     sum
 }
-
-fn raised(held: f64, count: EventCount, usual: f64, raised: f64) -> f64 {
-    let usual = usual.min(0.9);
-    let raised = raised.min(0.95);
-    let misses = count.requests - count.events;
-    let gain = count.events * (raised / usual).ln();
-    let loss = misses * ((1.0 - raised) / (1.0 - usual)).ln();
-    (held + gain + loss).max(0.0)
-}
--- a/crates/kernel/src/rollout/latency_histogram.rs
+++ b/crates/kernel/src/rollout/latency_histogram.rs
@@ -47,17 +47,6 @@
         self.buckets.iter().map(|(bucket, count)| (*bucket, *count))
     }
 
-    /// Returns the larger count of each bucket.
-    #[must_use]
-    pub fn max(&self, other: &Self) -> Self {
-        let mut merged = self.clone();
-        for (bucket, count) in other.iter() {
-            let held = merged.buckets.entry(bucket).or_default();
-            *held = (*held).max(count);
-        }
-        merged
-    }
-
     /// Returns what this histogram counted beyond `earlier`.
     #[must_use]
     pub fn since(&self, earlier: &Self) -> Self {
--- a/crates/kernel/src/rollout/move_table.rs
+++ b/crates/kernel/src/rollout/move_table.rs
@@ -76,7 +76,7 @@
     pub fn merge_evidence(
         &mut self,
         service: &ServiceName,
-        evidence: NodeEvidence,
+        evidence: &NodeEvidence,
         now: ClockInstant,
     ) {
         if let Some(entry) = self.entries.get_mut(service) {
@@ -140,7 +140,7 @@
                 continue;
             }
             entry.own.taken_at = now;
-            entry.judge.merge(entry.own.clone(), now);
+            entry.judge.merge(&entry.own, now);
             let Some((route, fault)) = entry.judge.tick(now) else {
                 continue;
             };
--- a/crates/kernel/src/rollout/node_evidence.rs
+++ b/crates/kernel/src/rollout/node_evidence.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::{cmp::Ordering, collections::BTreeMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -57,14 +57,6 @@
         }
     }
 
-    fn max(&self, other: &Self) -> Self {
-        Self {
-            requests: self.requests.max(other.requests),
-            failures: self.failures.max(other.failures),
-            latency: self.latency.max(&other.latency),
-        }
-    }
-
     fn since(&self, earlier: &Self) -> Self {
         Self {
             requests: self.requests.saturating_sub(earlier.requests),
@@ -136,31 +128,25 @@
         }
     }
 
-    /// Merges two views of the same slot and move: the larger count of each cell.
+    /// Merges a view of the same slot and move into this one, the larger count of each cell,
+    /// and returns what it added.
     ///
-    /// A higher run or move replaces a lower one.
-    #[must_use]
-    pub fn merge(self, other: Self) -> Self {
-        let order =
-            (self.slot.incarnation, self.number).cmp(&(other.slot.incarnation, other.number));
-        match order {
-            std::cmp::Ordering::Greater => self,
-            std::cmp::Ordering::Less => other,
-            std::cmp::Ordering::Equal => self.merge_cells(&other),
+    /// A view of a lower run or move adds nothing; one of a higher run or move replaces this one
+    /// and adds all that it counted.
+    pub fn absorb(&mut self, other: &Self) -> Vec<(EvidenceKey, EvidenceCell)> {
+        match other.order().cmp(&self.order()) {
+            Ordering::Less => return Vec::new(),
+            Ordering::Greater => {
+                self.slot = other.slot.clone();
+                self.number = other.number;
+                self.taken_at = other.taken_at;
+                self.cells.clear();
+            }
+            Ordering::Equal => self.taken_at = self.taken_at.max(other.taken_at),
         }
-    }
-
-    /// Returns what was counted beyond `earlier`.
-    #[must_use]
-    pub fn since(&self, earlier: &Self) -> Vec<(EvidenceKey, EvidenceCell)> {
-        let empty = EvidenceCell::default();
-        self.cells
-            .iter()
-            .map(|(key, cell)| {
-                let held = earlier.cells.get(key).unwrap_or(&empty);
-                (key.clone(), cell.since(held))
-            })
-            .filter(|(_, cell)| cell.requests > 0)
+        let cells = other.cells.iter();
+        cells
+            .filter_map(|(key, cell)| Some((key.clone(), self.absorb_cell(key, cell)?)))
             .collect()
     }
 
@@ -180,22 +166,31 @@
             .map_err(|error| MeshError::invalid(format!("move evidence is malformed: {error}")))
     }
 
-    fn merge_cells(mut self, other: &Self) -> Self {
-        self.taken_at = self.taken_at.max(other.taken_at);
-        for (key, cell) in &other.cells {
-            let held = self.cells.entry(key.clone()).or_default();
-            *held = held.max(cell);
+    fn order(&self) -> (IncarnationNumber, MoveNumber) {
+        (self.slot.incarnation, self.number)
+    }
+
+    fn absorb_cell(&mut self, key: &EvidenceKey, cell: &EvidenceCell) -> Option<EvidenceCell> {
+        let Some(held) = self.cells.get_mut(key) else {
+            self.cells.insert(key.clone(), cell.clone());
+            return Some(cell.clone());
+        };
+        if cell.requests <= held.requests {
+            return None;
         }
-        self
+        let news = cell.since(held);
+        held.add(&news);
+        Some(news)
     }
 }
 
 fn merge_bytes(held: Option<&[u8]>, received: &[u8]) -> Result<Vec<u8>, MeshError> {
     let received = NodeEvidence::from_bytes(received)?;
-    let merged = match held {
-        Some(held) => NodeEvidence::from_bytes(held)?.merge(received),
-        None => received,
+    let Some(held) = held else {
+        return Ok(received.to_bytes());
     };
+    let mut merged = NodeEvidence::from_bytes(held)?;
+    merged.absorb(&received);
     Ok(merged.to_bytes())
 }
 
