--- /dev/null
+++ b/crates/emulator/src/command/mod.rs
@@ -0,0 +1,8 @@
+//! The command line of `bronzelb-emulator`.
+
+mod arguments;
+mod backend_command;
+mod emulator_command;
+mod platform_command;
+
+pub use emulator_command::run;
