Test spreading, membership and records in the kernel

Own seeded loops over a few nodes with drops, duplicates, late messages, altered content, pauses, kills, cuts and an unreliable platform; every step checks that no node goes back and none runs an unaccepted or unchecked version.

Found and mended: half of a returning herd (6 of 12) read the body from the object store, because a starting node did not wait for its peers to offer it; it now gives them 0.5 to 1 s.

--- a/crates/kernel/src/spread/fetch_plan.rs
+++ b/crates/kernel/src/spread/fetch_plan.rs
@@ -55,11 +55,11 @@
 }
 
 impl FetchPlan {
-    /// Notes that `source` holds the version `stamp`.
-    pub fn heard(&mut self, stamp: VersionStamp, source: FetchSource) {
+    /// Notes that `source` holds the version `stamp` and may be asked from `ready_at` on.
+    pub fn heard(&mut self, stamp: VersionStamp, source: FetchSource, ready_at: ClockInstant) {
         let offer = self.offers.entry(stamp).or_default();
         if offer.sources.len() < MAX_SOURCES {
-            offer.sources.entry(source).or_default();
+            offer.sources.entry(source).or_insert(ready_at);
         }
         if self.offers.len() > MAX_OFFERED_STAMPS {
             self.offers.pop_first();
--- a/crates/kernel/src/spread/node_answer.rs
+++ b/crates/kernel/src/spread/node_answer.rs
@@ -17,6 +17,8 @@
 const MAX_BUCKETS: u8 = 16;
 const MAX_BUCKETS_AT_START: u8 = 64;
 const MAX_RETURNED_ROWS: usize = 256;
+const STORE_WAIT_MIN_MS: u64 = 500;
+const STORE_WAIT_MAX_MS: u64 = 1_000;
 const ALTERED_RETRY: TimeBudget = TimeBudget::from_secs(30);
 
 impl SpreadNode {
@@ -96,7 +98,8 @@
         self.gate.source_answered();
         if let Some(row) = row.filter(|row| self.holder.wants(row.stamp())) {
             let source = FetchSource::Store(row.object.clone());
-            self.fetches.heard(row.stamp(), source);
+            let ready_at = self.store_ready_at(now, rng);
+            self.fetches.heard(row.stamp(), source, ready_at);
         }
         self.start_fetch(now, rng);
         self.update_gate(now);
@@ -129,6 +132,16 @@
         self.update_gate(now);
     }
 
+    /// Returns when the object store may be asked: a starting node gives its peers time to offer
+    /// the content, so that a herd that returns does not read it from the platform.
+    fn store_ready_at(&self, now: ClockInstant, rng: &mut impl Rng) -> ClockInstant {
+        if self.gate.is_open() || self.seeds.is_empty() {
+            return now;
+        }
+        let wait = rng.random_range(STORE_WAIT_MIN_MS..=STORE_WAIT_MAX_MS);
+        now.after(TimeBudget::from_millis(wait))
+    }
+
     fn take_reply(&mut self, to: &PeerTarget, reply: GossipReply, now: ClockInstant) {
         let is_exchange = reply.digest.is_some();
         self.note_contact(&reply.from, is_exchange, now);
--- a/crates/kernel/src/spread/node_receive.rs
+++ b/crates/kernel/src/spread/node_receive.rs
@@ -105,7 +105,7 @@
         };
         if self.holder.wants(stamp) {
             let source = FetchSource::Peer(from.node.clone());
-            self.fetches.heard(stamp, source);
+            self.fetches.heard(stamp, source, now);
         }
     }
 
--- /dev/null
+++ b/crates/kernel/tests/spread/fixture.rs
@@ -0,0 +1,485 @@
+//! A few spread nodes with a lossy network and a platform, stepped by one seed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    config::{ConfigSnapshot, check_snapshot},
+    error::{ErrorKind, MeshError},
+    ids::{AttemptToken, ContentHash, DataCentre, IncarnationNumber, NodeName, VersionNumber},
+    member::{MemberRow, MemberState},
+    spread::{
+        CurrentRow, FetchSource, ProbeReply, PublishAttempt, PublishPlan, SnapshotReply,
+        SnapshotRequest, SpreadAction, SpreadChange, SpreadNode, SpreadRule, VersionFetch,
+        VersionRow,
+    },
+};
+use bytes::Bytes;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const TICK: TimeBudget = TimeBudget::from_millis(50);
+const START: ClockInstant = ClockInstant::from_millis(1_000_000);
+
+type Event = Box<dyn FnOnce(&mut MeshFixture)>;
+
+/// The platform: one row, its objects, and faults.
+#[derive(Default)]
+pub(crate) struct FakeSource {
+    pub(crate) current: Option<CurrentRow>,
+    pub(crate) objects: BTreeMap<String, Bytes>,
+    pub(crate) is_away: bool,
+    pub(crate) answer_ms: u64,
+    pub(crate) row_reads: u64,
+    pub(crate) object_reads: u64,
+}
+
+pub(crate) struct MeshFixture {
+    pub(crate) now: ClockInstant,
+    pub(crate) rng: StdRng,
+    pub(crate) rule: SpreadRule,
+    pub(crate) nodes: BTreeMap<NodeName, SpreadNode>,
+    pub(crate) source: FakeSource,
+    /// Data centres that reach neither the others nor the platform.
+    pub(crate) cut: BTreeSet<DataCentre>,
+    pub(crate) paused: BTreeSet<NodeName>,
+    pub(crate) drop_percent: u32,
+    pub(crate) duplicate_percent: u32,
+    pub(crate) alter_percent: u32,
+    /// Hash of every accepted version that passes its checks.
+    pub(crate) accepted: BTreeMap<VersionNumber, ContentHash>,
+    pub(crate) changes: Vec<(NodeName, SpreadChange)>,
+    rows: BTreeMap<NodeName, MemberRow>,
+    runs: BTreeMap<NodeName, u64>,
+    in_force: BTreeMap<NodeName, VersionNumber>,
+    queue: BTreeMap<(ClockInstant, u64), Event>,
+    event_count: u64,
+    attempts: u128,
+}
+
+impl MeshFixture {
+    /// Builds `per_centre` nodes in each of `centres` data centres.
+    pub(crate) fn new(seed: u64, centres: u8, per_centre: u8) -> Self {
+        let mut mesh = Self {
+            now: START,
+            rng: StdRng::seed_from_u64(seed),
+            rule: SpreadRule::default(),
+            nodes: BTreeMap::new(),
+            source: FakeSource::default(),
+            cut: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            drop_percent: 0,
+            duplicate_percent: 0,
+            alter_percent: 0,
+            accepted: BTreeMap::new(),
+            changes: Vec::new(),
+            rows: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            in_force: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            event_count: 0,
+            attempts: 0,
+        };
+        for centre in 1..=centres {
+            for number in 1..=per_centre {
+                mesh.add_row(centre, number);
+            }
+        }
+        for node in mesh.names() {
+            mesh.start(&node);
+        }
+        mesh
+    }
+
+    fn add_row(&mut self, centre: u8, number: u8) {
+        let node: NodeName = format!("n{centre}-{number:02}").parse().unwrap();
+        let row = MemberRow {
+            node: node.clone(),
+            incarnation: IncarnationNumber::new(0),
+            revision: 0,
+            state: MemberState::Starting,
+            data_centre: format!("dc{centre}").parse().unwrap(),
+            peer_address: SocketAddr::from(([127, 0, centre, number], 1)),
+            backends: Vec::new(),
+        };
+        self.rows.insert(node, row);
+    }
+
+    pub(crate) fn names(&self) -> Vec<NodeName> {
+        self.rows.keys().cloned().collect()
+    }
+
+    pub(crate) fn centre_of(&self, node: &NodeName) -> DataCentre {
+        self.rows[node].data_centre.clone()
+    }
+
+    /// Starts a node, or starts it anew with nothing in memory.
+    pub(crate) fn start(&mut self, node: &NodeName) {
+        let mut row = self.rows[node].clone();
+        row.incarnation = IncarnationNumber::new(self.now.as_micros());
+        let seeds = self.rows.values().step_by(3).map(|row| row.peer_address);
+        let seeds = seeds.collect();
+        let mesh = "m".parse().unwrap();
+        let rule = self.rule.clone();
+        let started = SpreadNode::new(mesh, row, seeds, rule, self.now, &mut self.rng);
+        self.in_force.remove(node);
+        *self.runs.entry(node.clone()).or_default() += 1;
+        self.nodes.insert(node.clone(), started);
+        self.schedule_tick(node.clone(), self.now);
+    }
+
+    /// Ends a node without a word.
+    pub(crate) fn kill(&mut self, node: &NodeName) {
+        self.nodes.remove(node);
+        self.paused.remove(node);
+    }
+
+    pub(crate) fn run_for(&mut self, millis: u64) {
+        let end = self.now.after(TimeBudget::from_millis(millis));
+        while let Some(entry) = self.queue.first_entry() {
+            let (at, _) = *entry.key();
+            if at > end {
+                break;
+            }
+            let event = entry.remove();
+            self.now = at;
+            event(self);
+        }
+        self.now = end;
+    }
+
+    /// Runs until `check` holds and returns the milliseconds that took, at most `limit`.
+    pub(crate) fn run_until(&mut self, limit: u64, check: impl Fn(&Self) -> bool) -> u64 {
+        let start = self.now;
+        while !check(self) {
+            let millis = start.elapsed(self.now).as_millis();
+            assert!(millis < limit, "not reached within {limit} ms");
+            self.run_for(50);
+        }
+        start.elapsed(self.now).as_millis()
+    }
+
+    /// Has a version accepted; `text` goes into a route's path, so versions differ.
+    pub(crate) fn publish(&mut self, text: &str) -> VersionNumber {
+        let current = self.source.current.clone();
+        self.attempts += 1;
+        let attempt = PublishAttempt {
+            token: AttemptToken::new(self.attempts),
+            publisher: "operator".into(),
+            started_at: self.now,
+        };
+        let plan = PublishPlan::new(current.as_ref(), snapshot(text), attempt).unwrap();
+        let stamp = plan.version().stamp();
+        let body = plan.version().body().clone();
+        self.source
+            .objects
+            .insert(plan.row().object.to_string(), body);
+        let revision = plan.expect() + 1;
+        let row = plan.row().clone();
+        self.source.current = Some(CurrentRow { row, revision });
+        self.accepted.insert(stamp.number, stamp.hash);
+        stamp.number
+    }
+
+    /// Puts a version that fails its checks, or is no configuration at all, into the platform.
+    pub(crate) fn publish_unchecked(&mut self, body: Bytes) -> VersionNumber {
+        let current = self.source.current.clone().expect("a first version");
+        let row = VersionRow {
+            number: current.row.number.next(),
+            hash: ContentHash::of(&body),
+            object: "bad".into(),
+            ..current.row
+        };
+        let number = row.number;
+        self.source.objects.insert("bad".to_owned(), body);
+        let revision = current.revision + 1;
+        self.source.current = Some(CurrentRow { row, revision });
+        number
+    }
+
+    pub(crate) fn number_of(&self, node: &NodeName) -> Option<VersionNumber> {
+        let version = self.nodes.get(node)?.in_force()?;
+        Some(version.stamp().number)
+    }
+
+    pub(crate) fn all_have(&self, number: VersionNumber) -> bool {
+        self.nodes
+            .keys()
+            .all(|node| self.number_of(node) == Some(number))
+    }
+
+    fn schedule(&mut self, at: ClockInstant, event: impl FnOnce(&mut Self) + 'static) {
+        self.event_count += 1;
+        self.queue.insert((at, self.event_count), Box::new(event));
+    }
+
+    fn schedule_tick(&mut self, node: NodeName, at: ClockInstant) {
+        let run = self.runs[&node];
+        self.schedule(at, move |mesh| {
+            if mesh.runs[&node] != run || !mesh.nodes.contains_key(&node) {
+                return;
+            }
+            if !mesh.paused.contains(&node) {
+                mesh.step(&node, run, SpreadNode::tick);
+            }
+            let next = mesh.now.after(TICK);
+            mesh.schedule_tick(node, next);
+        });
+    }
+
+    /// Runs a step of a node, unless it has died or been started anew, and its actions.
+    fn step<T>(
+        &mut self,
+        name: &NodeName,
+        run: u64,
+        step: impl FnOnce(&mut SpreadNode, ClockInstant, &mut StdRng) -> T,
+    ) -> Option<T> {
+        if self.runs[name] != run || self.paused.contains(name) {
+            return None;
+        }
+        let mut node = self.nodes.remove(name)?;
+        let result = step(&mut node, self.now, &mut self.rng);
+        let actions = node.take_actions();
+        self.check(name, &node);
+        self.nodes.insert(name.clone(), node);
+        for action in actions {
+            self.perform(name, run, action);
+        }
+        Some(result)
+    }
+
+    /// Runs a step from outside, such as an announcement.
+    pub(crate) fn tell(
+        &mut self,
+        name: &NodeName,
+        step: impl FnOnce(&mut SpreadNode, ClockInstant),
+    ) {
+        let run = self.runs[name];
+        self.step(name, run, |node, now, _| step(node, now));
+    }
+
+    /// Checks what must hold of every node at every step.
+    fn check(&mut self, name: &NodeName, node: &SpreadNode) {
+        let Some(version) = node.in_force() else {
+            return;
+        };
+        let stamp = version.stamp();
+        let before = self.in_force.insert(name.clone(), stamp.number);
+        assert!(before <= Some(stamp.number), "{name} went back to {stamp}");
+        if before == Some(stamp.number) {
+            return;
+        }
+        let accepted = self.accepted.get(&stamp.number);
+        assert_eq!(accepted, Some(&stamp.hash), "{name} runs a bad version");
+        assert!(check_snapshot(version.snapshot()).is_empty());
+        assert_eq!(ContentHash::of(&version.snapshot().to_bytes()), stamp.hash);
+    }
+
+    fn perform(&mut self, from: &NodeName, run: u64, action: SpreadAction) {
+        let sender = (from.clone(), run);
+        match action {
+            SpreadAction::Gossip {
+                to,
+                request,
+                deadline,
+            } => {
+                let address = to.address;
+                let ask = move |node: &mut SpreadNode, now, _: &mut StdRng| {
+                    node.receive_gossip(request.clone(), now)
+                };
+                let take = move |node: &mut SpreadNode, result, now, rng: &mut StdRng| {
+                    node.gossip_answered(&to, result, now, rng);
+                };
+                self.call(sender, address, deadline, ask, take);
+            }
+            SpreadAction::Reconcile {
+                to,
+                request,
+                deadline,
+            } => {
+                let address = to.address;
+                let ask = move |node: &mut SpreadNode, now, rng: &mut StdRng| {
+                    node.receive_reconcile(&request, now, rng)
+                };
+                let take = move |node: &mut SpreadNode, result, now, rng: &mut StdRng| {
+                    node.reconcile_answered(&to, result, now, rng);
+                };
+                self.call(sender, address, deadline, ask, take);
+            }
+            SpreadAction::ProbeVia {
+                to,
+                request,
+                deadline,
+            } => {
+                let is_alive = self.reaches(to.address, request.address);
+                let target = request.target;
+                let card = request.from;
+                let ask = move |node: &mut SpreadNode, now, _: &mut StdRng| ProbeReply {
+                    from: node.receive_contact(&card, now),
+                    is_alive,
+                };
+                let take = move |node: &mut SpreadNode, result, now, _: &mut StdRng| {
+                    node.probe_answered(&target, result, now);
+                };
+                self.call(sender, to.address, deadline, ask, take);
+            }
+            SpreadAction::Fetch(fetch) => self.fetch(sender, fetch),
+            SpreadAction::ReadSource => self.read_source(sender),
+            SpreadAction::Changed(change) => self.changes.push((from.clone(), change)),
+        }
+    }
+
+    fn fetch(&mut self, sender: (NodeName, u64), fetch: VersionFetch) {
+        let is_altered = self.rng.random_range(0..100) < self.alter_percent;
+        match fetch.source.clone() {
+            FetchSource::Peer(peer) => {
+                let request = SnapshotRequest {
+                    from: self.nodes[&sender.0].card(),
+                    stamp: fetch.stamp,
+                    base: fetch.base,
+                };
+                let address = self.rows[&peer].peer_address;
+                let deadline = self.now.after(TimeBudget::from_secs(2));
+                let ask = move |node: &mut SpreadNode, now, rng: &mut StdRng| {
+                    altered(node.receive_snapshot(&request, now, rng), is_altered)
+                };
+                let take = move |node: &mut SpreadNode, result, now, rng: &mut StdRng| {
+                    node.fetch_answered(&fetch, result, now, rng);
+                };
+                self.call(sender, address, deadline, ask, take);
+            }
+            FetchSource::Store(object) => {
+                self.source.object_reads += 1;
+                let body = self.source.objects.get(object.as_str()).cloned();
+                let reply = body.map_or(SnapshotReply::Missing, SnapshotReply::Whole);
+                let result = self.ask_source(&sender.0, altered(reply, is_altered));
+                self.answer_later(sender, move |node, now, rng| {
+                    node.fetch_answered(&fetch, result, now, rng);
+                });
+            }
+        }
+    }
+
+    fn read_source(&mut self, sender: (NodeName, u64)) {
+        self.source.row_reads += 1;
+        let row = self.source.current.as_ref().map(|held| held.row.clone());
+        let result = self.ask_source(&sender.0, row);
+        self.answer_later(sender, move |node, now, rng| {
+            node.source_answered(result, now, rng);
+        });
+    }
+
+    fn ask_source<T>(&self, from: &NodeName, answer: T) -> Result<T, MeshError> {
+        let is_cut = self.cut.contains(&self.centre_of(from));
+        if self.source.is_away || is_cut {
+            return Err(MeshError::new(ErrorKind::PlatformAway, "away"));
+        }
+        Ok(answer)
+    }
+
+    fn answer_later(
+        &mut self,
+        (name, run): (NodeName, u64),
+        take: impl FnOnce(&mut SpreadNode, ClockInstant, &mut StdRng) + 'static,
+    ) {
+        let at = self
+            .now
+            .after(TimeBudget::from_millis(self.source.answer_ms));
+        self.schedule(at, move |mesh| {
+            mesh.step(&name, run, take);
+        });
+    }
+
+    /// Carries a call to a node, with the network's faults, and its answer back.
+    fn call<T: 'static>(
+        &mut self,
+        (from, run): (NodeName, u64),
+        address: SocketAddr,
+        deadline: ClockInstant,
+        ask: impl Fn(&mut SpreadNode, ClockInstant, &mut StdRng) -> T + Clone + 'static,
+        take: impl FnOnce(&mut SpreadNode, Result<T, MeshError>, ClockInstant, &mut StdRng) + 'static,
+    ) {
+        let own = self.rows[&from].peer_address;
+        let is_lost = self.rng.random_range(0..100) < self.drop_percent;
+        let silence = MeshError::new(ErrorKind::NoBackend, "no answer");
+        if is_lost || !self.reaches(own, address) {
+            self.schedule(deadline, move |mesh| {
+                mesh.step(&from, run, |node, now, rng| {
+                    take(node, Err(silence), now, rng);
+                });
+            });
+            return;
+        }
+        let target = self.find(address).expect("a reachable node is known");
+        let target_run = self.runs[&target];
+        if self.rng.random_range(0..100) < self.duplicate_percent {
+            let (target, ask) = (target.clone(), ask.clone());
+            let at = self.later(3_000);
+            self.schedule(at, move |mesh| {
+                mesh.step(&target, target_run, ask);
+            });
+        }
+        let (arrival, wait) = (self.later(30), self.rng.random_range(1..30));
+        self.schedule(arrival, move |mesh| {
+            let answer = mesh.step(&target, target_run, ask);
+            let (at, result) = match answer {
+                Some(answer) => (mesh.now.after(TimeBudget::from_millis(wait)), Ok(answer)),
+                None => (deadline, Err(silence)),
+            };
+            mesh.schedule(at, move |mesh| {
+                mesh.step(&from, run, |node, now, rng| take(node, result, now, rng));
+            });
+        });
+    }
+
+    fn later(&mut self, max_millis: u64) -> ClockInstant {
+        let wait = self.rng.random_range(1..=max_millis);
+        self.now.after(TimeBudget::from_millis(wait))
+    }
+
+    fn find(&self, address: SocketAddr) -> Option<NodeName> {
+        let mut rows = self.rows.values();
+        let row = rows.find(|row| row.peer_address == address)?;
+        Some(row.node.clone())
+    }
+
+    /// Returns whether the network is whole between two addresses and a process is at the second.
+    fn reaches(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        let (Some(from), Some(to)) = (self.find(from), self.find(to)) else {
+            return false;
+        };
+        let (near, far) = (self.centre_of(&from), self.centre_of(&to));
+        let is_cut = near != far && (self.cut.contains(&near) || self.cut.contains(&far));
+        self.nodes.contains_key(&to) && !self.paused.contains(&to) && !is_cut
+    }
+}
+
+fn altered(reply: SnapshotReply, is_altered: bool) -> SnapshotReply {
+    let spoil = |bytes: Bytes| bytes.slice(..bytes.len() - 1);
+    match reply {
+        SnapshotReply::Whole(body) if is_altered => SnapshotReply::Whole(spoil(body)),
+        SnapshotReply::Delta(body) if is_altered => SnapshotReply::Delta(spoil(body)),
+        reply => reply,
+    }
+}
+
+/// A small configuration in which one route's path is `/text`.
+pub(crate) fn snapshot(text: &str) -> ConfigSnapshot {
+    let json = serde_json::json!({
+        "mesh": "m",
+        "proxies": {"dc1": {"spill_order": []}},
+        "services": {"tracker": {
+            "crew": null, "slots": 12, "connections": 110, "report_format": "plain",
+            "slow_start": "5s", "drain": "10s",
+            "rollout": {"first_share": "5%", "min_requests": 50, "hold": "30s"}
+        }},
+        "routes": {"landing": {
+            "path": format!("/{text}"), "methods": [], "service": "tracker",
+            "priority": "urgent", "idempotent": true, "timeout": "1s", "max_body": 1024,
+            "objective": {"success": "99%", "latency": "100ms"}
+        }}
+    });
+    serde_json::from_value(json).expect("the snapshot is well-formed")
+}
--- /dev/null
+++ b/crates/kernel/tests/spread/main.rs
@@ -0,0 +1,6 @@
+//! Spreading of versions, members and records, and publishing.
+
+mod fixture;
+mod member;
+mod publish;
+mod version;
--- /dev/null
+++ b/crates/kernel/tests/spread/member.rs
@@ -0,0 +1,282 @@
+//! Membership: who is alive, which backend servers get work, and records.
+
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    error::MeshError,
+    ids::{ByteCount, NodeName, SlotCount},
+    member::{BackendRow, BackendState, MemberState, MemberTable},
+    plugin::RecordKind,
+    spread::{RecordKey, SpreadChange, TransferGate},
+};
+use rand::{SeedableRng, rngs::StdRng, seq::SliceRandom};
+
+use crate::fixture::MeshFixture;
+
+/// The brief's "a few seconds" in which a leaving server gets its last work.
+const FEW_SECONDS_MS: u64 = 5_000;
+/// The time in which a record reaches its own data centre.
+const LOCAL_RECORD_MS: u64 = 1_000;
+const SETTLE_MS: u64 = 20_000;
+
+inventory::submit! {
+    RecordKind { name: "largest", max_bytes: 8, merge: merge_largest }
+}
+
+fn merge_largest(held: Option<&[u8]>, received: &[u8]) -> Result<Vec<u8>, MeshError> {
+    if received.is_empty() {
+        return Err(MeshError::invalid("an empty record"));
+    }
+    Ok(held.unwrap_or_default().max(received).to_vec())
+}
+
+fn backend(name: &str) -> BackendRow {
+    BackendRow {
+        name: name.parse().unwrap(),
+        service: "tracker".parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        slots: SlotCount::new(12),
+        state: BackendState::Serving,
+    }
+}
+
+fn settled(seed: u64, per_centre: u8) -> MeshFixture {
+    let mut mesh = MeshFixture::new(seed, 3, per_centre);
+    let number = mesh.publish("first");
+    mesh.run_until(SETTLE_MS, |mesh| mesh.all_have(number));
+    let all = mesh.nodes.len();
+    mesh.run_until(SETTLE_MS, |mesh| {
+        mesh.nodes
+            .values()
+            .all(|node| serving(node.members()) == all)
+    });
+    mesh
+}
+
+fn serving(table: &MemberTable) -> usize {
+    let rows = table.live();
+    rows.filter(|row| row.state == MemberState::Serving).count()
+}
+
+/// Returns, for every other running node, whether it would give work to `owner`'s servers.
+fn offers(mesh: &MeshFixture, owner: &NodeName) -> Vec<bool> {
+    let others = mesh.nodes.iter();
+    others
+        .filter(|(node, _)| *node != owner && !mesh.paused.contains(*node))
+        .map(|(_, node)| {
+            let mut live = node.members().live();
+            live.any(|row| row.node == *owner && !row.backends.is_empty())
+        })
+        .collect()
+}
+
+fn offered_everywhere(mesh: &MeshFixture, owner: &NodeName) -> bool {
+    offers(mesh, owner).into_iter().all(|offer| offer)
+}
+
+fn offered_nowhere(mesh: &MeshFixture, owner: &NodeName) -> bool {
+    offers(mesh, owner).into_iter().all(|offer| !offer)
+}
+
+#[test]
+fn server_that_comes_and_leaves_is_known_everywhere_within_seconds() {
+    for seed in 0..10 {
+        let mut mesh = settled(seed, 4);
+        let owner = mesh.names()[5].clone();
+        mesh.tell(&owner, |node, now| {
+            node.set_backends(vec![backend("b1")], now);
+        });
+        mesh.run_until(FEW_SECONDS_MS, |mesh| offered_everywhere(mesh, &owner));
+        mesh.tell(&owner, |node, now| node.set_backends(Vec::new(), now));
+        mesh.run_until(FEW_SECONDS_MS, |mesh| offered_nowhere(mesh, &owner));
+    }
+}
+
+#[test]
+fn server_beside_a_node_that_dies_without_a_word_gets_no_work_after_a_few_seconds() {
+    for seed in 0..10 {
+        let mut mesh = settled(seed, 8);
+        let owner = mesh.names()[5].clone();
+        mesh.tell(&owner, |node, now| {
+            node.set_backends(vec![backend("b1")], now);
+        });
+        mesh.run_until(FEW_SECONDS_MS, |mesh| offered_everywhere(mesh, &owner));
+        mesh.kill(&owner);
+        mesh.run_until(FEW_SECONDS_MS, |mesh| offered_nowhere(mesh, &owner));
+    }
+}
+
+#[test]
+fn paused_node_is_left_out_and_wakes_without_what_lapsed() {
+    for seed in 0..10 {
+        let mut mesh = settled(seed, 4);
+        let owner = mesh.names()[5].clone();
+        mesh.tell(&owner, |node, now| {
+            node.set_backends(vec![backend("b1")], now);
+        });
+        mesh.run_until(FEW_SECONDS_MS, |mesh| offered_everywhere(mesh, &owner));
+        let before = mesh.nodes[&owner].own().incarnation;
+        mesh.paused.insert(owner.clone());
+        mesh.run_until(FEW_SECONDS_MS, |mesh| offered_nowhere(mesh, &owner));
+        mesh.run_for(10_000);
+        assert!(
+            !mesh.nodes[&owner].is_ready(mesh.now),
+            "its lease has lapsed"
+        );
+        mesh.changes.clear();
+        mesh.paused.clear();
+        mesh.run_until(SETTLE_MS, |mesh| woke(mesh, &owner));
+        let own = mesh.nodes[&owner].own();
+        assert!(own.backends.is_empty(), "seed {seed}");
+        assert!(own.incarnation > before, "seed {seed}");
+        mesh.run_until(SETTLE_MS, |mesh| {
+            mesh.nodes
+                .values()
+                .all(|node| serving(node.members()) == 12)
+        });
+    }
+}
+
+fn woke(mesh: &MeshFixture, owner: &NodeName) -> bool {
+    let mut changes = mesh.changes.iter();
+    changes.any(|(node, change)| node == owner && matches!(change, SpreadChange::Woke))
+}
+
+#[test]
+fn node_that_drains_or_leaves_is_known_everywhere_within_seconds() {
+    for seed in 0..10 {
+        let mut mesh = settled(seed, 4);
+        let leaving = mesh.names()[2].clone();
+        for state in [MemberState::Draining, MemberState::Gone] {
+            mesh.tell(&leaving, |node, now| match state {
+                MemberState::Draining => node.drain(now),
+                _ => node.leave(now),
+            });
+            mesh.run_until(FEW_SECONDS_MS, |mesh| {
+                let mut nodes = mesh.nodes.values();
+                nodes.all(|node| node.members().get(&leaving).unwrap().state == state)
+            });
+        }
+    }
+}
+
+#[test]
+fn lost_messages_alone_remove_nobody_for_long() {
+    for seed in 0..6 {
+        let mut mesh = settled(seed, 4);
+        mesh.drop_percent = 15;
+        mesh.duplicate_percent = 15;
+        mesh.run_for(60_000);
+        mesh.drop_percent = 0;
+        mesh.run_until(FEW_SECONDS_MS, |mesh| {
+            mesh.nodes
+                .values()
+                .all(|node| serving(node.members()) == 12)
+        });
+    }
+}
+
+#[test]
+fn late_rumour_does_not_bring_a_dead_member_back() {
+    let mut mesh = settled(3, 4);
+    let dead = mesh.names()[2].clone();
+    let witness = mesh.names()[0].clone();
+    let row = mesh.nodes[&witness].members().get(&dead).unwrap().clone();
+    mesh.kill(&dead);
+    mesh.run_for(10_000);
+    let mut table = mesh.nodes[&witness].members().clone();
+    assert_eq!(table.get(&dead).unwrap().state, MemberState::Gone);
+    assert!(!table.merge(row));
+    assert_eq!(table.get(&dead).unwrap().state, MemberState::Gone);
+}
+
+#[test]
+fn rows_in_any_order_end_in_the_same_table() {
+    let mesh = settled(5, 4);
+    let names = mesh.names();
+    let mut rows: Vec<_> = mesh.nodes[&names[0]].members().iter().cloned().collect();
+    for (index, row) in rows.clone().into_iter().enumerate() {
+        let mut newer = row.clone();
+        newer.revision += index as u64 % 3;
+        newer.state = MemberState::Draining;
+        rows.extend([row, newer]);
+    }
+    let mut digests = Vec::new();
+    for seed in 0..100 {
+        rows.shuffle(&mut StdRng::seed_from_u64(seed));
+        let mut table = MemberTable::default();
+        for row in &rows {
+            table.merge(row.clone());
+        }
+        digests.push(table.digest().clone());
+    }
+    digests.dedup();
+    assert_eq!(digests.len(), 1);
+}
+
+#[test]
+fn record_reaches_its_data_centre_in_a_second_and_all_in_five() {
+    let key = RecordKey::new("largest", "mark");
+    for seed in 0..10 {
+        let mut mesh = settled(seed, 8);
+        let origin = mesh.names()[3].clone();
+        mesh.tell(&origin, |node, now| {
+            node.put_record(key.clone(), "7".into(), now).unwrap();
+        });
+        let holds = |mesh: &MeshFixture, node: &NodeName| {
+            mesh.nodes[node]
+                .records()
+                .get(&key)
+                .is_some_and(|value| **value == *b"7")
+        };
+        let centre = mesh.centre_of(&origin);
+        mesh.run_until(LOCAL_RECORD_MS, |mesh| {
+            let names = mesh.names().into_iter();
+            let mut local = names.filter(|node| mesh.centre_of(node) == centre);
+            local.all(|node| holds(mesh, &node))
+        });
+        mesh.run_until(FEW_SECONDS_MS - LOCAL_RECORD_MS, |mesh| {
+            mesh.names().iter().all(|node| holds(mesh, node))
+        });
+    }
+}
+
+#[test]
+fn records_written_on_both_sides_of_a_cut_merge_after_the_heal() {
+    let key = RecordKey::new("largest", "mark");
+    for seed in 0..10 {
+        let mut mesh = settled(seed, 4);
+        mesh.cut.insert("dc1".parse().unwrap());
+        mesh.run_for(8_000);
+        let (near, far) = (mesh.names()[0].clone(), mesh.names()[11].clone());
+        for (node, value) in [(near, "3"), (far, "8")] {
+            mesh.tell(&node, |node, now| {
+                node.put_record(key.clone(), value.into(), now).unwrap();
+            });
+        }
+        mesh.run_for(8_000);
+        mesh.cut.clear();
+        mesh.run_until(FEW_SECONDS_MS, |mesh| {
+            let mut nodes = mesh.nodes.values();
+            nodes.all(|node| {
+                node.records()
+                    .get(&key)
+                    .is_some_and(|value| **value == *b"8")
+            })
+        });
+    }
+}
+
+#[test]
+fn transfers_over_the_limit_are_told_when_to_come_back() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut gate = TransferGate::new(2);
+    let now = ClockInstant::from_millis(1_000);
+    let size = ByteCount::new(100_000);
+    assert_eq!(gate.enter(size, now, &mut rng), Ok(()));
+    assert_eq!(gate.enter(size, now, &mut rng), Ok(()));
+    let wait = gate
+        .enter(size, now, &mut rng)
+        .expect_err("both slots are taken");
+    assert!(wait >= TimeBudget::from_millis(100), "{wait}");
+    assert_eq!(gate.enter(size, now.after(wait), &mut rng), Ok(()));
+}
--- /dev/null
+++ b/crates/kernel/tests/spread/version.rs
@@ -0,0 +1,288 @@
+//! Spreading of versions over a lossy network: what must hold of every node.
+
+use bronzelb_kernel::{
+    ids::NodeName,
+    spread::{PlatformState, choose_readers},
+};
+use bytes::Bytes;
+use rand::{Rng, seq::IndexedRandom};
+
+use crate::fixture::{MeshFixture, snapshot};
+
+const SETTLE_MS: u64 = 20_000;
+/// The letter's time for a change to be in force everywhere.
+const IN_FORCE_MS: u64 = 5_000;
+
+fn settled(seed: u64) -> MeshFixture {
+    let mut mesh = MeshFixture::new(seed, 3, 4);
+    let number = mesh.publish("first");
+    mesh.run_until(SETTLE_MS, |mesh| mesh.all_have(number));
+    mesh.run_for(3_000);
+    mesh
+}
+
+#[test]
+fn no_order_of_events_brings_a_node_back_or_a_bad_version_into_force() {
+    for seed in 0..24 {
+        let mut mesh = MeshFixture::new(seed, 3, 4);
+        mesh.drop_percent = 10;
+        mesh.duplicate_percent = 20;
+        mesh.alter_percent = 10;
+        mesh.publish("first");
+        for step in 0..60 {
+            disturb(&mut mesh, step);
+            let wait = mesh.rng.random_range(0..1_000);
+            mesh.run_for(wait);
+        }
+        heal(&mut mesh);
+        let last = mesh.publish("last");
+        mesh.run_until(SETTLE_MS, |mesh| mesh.all_have(last));
+    }
+}
+
+/// Does one random thing; the fixture checks every node after every step.
+fn disturb(mesh: &mut MeshFixture, step: u32) {
+    let names = mesh.names();
+    let node = names
+        .choose(&mut mesh.rng)
+        .expect("a mesh has nodes")
+        .clone();
+    match mesh.rng.random_range(0..10) {
+        0 | 1 => {
+            mesh.publish(&format!("step-{step}"));
+        }
+        2 => {
+            mesh.publish_unchecked(dangling_body(step));
+        }
+        3 => mesh.kill(&node),
+        4 if !mesh.nodes.contains_key(&node) => mesh.start(&node),
+        5 => {
+            mesh.paused.insert(node);
+        }
+        6 => mesh.paused.clear(),
+        7 => {
+            let centre = mesh.centre_of(&node);
+            if !mesh.cut.remove(&centre) {
+                mesh.cut.insert(centre);
+            }
+        }
+        8 => mesh.source.is_away = !mesh.source.is_away,
+        _ => mesh.source.answer_ms = mesh.rng.random_range(0..2_000),
+    }
+}
+
+fn heal(mesh: &mut MeshFixture) {
+    mesh.drop_percent = 0;
+    mesh.duplicate_percent = 0;
+    mesh.alter_percent = 0;
+    mesh.cut.clear();
+    mesh.paused.clear();
+    mesh.source.is_away = false;
+    mesh.source.answer_ms = 0;
+    for node in mesh.names() {
+        if !mesh.nodes.contains_key(&node) {
+            mesh.start(&node);
+        }
+    }
+}
+
+/// A body whose route points at a service that does not exist.
+fn dangling_body(step: u32) -> Bytes {
+    let mut snapshot = snapshot(&format!("dangling-{step}"));
+    snapshot.services.clear();
+    snapshot.to_bytes()
+}
+
+#[test]
+fn accepted_version_is_in_force_everywhere_within_the_letters_time() {
+    for seed in 0..20 {
+        let mut mesh = settled(seed);
+        let number = mesh.publish("second");
+        mesh.run_until(IN_FORCE_MS, |mesh| mesh.all_have(number));
+    }
+}
+
+#[test]
+fn accepted_version_gets_everywhere_while_a_third_of_the_nodes_dies() {
+    for seed in 0..20 {
+        let mut mesh = settled(seed);
+        let number = mesh.publish("second");
+        for node in mesh.names().into_iter().step_by(3) {
+            mesh.run_for(40);
+            mesh.kill(&node);
+        }
+        mesh.run_until(IN_FORCE_MS, |mesh| mesh.all_have(number));
+    }
+}
+
+#[test]
+fn version_that_one_node_has_read_gets_everywhere_while_the_platform_is_away() {
+    for seed in 0..20 {
+        let mut mesh = settled(seed);
+        let number = mesh.publish("second");
+        mesh.run_until(IN_FORCE_MS, |mesh| {
+            mesh.names()
+                .iter()
+                .any(|node| mesh.number_of(node) == Some(number))
+        });
+        mesh.source.is_away = true;
+        mesh.run_until(IN_FORCE_MS, |mesh| mesh.all_have(number));
+        mesh.run_for(10_000);
+        let node = &mesh.names()[0];
+        let state = mesh.nodes[node].platform_state(mesh.now);
+        assert!(matches!(state, PlatformState::Away(_)), "{state:?}");
+    }
+}
+
+#[test]
+fn cut_off_data_centre_goes_on_says_so_and_converges_after_the_heal() {
+    for seed in 0..20 {
+        let mut mesh = settled(seed);
+        let first = mesh.number_of(&mesh.names()[0]);
+        mesh.cut.insert("dc2".parse().unwrap());
+        let number = mesh.publish("second");
+        mesh.run_for(30_000);
+        for node in mesh.names() {
+            let is_cut = mesh.centre_of(&node).as_str() == "dc2";
+            let expected = if is_cut { first } else { Some(number) };
+            assert_eq!(mesh.number_of(&node), expected, "seed {seed}, {node}");
+            let spread = &mesh.nodes[&node];
+            assert!(spread.is_ready(mesh.now), "seed {seed}, {node}");
+            assert_eq!(spread.is_cut_off(mesh.now), is_cut, "seed {seed}, {node}");
+        }
+        mesh.cut.clear();
+        mesh.run_until(IN_FORCE_MS, |mesh| mesh.all_have(number));
+    }
+}
+
+#[test]
+fn slow_source_delays_a_version_by_its_own_answers_only() {
+    for seed in 0..20 {
+        let mut mesh = settled(seed);
+        mesh.source.answer_ms = 2_000;
+        mesh.run_for(5_000);
+        let number = mesh.publish("second");
+        // One read of the row that is under way, one that sees it, and one of the body.
+        mesh.run_until(3 * 2_000 + IN_FORCE_MS, |mesh| mesh.all_have(number));
+    }
+}
+
+#[test]
+fn bad_versions_are_applied_nowhere_and_the_next_good_one_everywhere() {
+    for seed in 0..20 {
+        let mut mesh = settled(seed);
+        let first = mesh.number_of(&mesh.names()[0]).unwrap();
+        mesh.publish_unchecked(dangling_body(1));
+        mesh.run_for(5_000);
+        assert!(mesh.all_have(first), "seed {seed}");
+        mesh.publish_unchecked(Bytes::from_static(b"{\"mesh\":"));
+        mesh.run_for(5_000);
+        assert!(mesh.all_have(first), "seed {seed}");
+        let refused = mesh.nodes.values().any(|node| node.counters().refused > 0);
+        assert!(refused, "seed {seed}");
+        let good = mesh.publish("good");
+        mesh.run_until(IN_FORCE_MS, |mesh| mesh.all_have(good));
+    }
+}
+
+#[test]
+fn altered_content_is_noticed_and_fetched_again() {
+    for seed in 0..20 {
+        let mut mesh = settled(seed);
+        mesh.alter_percent = 40;
+        let number = mesh.publish("second");
+        mesh.run_until(SETTLE_MS, |mesh| mesh.all_have(number));
+        let altered: u64 = mesh
+            .nodes
+            .values()
+            .map(|node| node.counters().altered)
+            .sum();
+        assert!(altered > 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn node_restarted_beside_stale_peers_takes_the_newest_version_that_any_of_them_holds() {
+    for seed in 0..30 {
+        let mut mesh = settled(seed);
+        let names: Vec<NodeName> = mesh.names();
+        // Only the last node of the first data centre learns the second version.
+        mesh.cut.insert("dc1".parse().unwrap());
+        mesh.source.is_away = true;
+        mesh.run_for(8_000);
+        mesh.paused.extend(names[0..3].iter().cloned());
+        mesh.source.is_away = false;
+        mesh.cut.clear();
+        let number = mesh.publish("second");
+        mesh.run_until(IN_FORCE_MS, |mesh| {
+            mesh.number_of(&names[3]) == Some(number)
+        });
+        mesh.source.is_away = true;
+        mesh.cut.insert("dc1".parse().unwrap());
+        mesh.paused.clear();
+        mesh.start(&names[0]);
+        mesh.run_until(SETTLE_MS, |mesh| mesh.nodes[&names[0]].is_ready(mesh.now));
+        assert_eq!(mesh.number_of(&names[0]), Some(number), "seed {seed}");
+    }
+}
+
+#[test]
+fn restarted_node_goes_by_the_platform_over_stale_peers() {
+    for seed in 0..30 {
+        let mut mesh = settled(seed);
+        let names: Vec<NodeName> = mesh.names();
+        mesh.paused.extend(names.iter().cloned());
+        let number = mesh.publish("second");
+        mesh.run_for(2_000);
+        mesh.paused.clear();
+        mesh.start(&names[0]);
+        mesh.run_until(SETTLE_MS, |mesh| mesh.nodes[&names[0]].is_ready(mesh.now));
+        assert_eq!(mesh.number_of(&names[0]), Some(number), "seed {seed}");
+    }
+}
+
+#[test]
+fn reads_of_the_source_do_not_grow_with_the_fleet() {
+    let mut reads = Vec::new();
+    for per_centre in [4, 16] {
+        let mut mesh = MeshFixture::new(7, 3, per_centre);
+        let number = mesh.publish("first");
+        mesh.run_until(SETTLE_MS, |mesh| mesh.all_have(number));
+        mesh.run_for(5_000);
+        for node in mesh.nodes.values() {
+            let centre = node.own().data_centre.clone();
+            assert_eq!(choose_readers(node.members(), &centre).len(), 2);
+        }
+        let readers = mesh.nodes.values().filter(|node| node.is_reader()).count();
+        assert_eq!(readers, 6);
+        let before = mesh.source.row_reads;
+        mesh.run_for(10_000);
+        reads.push(mesh.source.row_reads - before);
+    }
+    // Six readers that poll twice a second on average, with jitter.
+    assert!(reads.iter().all(|count| *count < 6 * 3 * 10), "{reads:?}");
+}
+
+#[test]
+fn returning_herd_takes_its_content_from_peers() {
+    for seed in 0..4 {
+        let mut mesh = MeshFixture::new(seed, 3, 12);
+        let number = mesh.publish("first");
+        mesh.run_until(SETTLE_MS, |mesh| mesh.all_have(number));
+        mesh.run_for(5_000);
+        let before = mesh.source.object_reads;
+        let names = mesh.names();
+        let herd = names.iter().enumerate().filter(|(index, _)| index % 3 > 0);
+        let herd: Vec<_> = herd.map(|(_, node)| node.clone()).collect();
+        for node in &herd {
+            mesh.kill(node);
+        }
+        mesh.run_for(5_000);
+        for node in &herd {
+            mesh.start(node);
+        }
+        mesh.run_until(SETTLE_MS, |mesh| mesh.all_have(number));
+        let reads = mesh.source.object_reads - before;
+        assert!(reads <= 6, "seed {seed}: {reads} of {} nodes", herd.len());
+    }
+}
