Read backend servers' reports and let them travel with the members

Cause: the report readers were registered and nothing called them, so a server's own word reached no choice. Ruled out: reporting load by gossip, since load rides on answers and a report changes every second. Change: a task reads each server's report in its service's format, a filter of three equal reports in a row steadies it, and the row that every node holds says whether the server calls itself healthy.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -4,6 +4,8 @@
     clock::{ClockInstant, TimeBudget},
     ids::BackendName,
     member::BackendRow,
+    plugin::LoadReport,
+    request::ReportFilter,
 };
 
 use crate::backends::BackendAnnouncement;
@@ -18,6 +20,10 @@
     pub announcement: BackendAnnouncement,
     /// Instant at which the announcement lapses.
     pub lease_deadline: ClockInstant,
+    /// Health that the server reports, steadied.
+    pub filter: ReportFilter,
+    /// Latest report that could be read.
+    pub report: Option<LoadReport>,
 }
 
 /// The backend servers beside this node, by name.
@@ -34,12 +40,31 @@
         name: BackendName,
         announcement: BackendAnnouncement,
     ) -> bool {
+        let lease_deadline = now.after(LEASE_BUDGET);
+        if let Some(entry) = self.entries.get_mut(&name) {
+            let is_changed = entry.announcement != announcement;
+            entry.announcement = announcement;
+            entry.lease_deadline = lease_deadline;
+            return is_changed;
+        }
         let entry = BackendEntry {
             announcement,
-            lease_deadline: now.after(LEASE_BUDGET),
+            lease_deadline,
+            filter: ReportFilter::default(),
+            report: None,
+        };
+        self.entries.insert(name, entry);
+        true
+    }
+
+    /// Takes in the server's report, or that there is none to be read, and returns whether it
+    /// changed what other nodes need to know.
+    pub fn take_report(&mut self, name: &BackendName, report: Option<LoadReport>) -> bool {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return false;
         };
-        let held = self.entries.insert(name, entry.clone());
-        held.is_none_or(|held| held.announcement != entry.announcement)
+        entry.report = report.or(entry.report);
+        entry.filter.take(report.map(|report| report.is_healthy))
     }
 
     /// Removes a server and returns whether it was there.
@@ -67,6 +92,11 @@
         self.entries.get(name)
     }
 
+    /// Returns every server in name order.
+    pub fn iter(&self) -> impl Iterator<Item = (&BackendName, &BackendEntry)> {
+        self.entries.iter()
+    }
+
     /// Returns what other nodes need to know of the servers.
     #[must_use]
     pub fn rows(&self) -> Vec<BackendRow> {
@@ -78,6 +108,7 @@
                 version: entry.announcement.version.clone(),
                 slots: entry.announcement.slots,
                 state: entry.announcement.state,
+                is_reported_healthy: entry.filter.is_healthy(),
             })
             .collect()
     }
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -15,6 +15,7 @@
     node::{NodeAddresses, NodeState, StopSignal, drain_node::drain_node},
     operators::start_operator_server,
     peers::start_peer_server,
+    report::run_reports,
     settings::NodeSettings,
 };
 
@@ -82,6 +83,7 @@
         peers,
         stop.clone(),
     ));
+    spawn_local(run_reports(Arc::clone(&state), stop.clone()));
     let spread = spawn_local(run_spread(Arc::clone(&state), pool, stop));
     announce_listening(&state);
     let mut signals = StopSignals::open()?;
--- a/crates/daemon/src/report/mod.rs
+++ b/crates/daemon/src/report/mod.rs
@@ -5,6 +5,8 @@
 
 mod json_load;
 mod plain_status;
+mod report_task;
 mod slot_share;
 
+pub use report_task::run_reports;
 pub(crate) use slot_share::slot_share;
--- /dev/null
+++ b/crates/daemon/src/report/report_task.rs
@@ -0,0 +1,82 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use awc::Client;
+use bronzelb_kernel::{
+    ids::{BackendName, ServiceName},
+    plugin::{LoadReport, ReportReader},
+};
+use futures::future;
+use tokio::time;
+
+use crate::node::{NodeState, StopSignal};
+
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
+struct ReportSource {
+    name: BackendName,
+    service: ServiceName,
+    address: SocketAddr,
+}
+
+/// Reads the reports of the backend servers beside this node until the stop signal.
+pub async fn run_reports(state: Arc<NodeState>, mut stop: StopSignal) {
+    let client = Client::builder()
+        .disable_redirects()
+        .timeout(READ_TIMEOUT)
+        .finish();
+    while stop.pause(READ_INTERVAL).await {
+        let sources = sources(&state);
+        let reads = sources
+            .iter()
+            .map(|source| read_report(&state, &client, source));
+        let reports = future::join_all(reads).await;
+        let mut is_changed = false;
+        for (source, report) in sources.iter().zip(reports) {
+            is_changed |= state.backends().take_report(&source.name, report);
+        }
+        if is_changed {
+            state.refresh_own_row();
+        }
+    }
+}
+
+fn sources(state: &NodeState) -> Vec<ReportSource> {
+    state
+        .backends()
+        .iter()
+        .map(|(name, entry)| ReportSource {
+            name: name.clone(),
+            service: entry.announcement.service.clone(),
+            address: entry.announcement.address,
+        })
+        .collect()
+}
+
+/// Reads one report; a missing or unreadable one is counted and says nothing.
+async fn read_report(
+    state: &NodeState,
+    client: &Client,
+    source: &ReportSource,
+) -> Option<LoadReport> {
+    let config = state.config()?;
+    let spec = config.snapshot().services.get(&source.service)?;
+    let reader = ReportReader::find(&spec.report_format).ok()?;
+    let fetched = time::timeout(READ_TIMEOUT, fetch(client, source.address, reader.path)).await;
+    let report = fetched
+        .ok()
+        .flatten()
+        .and_then(|body| (reader.read)(&body).ok());
+    if report.is_none() {
+        state.count("report_unreadable");
+    }
+    report
+}
+
+async fn fetch(client: &Client, address: SocketAddr, path: &str) -> Option<Vec<u8>> {
+    let request = client.get(format!("http://{address}{path}"));
+    let mut response = request.send().await.ok()?;
+    let body = response.body().limit(MAX_REPORT_BYTES).await.ok()?;
+    response.status().is_success().then(|| body.to_vec())
+}
--- a/crates/daemon/tests/report.rs
+++ b/crates/daemon/tests/report.rs
@@ -1,6 +1,13 @@
 //! Readers of vendors' health and load reports.
 
-use bronzelb_kernel::{config::ShareRatio, error::ErrorKind, plugin::ReportReader};
+use bronzelb_emulator::{
+    backend::{BackendFaults, ReportFaults},
+    http::CallRequest,
+    mesh::{BackendSpec, LocalMesh, NodeStatus},
+};
+use bronzelb_kernel::{
+    clock::TimeBudget, config::ShareRatio, error::ErrorKind, plugin::ReportReader,
+};
 // The readers register themselves when the daemon is linked.
 use bronzelbd as _;
 
@@ -50,3 +57,65 @@
         }
     }
 }
+
+const LIMIT: TimeBudget = TimeBudget::from_secs(20);
+
+const ANSWERS: &str = "\
+mesh: local
+data_centres:
+  dc1: {latency: {dc2: 500us}}
+  dc2: {}
+services:
+  tracker: {slots: 12, connections: 110, report_format: plain-status}
+routes:
+  predictions: {path: /predictions, methods: [GET], service: tracker}
+";
+
+fn reports(status: &NodeStatus, healthy: bool) -> bool {
+    let mut rows = status.members.iter().flat_map(|member| &member.backends);
+    rows.next()
+        .is_some_and(|row| row.is_reported_healthy == healthy)
+}
+
+#[actix_web::test]
+async fn reported_health_is_known_everywhere_and_does_not_empty_a_service() {
+    let mut mesh = LocalMesh::builder()
+        .data_centres(2)
+        .start()
+        .await
+        .expect("starts");
+    let nodes = mesh.node_names();
+    mesh.publish(ANSWERS).await.expect("is accepted");
+    mesh.wait_version(1, LIMIT).await.expect("is in force");
+    let spec = BackendSpec::new("tracker", "v1");
+    let backend = mesh.add_backend(&nodes[0], &spec).await.expect("starts");
+    mesh.wait_backends("tracker", 1, LIMIT)
+        .await
+        .expect("is known");
+
+    let mut faults = BackendFaults::default();
+    faults.report = ReportFaults {
+        healthy: Some(false),
+        ..ReportFaults::default()
+    };
+    mesh.set_backend_faults(&backend, &faults)
+        .await
+        .expect("are taken");
+    mesh.wait_status("an unhealthy report", LIMIT, |status| {
+        reports(status, false)
+    })
+    .await
+    .expect("is known");
+    for node in &nodes {
+        let answer = mesh.call(node, &CallRequest::get("/predictions/1")).await;
+        assert_eq!(answer.expect("an answer").status, 200, "{node}");
+    }
+
+    let honest = BackendFaults::default();
+    mesh.set_backend_faults(&backend, &honest)
+        .await
+        .expect("are taken");
+    mesh.wait_status("a healthy report", LIMIT, |status| reports(status, true))
+        .await
+        .expect("is known");
+}
--- a/crates/kernel/src/member/backend_row.rs
+++ b/crates/kernel/src/member/backend_row.rs
@@ -27,4 +27,6 @@
     pub slots: SlotCount,
     /// Its lifecycle.
     pub state: BackendState,
+    /// Whether it calls itself healthy.
+    pub is_reported_healthy: bool,
 }
--- /dev/null
+++ b/crates/kernel/src/request/report_filter.rs
@@ -0,0 +1,55 @@
+const MIN_STREAK: u32 = 3;
+
+/// Steadies what a backend server reports of its own health.
+///
+/// The accepted state changes only after several reports in a row say the opposite, so that a
+/// flapping report does not travel through the mesh. A report that is missing or unreadable says
+/// nothing and breaks the row.
+///
+/// # Examples
+///
+/// ```
+/// use bronzelb_kernel::request::ReportFilter;
+///
+/// let mut filter = ReportFilter::default();
+/// assert!(!filter.take(Some(false)));
+/// assert!(!filter.take(Some(false)));
+/// assert!(filter.take(Some(false)));
+/// assert!(!filter.is_healthy());
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportFilter {
+    is_healthy: bool,
+    streak: u32,
+}
+
+impl ReportFilter {
+    /// Takes in one report's health and returns whether the accepted state changed.
+    pub const fn take(&mut self, reported: Option<bool>) -> bool {
+        match reported {
+            Some(health) if health != self.is_healthy => self.streak += 1,
+            _ => self.streak = 0,
+        }
+        if self.streak < MIN_STREAK {
+            return false;
+        }
+        self.is_healthy = !self.is_healthy;
+        self.streak = 0;
+        true
+    }
+
+    /// Returns the accepted state.
+    #[must_use]
+    pub const fn is_healthy(&self) -> bool {
+        self.is_healthy
+    }
+}
+
+impl Default for ReportFilter {
+    fn default() -> Self {
+        Self {
+            is_healthy: true,
+            streak: 0,
+        }
+    }
+}
--- a/crates/kernel/src/request/server_book.rs
+++ b/crates/kernel/src/request/server_book.rs
@@ -115,13 +115,6 @@
         }
     }
 
-    /// Takes in what a server says of its own health.
-    pub fn report_health(&mut self, service: &ServiceName, backend: &BackendName, healthy: bool) {
-        if let Some(stat) = self.stat_mut(service, backend) {
-            stat.is_healthy = healthy;
-        }
-    }
-
     /// Returns the declared slots of the service's servers that take work.
     #[must_use]
     pub fn slots(&self, service: &ServiceName) -> SlotCount {
@@ -209,6 +202,7 @@
         }
         stat.place = place;
         stat.slots = row.slots.get();
+        stat.is_healthy = row.is_reported_healthy;
         stat.state = state;
     }
 }
--- a/crates/kernel/tests/request_chain.rs
+++ b/crates/kernel/tests/request_chain.rs
@@ -44,6 +44,7 @@
             version: name("v1"),
             slots: SlotCount::new(12),
             state: BackendState::Serving,
+            is_reported_healthy: true,
         }],
     };
     (0..SERVERS).map(member).collect()
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -98,6 +98,7 @@
             version: name("v1"),
             slots: SlotCount::new(SLOTS),
             state: BackendState::Serving,
+            is_reported_healthy: true,
         }],
     }
 }
--- a/crates/kernel/tests/spread/member.rs
+++ b/crates/kernel/tests/spread/member.rs
@@ -36,6 +36,7 @@
         version: "v1".parse().unwrap(),
         slots: SlotCount::new(12),
         state: BackendState::Serving,
+        is_reported_healthy: true,
     }
 }
 
