--- a/crates/emulator/src/mesh/mod.rs
+++ b/crates/emulator/src/mesh/mod.rs
@@ -6,6 +6,7 @@
 
 mod backend_spec;
 mod local_mesh;
+mod mesh_answers;
 mod mesh_builder;
 mod mesh_faults;
 mod mesh_names;
@@ -16,6 +17,7 @@
 
 pub use backend_spec::BackendSpec;
 pub use local_mesh::{CommandOutput, LocalMesh, MeshBackend};
+pub use mesh_answers::{MeshAnswers, RouteAnswers};
 pub use mesh_builder::MeshBuilder;
 pub use mesh_names::{data_centre_name, node_name};
 pub use mesh_node::{MeshNode, NodeAddresses};
