--- a/crates/daemon/src/forward/crash_watch.rs
+++ b/crates/daemon/src/forward/crash_watch.rs
@@ -71,15 +71,14 @@
     }
 
     fn held(&self, fingerprint: ContentHash) -> Option<CrashRecord> {
-        let records = self.state.records();
-        let value = records.get(&CrashRecord::key(fingerprint))?;
-        CrashRecord::decode(value).ok()
+        let value = self.state.record(&CrashRecord::key(fingerprint))?;
+        CrashRecord::decode(&value).ok()
     }
 
     fn merge(&self, fingerprint: ContentHash, record: &CrashRecord) {
         let key = CrashRecord::key(fingerprint);
         // The record was built here and is neither malformed nor oversized.
-        let _ = self.state.records().merge(key, &record.encode());
+        let _ = self.state.put_record(key, record.encode());
     }
 
     async fn publish(&self, fingerprint: ContentHash, record: &CrashRecord, service: &ServiceName) {
