--- /dev/null
+++ b/crates/emulator/src/experiment/mod.rs
@@ -0,0 +1,13 @@
+//! Experiments that print figures, each with its seed and sizes.
+//!
+//! An experiment is one file in this folder that submits an [`Experiment`] with
+//! `inventory::submit!` and returns an [`ExperimentReport`].
+
+mod experiment_context;
+mod experiment_entry;
+mod experiment_report;
+mod platform_calls;
+
+pub use experiment_context::{ExperimentContext, SizeSetting};
+pub use experiment_entry::Experiment;
+pub use experiment_report::{ExperimentReport, ReportCell, ReportRow, ReportSize};
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,6 +4,7 @@
 //! bring about their faults.
 //!
 //! - [`backend`]: stand-in for a vendor's backend server
+//! - [`experiment`]: experiments that print figures
 //! - [`http`]: clients of the control listeners and of nodes
 //! - [`mesh`]: a whole mesh of separate processes
 //! - [`platform`]: stand-in for the table service and the object store
@@ -14,6 +15,7 @@
 
 pub mod backend;
 pub mod command;
+pub mod experiment;
 pub mod http;
 pub mod mesh;
 pub mod platform;
