--- a/crates/emulator/src/command/emulator_command.rs
+++ b/crates/emulator/src/command/emulator_command.rs
@@ -3,7 +3,9 @@
 use bronzelb_kernel::error::MeshError;
 use clap::{ArgMatches, Command};
 
-use crate::command::{backend_command, experiment_command, platform_command, proxy_command};
+use crate::command::{
+    backend_command, experiment_command, load_command, platform_command, proxy_command,
+};
 
 /// A subcommand: how its arguments look, and what it does.
 struct Subcommand {
@@ -11,7 +13,7 @@
     run: fn(&ArgMatches) -> Result<(), MeshError>,
 }
 
-const SUBCOMMANDS: [Subcommand; 4] = [
+const SUBCOMMANDS: [Subcommand; 5] = [
     Subcommand {
         define: backend_command::define,
         run: backend_command::run,
@@ -20,6 +22,10 @@
         define: experiment_command::define,
         run: experiment_command::run,
     },
+    Subcommand {
+        define: load_command::define,
+        run: load_command::run,
+    },
     Subcommand {
         define: platform_command::define,
         run: platform_command::run,
--- a/crates/emulator/src/command/mod.rs
+++ b/crates/emulator/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod backend_command;
 mod emulator_command;
 mod experiment_command;
+mod load_command;
 mod platform_command;
 mod proxy_command;
 
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`backend`]: stand-in for a vendor's backend server
 //! - [`experiment`]: experiments that print figures
 //! - [`http`]: clients of the control listeners and of nodes
+//! - [`load`]: open-loop load generator
 //! - [`mesh`]: a whole mesh of separate processes
 //! - [`platform`]: stand-in for the table service and the object store
 //! - [`process`]: processes that a test or an experiment starts
@@ -17,6 +18,7 @@
 pub mod command;
 pub mod experiment;
 pub mod http;
+pub mod load;
 pub mod mesh;
 pub mod platform;
 pub mod process;
