--- a/crates/cli/tests/commands/status.rs
+++ b/crates/cli/tests/commands/status.rs
@@ -31,17 +31,17 @@
 #[test]
 fn a_node_that_does_not_answer_is_listed() {
     let node = StandInNode::start("leuven-1", "leuven", 3);
-    let gone = StandInNode::start("ghent-1", "ghent", 3).stop();
-    let run = status(&["--node", &node.address(), "--node", &gone]);
+    let gone = StandInNode::start_closing();
+    let run = status(&["--node", &node.address(), "--node", &gone.address()]);
     assert_eq!(run.code, 0, "{}", run.stderr);
-    let heard = format!("not heard:\n  node {gone} does not answer");
+    let heard = format!("not heard:\n  node {} does not answer", gone.address());
     assert!(run.stdout.contains(&heard), "{}", run.stdout);
 }
 
 #[test]
 fn silence_of_every_node_is_a_failure() {
-    let gone = StandInNode::start("ghent-1", "ghent", 3).stop();
-    let run = status(&["--node", &gone]);
+    let gone = StandInNode::start_closing();
+    let run = status(&["--node", &gone.address()]);
     assert_eq!(run.code, 6);
     assert!(run.stderr.contains("no node answered"), "{}", run.stderr);
 }
--- a/crates/cli/tests/commands/support/stand_in_node.rs
+++ b/crates/cli/tests/commands/support/stand_in_node.rs
@@ -44,16 +44,16 @@
         })
     }
 
+    /// Starts a node that closes every connection without an answer.
+    pub(crate) fn start_closing() -> Self {
+        Self::serve(|_stream| {})
+    }
+
     /// Returns the address of the listener.
     pub(crate) fn address(&self) -> String {
         self.address.to_string()
     }
 
-    /// Stops the node and returns the address at which it no longer answers.
-    pub(crate) fn stop(self) -> String {
-        self.address()
-    }
-
     fn serve(mut answer: impl FnMut(&mut TcpStream) + Send + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("is bound");
