--- a/crates/daemon/src/forward/claim_table.rs
+++ b/crates/daemon/src/forward/claim_table.rs
@@ -94,7 +94,7 @@
         let row = ClaimRow {
             attempt: AttemptToken::new(rand::random()),
             node: self.state.settings.node.clone(),
-            incarnation: self.state.incarnation,
+            incarnation: self.state.incarnation(),
             fingerprint: planned.message.fingerprint,
             start_by: planned.deadline,
             outcome: None,
--- a/crates/daemon/src/forward/keyed_request.rs
+++ b/crates/daemon/src/forward/keyed_request.rs
@@ -69,7 +69,7 @@
     }
 
     fn is_own_run(&self, node: &NodeName, incarnation: IncarnationNumber) -> bool {
-        *node == self.state().settings.node && incarnation == self.state().incarnation
+        *node == self.state().settings.node && incarnation == self.state().incarnation()
     }
 
     async fn run_at_home(
