--- a/crates/daemon/src/command/run_daemon.rs
+++ b/crates/daemon/src/command/run_daemon.rs
@@ -1,8 +1,12 @@
-use std::{path::PathBuf, process::ExitCode};
+use std::{fmt, path::PathBuf, process::ExitCode};
 
-use bronzelb_kernel::error::MeshError;
+use bronzelb_kernel::error::ErrorKind;
 
-use crate::{command::daemon_command, node::run_node, settings::read_settings};
+use crate::{
+    command::daemon_command,
+    node::run_node,
+    settings::{NodeSettings, read_settings},
+};
 
 /// Runs the daemon with the process's arguments and returns its exit code.
 ///
@@ -14,19 +18,28 @@
     let path = matches
         .get_one::<PathBuf>("settings")
         .expect("the settings argument is required");
-    let result = read_settings(path).and_then(|settings| {
-        if matches.get_flag("check-settings") {
-            return Ok(());
-        }
-        run_node(settings)
-    });
-    match result {
+    let settings = match read_settings(path) {
+        Ok(settings) => settings,
+        Err(error) => return fail(error.kind(), &error),
+    };
+    if matches.get_flag("check-settings") {
+        print_summary(&settings);
+        return ExitCode::SUCCESS;
+    }
+    match run_node(settings) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&error),
+        Err(error) => fail(error.kind(), &format_args!("bronzelbd: {error}")),
     }
 }
 
-fn fail(error: &MeshError) -> ExitCode {
-    eprintln!("bronzelbd: {error}");
-    ExitCode::from(error.kind().answer().exit_code)
+fn print_summary(settings: &NodeSettings) {
+    println!(
+        "valid: node {} of mesh {} in data centre {}",
+        settings.node, settings.mesh, settings.data_centre
+    );
+}
+
+fn fail(kind: ErrorKind, message: &impl fmt::Display) -> ExitCode {
+    eprintln!("{message}");
+    ExitCode::from(kind.answer().exit_code)
 }
--- a/crates/daemon/src/operators/operator_guard.rs
+++ b/crates/daemon/src/operators/operator_guard.rs
@@ -40,8 +40,6 @@
     let Some(token) = &state.settings.operators.token else {
         return false;
     };
-    let expected = format!("Bearer {token}");
     let sent = request.headers().get(AUTHORIZATION);
-    // Hashes are compared in constant time.
-    sent.is_some_and(|sent| blake3::hash(sent.as_bytes()) == blake3::hash(expected.as_bytes()))
+    sent.is_some_and(|sent| token.is_carried_by(sent.as_bytes()))
 }
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -28,7 +28,7 @@
     forward::{PlannedRequest, RequestForwarder, fingerprint},
     log::NodeLogger,
     node::{NodeAddresses, NodeState},
-    settings::NodeSettings,
+    settings::parse_settings,
 };
 use bytes::Bytes;
 use compact_str::format_compact;
@@ -176,7 +176,7 @@
     let text = "{mesh: test, node: leuven-1, data_centre: leuven, \
                 mesh_key: 0123456789abcdef, callers: {listen: '127.0.0.1:0'}, \
                 peers: {listen: '127.0.0.1:0'}, platform: {kind: http, address: '127.0.0.1:9'}}";
-    let settings: NodeSettings = serde_saphyr::from_str(text).expect("valid settings");
+    let settings = parse_settings("node.yaml", text).expect("valid settings");
     let nowhere: SocketAddr = "127.0.0.1:9".parse().expect("a valid address");
     let addresses = NodeAddresses {
         callers: nowhere,
