--- a/crates/daemon/src/settings/settings_check.rs
+++ b/crates/daemon/src/settings/settings_check.rs
@@ -50,7 +50,12 @@
 
 fn check_platform(settings: &NodeSettings, refuse: &impl Fn(&str, CompactString)) {
     if let Err(error) = PlatformKind::find(&settings.platform.kind) {
-        refuse("platform.kind", error.message().into());
+        let kinds: Vec<_> = inventory::iter::<PlatformKind>
+            .into_iter()
+            .map(|kind| kind.name)
+            .collect();
+        let message = format_compact!("{}; kinds are {}", error.message(), kinds.join(", "));
+        refuse("platform.kind", message);
     }
 }
 
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,132 @@
+//! Settings with mistakes end the daemon with a message for each, and no message holds a secret.
+//!
+//! The page docs/bad-inputs/settings.md holds what each input got; `UPDATE_EXPECT=1` rewrites it.
+
+use std::{
+    fmt::Write,
+    fs,
+    path::{Path, PathBuf},
+    process::{Command, Output},
+};
+
+use bronzelbd::settings::parse_settings;
+use expect_test::expect_file;
+
+const PAGE_HEAD: &str = "\
+# Bad settings and what each one gets
+
+Written by the test `settings` of `crates/daemon` from the output of `bronzelbd --check-settings`;
+rewrite it with `UPDATE_EXPECT=1 cargo test -p bronzelbd --test settings`.
+";
+
+const TEN_MEGABYTES: usize = 10_000_000;
+
+const VALID: &str = "\
+mesh: trial
+node: leuven-1
+data_centre: leuven
+mesh_key: correct-horse-battery
+callers: {listen: \"127.0.0.1:0\"}
+peers: {listen: \"127.0.0.1:0\"}
+operators: {listen: \"127.0.0.1:0\", token: staple-staple-staple}
+platform: {kind: http, address: \"127.0.0.1:9\"}
+";
+
+fn check_file(path: &Path) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_bronzelbd"))
+        .arg("--settings")
+        .arg(path)
+        .arg("--check-settings")
+        .output()
+        .expect("the program starts")
+}
+
+fn add_section(page: &mut String, title: &str, path: &Path, text: Option<&str>) {
+    let output = check_file(path);
+    let code = output.status.code().expect("the program exits");
+    assert_ne!(code, 0, "{title}");
+    assert!(output.stdout.is_empty(), "{title}");
+    let folder = path.parent().expect("has a folder");
+    let stderr = String::from_utf8(output.stderr).expect("is UTF-8");
+    let stderr = stderr.replace(&format!("{}/", folder.display()), "");
+    assert!(!stderr.contains("hunter2"), "{title}: {stderr}");
+    write!(page, "\n## {title}\n").expect("writing to a string succeeds");
+    if let Some(text) = text {
+        write!(page, "\n```yaml\n{text}```\n").expect("writing to a string succeeds");
+    }
+    write!(page, "\nExit code {code}:\n\n```text\n{stderr}```\n")
+        .expect("writing to a string succeeds");
+}
+
+fn written_inputs() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/bad_settings");
+    let entries = fs::read_dir(folder).expect("is a folder");
+    let mut paths: Vec<_> = entries
+        .map(|entry| entry.expect("is readable").path())
+        .collect();
+    paths.sort();
+    paths
+}
+
+#[test]
+fn every_bad_file_gets_a_message_and_an_exit_code() {
+    let mut page = PAGE_HEAD.to_owned();
+    for path in written_inputs() {
+        let text = fs::read_to_string(&path).expect("is readable");
+        let title = text.lines().next().expect("has a line");
+        add_section(
+            &mut page,
+            title.trim_start_matches("# "),
+            &path,
+            Some(&text),
+        );
+    }
+    let folder = tempfile::tempdir().expect("is writable");
+    let large = folder.path().join("large.yaml");
+    fs::write(&large, vec![b'#'; TEN_MEGABYTES]).expect("is writable");
+    add_section(&mut page, "A file of 10 MB.", &large, None);
+    let missing = folder.path().join("missing.yaml");
+    add_section(&mut page, "A file that does not exist.", &missing, None);
+    expect_file!["../../../docs/bad-inputs/settings.md"].assert_eq(&page);
+}
+
+#[test]
+fn valid_settings_are_confirmed_without_their_secrets() {
+    let folder = tempfile::tempdir().expect("is writable");
+    let path = folder.path().join("node.yaml");
+    fs::write(&path, VALID).expect("is writable");
+    let output = check_file(&path);
+    assert!(output.status.success());
+    let stdout = String::from_utf8(output.stdout).expect("is UTF-8");
+    assert_eq!(
+        stdout,
+        "valid: node leuven-1 of mesh trial in data centre leuven\n"
+    );
+}
+
+#[test]
+fn secrets_are_not_formatted() {
+    let settings = parse_settings("node.yaml", VALID).expect("is valid");
+    let text = format!("{settings:?} {settings:#?}");
+    assert!(
+        !text.contains("horse") && !text.contains("staple"),
+        "{text}"
+    );
+}
+
+#[test]
+fn a_token_is_recognised_only_as_a_whole() {
+    let settings = parse_settings("node.yaml", VALID).expect("is valid");
+    let token = settings.operators.token.expect("is set");
+    assert!(token.is_carried_by(b"Bearer staple-staple-staple"));
+    for wrong in [
+        "",
+        "Bearer ",
+        "staple-staple-staple",
+        "Bearer staple-staple-stapl",
+        "Bearer staple-staple-staplee",
+        "bearer staple-staple-staple",
+    ] {
+        assert!(!token.is_carried_by(wrong.as_bytes()), "{wrong}");
+    }
+}
--- a/crates/yaml/src/parser/text_parser.rs
+++ b/crates/yaml/src/parser/text_parser.rs
@@ -36,7 +36,7 @@
         problems.push(
             TextPlace::START,
             "",
-            "the file is empty; `bronzelb init` writes a commented one",
+            "the file is empty or holds only comments",
         );
     }
     root
