--- a/crates/kernel/src/rollout/mod.rs
+++ b/crates/kernel/src/rollout/mod.rs
@@ -6,6 +6,7 @@
 mod doubt_watch;
 mod fading_counts;
 mod latency_histogram;
+mod move_change;
 mod move_judge;
 mod move_mark;
 mod move_outlook;
@@ -22,6 +23,7 @@
 
 pub use doubt_watch::DoubtWatch;
 pub use latency_histogram::LatencyHistogram;
+pub use move_change::{MoveChange, MoveWish};
 pub use move_judge::{HEARING_TIME, INTERVAL, MoveJudge};
 pub use move_mark::{MARK_KIND, MarkCause, MoveMark};
 pub use move_outlook::{MoveOutlook, VersionCapacity};
--- a/crates/kernel/src/rollout/move_judge.rs
+++ b/crates/kernel/src/rollout/move_judge.rs
@@ -102,7 +102,7 @@
     #[must_use]
     pub fn share(&self, route: &RouteName, now: ClockInstant) -> ShareRatio {
         let judge = self.routes.get(route);
-        let doubt = judge.and_then(|judge| judge.doubt_share());
+        let doubt = judge.and_then(RouteJudge::doubt_share);
         let share = if self.is_held(now) {
             ShareRatio::ALL
         } else {
