--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -111,7 +111,11 @@
 
     fn announcement(&self, name: &BackendName) -> Result<BackendAnnouncement, MeshError> {
         let backends = self.state.backends();
-        let entry = backends.get(name).ok_or_else(|| {
+        let now = self.state.now();
+        let entry = backends
+            .get(name)
+            .filter(|entry| !entry.lease_deadline.has_passed(now));
+        let entry = entry.ok_or_else(|| {
             let message = format!("backend server {name} is not beside this node");
             MeshError::new(ErrorKind::NoBackend, message).with_retry_at(self.pause())
         })?;
@@ -132,7 +136,7 @@
     ) -> Result<WholeAnswer, MeshError> {
         let life = ServerLife {
             backend: name.clone(),
-            incarnation: self.state.incarnation,
+            incarnation: self.state.incarnation(),
             deaths: u32::try_from(gate.deaths.load(Ordering::Relaxed)).unwrap_or(u32::MAX),
         };
         // The request may have waited; a third server must not be tried since.
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -20,6 +20,7 @@
     error::{ErrorKind, MeshError, RunState},
     ids::{ByteCount, SlotCount, VersionNumber},
     member::BackendState,
+    spread::{FetchSource, SnapshotReply, VersionFetch},
 };
 use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest};
 use bronzelbd::{
@@ -186,6 +187,23 @@
     NodeState::new(settings, addresses, logger)
 }
 
+/// Gives the node a version as if the platform had answered with it.
+fn put_in_force(state: &NodeState, version: ConfigVersion) {
+    let now = state.now();
+    let fetch = VersionFetch {
+        stamp: version.stamp(),
+        base: None,
+        source: FetchSource::Store("version-1".into()),
+        deadline: now.after(TimeBudget::from_secs(1)),
+    };
+    let body = SnapshotReply::Whole(version.body().clone());
+    state.spread.step(|node, rng| {
+        node.source_answered(Ok(None), now, rng);
+        node.fetch_answered(&fetch, Ok(body), now, rng);
+    });
+    state.apply_config(Arc::new(version));
+}
+
 struct Bench {
     forwarder: RequestForwarder,
     idempotent: bool,
@@ -196,7 +214,7 @@
         let state = node();
         let number = VersionNumber::new(1);
         let version = ConfigVersion::from_snapshot(number, snapshot(idempotent));
-        state.apply_config(version.expect("a valid configuration"));
+        put_in_force(&state, version.expect("a valid configuration"));
         for (index, address) in servers.iter().enumerate() {
             let announcement = BackendAnnouncement {
                 service: "tracker".parse().expect("a valid name"),
