Keep an earlier attempt's outcome, and see a server's death while it exits

Cause, found by a trial with four nodes and a request that crashes its server: 1. the answer was the last attempt's: a request that had killed two servers was then refused as quarantined and told as not run. The caller now learns of the attempt that may have run. 2. an exiting process closes its connections before its listener, so the probe connected and the death was not marked; three and in the end four servers died. The probe now tries again when its connection is closed at once. 3. only suspects cleared their mark; any whole answer does now, and the release of a quarantine is sent to the service's nodes. Seen to fail first: retry_that_did_not_run_does_not_hide_an_attempt_that_may_have (NotRun instead of OutcomeUnknown).

--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -128,10 +128,9 @@
         })?;
     let millis = u64::try_from(millis).unwrap_or(0);
     if millis == 0 {
-        return Err(MeshError::new(
-            ErrorKind::DeadlinePassed,
-            "the deadline had passed when the request arrived",
-        ));
+        return Err(MeshError::invalid(format!(
+            "{DEADLINE_HEADER} leaves no time; send the time that is left, in milliseconds"
+        )));
     }
     let wanted = TimeBudget::from_millis(millis);
     Ok(now.after(wanted.min(rule.timeout)))
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -21,7 +21,7 @@
 };
 use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest, HeaderPair};
 use bytes::Bytes;
-use tokio::{net::TcpStream, time};
+use tokio::{io::AsyncReadExt, net::TcpStream, time};
 
 use crate::{
     backends::BackendAnnouncement,
@@ -36,7 +36,10 @@
     peers::PeerPool,
 };
 
+const PROBE_ATTEMPTS: usize = 5;
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which a living server leaves an idle connection open.
+const PROBE_SILENCE: Duration = Duration::from_millis(50);
 const DEFAULT_PAUSE: TimeBudget = TimeBudget::from_millis(100);
 const REQUEST_HEADER: &str = "x-bronzelb-request";
 const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
@@ -94,10 +97,12 @@
             .await;
         finish(permit, &result);
         if let Some(alone) = alone {
-            self.settle_suspect(message, &result).await;
             finish(alone, &result);
         }
         let whole = result?;
+        self.crashes
+            .clear(message.fingerprint, &announcement.service)
+            .await;
         let (status, headers, body) = (whole.status, whole.headers, whole.body);
         Ok(ForwardAnswer {
             status: status.as_u16(),
@@ -232,16 +237,6 @@
         Err(MeshError::new(ErrorKind::Overloaded, message).with_retry_at(self.pause()))
     }
 
-    async fn settle_suspect(
-        &self,
-        message: &ForwardRequest,
-        result: &Result<WholeAnswer, MeshError>,
-    ) {
-        if result.is_ok() {
-            self.crashes.clear(message.fingerprint).await;
-        }
-    }
-
     fn pause(&self) -> ClockInstant {
         self.state.now().after(DEFAULT_PAUSE)
     }
@@ -254,10 +249,25 @@
     }
 }
 
-/// Returns whether nothing accepts connections at `address` any more.
+/// Returns whether the server that listened at `address` has died.
+///
+/// While a process exits, its listener may outlive its connections for a moment; a connection
+/// that is accepted and closed again at once is therefore tried once more.
 async fn is_dead(address: SocketAddr) -> bool {
-    let connected = time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(_)))
+    for _ in 0..PROBE_ATTEMPTS {
+        match time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+            Err(_) => return false,
+            Ok(Err(_)) => return true,
+            Ok(Ok(mut stream)) => {
+                let mut byte = [0];
+                let read = time::timeout(PROBE_SILENCE, stream.read(&mut byte)).await;
+                if read.is_err() {
+                    return false;
+                }
+            }
+        }
+    }
+    false
 }
 
 fn request_head(
--- a/crates/daemon/src/forward/crash_watch.rs
+++ b/crates/daemon/src/forward/crash_watch.rs
@@ -60,14 +60,22 @@
             .await;
     }
 
-    /// Records that a server has answered the request.
-    pub(crate) async fn clear(&self, fingerprint: ContentHash) {
+    /// Records that a server has answered the request, if deaths speak against it.
+    pub(crate) async fn clear(&self, fingerprint: ContentHash, service: &ServiceName) {
         let Some(mut record) = self.held(fingerprint) else {
             return;
         };
+        let suspicion = record.suspicion(self.state.now());
+        if suspicion == CrashSuspicion::Clear {
+            return;
+        }
         record.clear();
         self.state.count("crash_cleared");
-        self.merge(fingerprint, &record);
+        if suspicion == CrashSuspicion::Quarantined {
+            self.publish(fingerprint, &record, service).await;
+        } else {
+            self.merge(fingerprint, &record);
+        }
     }
 
     fn held(&self, fingerprint: ContentHash) -> Option<CrashRecord> {
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -109,25 +109,25 @@
             self.state.requests.budget().earn();
         }
         let mut tried = Vec::new();
-        let mut last = None;
+        let mut end = RequestEnd::default();
         loop {
             let Some(place) = self.choose(planned, &tried) else {
-                return last.unwrap_or_else(|| Err(self.no_backend(planned)));
+                return end.with_default(|| self.no_backend(planned));
             };
             tried.push(place.backend.clone());
             let attempt = u32::try_from(tried.len()).unwrap_or(u32::MAX);
             let (outcome, result) = self.attempt(planned, &place, attempt).await;
             pass.gate.settle(self.state.now(), outcome);
             let is_final = result.as_ref().is_err_and(is_final);
+            end.take(result);
             if outcome == AttemptOutcome::Served || is_final {
                 pass.permit.finish();
-                return result;
+                return end.with_default(deadline_passed);
             }
             if !self.may_retry(planned, outcome, attempt) {
-                return result;
+                return end.with_default(deadline_passed);
             }
             self.state.count("retries");
-            last = Some(result);
         }
     }
 
@@ -204,6 +204,31 @@
     }
 }
 
+/// What a request's caller learns after its attempts.
+///
+/// A later attempt that did not run never hides an earlier one that may have.
+#[derive(Default)]
+struct RequestEnd {
+    result: Option<Result<ForwardAnswer, MeshError>>,
+}
+
+impl RequestEnd {
+    fn take(&mut self, result: Result<ForwardAnswer, MeshError>) {
+        let may_have_run = |result: &Result<ForwardAnswer, MeshError>| match result {
+            Ok(_) => true,
+            Err(error) => error.kind().answer().run_state != RunState::NotRun,
+        };
+        let hides = self.result.as_ref().is_some_and(may_have_run) && !may_have_run(&result);
+        if !hides {
+            self.result = Some(result);
+        }
+    }
+
+    fn with_default(self, default: impl FnOnce() -> MeshError) -> Result<ForwardAnswer, MeshError> {
+        self.result.unwrap_or_else(|| Err(default()))
+    }
+}
+
 /// Counts an attempt as outstanding at its server until it ends or the caller goes away.
 struct AttemptGuard<'a> {
     state: &'a NodeState,
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -423,6 +423,25 @@
     assert!(served >= 3, "{served} of 4 were served");
 }
 
+#[actix_web::test]
+async fn retry_that_did_not_run_does_not_hide_an_attempt_that_may_have() {
+    let losing = RawServer::start(|_, _| close(String::new())).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let refusing = listener.local_addr().expect("a bound socket");
+    drop(listener);
+    let mut reached = 0;
+    for _ in 0..20 {
+        let bench = Bench::new(&[losing.address, refusing], true);
+        let before = losing.requests();
+        let result = bench.get(1).await;
+        if losing.requests() > before {
+            reached += 1;
+            assert_eq!(run_state(&result), RunState::OutcomeUnknown);
+        }
+    }
+    assert!(reached > 0);
+}
+
 #[actix_web::test]
 async fn late_answer_is_dropped_with_its_connection() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
