--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -169,6 +169,7 @@
             Err(ExchangeError::Lost(reason)) => {
                 if is_dead(announcement.address).await {
                     gate.note_death(life.deaths);
+                    self.forget(name, announcement.address);
                     self.crashes.note_death(message, life, announcement).await;
                 }
                 let message = format!("backend server {name} broke off: {reason}");
@@ -241,6 +242,18 @@
         Err(MeshError::new(ErrorKind::Overloaded, message).with_retry_at(self.pause()))
     }
 
+    /// Withdraws a dead server at once; one that lives announces itself again.
+    fn forget(&self, name: &BackendName, address: SocketAddr) {
+        let is_removed = {
+            let mut backends = self.state.backends();
+            let held = backends.get(name).map(|entry| entry.announcement.address);
+            held == Some(address) && backends.remove(name)
+        };
+        if is_removed {
+            self.state.refresh_own_row();
+        }
+    }
+
     fn pause(&self) -> ClockInstant {
         self.state.now().after(DEFAULT_PAUSE)
     }
--- /dev/null
+++ b/crates/daemon/tests/request.rs
@@ -0,0 +1,523 @@
+//! Requests through a mesh of real processes while its parts fail.
+//!
+//! What callers are told is compared with the journals of the backend servers, which are written
+//! before each run and outlive a crash.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use bronzelb_emulator::{
+    backend::{BackendFaults, FaultAction, FaultRule, JournalEntry},
+    http::{CallAnswer, CallRequest},
+    mesh::{BackendSpec, LocalMesh},
+    platform::PlatformFaults,
+    proxy::{ProxyAction, ProxyRule},
+};
+use bronzelb_kernel::clock::TimeBudget;
+use futures::future::join_all;
+
+const LIMIT: TimeBudget = TimeBudget::from_secs(20);
+const STEP: Duration = Duration::from_millis(50);
+const NODES: [&str; 3] = ["dc1-n1", "dc2-n1", "dc3-n1"];
+const NOT_RUN: &str = "not-run";
+const RAN: &str = "ran";
+
+const ANSWERS: &str = "
+mesh: local
+crews: [ground]
+data_centres:
+  dc1: {latency: {dc2: 500us, dc3: 500us}}
+  dc2: {latency: {dc3: 500us}}
+  dc3: {}
+defaults:
+  services:
+    slots: 12
+    connections: 110
+    report_format: json-load
+    slow_start: 0ms
+    drain: 30s
+    rollout: {first_share: 1%, min_requests: 100, hold: 30s}
+  routes:
+    timeout: 3s
+    objective: {success: 99.9%, latency: 250ms}
+services:
+  work: {}
+routes:
+  reads: {path: /reads, methods: [GET], service: work, priority: urgent}
+  archive: {path: /archive, methods: [GET], service: work, priority: deferrable}
+  orders: {path: /orders, methods: [POST], service: work, priority: urgent, idempotent: false}
+";
+
+async fn start(spec: BackendSpec) -> LocalMesh {
+    let mut mesh = LocalMesh::builder()
+        .data_centres(3)
+        .backend(spec)
+        .start()
+        .await
+        .expect("the mesh starts");
+    mesh.publish(ANSWERS).await.expect("the answers are valid");
+    mesh.wait_version(1, LIMIT)
+        .await
+        .expect("a version in force");
+    mesh.wait_backends("work", 3, LIMIT)
+        .await
+        .expect("three servers are known");
+    mesh
+}
+
+async fn set_faults(mesh: &LocalMesh, rules: &[FaultRule]) {
+    for name in mesh.backend_names() {
+        let faults = BackendFaults::from_rules(rules.to_vec());
+        mesh.set_backend_faults(&name, &faults)
+            .await
+            .expect("the server takes faults");
+    }
+}
+
+fn order(key: &str) -> CallRequest {
+    CallRequest::post("/orders", key.to_owned()).with_key(key)
+}
+
+/// What a caller was told; a broken connection tells nothing.
+fn told(answer: &Option<CallAnswer>) -> &str {
+    answer.as_ref().map_or("", CallAnswer::run_state)
+}
+
+async fn call(mesh: &LocalMesh, node: &str, request: &CallRequest) -> Option<CallAnswer> {
+    mesh.call(node, request).await.ok()
+}
+
+fn kill_node(mesh: &mut LocalMesh, name: &str) {
+    let node = mesh.node_mut(name).expect("a node");
+    node.process().expect("a process").kill();
+}
+
+fn runs_by(runs: &[JournalEntry], name: impl Fn(&JournalEntry) -> &str) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for run in runs {
+        *counts.entry(name(run).to_owned()).or_insert(0) += 1;
+    }
+    counts
+}
+
+#[actix_web::test]
+async fn thousands_of_concurrent_requests_get_their_own_whole_answers() {
+    let mesh = start(BackendSpec::new("work", "v1").with_slots(50)).await;
+    let rules = [
+        FaultRule::new(FaultAction::CutBody).with_share(0.05),
+        FaultRule::new(FaultAction::WrongRequestId).with_share(0.05),
+        FaultRule::new(FaultAction::DoubleAnswer).with_share(0.05),
+        FaultRule::new(FaultAction::CloseAfterRun).with_share(0.02),
+        FaultRule::new(FaultAction::Delay(40)).with_share(0.05),
+    ];
+    set_faults(&mesh, &rules).await;
+    let mut served = 0;
+    for round in 0..10 {
+        let requests: Vec<CallRequest> = (0..200)
+            .map(|number| {
+                CallRequest::get(format!("/reads/{round}/{number}"))
+                    .with_header("x-emulator-bytes", (number * 37).to_string())
+            })
+            .collect();
+        let calls = requests.iter().enumerate().map(|(number, request)| {
+            let mesh = &mesh;
+            async move { call(mesh, NODES[number % NODES.len()], request).await }
+        });
+        for (request, answer) in requests.iter().zip(join_all(calls).await) {
+            let answer = answer.expect("a node answers every request");
+            if answer.status == 200 {
+                assert!(answer.is_answer_to(request), "{request:?} got {answer:?}");
+                served += 1;
+            }
+        }
+    }
+    assert!(served > 1_000, "{served} of 2000 were served");
+}
+
+#[actix_web::test]
+async fn what_is_told_as_not_run_did_not_run_whatever_the_server_does() {
+    let mesh = start(BackendSpec::new("work", "v1")).await;
+    let actions = [
+        FaultAction::Delay(20),
+        FaultAction::Fail,
+        FaultAction::FailFast,
+        FaultAction::Shed,
+        FaultAction::CutBody,
+        FaultAction::WrongRequestId,
+        FaultAction::DoubleAnswer,
+        FaultAction::CloseBeforeRun,
+        FaultAction::CloseAfterRun,
+        FaultAction::Freeze,
+    ];
+    let mut answers = Vec::new();
+    for action in actions {
+        let share = if action == FaultAction::Shed {
+            1.0
+        } else {
+            0.6
+        };
+        set_faults(&mesh, &[FaultRule::new(action).with_share(share)]).await;
+        let requests: Vec<CallRequest> = (0..30)
+            .map(|_| CallRequest::post("/orders", "x").with_deadline_ms(400))
+            .collect();
+        let calls = requests.iter().enumerate().map(|(number, request)| {
+            let mesh = &mesh;
+            async move { call(mesh, NODES[number % NODES.len()], request).await }
+        });
+        answers.extend(join_all(calls).await);
+    }
+    let runs = mesh.runs().expect("readable journals");
+    let runs = runs_by(&runs, |run| &run.request);
+    let answers: Vec<CallAnswer> = answers.into_iter().flatten().collect();
+    assert!(answers.iter().any(|answer| answer.run_state() == NOT_RUN));
+    assert!(answers.iter().any(|answer| answer.run_state() == RAN));
+    for answer in answers {
+        let count = runs.get(answer.header("x-bronzelb-request")).copied();
+        assert!(count.unwrap_or(0) <= 1, "ran twice: {answer:?}");
+        match answer.run_state() {
+            NOT_RUN => assert_eq!(count, None, "{answer:?}"),
+            RAN if answer.status == 200 => assert_eq!(count, Some(1), "{answer:?}"),
+            _ => {}
+        }
+    }
+}
+
+#[actix_web::test]
+async fn what_is_told_as_not_run_did_not_run_while_nodes_and_servers_die_or_freeze() {
+    let mut mesh = start(BackendSpec::new("work", "v1").with_service_time("60ms")).await;
+    let mut answers = Vec::new();
+    for round in 0..4 {
+        let victim = NODES[1 + round % 2];
+        let calls = (0..24).map(|_| {
+            let request = CallRequest::post("/orders", "x").with_deadline_ms(1_500);
+            let client = bronzelb_emulator::http::CallerClient::new();
+            let address = mesh.node(NODES[0]).expect("a node").addresses().callers;
+            actix_web::rt::spawn(async move { client.call(address, &request).await.ok() })
+        });
+        let calls: Vec<_> = calls.collect();
+        tokio::time::sleep(STEP / 2 * (round as u32 + 1)).await;
+        match round {
+            0 | 1 => kill_node(&mut mesh, victim),
+            2 => {
+                let process = mesh.node_mut(victim).expect("a node").process();
+                process.expect("a process").freeze().expect("it freezes");
+            }
+            _ => {
+                let names = mesh.backend_names();
+                for name in &names[1..] {
+                    mesh.backend_mut(name).expect("a server").process().kill();
+                }
+            }
+        }
+        for answer in join_all(calls).await {
+            answers.push(answer.expect("the call ends"));
+        }
+        match round {
+            0 | 1 => mesh.start_node(victim).await.expect("it starts again"),
+            2 => {
+                let process = mesh.node_mut(victim).expect("a node").process();
+                process.expect("a process").thaw().expect("it thaws");
+            }
+            _ => {}
+        }
+        if round < 3 {
+            mesh.wait_backends("work", 3, LIMIT)
+                .await
+                .expect("all known again");
+        }
+    }
+    let runs = mesh.runs().expect("readable journals");
+    let runs = runs_by(&runs, |run| &run.request);
+    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+    for answer in answers.iter().filter(|answer| told(answer) == NOT_RUN) {
+        let answer = answer.as_ref().expect("it told something");
+        let id = answer.header("x-bronzelb-request");
+        assert!(!runs.contains_key(id), "ran: {answer:?}");
+    }
+    assert!(answers.iter().any(|answer| told(answer) == RAN));
+}
+
+#[actix_web::test]
+async fn order_runs_at_most_once_over_resends_everywhere() {
+    let mut mesh = start(BackendSpec::new("work", "v1").with_service_time("100ms")).await;
+    let lose = ProxyRule::new(ProxyAction::LoseAnswer).with_listener("platform");
+    let mut keys = Vec::new();
+    for round in 0..6 {
+        let key = format!("order-{round}");
+        match round {
+            1 | 2 => mesh
+                .add_rule(lose.clone().with_next(3))
+                .await
+                .expect("a rule"),
+            3 => mesh
+                .separate(1, 2, ProxyAction::Cut)
+                .await
+                .expect("a partition"),
+            4 => mesh
+                .separate_platform(1, ProxyAction::Stall)
+                .await
+                .expect("an outage"),
+            _ => mesh.heal().await.expect("no rules"),
+        }
+        for _ in 0..3 {
+            let calls = NODES.iter().map(|node| {
+                let request = order(&key).with_deadline_ms(1_500);
+                let mesh = &mesh;
+                async move { call(mesh, node, &request).await }
+            });
+            join_all(calls).await;
+        }
+        keys.push(key);
+    }
+    let runs = mesh.runs().expect("readable journals");
+    let runs = runs_by(&runs, |run| &run.key);
+    for key in &keys {
+        assert!(runs.get(key).copied().unwrap_or(0) <= 1, "{runs:?}");
+    }
+    assert_eq!(runs.get("order-0"), Some(&1), "{runs:?}");
+    assert_eq!(runs.get("order-5"), Some(&1), "{runs:?}");
+}
+
+#[actix_web::test]
+async fn frozen_or_dead_holder_never_leads_to_a_second_run() {
+    let mut mesh = start(BackendSpec::new("work", "v1").with_service_time("300ms")).await;
+    for (key, is_killed) in [("frozen", false), ("dead", true)] {
+        let address = mesh.node(NODES[0]).expect("a node").addresses().callers;
+        let first = {
+            let request = order(key).with_deadline_ms(1_000);
+            let client = bronzelb_emulator::http::CallerClient::new();
+            actix_web::rt::spawn(async move { client.call(address, &request).await.ok() })
+        };
+        tokio::time::sleep(STEP).await;
+        let holder = mesh.node_mut(NODES[0]).expect("a node");
+        if is_killed {
+            holder.process().expect("a process").kill();
+        } else {
+            let process = holder.process().expect("a process");
+            process.freeze().expect("it freezes");
+        }
+        for node in &NODES[1..] {
+            let answer = call(&mesh, node, &order(key).with_deadline_ms(1_200)).await;
+            assert_ne!(told(&answer), "", "the node answers");
+        }
+        if is_killed {
+            mesh.start_node(NODES[0]).await.expect("it starts again");
+            mesh.wait_version(1, LIMIT)
+                .await
+                .expect("a version in force");
+        } else {
+            let process = mesh.node_mut(NODES[0]).expect("a node").process();
+            process.expect("a process").thaw().expect("it thaws");
+        }
+        first.await.expect("the call ends");
+        for node in NODES {
+            call(&mesh, node, &order(key).with_deadline_ms(1_200)).await;
+        }
+        let runs = mesh.runs().expect("readable journals");
+        let runs = runs_by(&runs, |run| &run.key);
+        assert!(runs.get(key).copied().unwrap_or(0) <= 1, "{runs:?}");
+    }
+}
+
+#[actix_web::test]
+async fn tickets_work_while_the_platform_is_away_and_keys_are_told_not_run() {
+    let mut mesh = start(BackendSpec::new("work", "v1")).await;
+    let faults = PlatformFaults {
+        away: true,
+        ..PlatformFaults::default()
+    };
+    mesh.platform()
+        .set_faults(&faults)
+        .await
+        .expect("an outage");
+    for (number, node) in NODES.iter().enumerate() {
+        let own = call(&mesh, node, &order(&format!("own-{number}"))).await;
+        let own = own.expect("the node answers");
+        assert_eq!((own.status, own.run_state()), (503, NOT_RUN), "{own:?}");
+        assert_ne!(own.header("retry-after"), "");
+        let issued = call(&mesh, node, &CallRequest::post("/.bronzelb/ticket", "")).await;
+        let issued = issued.expect("the node answers").body;
+        let issued: BTreeMap<String, serde_json::Value> =
+            serde_json::from_slice(&issued).expect("a JSON object");
+        let ticket = issued["ticket"].as_str().expect("a text").to_owned();
+        for node in NODES {
+            let answer = call(&mesh, node, &order(&ticket)).await.expect("an answer");
+            assert_eq!(
+                (answer.status, answer.run_state()),
+                (200, RAN),
+                "{answer:?}"
+            );
+        }
+        let runs = mesh.runs().expect("readable journals");
+        let runs = runs_by(&runs, |run| &run.key);
+        assert_eq!(runs.get(&ticket), Some(&1), "{runs:?}");
+    }
+}
+
+#[actix_web::test]
+async fn request_that_kills_servers_kills_two_at_most() {
+    let mut mesh = start(BackendSpec::new("work", "v1")).await;
+    for _ in 0..2 {
+        let spec = BackendSpec::new("work", "v1");
+        mesh.add_backend(NODES[0], &spec).await.expect("a server");
+    }
+    mesh.wait_backends("work", 5, LIMIT)
+        .await
+        .expect("five servers");
+    let mut reached = 0;
+    for round in 0..4 {
+        for node in NODES {
+            let killer = CallRequest::get("/reads/killer").with_header("x-emulator-crash", "1");
+            let innocent = CallRequest::get("/reads/innocent");
+            let (killed, served) =
+                futures::join!(call(&mesh, node, &killer), call(&mesh, node, &innocent));
+            let killed = killed.expect("the node answers");
+            reached += usize::from(killed.run_state() != NOT_RUN);
+            assert_ne!(killed.status, 200);
+            served.expect("the node answers");
+        }
+        if round == 0 {
+            assert!(reached > 0, "the request ran");
+        }
+    }
+    let mut alive = 0;
+    for name in mesh.backend_names() {
+        let process = mesh.backend_mut(&name).expect("a server").process();
+        alive += usize::from(process.is_running());
+    }
+    assert!(alive >= 3, "{alive} of 5 servers are left");
+    for node in NODES {
+        let innocent = call(&mesh, node, &CallRequest::get("/reads/innocent")).await;
+        assert_eq!(innocent.expect("the node answers").status, 200);
+    }
+}
+
+#[actix_web::test]
+async fn rolling_shutdown_of_nodes_and_servers_cuts_off_nothing() {
+    let mut mesh = start(BackendSpec::new("work", "v1").with_service_time("400ms")).await;
+    for victim in NODES {
+        let entry = NODES.iter().find(|node| **node != victim).expect("another");
+        let mut calls = Vec::new();
+        for node in [entry, victim] {
+            let address = mesh.node(node).expect("a node").addresses().callers;
+            for number in 0..12 {
+                let request = CallRequest::get(format!("/reads/{number}"));
+                let client = bronzelb_emulator::http::CallerClient::new();
+                calls.push(actix_web::rt::spawn(async move {
+                    client.call(address, &request).await
+                }));
+            }
+        }
+        tokio::time::sleep(STEP * 2).await;
+        mesh.stop_node(victim, LIMIT).await.expect("it ends");
+        for answer in join_all(calls).await {
+            let answer = answer.expect("the call ends").expect("a whole answer");
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        mesh.start_node(victim).await.expect("it starts again");
+        mesh.wait_version(1, LIMIT)
+            .await
+            .expect("a version in force");
+        mesh.wait_backends("work", 3, LIMIT)
+            .await
+            .expect("all known again");
+    }
+    for name in mesh.backend_names() {
+        let address = mesh.node(NODES[0]).expect("a node").addresses().callers;
+        let mut calls = Vec::new();
+        for number in 0..12 {
+            let request = CallRequest::get(format!("/reads/{number}"));
+            let client = bronzelb_emulator::http::CallerClient::new();
+            calls.push(actix_web::rt::spawn(async move {
+                client.call(address, &request).await
+            }));
+        }
+        tokio::time::sleep(STEP * 2).await;
+        let process = mesh.backend_mut(&name).expect("a server").process();
+        process.terminate().expect("a signal");
+        process.wait(LIMIT).await.expect("it ends");
+        for answer in join_all(calls).await {
+            let answer = answer.expect("the call ends").expect("a whole answer");
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        let node = mesh.backend(&name).expect("a server").node().to_owned();
+        let spec = BackendSpec::new("work", "v1").with_service_time("400ms");
+        mesh.add_backend(&node, &spec).await.expect("a server");
+        mesh.wait_backends("work", 3, LIMIT)
+            .await
+            .expect("all known again");
+    }
+}
+
+#[actix_web::test]
+async fn refused_requests_get_their_final_answer_long_before_their_deadline() {
+    let spec = BackendSpec::new("work", "v1")
+        .with_slots(1)
+        .with_service_time("300ms");
+    let mesh = start(spec).await;
+    let deadline = Duration::from_secs(3);
+    let calls = (0..150).map(|number| {
+        let mesh = &mesh;
+        async move {
+            let request = CallRequest::get(format!("/archive/{number}")).with_deadline_ms(3_000);
+            let started = Instant::now();
+            let answer = call(mesh, NODES[number % NODES.len()], &request).await;
+            (answer.expect("the node answers"), started.elapsed())
+        }
+    });
+    let mut refused = 0;
+    for (answer, took) in join_all(calls).await {
+        if answer.run_state() == NOT_RUN {
+            refused += 1;
+            assert!(took < deadline / 2, "refused after {took:?}: {answer:?}");
+            assert_ne!(answer.header("x-bronzelb-retry-after-ms"), "", "{answer:?}");
+        }
+    }
+    assert!(refused > 0);
+}
+
+#[actix_web::test]
+async fn server_that_fails_fast_draws_no_traffic_although_it_reports_health() {
+    let mesh = start(BackendSpec::new("work", "v1")).await;
+    let names = mesh.backend_names();
+    let failing = BackendFaults::from_rules([FaultRule::new(FaultAction::FailFast)]);
+    mesh.set_backend_faults(&names[0], &failing)
+        .await
+        .expect("the server takes faults");
+    let mut failed = 0;
+    for number in 0..300 {
+        let request = CallRequest::get(format!("/reads/{number}"));
+        let answer = call(&mesh, NODES[0], &request).await.expect("an answer");
+        failed += usize::from(answer.status != 200);
+    }
+    let tally = mesh.tally(&names[0]).await.expect("a tally");
+    assert!(tally.totals.received < 60, "{:?}", tally.totals);
+    assert!(failed < 15, "{failed} of 300 failed");
+}
+
+#[actix_web::test]
+async fn deep_chain_does_not_multiply_attempts() {
+    let mesh = start(BackendSpec::new("work", "v1").with_slots(200)).await;
+    let rule = FaultRule::new(FaultAction::Fail)
+        .with_path("/reads/deepest")
+        .with_share(0.5);
+    set_faults(&mesh, &[rule]).await;
+    let chain: Vec<String> = (1..20).map(|depth| format!("/reads/{depth}")).collect();
+    let chain = format!("{},/reads/deepest", chain.join(","));
+    let calls = 120;
+    for round in 0..6 {
+        let batch = (0..calls / 6).map(|number| {
+            let mesh = &mesh;
+            let request =
+                CallRequest::get("/reads/0").with_header("x-emulator-chain", chain.as_str());
+            async move { call(mesh, NODES[(round + number) % NODES.len()], &request).await }
+        });
+        join_all(batch).await;
+    }
+    let runs = mesh.runs().expect("readable journals").len();
+    let ratio = runs as f64 / (calls * 21) as f64;
+    assert!(ratio < 1.2, "{ratio} runs for each call");
+    assert!(ratio > 0.9, "{ratio} runs for each call");
+}
--- a/crates/kernel/src/request/server_stat.rs
+++ b/crates/kernel/src/request/server_stat.rs
@@ -132,7 +132,9 @@
         }
         let is_failing =
             self.samples >= MIN_FAILURE_SAMPLES && self.failure_share >= MAX_FAILURE_SHARE;
-        is_failing || self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
+        // A refused connection needs no second one to be believed.
+        let is_absent = outcome == AttemptOutcome::Unreached;
+        is_absent || is_failing || self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
     }
 
     /// Keeps the server out of the choice, longer each time in a row, then starts it slowly.
--- a/crates/kernel/src/request/slot_gate.rs
+++ b/crates/kernel/src/request/slot_gate.rs
@@ -10,6 +10,7 @@
 
 const FIRST_SERVICE_TIME: TimeBudget = TimeBudget::from_millis(5);
 const SERVICE_TIME_WEIGHT: u64 = 8;
+const EXAMINE_DIVISOR: u64 = 8;
 const MIN_RETRY_MICROS: u64 = 5_000;
 const MAX_RETRY_MICROS: u64 = 5_000_000;
 
@@ -101,6 +102,9 @@
     running: u32,
     queue: BTreeMap<QueuePlace, T>,
     service_time: TimeBudget,
+    has_learned: bool,
+    /// Service time by which the queue was last examined.
+    examined_for: TimeBudget,
     next_sequence: u64,
 }
 
@@ -114,6 +118,8 @@
             running: 0,
             queue: BTreeMap::new(),
             service_time: FIRST_SERVICE_TIME,
+            has_learned: false,
+            examined_for: FIRST_SERVICE_TIME,
             next_sequence: 0,
         }
     }
@@ -230,11 +236,21 @@
             self.running += 1;
             change.started.push(item);
         }
+        if self.has_slowed() {
+            change.refused.extend(self.displace(now, rng));
+        }
         change
     }
 
+    /// Returns whether requests take so much longer that the queue needs another look.
+    fn has_slowed(&self) -> bool {
+        let examined = self.examined_for.as_micros();
+        self.service_time.as_micros() > examined + examined / EXAMINE_DIVISOR
+    }
+
     fn displace(&mut self, now: ClockInstant, rng: &mut impl Rng) -> Vec<RefusedWaiter<T>> {
         let mut doomed = Vec::new();
+        self.examined_for = self.service_time;
         let mut kept = 0;
         for place in self.queue.keys() {
             if kept >= self.queue_limit || self.is_hopeless(now, place.deadline, kept) {
@@ -284,6 +300,11 @@
     }
 
     fn learn(&mut self, took: TimeBudget) {
+        if !self.has_learned {
+            self.has_learned = true;
+            self.service_time = took;
+            return;
+        }
         let held = self.service_time.as_micros() * (SERVICE_TIME_WEIGHT - 1);
         let micros = (held + took.as_micros()) / SERVICE_TIME_WEIGHT;
         self.service_time = TimeBudget::from_micros(micros);
