--- a/crates/daemon/tests/report.rs
+++ b/crates/daemon/tests/report.rs
@@ -93,10 +93,12 @@
         .await
         .expect("is known");
 
-    let mut faults = BackendFaults::default();
-    faults.report = ReportFaults {
-        healthy: Some(false),
-        ..ReportFaults::default()
+    let faults = BackendFaults {
+        report: ReportFaults {
+            healthy: Some(false),
+            ..ReportFaults::default()
+        },
+        ..BackendFaults::default()
     };
     mesh.set_backend_faults(&backend, &faults)
         .await
