--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -190,6 +190,7 @@
             Some(connection) => connection,
             None => BackendConnection::open(address).await?,
         };
+        let is_fresh = connection.is_fresh();
         let head = request_head(address, echoes, left, message)?;
         let (answer, connection) = connection.exchange(head, message.body.clone()).await?;
         let echo = answer.headers.get(REQUEST_HEADER);
@@ -197,13 +198,15 @@
             Some(echo) if echo.as_bytes() == message.request_id.as_bytes() => {
                 gate.echoes.store(true, Ordering::Relaxed);
             }
-            // A server that never echoes gets a connection for each request.
-            None if !echoes => {}
+            // A server that does not echo gets a connection for each request.
+            None if is_fresh => gate.echoes.store(false, Ordering::Relaxed),
             _ => {
+                gate.echoes.store(false, Ordering::Relaxed);
                 let reason = "it answered for another request";
                 return Err(ExchangeError::Lost(reason.to_owned()));
             }
         }
+        let connection = connection.filter(|_| gate.echoes.load(Ordering::Relaxed));
         if let Some(connection) = connection {
             self.idle
                 .borrow_mut()
--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -50,6 +50,7 @@
 #[derive(Debug)]
 pub(crate) struct BackendConnection {
     framed: Framed<TcpStream, ClientCodec>,
+    is_fresh: bool,
 }
 
 impl BackendConnection {
@@ -68,6 +69,7 @@
         let _ = stream.set_nodelay(true);
         Ok(Self {
             framed: Framed::new(stream, ClientCodec::default()),
+            is_fresh: true,
         })
     }
 
@@ -79,6 +81,12 @@
         is_silent && self.framed.read_buffer().is_empty()
     }
 
+    /// Returns whether no exchange has been made, so that the next answer belongs to the next
+    /// request whatever it says.
+    pub(crate) const fn is_fresh(&self) -> bool {
+        self.is_fresh
+    }
+
     /// Sends a request and reads its whole answer.
     ///
     /// The connection comes back if it can serve another exchange.
@@ -87,6 +95,7 @@
         head: RequestHead,
         body: Bytes,
     ) -> Result<(WholeAnswer, Option<Self>), ExchangeError> {
+        self.is_fresh = false;
         let method = head.method.clone();
         self.send(head, body).await.map_err(|error| lost(&error))?;
         let head = self.read_head().await?;
@@ -151,7 +160,13 @@
         let is_kept = framed.codec().keep_alive();
         let framed = framed.map_codec(ClientPayloadCodec::into_message_codec);
         let answer = whole_answer(head, body.freeze());
-        Ok((answer, is_kept.then_some(Self { framed })))
+        Ok((
+            answer,
+            is_kept.then_some(Self {
+                framed,
+                is_fresh: false,
+            }),
+        ))
     }
 }
 
--- a/crates/daemon/tests/request.rs
+++ b/crates/daemon/tests/request.rs
@@ -171,8 +171,13 @@
     let runs = mesh.runs().expect("readable journals");
     let runs = runs_by(&runs, |run| &run.request);
     let answers: Vec<CallAnswer> = answers.into_iter().flatten().collect();
-    assert!(answers.iter().any(|answer| answer.run_state() == NOT_RUN));
-    assert!(answers.iter().any(|answer| answer.run_state() == RAN));
+    let told = |state| {
+        answers
+            .iter()
+            .filter(|answer| answer.run_state() == state)
+            .count()
+    };
+    assert!(told(NOT_RUN) > 0 && told(RAN) > 0, "{answers:?}");
     for answer in answers {
         let count = runs.get(answer.header("x-bronzelb-request")).copied();
         assert!(count.unwrap_or(0) <= 1, "ran twice: {answer:?}");
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -404,6 +404,25 @@
     assert!(error.retry_at().is_some());
 }
 
+#[actix_web::test]
+async fn refusal_without_echo_counts_only_on_a_fresh_connection() {
+    let server = RawServer::start(|number, id| {
+        if number == 0 {
+            return keep(whole(id, id));
+        }
+        keep("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-backend-run: not-run\r\n\r\n".to_owned())
+    })
+    .await;
+    let bench = Bench::new(&[server.address], false);
+    // The first answer comes on a connection that closes, the others on one that might be kept.
+    let mut told = Vec::new();
+    for number in 0..4 {
+        told.push(run_state(&bench.get(number).await));
+    }
+    assert_eq!(told[0], RunState::Ran);
+    assert_eq!(told[3], RunState::NotRun);
+}
+
 #[actix_web::test]
 async fn server_that_sheds_is_retried_elsewhere_even_when_not_idempotent() {
     let shedding = RawServer::start(|_, id| {
--- a/crates/emulator/src/backend/work_handler.rs
+++ b/crates/emulator/src/backend/work_handler.rs
@@ -58,15 +58,17 @@
     let mut flight = FlightGuard::enter(&core);
     let fault = draw_fault(&core, &request, arrived_at);
     let response = match fault.action {
-        Some(FaultAction::FailFast) => HttpResponse::InternalServerError().finish(),
-        Some(FaultAction::Shed) => shed(&core),
+        Some(FaultAction::FailFast) => HttpResponse::InternalServerError()
+            .insert_header((REQUEST_HEADER, header(&request, REQUEST_HEADER)))
+            .finish(),
+        Some(FaultAction::Shed) => shed(&core, &request),
         Some(FaultAction::CloseBeforeRun) => close(&request),
         Some(FaultAction::Freeze) => pending().await,
         action => {
             let answer = run(&core, &request, &body, fault.delay).await;
             let Some(answer) = answer else {
                 flight.is_finished = true;
-                return shed(&core);
+                return shed(&core, &request);
             };
             if action == Some(FaultAction::Crash) {
                 std::process::exit(CRASH_EXIT_CODE);
@@ -208,10 +210,11 @@
         .unwrap_or_default()
 }
 
-fn shed(core: &BackendCore) -> HttpResponse {
+fn shed(core: &BackendCore, request: &HttpRequest) -> HttpResponse {
     core.lock().tally.totals.shed += 1;
     HttpResponse::ServiceUnavailable()
         .insert_header((RUN_HEADER, "not-run"))
+        .insert_header((REQUEST_HEADER, header(request, REQUEST_HEADER)))
         .finish()
 }
 
--- a/crates/kernel/src/request/slot_gate.rs
+++ b/crates/kernel/src/request/slot_gate.rs
@@ -11,6 +11,7 @@
 const FIRST_SERVICE_TIME: TimeBudget = TimeBudget::from_millis(5);
 const SERVICE_TIME_WEIGHT: u64 = 8;
 const EXAMINE_DIVISOR: u64 = 8;
+const WAIT_DIVISOR: u64 = 4;
 const MIN_RETRY_MICROS: u64 = 5_000;
 const MAX_RETRY_MICROS: u64 = 5_000_000;
 
@@ -68,11 +69,19 @@
     }
 }
 
+/// A waiting request, and the instant from which it is refused rather than started.
+#[derive(Clone, Debug)]
+struct WaitEntry<T> {
+    item: T,
+    give_up_at: ClockInstant,
+}
+
 /// A limit on requests that run at once, with a bounded queue before it.
 ///
 /// The queue is ordered by priority, then by deadline. A request that cannot make its deadline,
 /// by the measured service time and the requests before it, is refused at once with the instant
-/// at which room is expected. When the queue is full, a more urgent arrival displaces the last
+/// at which room is expected. No request waits longer than a quarter of the time that it had left
+/// on arrival, so that its caller can still turn elsewhere. When the queue is full, a more urgent arrival displaces the last
 /// one in the queue.
 ///
 /// # Examples
@@ -100,7 +109,7 @@
     limit: u32,
     queue_limit: usize,
     running: u32,
-    queue: BTreeMap<QueuePlace, T>,
+    queue: BTreeMap<QueuePlace, WaitEntry<T>>,
     service_time: TimeBudget,
     has_learned: bool,
     /// Service time by which the queue was last examined.
@@ -153,19 +162,19 @@
             .is_none_or(|(last, _)| place > *last);
         let is_full = self.queue.len() >= self.queue_limit;
         let ahead = self.queue.range(..place).count();
-        if (is_full && is_last) || self.is_hopeless(now, deadline, ahead) {
+        let give_up_at = self.give_up_at(now, deadline);
+        if (is_full && is_last) || self.is_hopeless(now, give_up_at, ahead) {
             return (self.refuse(now, rng), Vec::new());
         }
         self.next_sequence += 1;
-        self.queue.insert(place, item);
+        self.queue.insert(place, WaitEntry { item, give_up_at });
         let refused = self.displace(now, rng);
-        let give_up_at = self.give_up_at(deadline);
         (GateVerdict::Wait { place, give_up_at }, refused)
     }
 
     /// Withdraws a waiting request; returns its item, or `None` when it no longer waits.
     pub fn withdraw(&mut self, place: QueuePlace) -> Option<T> {
-        self.queue.remove(&place)
+        self.queue.remove(&place).map(|entry| entry.item)
     }
 
     /// Frees the slot of a request that ran for `took`, or that never began when `None`.
@@ -225,10 +234,11 @@
     fn start_waiting(&mut self, now: ClockInstant, rng: &mut impl Rng) -> GateChange<T> {
         let mut change = GateChange::default();
         while self.running < self.limit {
-            let Some((place, item)) = self.queue.pop_first() else {
+            let Some((_, entry)) = self.queue.pop_first() else {
                 break;
             };
-            if self.give_up_at(place.deadline).has_passed(now) {
+            let item = entry.item;
+            if entry.give_up_at.has_passed(now) {
                 let retry_at = self.retry_at(now, rng);
                 change.refused.push(RefusedWaiter { item, retry_at });
                 continue;
@@ -252,8 +262,8 @@
         let mut doomed = Vec::new();
         self.examined_for = self.service_time;
         let mut kept = 0;
-        for place in self.queue.keys() {
-            if kept >= self.queue_limit || self.is_hopeless(now, place.deadline, kept) {
+        for (place, entry) in &self.queue {
+            if kept >= self.queue_limit || self.is_hopeless(now, entry.give_up_at, kept) {
                 doomed.push(*place);
             } else {
                 kept += 1;
@@ -262,7 +272,8 @@
         let mut refused = Vec::with_capacity(doomed.len());
         for place in doomed {
             let retry_at = self.retry_at(now, rng);
-            if let Some(item) = self.queue.remove(&place) {
+            if let Some(entry) = self.queue.remove(&place) {
+                let item = entry.item;
                 refused.push(RefusedWaiter { item, retry_at });
             }
         }
@@ -275,11 +286,10 @@
         }
     }
 
-    /// Returns whether a request behind `ahead` others would end after its deadline.
-    fn is_hopeless(&self, now: ClockInstant, deadline: ClockInstant, ahead: usize) -> bool {
+    /// Returns whether a request behind `ahead` others would start too late.
+    fn is_hopeless(&self, now: ClockInstant, give_up_at: ClockInstant, ahead: usize) -> bool {
         let wait = self.wait_micros(ahead as u64 + 1);
-        let start = now.after(TimeBudget::from_micros(wait));
-        start.after(self.service_time) > deadline
+        now.after(TimeBudget::from_micros(wait)) > give_up_at
     }
 
     fn wait_micros(&self, requests: u64) -> u64 {
@@ -287,8 +297,11 @@
         requests.saturating_mul(self.service_time.as_micros()) / limit
     }
 
-    fn give_up_at(&self, deadline: ClockInstant) -> ClockInstant {
-        deadline.before(self.service_time)
+    /// Returns when a request that arrives now has waited as long as it may.
+    fn give_up_at(&self, now: ClockInstant, deadline: ClockInstant) -> ClockInstant {
+        let longest = deadline.left(now).as_micros() / WAIT_DIVISOR;
+        let latest_start = deadline.before(self.service_time);
+        latest_start.min(now.after(TimeBudget::from_micros(longest)))
     }
 
     /// Returns when the present queue will have drained, spread so that retries do not coincide.
