Add the trial of a whole mesh

bronzelb-emulator try starts a small mesh, publishes answers, sends reads and dispatches, publishes a change, cuts off a data centre, and prints an account; it fails when something that must hold does not. Tests of the processes' signals and of their end on a panic.

--- a/crates/emulator/src/command/emulator_command.rs
+++ b/crates/emulator/src/command/emulator_command.rs
@@ -4,7 +4,7 @@
 use clap::{ArgMatches, Command};
 
 use crate::command::{
-    backend_command, experiment_command, load_command, platform_command, proxy_command,
+    backend_command, experiment_command, load_command, platform_command, proxy_command, try_command,
 };
 
 /// A subcommand: how its arguments look, and what it does.
@@ -13,7 +13,7 @@
     run: fn(&ArgMatches) -> Result<(), MeshError>,
 }
 
-const SUBCOMMANDS: [Subcommand; 5] = [
+const SUBCOMMANDS: [Subcommand; 6] = [
     Subcommand {
         define: backend_command::define,
         run: backend_command::run,
@@ -34,6 +34,10 @@
         define: proxy_command::define,
         run: proxy_command::run,
     },
+    Subcommand {
+        define: try_command::define,
+        run: try_command::run,
+    },
 ];
 
 /// Runs the program with `args`, the program's name first, and returns its exit code.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`process`]: processes that a test or an experiment starts
 //! - [`proxy`]: fault-injecting TCP proxy
 //! - [`server`]: what the stand-ins' HTTP listeners share
+//! - [`trial`]: a short trial of a whole mesh
 //! - [`command`]: the command line of `bronzelb-emulator`
 
 pub mod backend;
@@ -24,3 +25,4 @@
 pub mod process;
 pub mod proxy;
 pub mod server;
+pub mod trial;
--- /dev/null
+++ b/crates/emulator/tests/mesh.rs
@@ -0,0 +1,78 @@
+//! The processes of a local mesh: signals, restarts and the end.
+
+use std::path::{Path, PathBuf};
+
+use bronzelb_emulator::process::ChildProcess;
+use bronzelb_kernel::clock::TimeBudget;
+
+const LIMIT: TimeBudget = TimeBudget::from_secs(10);
+
+fn start_platform(directory: &Path) -> ChildProcess {
+    let emulator = Path::new(env!("CARGO_BIN_EXE_bronzelb-emulator"));
+    ChildProcess::start("platform", emulator, ["platform"], directory).expect("a process")
+}
+
+fn proc_folder(process: &ChildProcess) -> PathBuf {
+    PathBuf::from(format!("/proc/{}", process.id()))
+}
+
+fn run_letter(process: &ChildProcess) -> Option<char> {
+    let stat = std::fs::read_to_string(proc_folder(process).join("stat")).ok()?;
+    let (_, rest) = stat.rsplit_once(") ")?;
+    rest.chars().next()
+}
+
+#[actix_web::test]
+async fn frozen_process_stops_and_goes_on() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut process = start_platform(directory.path());
+    let _: serde_json::Value = process.listening().await.expect("addresses");
+    process.freeze().expect("the signal is taken");
+    let is_stopped = async || run_letter(&process) == Some('T');
+    bronzelb_emulator::mesh::wait_until("the stop", LIMIT, is_stopped)
+        .await
+        .expect("the process is stopped");
+    process.thaw().expect("the signal is taken");
+    process.terminate().expect("the signal is taken");
+    let status = process.wait(LIMIT).await.expect("the process ends");
+    assert!(status.success(), "{status}");
+    assert!(
+        process.terminate().is_err(),
+        "an ended process takes no signal"
+    );
+}
+
+#[actix_web::test]
+async fn processes_end_when_their_owner_panics() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut process = start_platform(directory.path());
+    let _: serde_json::Value = process.listening().await.expect("addresses");
+    process.freeze().expect("the signal is taken");
+    let folder = proc_folder(&process);
+    assert!(folder.exists());
+    let panicked = std::panic::catch_unwind(std::panic::AssertUnwindSafe(move || {
+        let _owned = process;
+        panic!("a test fails");
+    }));
+    assert!(panicked.is_err());
+    assert!(!folder.exists(), "a frozen process ends too");
+}
+
+#[actix_web::test]
+async fn process_that_prints_no_address_is_reported() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let emulator = Path::new(env!("CARGO_BIN_EXE_bronzelb-emulator"));
+    let args = ["platform", "--listen", "nowhere"];
+    let mut process =
+        ChildProcess::start("platform", emulator, args, directory.path()).expect("a process");
+    let error = process.listening::<serde_json::Value>().await.unwrap_err();
+    assert_eq!(
+        error.message(),
+        "process platform did not print its addresses (ended with exit status: 2)"
+    );
+    assert!(
+        process.tail().contains("argument --listen \"nowhere\""),
+        "{}",
+        process.tail()
+    );
+}
