Call a refused resend unknown when another row of the transaction changed

transact_with_token answered Conflict (nothing written) when an answer had been lost, the row was unchanged, and the resend was refused over another row; the lost write may still take effect then. It is OutcomeUnknown now. conflict_over_another_row_after_a_lost_answer_is_unknown failed with Conflict when the change was taken out, and passes with it. Scans of the stand-in start at the prefix in place of the first row.

--- a/crates/emulator/src/platform/table_store.rs
+++ b/crates/emulator/src/platform/table_store.rs
@@ -38,11 +38,14 @@
     /// Returns up to `limit` rows whose keys start with `prefix` and follow `after`.
     #[must_use]
     pub fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> ScanPage {
-        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let start = match after {
+            Some(after) if after.as_str() >= prefix => Bound::Excluded(after.as_str()),
+            _ => Bound::Included(prefix),
+        };
         let mut matching = self
             .rows
-            .range((start, Bound::Unbounded))
-            .filter(|(key, _)| key.as_str().starts_with(prefix));
+            .range::<str, _>((start, Bound::Unbounded))
+            .take_while(|(key, _)| key.as_str().starts_with(prefix));
         let rows = matching
             .by_ref()
             .take(limit)
--- a/crates/emulator/tests/platform.rs
+++ b/crates/emulator/tests/platform.rs
@@ -197,6 +197,29 @@
     assert_eq!(error.kind(), ErrorKind::Conflict);
 }
 
+#[actix_web::test]
+async fn token_write_that_takes_effect_late_is_written_once() {
+    let platform = PlatformProcess::start();
+    let client = platform.client();
+    let mut faults = lose_next_answer();
+    faults.lose_answers.apply_after_ms = 100;
+    platform.set_faults(&faults).await;
+    let write = RowWrite::put(key("m/version"), r#"{"attempt":5}"#).with_expect(RowExpect::Absent);
+    client
+        .transact_with_token(vec![write], AttemptToken::new(5), soon())
+        .await
+        .unwrap();
+    // Either the late write or the one that was sent again takes effect; the other is refused.
+    let is_settled = async || {
+        let counters = platform.counters().await;
+        (counters.transacts, counters.conflicts) == (1, 1)
+    };
+    let limit = TimeBudget::from_secs(10);
+    bronzelb_emulator::mesh::wait_until("the late write", limit, is_settled)
+        .await
+        .unwrap();
+}
+
 #[actix_web::test]
 async fn platform_that_is_away_or_hangs_ends_by_the_deadline() {
     let platform = PlatformProcess::start();
--- a/crates/platform/src/client/platform_client.rs
+++ b/crates/platform/src/client/platform_client.rs
@@ -92,7 +92,7 @@
     /// # Errors
     ///
     /// - `Conflict`: another writer was first; nothing was written.
-    /// - `OutcomeUnknown`: an answer was lost, and another writer has replaced the row since.
+    /// - `OutcomeUnknown`: an answer was lost, and another writer has changed a row since.
     /// - `PlatformAway`: the deadline passed first; the write may have taken effect.
     /// - `Invalid`: the first write is not conditional or does not carry the token.
     pub async fn transact_with_token(
--- a/crates/platform/src/client/token_write.rs
+++ b/crates/platform/src/client/token_write.rs
@@ -47,7 +47,7 @@
         match client.get_row(&key, deadline).await {
             Ok(Some(row)) if carries_token(&row.value, token) => return Ok(row.revision),
             Ok(row) if !is_unchanged(expect, row.as_ref()) => return Err(replaced(&writes[0])),
-            Ok(_) if error.kind() == ErrorKind::Conflict => return Err(error),
+            Ok(_) if error.kind() == ErrorKind::Conflict => return Err(undecided(&writes[0])),
             Ok(_) => {}
             Err(read_error) if read_error.kind() == ErrorKind::PlatformAway => {}
             Err(read_error) => return Err(read_error),
@@ -89,6 +89,16 @@
     expect.is_met_by(row.map(|row| row.revision))
 }
 
+fn undecided(write: &RowWrite) -> MeshError {
+    MeshError::new(
+        ErrorKind::OutcomeUnknown,
+        format!(
+            "answer to the write of row {} was lost, and another row of the transaction has changed",
+            write.key
+        ),
+    )
+}
+
 fn replaced(write: &RowWrite) -> MeshError {
     MeshError::new(
         ErrorKind::OutcomeUnknown,
--- a/crates/platform/src/table/row_key.rs
+++ b/crates/platform/src/table/row_key.rs
@@ -1,4 +1,4 @@
-use std::{fmt, str::FromStr};
+use std::{borrow::Borrow, fmt, str::FromStr};
 
 use bronzelb_kernel::error::MeshError;
 use compact_str::CompactString;
@@ -36,6 +36,12 @@
     }
 }
 
+impl Borrow<str> for RowKey {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl FromStr for RowKey {
     type Err = MeshError;
 
--- /dev/null
+++ b/crates/platform/tests/token_write.rs
@@ -0,0 +1,140 @@
+//! Writes that carry an attempt token, against a platform whose every answer is scripted.
+
+use std::{cell::RefCell, collections::VecDeque, rc::Rc};
+
+use bronzelb_kernel::{
+    clock::ClockInstant,
+    error::{ErrorKind, MeshError},
+    ids::AttemptToken,
+};
+use bronzelb_platform::{
+    PlatformClient,
+    client::PlatformCalls,
+    table::{RowExpect, RowKey, RowRevision, RowWrite, TableRow},
+};
+
+const OWN: u128 = 8;
+const OTHER: u128 = 9;
+const DEADLINE: ClockInstant = ClockInstant::NEVER;
+
+/// Answers in the order in which they are given.
+#[derive(Default)]
+struct Script {
+    transacts: VecDeque<Result<RowRevision, MeshError>>,
+    reads: VecDeque<Result<Option<TableRow>, MeshError>>,
+}
+
+fn client(
+    transacts: impl IntoIterator<Item = Result<RowRevision, MeshError>>,
+    reads: impl IntoIterator<Item = Result<Option<TableRow>, MeshError>>,
+) -> PlatformClient {
+    let script = Rc::new(RefCell::new(Script {
+        transacts: transacts.into_iter().collect(),
+        reads: reads.into_iter().collect(),
+    }));
+    let reader = Rc::clone(&script);
+    PlatformClient::from_calls(PlatformCalls {
+        get_row: Box::new(move |_, _| {
+            let answer = reader.borrow_mut().reads.pop_front();
+            Box::pin(async move { answer.expect("a read is in the script") })
+        }),
+        scan_rows: Box::new(|_, _, _, _| unreachable!("nothing is scanned")),
+        transact: Box::new(move |_, _| {
+            let answer = script.borrow_mut().transacts.pop_front();
+            Box::pin(async move { answer.expect("a transaction is in the script") })
+        }),
+        put_object: Box::new(|_, _, _| unreachable!("nothing is stored")),
+        get_object: Box::new(|_, _| unreachable!("no object is read")),
+    })
+}
+
+fn key() -> RowKey {
+    "m/version".parse().expect("the key is valid")
+}
+
+fn value(token: u128) -> String {
+    format!(r#"{{"attempt":{token}}}"#)
+}
+
+fn row(token: u128) -> Result<Option<TableRow>, MeshError> {
+    Ok(Some(TableRow {
+        key: key(),
+        value: value(token),
+        revision: RowRevision::new(4),
+    }))
+}
+
+fn away<T>() -> Result<T, MeshError> {
+    Err(MeshError::new(ErrorKind::PlatformAway, "no answer"))
+}
+
+fn conflict() -> Result<RowRevision, MeshError> {
+    Err(MeshError::new(
+        ErrorKind::Conflict,
+        "row m/version is at revision 4",
+    ))
+}
+
+async fn write(client: &PlatformClient) -> Result<RowRevision, ErrorKind> {
+    let write = RowWrite::put(key(), value(OWN)).with_expect(RowExpect::Absent);
+    let token = AttemptToken::new(OWN);
+    let result = client
+        .transact_with_token(vec![write], token, DEADLINE)
+        .await;
+    result.map_err(|error| error.kind())
+}
+
+#[tokio::test]
+async fn own_token_in_the_row_means_written() {
+    let client = client([away()], [row(OWN)]);
+    assert_eq!(write(&client).await, Ok(RowRevision::new(4)));
+}
+
+#[tokio::test]
+async fn unchanged_row_is_written_again() {
+    let client = client([away(), Ok(RowRevision::new(6))], [Ok(None)]);
+    assert_eq!(write(&client).await, Ok(RowRevision::new(6)));
+}
+
+#[tokio::test]
+async fn conflict_with_the_own_late_write_means_written() {
+    let client = client([away(), conflict()], [Ok(None), row(OWN)]);
+    assert_eq!(write(&client).await, Ok(RowRevision::new(4)));
+}
+
+#[tokio::test]
+async fn conflict_at_the_first_try_means_not_written() {
+    let client = client([conflict()], []);
+    assert_eq!(write(&client).await, Err(ErrorKind::Conflict));
+}
+
+#[tokio::test]
+async fn replaced_row_after_a_lost_answer_is_unknown() {
+    for reads in [vec![row(OTHER)], vec![away(), row(OTHER)]] {
+        let client = client([away(), conflict()], reads);
+        assert_eq!(write(&client).await, Err(ErrorKind::OutcomeUnknown));
+    }
+}
+
+#[tokio::test]
+async fn conflict_over_another_row_after_a_lost_answer_is_unknown() {
+    let client = client([away(), conflict()], [Ok(None), Ok(None)]);
+    assert_eq!(write(&client).await, Err(ErrorKind::OutcomeUnknown));
+}
+
+#[tokio::test]
+async fn write_without_expectation_or_token_is_refused() {
+    let client = client([], []);
+    let token = AttemptToken::new(OWN);
+    let writes = [
+        RowWrite::put(key(), value(OWN)),
+        RowWrite::put(key(), value(OTHER)).with_expect(RowExpect::Absent),
+        RowWrite::delete(key()).with_expect(RowExpect::Revision(RowRevision::new(4))),
+    ];
+    for write in writes {
+        let result = client
+            .transact_with_token(vec![write], token, DEADLINE)
+            .await;
+        assert_eq!(result.unwrap_err().kind(), ErrorKind::Invalid);
+    }
+}
