Judge a move on two nodes of each data centre and tell the others a view

Cause: evidence of every node to every node is 990 slots a move; by rumours (three rounds, fan-out three) it would pass 26 KB/s a node at far smaller sizes. Change: nodes tell their own counts to two judges of their data centre, judges exchange the sums of their data centres, and publish a small view (requests and doubt per route) by which every node works out its shares with the same pure SharePlan. Without a fresh view a node goes by what it saw itself.

--- a/crates/kernel/src/rollout/mod.rs
+++ b/crates/kernel/src/rollout/mod.rs
@@ -13,12 +13,14 @@
 mod move_record;
 mod move_state;
 mod move_table;
+mod move_view;
 mod node_evidence;
 mod outcome_report;
 mod quick_stop;
 mod route_judge;
 mod sequential_test;
 mod share_curve;
+mod share_plan;
 mod version_split;
 
 pub use doubt_watch::DoubtWatch;
@@ -30,12 +32,12 @@
 pub use move_record::{MOVE_KIND, MoveRecord, MoveStatement};
 pub use move_state::{MoveEvent, MoveState, MoveTransition};
 pub use move_table::MoveTable;
-pub use node_evidence::{
-    EVIDENCE_KIND, EvidenceCell, EvidenceKey, NodeEvidence, NodeSlot, VersionSide,
-};
+pub use move_view::{MoveView, RouteTally, VIEW_KIND};
+pub use node_evidence::{EvidenceCell, EvidenceKey, NodeEvidence, NodeSlot, VersionSide};
 pub use outcome_report::{OutcomeClass, OutcomeReport};
 pub use quick_stop::QuickStop;
 pub use route_judge::{RouteBin, RouteFault, RouteJudge};
 pub use sequential_test::{EventBin, EventCount, SequentialTest};
 pub use share_curve::{SETTLE, ShareCurve, WHOLE_SHARE};
+pub use share_plan::SharePlan;
 pub use version_split::{VersionChoice, VersionSplit};
--- a/crates/kernel/src/rollout/move_table.rs
+++ b/crates/kernel/src/rollout/move_table.rs
@@ -6,8 +6,9 @@
     clock::ClockInstant,
     ids::{DataCentre, RouteName, ServiceName},
     rollout::{
-        MarkCause, MoveJudge, MoveMark, MoveRecord, MoveState, NodeEvidence, NodeSlot,
-        OutcomeReport, QuickStop, RouteFault, VersionSide, VersionSplit,
+        HEARING_TIME, MarkCause, MoveJudge, MoveMark, MoveOutlook, MoveRecord, MoveState, MoveView,
+        NodeEvidence, NodeSlot, OutcomeReport, QuickStop, RouteFault, SharePlan, VersionCapacity,
+        VersionSide, VersionSplit,
     },
 };
 
@@ -23,11 +24,29 @@
 #[derive(Clone, Debug)]
 struct MoveEntry {
     record: MoveRecord,
+    plan: SharePlan,
+    is_judge: bool,
+    views: BTreeMap<DataCentre, MoveView>,
     own: NodeEvidence,
     judge: MoveJudge,
     quick: QuickStop,
 }
 
+impl MoveEntry {
+    /// Returns the latest view of the data centre `near`, else the latest of any.
+    fn told_view(&self, near: &DataCentre, now: ClockInstant) -> Option<&MoveView> {
+        let is_fresh = |view: &&MoveView| {
+            let ends_at = view.taken_at.after(HEARING_TIME);
+            view.number == self.record.number && !ends_at.has_passed(now)
+        };
+        let latest = || {
+            let views = self.views.values().filter(is_fresh);
+            views.max_by_key(|view| view.taken_at)
+        };
+        self.views.get(near).filter(is_fresh).or_else(latest)
+    }
+}
+
 impl MoveTable {
     /// Builds an empty table for one run of a node.
     #[must_use]
@@ -72,7 +91,25 @@
         is_news
     }
 
-    /// Merges what another node saw of a move.
+    /// Takes in what the judges of a data centre tell of a move.
+    pub fn merge_view(&mut self, service: &ServiceName, centre: &DataCentre, view: MoveView) {
+        let Some(entry) = self.entries.get_mut(service) else {
+            return;
+        };
+        let held = entry.views.get(centre);
+        if held.is_none_or(|held| view.replaces(held)) {
+            entry.views.insert(centre.clone(), view);
+        }
+    }
+
+    /// Sets whether this node is one of the judges of a service's moves.
+    pub fn set_judge(&mut self, service: &ServiceName, is_judge: bool) {
+        if let Some(entry) = self.entries.get_mut(service) {
+            entry.is_judge = is_judge;
+        }
+    }
+
+    /// Merges what another node, or all nodes of another data centre, saw of a move.
     pub fn merge_evidence(
         &mut self,
         service: &ServiceName,
@@ -108,7 +145,10 @@
             MoveState::Running if entry.quick.is_stopped(now) => {
                 VersionSplit::moving(from, to, crate::config::ShareRatio::NONE)
             }
-            MoveState::Running => VersionSplit::moving(from, to, entry.judge.share(route, now)),
+            MoveState::Running => {
+                let share = entry.plan.share(self.view_of(entry, now), route, now);
+                VersionSplit::moving(from, to, share)
+            }
         }
     }
 
@@ -135,11 +175,15 @@
     /// for; the table already keeps to them.
     pub fn tick(&mut self, now: ClockInstant) -> Vec<(ServiceName, MoveMark)> {
         let mut marks = Vec::new();
+        let centre = self.data_centre.clone();
         for (service, entry) in &mut self.entries {
             if entry.record.state.is_final() {
                 continue;
             }
             entry.own.taken_at = now;
+            if !entry.is_judge && entry.told_view(&centre, now).is_some() {
+                continue;
+            }
             entry.judge.merge(&entry.own, now);
             let Some((route, fault)) = entry.judge.tick(now) else {
                 continue;
@@ -175,12 +219,64 @@
         self.entries.get(service).map(|entry| &entry.record)
     }
 
-    /// Returns the judge of a service's latest move.
+    /// Returns the view by which this node works out its shares of a service's latest move.
+    #[must_use]
+    pub fn view(&self, service: &ServiceName, now: ClockInstant) -> Option<&MoveView> {
+        let entry = self.entries.get(service)?;
+        Some(self.view_of(entry, now))
+    }
+
+    /// Returns this node's own view of a service's latest move, if it judges it.
+    #[must_use]
+    pub fn judged_view(&self, service: &ServiceName) -> Option<&MoveView> {
+        let entry = self.entries.get(service)?;
+        entry.is_judge.then(|| entry.judge.view())
+    }
+
+    /// Returns the rule by which the shares of a service's latest move are worked out.
+    #[must_use]
+    pub fn plan(&self, service: &ServiceName) -> Option<&SharePlan> {
+        self.entries.get(service).map(|entry| &entry.plan)
+    }
+
+    /// Returns this node's judge of a service's latest move.
     #[must_use]
     pub fn judge(&self, service: &ServiceName) -> Option<&MoveJudge> {
         self.entries.get(service).map(|entry| &entry.judge)
     }
 
+    /// Returns whether the evidence held by this node's judging, so that the move is done.
+    #[must_use]
+    pub fn is_done(&self, service: &ServiceName, now: ClockInstant) -> bool {
+        let Some(entry) = self.entries.get(service) else {
+            return false;
+        };
+        let is_running = !entry.record.state.is_final() && self.mark(service).is_none();
+        entry.is_judge && is_running && entry.plan.is_done(entry.judge.view(), now)
+    }
+
+    /// Returns whether a running move will be done by its time, and if not, why.
+    #[must_use]
+    pub fn outlook(
+        &self,
+        service: &ServiceName,
+        capacity: VersionCapacity,
+        now: ClockInstant,
+    ) -> Option<MoveOutlook> {
+        let entry = self.entries.get(service)?;
+        let view = self.view_of(entry, now);
+        (!entry.record.state.is_final()).then(|| entry.plan.outlook(view, capacity, now))
+    }
+
+    /// Returns the sum of what this data centre's nodes saw, if this node judges the move.
+    #[must_use]
+    pub fn centre_evidence(&self, service: &ServiceName) -> Option<NodeEvidence> {
+        let entry = self.entries.get(service)?;
+        let is_wanted = entry.is_judge && !entry.record.state.is_final();
+        let slot = NodeSlot::of_centre(&self.data_centre);
+        is_wanted.then(|| entry.judge.centre_evidence(slot, &self.data_centre))
+    }
+
     /// Returns the latest move of every service.
     pub fn records(&self) -> impl Iterator<Item = &MoveRecord> {
         self.entries.values().map(|entry| &entry.record)
@@ -194,6 +290,15 @@
             .map(|(service, entry)| (service, &entry.own))
     }
 
+    /// Returns the own view of a judge, else what it is told, else the own view after all.
+    fn view_of<'a>(&self, entry: &'a MoveEntry, now: ClockInstant) -> &'a MoveView {
+        let own = entry.judge.view();
+        if entry.is_judge {
+            return own;
+        }
+        entry.told_view(&self.data_centre, now).unwrap_or(own)
+    }
+
     fn new_entry(&self, record: MoveRecord, now: ClockInstant) -> MoveEntry {
         let own = NodeEvidence::new(
             self.slot.clone(),
@@ -203,6 +308,9 @@
         );
         MoveEntry {
             judge: MoveJudge::new(record.clone(), now),
+            plan: SharePlan::new(record.clone()),
+            is_judge: false,
+            views: BTreeMap::new(),
             record,
             own,
             quick: QuickStop::default(),
--- a/crates/kernel/src/rollout/node_evidence.rs
+++ b/crates/kernel/src/rollout/node_evidence.rs
@@ -4,17 +4,10 @@
 
 use crate::{
     clock::ClockInstant,
-    error::MeshError,
     ids::{BackendName, DataCentre, IncarnationNumber, MoveNumber, NodeName, RouteName},
-    plugin::RecordKind,
     rollout::{LatencyHistogram, OutcomeReport},
 };
 
-/// Name of the record kind that carries [`NodeEvidence`], under `SERVICE/NODE`.
-pub const EVIDENCE_KIND: &str = "move-evidence";
-
-const MAX_EVIDENCE_BYTES: usize = 64 * 1_024;
-
 /// Which of a move's two versions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -66,7 +59,8 @@
     }
 }
 
-/// Slot of one run of a node: what a restarted node counted before stays counted.
+/// Slot of one run of a node, or of a data centre: what a restarted node counted before stays
+/// counted.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct NodeSlot {
     /// Name of the node.
@@ -75,6 +69,18 @@
     pub incarnation: IncarnationNumber,
 }
 
+impl NodeSlot {
+    /// Returns the slot of the sum of a data centre's nodes.
+    #[must_use]
+    pub fn of_centre(centre: &DataCentre) -> Self {
+        let name = centre.as_str().parse();
+        Self {
+            node: name.expect("a data centre's name follows the same rule as a node's"),
+            incarnation: IncarnationNumber::new(0),
+        }
+    }
+}
+
 /// What one run of a node saw of one move.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeEvidence {
@@ -128,6 +134,14 @@
         }
     }
 
+    /// Adds what another slot counted, for the sum of a data centre.
+    pub fn add(&mut self, other: &Self) {
+        self.taken_at = self.taken_at.max(other.taken_at);
+        for (key, cell) in &other.cells {
+            self.cells.entry(key.clone()).or_default().add(cell);
+        }
+    }
+
     /// Merges a view of the same slot and move into this one, the larger count of each cell,
     /// and returns what it added.
     ///
@@ -150,22 +164,6 @@
             .collect()
     }
 
-    /// Encodes the evidence.
-    #[must_use]
-    pub fn to_bytes(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("evidence holds only serializable types")
-    }
-
-    /// Decodes evidence.
-    ///
-    /// # Errors
-    ///
-    /// [`ErrorKind::Invalid`](crate::error::ErrorKind::Invalid) for malformed bytes.
-    pub fn from_bytes(bytes: &[u8]) -> Result<Self, MeshError> {
-        postcard::from_bytes(bytes)
-            .map_err(|error| MeshError::invalid(format!("move evidence is malformed: {error}")))
-    }
-
     fn order(&self) -> (IncarnationNumber, MoveNumber) {
         (self.slot.incarnation, self.number)
     }
@@ -183,17 +181,3 @@
         Some(news)
     }
 }
-
-fn merge_bytes(held: Option<&[u8]>, received: &[u8]) -> Result<Vec<u8>, MeshError> {
-    let received = NodeEvidence::from_bytes(received)?;
-    let Some(held) = held else {
-        return Ok(received.to_bytes());
-    };
-    let mut merged = NodeEvidence::from_bytes(held)?;
-    merged.absorb(&received);
-    Ok(merged.to_bytes())
-}
-
-inventory::submit! {
-    RecordKind { name: EVIDENCE_KIND, max_bytes: MAX_EVIDENCE_BYTES, merge: merge_bytes }
-}
--- a/crates/kernel/tests/rollout_judge.rs
+++ b/crates/kernel/tests/rollout_judge.rs
@@ -3,13 +3,12 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     config::{RolloutRule, ShareRatio},
-    ids::{AttemptToken, BackendName, IncarnationNumber, RouteName, SlotCount},
+    ids::{AttemptToken, BackendName, DataCentre, IncarnationNumber, RouteName, SlotCount},
     rollout::{
-        EVIDENCE_KIND, EventBin, EventCount, MarkCause, MoveJudge, MoveOutlook, MoveRecord,
-        MoveWish, NodeEvidence, NodeSlot, OutcomeClass, OutcomeReport, QuickStop, SequentialTest,
-        ShareCurve, VersionCapacity, VersionSide, WHOLE_SHARE,
+        EventBin, EventCount, MarkCause, MoveJudge, MoveOutlook, MoveRecord, MoveTable, MoveView,
+        MoveWish, NodeEvidence, NodeSlot, OutcomeClass, OutcomeReport, QuickStop, RouteTally,
+        SequentialTest, ShareCurve, SharePlan, VersionCapacity, VersionSide, WHOLE_SHARE,
     },
-    spread::{RecordKey, RecordTable},
 };
 use proptest::{
     prelude::ProptestConfig, prop_assert, prop_assert_eq, proptest, test_runner::RngSeed,
@@ -85,9 +84,10 @@
 fn run(traffic: &Traffic, judge: &mut MoveJudge, seed: u64, secs: u64) -> Option<MarkCause> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut own = evidence("n1", 1);
+    let plan = SharePlan::new(record(600, 60));
     for half in 1..=secs * 2 {
         let now = START.after(TimeBudget::from_millis(half * 500));
-        let share = judge.share(&route(), now).as_f64();
+        let share = plan.share(judge.view(), &route(), now).as_f64();
         for _ in 0..traffic.requests {
             let is_new = rng.random::<f64>() < share;
             let (side, report) = draw(traffic, is_new, &mut rng);
@@ -131,13 +131,15 @@
     let record = record(600, 60);
     let mut judge = MoveJudge::new(record.clone(), START);
     assert_eq!(run(&GOOD, &mut judge, 1, 590), None);
-    assert!(judge.is_done(at(590)));
-    assert_eq!(judge.share(&route(), at(590)), ShareRatio::ALL);
+    let plan = SharePlan::new(record);
+    let view = judge.view();
+    assert!(plan.is_done(view, at(590)));
+    assert_eq!(plan.share(view, &route(), at(590)), ShareRatio::ALL);
     let capacity = VersionCapacity {
         old: SlotCount::new(36),
         new: SlotCount::new(36),
     };
-    assert_eq!(judge.outlook(capacity, at(590)), MoveOutlook::OnTime);
+    assert_eq!(plan.outlook(view, capacity, at(590)), MoveOutlook::OnTime);
 }
 
 #[test]
@@ -252,26 +254,79 @@
         old: SlotCount::new(old),
         new: SlotCount::new(new),
     };
+    let outlook = |span, hold, judge: &MoveJudge, capacity, secs| {
+        let plan = SharePlan::new(record(span, hold));
+        plan.outlook(judge.view(), capacity, at(secs))
+    };
     let judge = MoveJudge::new(record(600, 60), START);
-    assert_eq!(judge.outlook(slots(36, 0), at(1)), MoveOutlook::NoServer);
-    assert!(matches!(
-        judge.outlook(slots(36, 12), at(1)),
-        MoveOutlook::TooFewSlots { .. }
-    ));
-    assert_eq!(judge.outlook(slots(36, 36), at(30)), MoveOutlook::NoTraffic);
-    assert_eq!(judge.outlook(slots(36, 36), at(600)), MoveOutlook::Late);
-    let short = MoveJudge::new(record(100, 60), START);
-    assert_eq!(short.outlook(slots(36, 36), at(1)), MoveOutlook::TooShort);
+    let none = outlook(600, 60, &judge, slots(36, 0), 1);
+    assert_eq!(none, MoveOutlook::NoServer);
+    let few = outlook(600, 60, &judge, slots(36, 12), 1);
+    assert!(matches!(few, MoveOutlook::TooFewSlots { .. }));
+    let idle = outlook(600, 60, &judge, slots(36, 36), 30);
+    assert_eq!(idle, MoveOutlook::NoTraffic);
+    let late = outlook(600, 60, &judge, slots(36, 36), 600);
+    assert_eq!(late, MoveOutlook::Late);
+    let short = outlook(100, 60, &judge, slots(36, 36), 1);
+    assert_eq!(short, MoveOutlook::TooShort);
     let sparse = Traffic {
         requests: 1,
         ..GOOD
     };
-    let mut judge = MoveJudge::new(record(120, 30), START);
+    let mut judge = MoveJudge::new(record(600, 60), START);
     run(&sparse, &mut judge, 1, 20);
-    assert!(matches!(
-        judge.outlook(slots(36, 36), at(20)),
-        MoveOutlook::TooLittleEvidence { .. }
-    ));
+    let sparse = outlook(120, 30, &judge, slots(36, 36), 20);
+    assert!(matches!(sparse, MoveOutlook::TooLittleEvidence { .. }));
+}
+
+#[test]
+fn node_follows_its_judges_and_goes_by_itself_without_them() {
+    let service = "tracker".parse().unwrap();
+    let slot = evidence("n1", 1).slot;
+    let centre = "dc1".parse().unwrap();
+    let mut table = MoveTable::new(slot, "dc1".parse().unwrap());
+    table.merge_record(record(600, 60), START);
+    let mut view = MoveView::new(record(600, 60).number, at(500));
+    view.routes.insert(
+        route(),
+        RouteTally {
+            old: 60_000,
+            new: 10_000,
+            doubt: None,
+        },
+    );
+    table.merge_view(&service, &centre, view.clone());
+    let share = |table: &MoveTable, secs| table.version_split(&service, &route(), at(secs)).share();
+    assert!(share(&table, 501) > ShareRatio::from_ppm(300_000));
+    assert!(share(&table, 520) <= ShareRatio::from_ppm(100_000));
+    view.taken_at = at(520);
+    view.routes.get_mut(&route()).unwrap().doubt = Some(ShareRatio::from_ppm(370_000));
+    table.merge_view(&service, &centre, view);
+    assert_eq!(share(&table, 521), ShareRatio::from_ppm(370_000));
+}
+
+#[test]
+fn views_of_two_judges_count_the_same_requests_once() {
+    let mut near = MoveJudge::new(record(600, 60), START);
+    let mut twin = MoveJudge::new(record(600, 60), START);
+    let mut own = evidence("n1", 1);
+    for _ in 0..30 {
+        own.record(
+            VersionSide::Old,
+            &outcome("o1", OutcomeClass::Served, 5),
+            at(1),
+        );
+    }
+    near.merge(&own, at(1));
+    twin.merge(&own, at(1));
+    let centre: DataCentre = "dc1".parse().unwrap();
+    let mut far = MoveJudge::new(record(600, 60), START);
+    for judge in [&near, &twin, &near] {
+        let sum = judge.centre_evidence(NodeSlot::of_centre(&centre), &centre);
+        far.merge(&sum, at(2));
+    }
+    far.tick(at(3));
+    assert_eq!(far.view().routes[&route()].old, 30);
 }
 
 #[test]
@@ -365,21 +420,18 @@
         for (server, class, millis) in steps {
             let class = if class == 0 { OutcomeClass::Failed } else { OutcomeClass::Served };
             own.record(VersionSide::New, &outcome(&format!("n{server}"), class, millis), at(millis));
-            views.push(own.to_bytes());
+            views.push(own.clone());
         }
-        let key = RecordKey::new(EVIDENCE_KIND, "tracker.n1");
-        let mut forth = RecordTable::default();
-        let mut back = RecordTable::default();
+        let mut forth = evidence("n1", 1);
+        let mut back = evidence("n1", 1);
         for view in &views {
-            forth.merge(key.clone(), view).unwrap();
+            forth.absorb(view);
         }
         for view in views.iter().rev() {
-            back.merge(key.clone(), view).unwrap();
-            back.merge(key.clone(), view).unwrap();
+            back.absorb(view);
+            prop_assert!(back.absorb(view).is_empty());
         }
-        let cells = |table: &RecordTable| {
-            NodeEvidence::from_bytes(table.get(&key).unwrap()).unwrap().cells
-        };
-        prop_assert_eq!(cells(&forth), cells(&back));
+        prop_assert_eq!(&forth.cells, &back.cells);
+        prop_assert_eq!(&forth.cells, &own.cells);
     }
 }
