Run version moves in the daemon

Change: each node splits requests by the move records, reports outcomes as evidence, sends its counts to two judges of its data centre (new procedure evidence), judges exchange sums, marks and views spread as records, readers of the platform take in and end the rows MESH/move/SERVICE by compare-and-set with an attempt token. GET /v1/moves and POST /v1/moves/SERVICE/stop on the operators' port. Not yet run by processes.

--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -5,7 +5,7 @@
     error::{ErrorKind, MeshError, RunState},
     ids::BackendName,
     request::{AttemptOutcome, ChoiceRule, RetryCase, ServerPlace},
-    rollout::VersionSplit,
+    rollout::{OutcomeClass, OutcomeReport, VersionSplit},
 };
 use bronzelb_wire::peer::ForwardAnswer;
 
@@ -151,6 +151,8 @@
             peers.forward(&place.node, planned.deadline, message).await
         };
         let outcome = classify(&result, planned.deadline, self.state.now());
+        let class = self.outcome_class(place, outcome, &result);
+        guard.report(class);
         guard.settle(outcome, &result);
         (outcome, result)
     }
@@ -172,8 +174,28 @@
         book.choose(now, &rule, &mut rand::rng())
     }
 
-    fn version_split(&self, _planned: &PlannedRequest) -> VersionSplit {
-        VersionSplit::any()
+    fn version_split(&self, planned: &PlannedRequest) -> VersionSplit {
+        let now = self.state.now();
+        let rollout = &self.state.rollout;
+        rollout.version_split(&planned.service, &planned.message.route, now)
+    }
+
+    /// Returns what an attempt says about the version of the server.
+    fn outcome_class(
+        &self,
+        place: &ServerPlace,
+        outcome: AttemptOutcome,
+        result: &Result<ForwardAnswer, MeshError>,
+    ) -> OutcomeClass {
+        let is_local = place.node == self.state.settings.node;
+        match (outcome, result) {
+            (_, Ok(answer)) => OutcomeClass::of_status(answer.status),
+            (AttemptOutcome::Failed | AttemptOutcome::TimedOut, _) => OutcomeClass::Failed,
+            (AttemptOutcome::Lost, _) if is_local || self.peers.is_connected(&place.node) => {
+                OutcomeClass::Crashed
+            }
+            _ => OutcomeClass::NotRun,
+        }
     }
 
     fn may_retry(&self, planned: &PlannedRequest, outcome: AttemptOutcome, attempts: u32) -> bool {
@@ -249,6 +271,21 @@
         }
     }
 
+    /// Reports the attempt as evidence about the server's version.
+    fn report(&self, class: OutcomeClass) {
+        let now = self.state.now();
+        let report = OutcomeReport {
+            service: self.planned.service.clone(),
+            route: self.planned.message.route.clone(),
+            version: self.place.version.clone(),
+            backend: self.place.backend.clone(),
+            class,
+            latency: self.started_at.elapsed(now),
+            is_warming: false,
+        };
+        self.state.rollout.record_outcome(self.state, report, now);
+    }
+
     fn settle(mut self, outcome: AttemptOutcome, result: &Result<ForwardAnswer, MeshError>) {
         self.end(outcome);
         self.is_settled = true;
--- a/crates/daemon/src/gossip/gossip_pool.rs
+++ b/crates/daemon/src/gossip/gossip_pool.rs
@@ -3,6 +3,7 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
+    rollout::EvidenceReport,
 };
 use bronzelb_wire::{
     PeerServiceClient,
@@ -103,6 +104,22 @@
         self.call(address, deadline, send).await
     }
 
+    /// Sends evidence of version moves to a node that judges them.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NoBackend`] when the node does not answer by `deadline`.
+    pub async fn evidence(
+        &self,
+        address: SocketAddr,
+        reports: Vec<EvidenceReport>,
+        deadline: ClockInstant,
+    ) -> Result<(), MeshError> {
+        let send =
+            async |client: PeerServiceClient, context| client.evidence(context, reports).await;
+        self.call(address, deadline, send).await
+    }
+
     /// Closes the connections that have been idle for a while.
     pub fn close_idle(&self, now: ClockInstant) {
         let mut clients = self.clients.borrow_mut();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod operators;
 pub mod peers;
 pub mod report;
+pub mod rollout;
 pub mod settings;
 pub mod source;
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -13,6 +13,7 @@
     error::{ErrorKind, MeshError},
     ids::{IncarnationNumber, NodeName},
     member::{MemberRow, MemberState, MemberTable},
+    rollout::NodeSlot,
     spread::{
         PlatformState, RecordEntry, RecordKey, RecordTable, RecordValue, SpreadNode, SpreadRule,
     },
@@ -31,6 +32,7 @@
     metrics::{MetricClient, MetricSink},
     node::SystemClock,
     peers::PeerTraffic,
+    rollout::RolloutState,
     settings::NodeSettings,
 };
 
@@ -78,6 +80,8 @@
     config: ArcSwapOption<ConfigVersion>,
     applied_at: AtomicU64,
     backends: Mutex<BackendTable>,
+    /// Version moves, as this node knows and judges them.
+    pub rollout: RolloutState,
     /// Requests that the node admits and runs.
     pub requests: Arc<RequestState>,
     is_draining: AtomicBool,
@@ -91,10 +95,16 @@
         let clock = SystemClock::start();
         let metric_sink = MetricSink::default();
         let spread = start_spread(&settings, addresses, clock.now());
+        let slot = NodeSlot {
+            node: settings.node.clone(),
+            incarnation: spread.read(|node| node.own().incarnation),
+        };
+        let rollout = RolloutState::new(slot, settings.data_centre.clone());
         Arc::new(Self {
             settings,
             addresses,
             spread,
+            rollout,
             peer_traffic: PeerTraffic::default(),
             clock,
             logger,
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -16,6 +16,7 @@
     operators::start_operator_server,
     peers::start_peer_server,
     report::run_reports,
+    rollout::{run_move_rows, run_rollout},
     settings::NodeSettings,
 };
 
@@ -84,6 +85,12 @@
         stop.clone(),
     ));
     spawn_local(run_reports(Arc::clone(&state), stop.clone()));
+    spawn_local(run_rollout(
+        Arc::clone(&state),
+        Rc::clone(&pool),
+        stop.clone(),
+    ));
+    spawn_local(run_move_rows(Arc::clone(&state), stop.clone()));
     let spread = spawn_local(run_spread(Arc::clone(&state), pool, stop));
     announce_listening(&state);
     let mut signals = StopSignals::open()?;
--- a/crates/daemon/src/operators/operator_server.rs
+++ b/crates/daemon/src/operators/operator_server.rs
@@ -6,6 +6,7 @@
 use crate::{
     node::NodeState,
     operators::{backend_routes, operator_guard::check_operator, status_routes},
+    rollout,
 };
 
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -26,6 +27,7 @@
             .wrap(from_fn(check_operator))
             .configure(status_routes::configure)
             .configure(backend_routes::configure)
+            .configure(rollout::configure)
     })
     .workers(1)
     .disable_signals()
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -3,6 +3,7 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
+    rollout::EvidenceReport,
 };
 use bronzelb_wire::{
     PeerService,
@@ -142,4 +143,9 @@
     async fn mark(self, _: Context, record: RecordEntry) -> Result<(), MeshError> {
         self.state.put_record(record.key, record.value).map(|_| ())
     }
+
+    async fn evidence(self, _: Context, reports: Vec<EvidenceReport>) -> Result<(), MeshError> {
+        self.state.rollout.receive(&reports, self.state.now());
+        Ok(())
+    }
 }
--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -96,6 +96,13 @@
         self.settle(address, result)?
     }
 
+    /// Returns whether a connection to a node is open.
+    #[must_use]
+    pub fn is_connected(&self, node: &NodeName) -> bool {
+        self.address(node)
+            .is_ok_and(|address| self.clients.borrow().contains_key(&address))
+    }
+
     fn address(&self, node: &NodeName) -> Result<SocketAddr, MeshError> {
         let members = self.state.members();
         let row = members.get(node).ok_or_else(|| {
--- /dev/null
+++ b/crates/daemon/src/rollout/move_rows.rs
@@ -0,0 +1,164 @@
+use std::{sync::Arc, time::Duration};
+
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    error::{ErrorKind, MeshError},
+    ids::{AttemptToken, DataCentre},
+    member::MemberState,
+    rollout::{MOVE_KIND, MoveChange, MoveRecord, MoveState, MoveStatement, RouteTally},
+    spread::{RecordKey, choose_readers},
+};
+use bronzelb_platform::{
+    PlatformClient,
+    table::{RowExpect, RowWrite, TableRow},
+};
+use compact_str::{CompactString, format_compact};
+use slog::{info, warn};
+
+use crate::{
+    log::EventName,
+    node::{NodeState, StopSignal},
+    source::connect_platform,
+};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+const CALL_BUDGET: TimeBudget = TimeBudget::from_secs(2);
+const PAGE_ROWS: usize = 100;
+
+/// Reads the platform's rows of version moves and writes their ends, until the stop signal.
+///
+/// Only the few nodes of each data centre that read the platform do so.
+pub async fn run_move_rows(state: Arc<NodeState>, mut stop: StopSignal) {
+    let Ok(platform) = connect_platform(&state) else {
+        // The spreading task has logged why.
+        return;
+    };
+    let keeper = RowKeeper { state, platform };
+    while stop.pause(POLL_INTERVAL).await {
+        if !keeper.is_reader() {
+            continue;
+        }
+        // While the platform is away the moves go on, and the rows are written later.
+        if let Err(error) = keeper.poll().await
+            && error.kind() != ErrorKind::PlatformAway
+        {
+            warn!(keeper.state.logger, "{}", EventName::MoveChanged;
+                "message" => error.to_string());
+        }
+    }
+}
+
+struct RowKeeper {
+    state: Arc<NodeState>,
+    platform: PlatformClient,
+}
+
+impl RowKeeper {
+    fn is_reader(&self) -> bool {
+        let settings = &self.state.settings;
+        let readers = choose_readers(&self.state.members(), &settings.data_centre);
+        readers.contains(&settings.node)
+    }
+
+    async fn poll(&self) -> Result<(), MeshError> {
+        let prefix = format!("{}/move/", self.state.settings.mesh);
+        let mut after = None;
+        loop {
+            let deadline = self.state.now().after(CALL_BUDGET);
+            let page = self
+                .platform
+                .scan_rows(&prefix, after.as_ref(), PAGE_ROWS, deadline)
+                .await?;
+            for row in &page.rows {
+                self.keep(row).await?;
+            }
+            after = page.rows.last().map(|row| row.key.clone());
+            if !page.more || after.is_none() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Takes in a row, and writes the move's end if this node knows one that the row lacks.
+    async fn keep(&self, row: &TableRow) -> Result<(), MeshError> {
+        let record = MoveRecord::from_row(&row.value)?;
+        self.take_in(&record)?;
+        let Some(change) = self.change_of(&record) else {
+            return Ok(());
+        };
+        let token = AttemptToken::new(rand::random());
+        let (_, Some(written)) = record.after(change, token) else {
+            return Ok(());
+        };
+        let write = RowWrite::put(row.key.clone(), written.to_row())
+            .with_expect(RowExpect::Revision(row.revision));
+        let deadline = self.state.now().after(CALL_BUDGET);
+        let result = self
+            .platform
+            .transact_with_token(vec![write], token, deadline)
+            .await;
+        match result {
+            Ok(_) => {
+                info!(self.state.logger, "{}", EventName::MoveChanged;
+                    "service" => written.service.to_string(), "move" => written.number.get(),
+                    "state" => written.state.name(), "written" => true);
+                self.take_in(&written)
+            }
+            // Another node or an operator was first; the next poll reads what they wrote.
+            Err(error) if error.kind() == ErrorKind::Conflict => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn take_in(&self, record: &MoveRecord) -> Result<(), MeshError> {
+        let key = RecordKey::new(MOVE_KIND, record.service.as_str());
+        self.state.put_record(key, record.to_bytes()).map(|_| ())
+    }
+
+    /// Returns the change that this node knows of and the row lacks.
+    fn change_of(&self, record: &MoveRecord) -> Option<MoveChange> {
+        let table = self.state.rollout.table();
+        let held = table.record(&record.service)?;
+        if held.number != record.number {
+            return None;
+        }
+        if let Some(mark) = table.mark(&record.service) {
+            return Some(MoveChange::Fault(mark.clone()));
+        }
+        let now = self.state.now();
+        if record.state != MoveState::Running || !table.is_done(&record.service, now) {
+            return None;
+        }
+        let view = table.judged_view(&record.service)?;
+        let unheard = self.unheard(&view.heard);
+        Some(MoveChange::Held(MoveStatement {
+            decided_at: now,
+            figures: figures_of(view.routes.values()),
+            heard: view.heard.clone(),
+            unheard,
+        }))
+    }
+
+    /// Returns the data centres with members that were not heard lately.
+    fn unheard(&self, heard: &[DataCentre]) -> Vec<DataCentre> {
+        let members = self.state.members();
+        let centres = members
+            .iter()
+            .filter(|row| row.state != MemberState::Gone)
+            .map(|row| row.data_centre.clone())
+            .collect::<std::collections::BTreeSet<_>>();
+        centres
+            .into_iter()
+            .filter(|centre| !heard.contains(centre))
+            .collect()
+    }
+}
+
+fn figures_of<'a>(tallies: impl Iterator<Item = &'a RouteTally>) -> CompactString {
+    let (mut old, mut new) = (0, 0);
+    for tally in tallies {
+        old += tally.old;
+        new += tally.new;
+    }
+    format_compact!("{new} requests on the new version and {old} on the old one were compared")
+}
--- a/crates/kernel/src/rollout/mod.rs
+++ b/crates/kernel/src/rollout/mod.rs
@@ -5,6 +5,7 @@
 
 mod doubt_watch;
 mod fading_counts;
+mod judge_choice;
 mod latency_histogram;
 mod move_change;
 mod move_judge;
@@ -24,6 +25,7 @@
 mod version_split;
 
 pub use doubt_watch::DoubtWatch;
+pub use judge_choice::{EvidenceReport, JUDGES_PER_CENTRE, choose_judges};
 pub use latency_histogram::LatencyHistogram;
 pub use move_change::{MoveChange, MoveWish};
 pub use move_judge::{HEARING_TIME, INTERVAL, MoveJudge};
--- a/crates/kernel/src/rollout/move_table.rs
+++ b/crates/kernel/src/rollout/move_table.rs
@@ -282,12 +282,25 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
-    /// Returns what this node saw itself of each running move, to be sent to others.
-    pub fn own_evidence(&self) -> impl Iterator<Item = (&ServiceName, &NodeEvidence)> {
-        self.entries
-            .iter()
-            .filter(|(_, entry)| !entry.record.state.is_final())
-            .map(|(service, entry)| (service, &entry.own))
+    /// Returns the services with a running move.
+    #[must_use]
+    pub fn running_services(&self) -> Vec<ServiceName> {
+        let running = |service: &&ServiceName| self.is_running(service);
+        self.entries.keys().filter(running).cloned().collect()
+    }
+
+    /// Returns whether a service's latest move is running.
+    #[must_use]
+    pub fn is_running(&self, service: &ServiceName) -> bool {
+        self.record(service)
+            .is_some_and(|record| !record.state.is_final())
+    }
+
+    /// Returns what this node saw itself of a service's running move, to be sent to its judges.
+    #[must_use]
+    pub fn evidence_of(&self, service: &ServiceName) -> Option<&NodeEvidence> {
+        let entry = self.entries.get(service)?;
+        (!entry.record.state.is_final()).then_some(&entry.own)
     }
 
     /// Returns the own view of a judge, else what it is told, else the own view after all.
--- a/crates/wire/src/peer/peer_service.rs
+++ b/crates/wire/src/peer/peer_service.rs
@@ -1,7 +1,7 @@
 // The tarpc macro generates items without doc comments.
 #![allow(missing_docs)]
 
-use bronzelb_kernel::error::MeshError;
+use bronzelb_kernel::{error::MeshError, rollout::EvidenceReport};
 
 use crate::peer::{
     ForwardAnswer, ForwardRequest, GossipReply, GossipRequest, ProbeReply, ProbeRequest,
@@ -31,4 +31,7 @@
 
     /// Takes in one replicated record without waiting for the next exchange.
     async fn mark(record: RecordEntry) -> Result<(), MeshError>;
+
+    /// Takes in what other nodes saw of version moves that the called node judges.
+    async fn evidence(reports: Vec<EvidenceReport>) -> Result<(), MeshError>;
 }
