--- a/crates/kernel/tests/spread/fixture.rs
+++ b/crates/kernel/tests/spread/fixture.rs
@@ -457,14 +457,21 @@
 }
 
 fn altered(reply: SnapshotReply, is_altered: bool) -> SnapshotReply {
-    let spoil = |bytes: Bytes| bytes.slice(..bytes.len() - 1);
     match reply {
-        SnapshotReply::Whole(body) if is_altered => SnapshotReply::Whole(spoil(body)),
-        SnapshotReply::Delta(body) if is_altered => SnapshotReply::Delta(spoil(body)),
+        SnapshotReply::Whole(body) if is_altered => {
+            SnapshotReply::Whole(body.slice(..body.len() - 1))
+        }
+        SnapshotReply::Delta(bytes) if is_altered => SnapshotReply::Delta(slower(&bytes)),
         reply => reply,
     }
 }
 
+/// Changes a timeout, which leaves the content well-formed and valid.
+fn slower(bytes: &Bytes) -> Bytes {
+    let text = String::from_utf8(bytes.to_vec()).expect("a delta is JSON");
+    Bytes::from(text.replace("\"timeout\":\"1s\"", "\"timeout\":\"2s\""))
+}
+
 /// A small configuration in which one route's path is `/text`.
 pub(crate) fn snapshot(text: &str) -> ConfigSnapshot {
     let json = serde_json::json!({
--- a/crates/kernel/tests/spread/version.rs
+++ b/crates/kernel/tests/spread/version.rs
@@ -1,11 +1,13 @@
 //! Spreading of versions over a lossy network: what must hold of every node.
 
 use bronzelb_kernel::{
-    ids::NodeName,
-    spread::{PlatformState, choose_readers},
+    clock::{ClockInstant, TimeBudget},
+    config::ConfigVersion,
+    ids::{NodeName, VersionNumber},
+    spread::{FetchPlan, FetchSource, PlatformState, VersionHolder, choose_readers},
 };
 use bytes::Bytes;
-use rand::{Rng, seq::IndexedRandom};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
 use crate::fixture::{MeshFixture, snapshot};
 
@@ -272,7 +274,8 @@
         mesh.run_for(5_000);
         let before = mesh.source.object_reads;
         let names = mesh.names();
-        let herd = names.iter().enumerate().filter(|(index, _)| index % 3 > 0);
+        // Every node that the others take for a first peer is in the herd.
+        let herd = names.iter().enumerate().filter(|(index, _)| index % 3 < 2);
         let herd: Vec<_> = herd.map(|(_, node)| node.clone()).collect();
         for node in &herd {
             mesh.kill(node);
@@ -286,3 +289,26 @@
         assert!(reads <= 6, "seed {seed}: {reads} of {} nodes", herd.len());
     }
 }
+
+#[test]
+fn source_of_altered_content_is_passed_over_and_a_whole_snapshot_is_asked_for() {
+    let mut rng = StdRng::seed_from_u64(2);
+    let now = ClockInstant::from_millis(1_000);
+    let mut holder = VersionHolder::new("m".parse().unwrap());
+    let held = ConfigVersion::from_snapshot(VersionNumber::new(1), snapshot("one")).unwrap();
+    holder.offer_whole(held.stamp(), held.body().clone());
+    let wanted = ConfigVersion::from_snapshot(VersionNumber::new(2), snapshot("two")).unwrap();
+    let peers = ["a", "b"].map(|name| FetchSource::Peer(name.parse().unwrap()));
+    let mut plan = FetchPlan::default();
+    for peer in &peers {
+        plan.heard(wanted.stamp(), peer.clone(), now);
+    }
+    let timeout = TimeBudget::from_millis(400);
+    let first = plan.next(&holder, now, timeout, &mut rng).unwrap();
+    assert_eq!(first.base, Some(held.stamp()));
+    assert_eq!(plan.next(&holder, now, timeout, &mut rng), None);
+    plan.altered(&first, now.after(TimeBudget::from_secs(30)));
+    let second = plan.next(&holder, now, timeout, &mut rng).unwrap();
+    assert_ne!(second.source, first.source);
+    assert_eq!(second.base, None);
+}
