--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -2,9 +2,9 @@
 
 use bronzelb_emulator::{
     http::CallRequest,
-    mesh::{BackendSpec, LocalMesh},
+    mesh::{BackendSpec, LocalMesh, MeshAnswers, RouteAnswers},
 };
-use bronzelb_kernel::clock::TimeBudget;
+use bronzelb_kernel::{clock::TimeBudget, error::MeshError};
 
 const LIMIT: TimeBudget = TimeBudget::from_secs(20);
 
@@ -59,3 +59,54 @@
         assert_eq!(answer.headers["x-bronzelb-run"], "not-run");
     }
 }
+
+fn answers(positions_service: &str) -> String {
+    MeshAnswers::new(3)
+        .service("tracker")
+        .service("archive")
+        .route(
+            "positions",
+            RouteAnswers::new("/positions", positions_service),
+        )
+        .route("archive", RouteAnswers::new("/archive", "archive"))
+        .to_string()
+}
+
+#[actix_web::test]
+async fn request_entering_anywhere_gets_its_own_answer_and_a_change_is_in_force_everywhere()
+-> Result<(), MeshError> {
+    let mut mesh = LocalMesh::builder()
+        .data_centres(3)
+        .backend(BackendSpec::new("tracker", "v1"))
+        .start()
+        .await?;
+    mesh.add_backend("dc2-n1", &BackendSpec::new("archive", "v1"))
+        .await?;
+    mesh.publish(&answers("tracker")).await?;
+    mesh.wait_version(1, LIMIT).await?;
+    mesh.wait_backends("tracker", 3, LIMIT).await?;
+    mesh.wait_backends("archive", 1, LIMIT).await?;
+
+    for (service, path) in [("tracker", "/positions"), ("archive", "/archive")] {
+        for node in mesh.node_names() {
+            let request = CallRequest::get(format!("{path}/b7?from={node}"));
+            let answer = mesh.call(&node, &request).await?;
+            assert_eq!(answer.status, 200, "{node}: {answer:?}");
+            assert!(answer.is_answer_to(&request), "{node}: {answer:?}");
+            assert_eq!(answer.answer_body()?.service, service, "{node}");
+        }
+    }
+
+    mesh.publish(&answers("archive")).await?;
+    mesh.wait_version(2, LIMIT).await?;
+    for node in mesh.node_names() {
+        let request = CallRequest::get(format!("/positions/b7?moved={node}"));
+        let answer = mesh.call(&node, &request).await?;
+        assert_eq!(
+            answer.answer_body()?.service,
+            "archive",
+            "{node}: {answer:?}"
+        );
+    }
+    Ok(())
+}
