--- /dev/null
+++ b/crates/emulator/src/experiment/rollout/policy_kind.rs
@@ -0,0 +1,54 @@
+use std::{fmt, str::FromStr};
+
+use bronzelb_kernel::error::MeshError;
+
+/// Way in which a trial decides about its move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PolicyKind {
+    /// The share follows the time; nothing is taken back.
+    FixedSchedule,
+    /// Each node judges by what it saw itself; marks spread.
+    PerNode,
+    /// The nodes' counts are merged and compared over the last ten seconds with fixed limits.
+    MergedWindow,
+    /// The nodes' counts are merged and compared by the sequential test: the kernel's way.
+    MergedSequential,
+}
+
+impl PolicyKind {
+    /// Every way.
+    pub const ALL: [Self; 4] = [
+        Self::FixedSchedule,
+        Self::PerNode,
+        Self::MergedWindow,
+        Self::MergedSequential,
+    ];
+
+    /// Returns the name in the report and on the command line.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::FixedSchedule => "fixed-schedule",
+            Self::PerNode => "per-node",
+            Self::MergedWindow => "merged-window",
+            Self::MergedSequential => "merged-sequential",
+        }
+    }
+}
+
+impl fmt::Display for PolicyKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.name())
+    }
+}
+
+impl FromStr for PolicyKind {
+    type Err = MeshError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|kind| kind.name() == text)
+            .ok_or_else(|| MeshError::invalid(format!("policy {text:?} does not exist")))
+    }
+}
