--- a/crates/cli/src/builder/command_list.rs
+++ b/crates/cli/src/builder/command_list.rs
@@ -1,4 +1,4 @@
-use crate::{answers, builder::CommandSpec, completions, init, publish, status};
+use crate::{answers, builder::CommandSpec, completions, init, publish, rollout, status};
 
 /// Every command, in the order of the help.
 ///
@@ -10,5 +10,6 @@
     answers::DIFF_COMMAND,
     publish::PUBLISH_COMMAND,
     status::STATUS_COMMAND,
+    rollout::MOVE_COMMAND,
     completions::COMPLETIONS_COMMAND,
 ];
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -15,6 +15,7 @@
 mod platform;
 mod process;
 mod publish;
+mod rollout;
 mod status;
 
 pub use process::{run, run_process};
--- a/crates/cli/src/nodes/node_client.rs
+++ b/crates/cli/src/nodes/node_client.rs
@@ -1,6 +1,9 @@
 use std::{fs, io, rc::Rc};
 
-use awc::{Client, http::StatusCode};
+use awc::{
+    Client,
+    http::{Method, StatusCode},
+};
 use bronzelb_kernel::{
     clock::ClockInstant,
     error::{ErrorKind, MeshError},
@@ -60,21 +63,47 @@
         address: NodeAddress,
         path: &str,
         deadline: ClockInstant,
+    ) -> Result<T, MeshError> {
+        self.exchange(Method::GET, address, path, deadline).await
+    }
+
+    /// Posts to `path` of a node, without a body, and reads the JSON document that it answers.
+    ///
+    /// # Errors
+    ///
+    /// As [`NodeClient::get`].
+    pub(crate) async fn post<T: DeserializeOwned>(
+        &self,
+        address: NodeAddress,
+        path: &str,
+        deadline: ClockInstant,
+    ) -> Result<T, MeshError> {
+        self.exchange(Method::POST, address, path, deadline).await
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        address: NodeAddress,
+        path: &str,
+        deadline: ClockInstant,
     ) -> Result<T, MeshError> {
         let left = deadline.left(wall_clock()).to_std();
-        let exchange = self.get_unbounded(address, path);
+        let exchange = self.exchange_unbounded(method, address, path);
         match tokio::time::timeout(left, exchange).await {
             Ok(result) => result,
             Err(_) => Err(silent(address, "no answer in time")),
         }
     }
 
-    async fn get_unbounded<T: DeserializeOwned>(
+    async fn exchange_unbounded<T: DeserializeOwned>(
         &self,
+        method: Method,
         address: NodeAddress,
         path: &str,
     ) -> Result<T, MeshError> {
-        let mut request = self.client.get(format!("http://{address}{path}"));
+        let url = format!("http://{address}{path}");
+        let mut request = self.client.request(method, url);
         if let Some(token) = &self.token {
             request = request.bearer_auth(token);
         }
--- /dev/null
+++ b/crates/cli/src/rollout/move_printer.rs
@@ -0,0 +1,116 @@
+use std::collections::BTreeMap;
+
+use bronzelb_kernel::{
+    clock::ClockInstant,
+    config::ShareRatio,
+    ids::{DataCentre, RouteName},
+    rollout::{MarkCause, MoveMark, MoveOutlook, MoveRecord, MoveState, RouteTally},
+};
+use jiff::Timestamp;
+use serde::{Deserialize, Serialize};
+
+/// Part of a node's answer to `GET /v1/moves`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct NodeMove {
+    pub(crate) record: MoveRecord,
+    pub(crate) mark: Option<MoveMark>,
+    pub(crate) outlook: Option<MoveOutlook>,
+    pub(crate) routes: BTreeMap<RouteName, NodeRoute>,
+}
+
+/// Share and requests of a route.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct NodeRoute {
+    pub(crate) share: ShareRatio,
+    pub(crate) tally: RouteTally,
+}
+
+/// Returns the plain statement about a move, as the platform's row has it.
+pub(crate) fn describe(record: &MoveRecord) -> String {
+    let head = format!(
+        "move {} of service {} from {} to {}: {}",
+        record.number, record.service, record.from, record.to, record.state
+    );
+    match record.state {
+        MoveState::Running => format!("{head}, due by {}", format_instant(record.by)),
+        MoveState::Done => format!("{head}{}", describe_done(record)),
+        MoveState::TakenBack => format!("{head}{}", describe_mark(record.mark.as_ref())),
+    }
+}
+
+/// Returns what a node adds to the statement.
+pub(crate) fn describe_node(held: &NodeMove) -> String {
+    let record = &held.record;
+    let mut text = format!("move {} of service {}", record.number, record.service);
+    match (record.state, &held.mark) {
+        (MoveState::Running, Some(mark)) => {
+            text += " gets no more requests on the new version; not yet written";
+            text += &describe_mark(Some(mark));
+        }
+        (MoveState::Running, None) => {
+            if let Some(outlook) = &held.outlook {
+                text += &match outlook.is_on_time() {
+                    true => ", on time".to_owned(),
+                    false => format!(", will be late: {outlook}"),
+                };
+            }
+        }
+        (state, _) => text += &format!(", {state}"),
+    }
+    for (route, seen) in &held.routes {
+        text += &format!(
+            "\n  route {route}: share {}, {} requests on {}, {} on {}",
+            seen.share, seen.tally.new, record.to, seen.tally.old, record.from
+        );
+        if seen.tally.doubt.is_some() {
+            text += ", in doubt";
+        }
+    }
+    text
+}
+
+/// Returns an instant as people write it.
+pub(crate) fn format_instant(instant: ClockInstant) -> String {
+    let millis = i64::try_from(instant.as_millis()).unwrap_or(i64::MAX);
+    Timestamp::from_millisecond(millis)
+        .map_or_else(|_| instant.to_string(), |instant| instant.to_string())
+}
+
+fn describe_done(record: &MoveRecord) -> String {
+    let mut text = String::new();
+    if let Some(statement) = &record.statement {
+        text += &format!(" at {}", format_instant(statement.decided_at));
+        text += &format!(" ({})", statement.figures);
+        if !statement.unheard.is_empty() {
+            let names = statement.unheard.iter().map(DataCentre::as_str);
+            let names = names.collect::<Vec<_>>().join(", ");
+            text += &format!("; not heard: {names}");
+        }
+    }
+    if let Some(mark) = &record.mark {
+        text += &format!(
+            "; a fault showed since{}: start a move back",
+            describe_mark(Some(mark))
+        );
+    }
+    text
+}
+
+fn describe_mark(mark: Option<&MoveMark>) -> String {
+    let Some(mark) = mark else {
+        return String::new();
+    };
+    let cause = match mark.cause {
+        MarkCause::Failures => "failures",
+        MarkCause::Latency => "latency",
+        MarkCause::Operator => "operator",
+    };
+    let mut text = format!(" at {}, {cause}", format_instant(mark.marked_at));
+    if mark.cause != MarkCause::Operator {
+        text += &format!(" ({})", mark.figures);
+    }
+    if let (Some(node), Some(centre)) = (&mark.node, &mark.data_centre) {
+        text += &format!(", seen by {node} in {centre}");
+    }
+    text
+}
