Test version moves by real processes

Five tests in crates/daemon/tests/rollout.rs: a good version is done in time and no request fails; a failing one is taken back everywhere; the mark stops it while the platform is away and is written later; of two operators one loses; a stopped move sends nothing more.

--- /dev/null
+++ b/crates/daemon/tests/rollout.rs
@@ -0,0 +1,287 @@
+//! Version moves in a mesh of real processes.
+
+use std::time::Duration;
+
+use bronzelb_emulator::{
+    backend::{BackendFaults, FaultAction, FaultRule},
+    http::CallRequest,
+    mesh::{BackendSpec, CommandOutput, LocalMesh},
+    server::wall_clock,
+};
+use bronzelb_kernel::clock::{ClockInstant, TimeBudget};
+use futures::future::join_all;
+
+const LIMIT: TimeBudget = TimeBudget::from_secs(30);
+const PACE: Duration = Duration::from_millis(5);
+const STATUS_EVERY: u32 = 20;
+/// Time in which a mark reaches every node that can be reached, by the stated target.
+const MARK_TIME: TimeBudget = TimeBudget::from_secs(5);
+
+const ANSWERS: &str = "
+mesh: local
+data_centres:
+  dc1: {latency: {dc2: 500us, dc3: 500us}}
+  dc2: {latency: {dc3: 500us}}
+  dc3: {}
+defaults:
+  services:
+    slots: 12
+    connections: 110
+    report_format: json-load
+    slow_start: 0ms
+    drain: 30s
+    rollout: {first_share: 5%, min_requests: 20, hold: 2s}
+  routes:
+    timeout: 3s
+    objective: {success: 99.9%, latency: 250ms}
+services:
+  tracker: {}
+routes:
+  reads: {path: /reads, methods: [GET], service: tracker, priority: urgent}
+";
+
+/// Starts a mesh with a server of `v1` and one of `v2` beside every node.
+async fn start() -> LocalMesh {
+    let mut mesh = LocalMesh::builder()
+        .data_centres(3)
+        .backend(BackendSpec::new("tracker", "v1"))
+        .start()
+        .await
+        .expect("the mesh starts");
+    mesh.publish(ANSWERS).await.expect("the answers are valid");
+    mesh.wait_version(1, LIMIT).await.expect("is in force");
+    mesh.wait_backends("tracker", 3, LIMIT)
+        .await
+        .expect("are known everywhere");
+    mesh
+}
+
+/// Starts a move, and then a server of `v2` beside every node; returns the servers' names.
+async fn start_move(mesh: &mut LocalMesh, by: &str, faults: &BackendFaults) -> Vec<String> {
+    let output = tool(
+        mesh,
+        &["start", "tracker", "--from", "v1", "--to", "v2", "--by", by],
+    )
+    .await;
+    assert_eq!(output.exit_code, Some(0), "{}", output.text);
+    let mut names = Vec::new();
+    for node in mesh.node_names() {
+        wait_move(mesh, &node, "running").await;
+        let spec = BackendSpec::new("tracker", "v2");
+        let name = mesh.add_backend(&node, &spec).await.expect("starts");
+        mesh.set_backend_faults(&name, faults)
+            .await
+            .expect("are set");
+        names.push(name);
+    }
+    mesh.wait_backends("tracker", 6, LIMIT)
+        .await
+        .expect("are known everywhere");
+    names
+}
+
+async fn tool(mesh: &LocalMesh, args: &[&str]) -> CommandOutput {
+    let platform = mesh.platform_address().to_string();
+    let mut all = vec!["move"];
+    all.extend(args);
+    all.extend(["--mesh", "local", "--platform", &platform]);
+    mesh.run_tool(&all).await.expect("the tool runs")
+}
+
+async fn node_moves(mesh: &LocalMesh, node: &str) -> serde_json::Value {
+    let operators = mesh.node(node).expect("exists").addresses().operators;
+    let client = bronzelb_emulator::http::JsonClient::new();
+    client.get(operators, "/v1/moves").await.expect("answers")
+}
+
+/// Waits until a node knows a move of the service in a state.
+async fn wait_move(mesh: &LocalMesh, node: &str, state: &str) {
+    let deadline = wall_clock().after(LIMIT);
+    while node_moves(mesh, node).await[0]["record"]["state"] != state {
+        assert!(!deadline.has_passed(wall_clock()), "{node} is not {state}");
+        tokio::time::sleep(PACE).await;
+    }
+}
+
+/// Sends requests to every node until `is_over` says so, and returns how many failed.
+async fn drive(
+    mesh: &LocalMesh,
+    limit: TimeBudget,
+    is_over: impl AsyncFn(&LocalMesh) -> bool,
+) -> usize {
+    let nodes = mesh.node_names();
+    let deadline = wall_clock().after(limit);
+    let mut failed = 0;
+    for round in 0_u32.. {
+        let request = CallRequest::get(format!("/reads/{round}"));
+        let answers = join_all(nodes.iter().map(|node| mesh.call(node, &request))).await;
+        let is_good = |status| status == 200;
+        failed += answers
+            .iter()
+            .filter(|answer| !answer.as_ref().is_ok_and(|answer| is_good(answer.status)))
+            .count();
+        if round % STATUS_EVERY == 0 && is_over(mesh).await {
+            return failed;
+        }
+        assert!(
+            !deadline.has_passed(wall_clock()),
+            "not over within {limit}"
+        );
+        tokio::time::sleep(PACE).await;
+    }
+    failed
+}
+
+async fn states(mesh: &LocalMesh) -> Vec<String> {
+    let nodes = mesh.node_names();
+    let moves = join_all(nodes.iter().map(|node| node_moves(mesh, node))).await;
+    let state = |moves: &serde_json::Value| moves[0]["record"]["state"].to_string();
+    moves.iter().map(state).collect()
+}
+
+async fn is_everywhere(mesh: &LocalMesh, state: &str) -> bool {
+    let states = states(mesh).await;
+    states.iter().all(|held| held.trim_matches('"') == state)
+}
+
+async fn is_marked_everywhere(mesh: &LocalMesh) -> bool {
+    let nodes = mesh.node_names();
+    let moves = join_all(nodes.iter().map(|node| node_moves(mesh, node))).await;
+    moves.iter().all(|moves| !moves[0]["mark"].is_null())
+}
+
+/// Returns when the last run of `version` began.
+fn last_run(mesh: &LocalMesh, servers: &[String]) -> Option<ClockInstant> {
+    let runs = mesh.runs().expect("the journals are readable");
+    let of_version = runs.iter().filter(|run| servers.contains(&run.backend));
+    of_version.map(|run| run.at).max()
+}
+
+fn failing() -> BackendFaults {
+    BackendFaults {
+        rules: vec![FaultRule {
+            path: String::new(),
+            share: 1.0,
+            above: 0,
+            after_ms: 0,
+            next: None,
+            action: FaultAction::Fail,
+        }],
+        ..BackendFaults::default()
+    }
+}
+
+#[actix_web::test]
+async fn good_version_is_done_in_time_and_no_request_fails() {
+    let mut mesh = start().await;
+    let servers = start_move(&mut mesh, "25s", &BackendFaults::default()).await;
+    let failed = drive(&mesh, LIMIT, async |mesh| is_everywhere(mesh, "done").await).await;
+    assert_eq!(failed, 0);
+    let output = tool(&mesh, &["status", "tracker"]).await;
+    assert!(
+        output.text.contains("from v1 to v2: done at"),
+        "{}",
+        output.text
+    );
+    assert!(!output.text.contains("not heard"), "{}", output.text);
+
+    let late = tool(&mesh, &["stop", "tracker"]).await;
+    assert_eq!(late.exit_code, Some(5), "{}", late.text);
+    let answer = mesh.call("dc1-n1", &CallRequest::get("/reads/1")).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.headers["x-bronzelb-build"], "v2");
+    assert!(servers.contains(&answer.headers["x-bronzelb-backend"].to_string()));
+}
+
+#[actix_web::test]
+async fn failing_version_is_taken_back_everywhere() {
+    let mut mesh = start().await;
+    let servers = start_move(&mut mesh, "60s", &failing()).await;
+    drive(&mesh, LIMIT, async |mesh| {
+        is_everywhere(mesh, "taken-back").await
+    })
+    .await;
+    let known_at = wall_clock();
+    let failed = drive_for(&mesh, TimeBudget::from_secs(1)).await;
+    assert_eq!(failed, 0);
+    assert!(last_run(&mesh, &servers).expect("some ran") < known_at);
+    let output = tool(&mesh, &["status", "tracker"]).await;
+    assert!(output.text.contains("taken back at"), "{}", output.text);
+    assert!(output.text.contains("failures"), "{}", output.text);
+    let again = tool(&mesh, &["stop", "tracker"]).await;
+    assert_eq!(again.exit_code, Some(0), "{}", again.text);
+}
+
+async fn drive_for(mesh: &LocalMesh, time: TimeBudget) -> usize {
+    let end = wall_clock().after(time);
+    drive(mesh, LIMIT, async |_| end.has_passed(wall_clock())).await
+}
+
+#[actix_web::test]
+async fn mark_stops_the_version_while_the_platform_is_away_and_is_written_later() {
+    let mut mesh = start().await;
+    let servers = start_move(&mut mesh, "60s", &failing()).await;
+    mesh.cut_platform().await.expect("is cut");
+    drive(&mesh, LIMIT, async |mesh| is_marked_everywhere(mesh).await).await;
+    let known_at = wall_clock();
+    drive_for(&mesh, TimeBudget::from_secs(1)).await;
+    assert!(last_run(&mesh, &servers).expect("some ran") < known_at);
+    let output = tool(&mesh, &["status", "tracker"]).await;
+    assert!(output.text.contains(": running"), "{}", output.text);
+
+    mesh.heal().await.expect("is healed");
+    drive(&mesh, LIMIT, async |mesh| {
+        is_everywhere(mesh, "taken-back").await
+    })
+    .await;
+    let output = tool(&mesh, &["status", "tracker"]).await;
+    assert!(output.text.contains("taken back at"), "{}", output.text);
+}
+
+#[actix_web::test]
+async fn of_two_operators_who_start_a_move_one_is_told_that_it_lost() {
+    let mesh = start().await;
+    let args = |to: &'static str| {
+        [
+            "start", "tracker", "--from", "v1", "--to", to, "--by", "60s",
+        ]
+    };
+    let first_args = args("v2");
+    let second_args = args("v3");
+    let first = tool(&mesh, &first_args);
+    let second = tool(&mesh, &second_args);
+    let (first, second) = futures::join!(first, second);
+    let mut codes = [first.exit_code, second.exit_code];
+    codes.sort_unstable();
+    assert_eq!(codes, [Some(0), Some(5)], "{} {}", first.text, second.text);
+    let winner = if first.exit_code == Some(0) {
+        "v2"
+    } else {
+        "v3"
+    };
+    let output = tool(&mesh, &["status", "tracker"]).await;
+    let wanted = format!("from v1 to {winner}: running");
+    assert!(output.text.contains(&wanted), "{}", output.text);
+}
+
+#[actix_web::test]
+async fn stopped_move_sends_nothing_to_the_new_version() {
+    let mut mesh = start().await;
+    let servers = start_move(&mut mesh, "60s", &BackendFaults::default()).await;
+    drive(&mesh, LIMIT, async |mesh| {
+        last_run(mesh, &servers).is_some()
+    })
+    .await;
+    let output = tool(&mesh, &["stop", "tracker"]).await;
+    assert!(output.text.contains("taken back at"), "{}", output.text);
+    let stopped_at = wall_clock();
+    let failed = drive(&mesh, LIMIT, async |mesh| {
+        is_everywhere(mesh, "taken-back").await
+    })
+    .await;
+    assert_eq!(failed, 0);
+    let known_at = wall_clock();
+    assert!(stopped_at.elapsed(known_at) <= MARK_TIME);
+    drive_for(&mesh, TimeBudget::from_secs(1)).await;
+    assert!(last_run(&mesh, &servers).expect("some ran") < known_at);
+}
--- a/crates/emulator/src/mesh/local_mesh.rs
+++ b/crates/emulator/src/mesh/local_mesh.rs
@@ -161,6 +161,12 @@
         &mut self.platform
     }
 
+    /// Returns the address of the platform stand-in, past the fault proxy.
+    #[must_use]
+    pub const fn platform_address(&self) -> SocketAddr {
+        self.platform.address()
+    }
+
     /// Returns the fault proxy.
     #[must_use]
     pub const fn proxy(&self) -> &ProxyStandIn {
