Add experiments with requests, each beside its baseline

request-latency (direct, one hop, two hops, alternating rounds), request-overload (0.5 to 5 times capacity per priority, mesh against round robin with three plain retries) and request-sick-server (one of three servers slow, failing fast, dead, frozen, lying). LocalMesh can leave out the fault proxy for measuring; the backend stand-in no longer sleeps for a service time of zero, which took until the next tick of the timer.

--- a/crates/emulator/src/backend/work_handler.rs
+++ b/crates/emulator/src/backend/work_handler.rs
@@ -151,7 +151,11 @@
     let _busy = BusyGuard::enter(core);
     let answer = answer_body(core, request, body);
     note_run(core, request, &answer);
-    tokio::time::sleep(work_time(core, request) + delay).await;
+    let work = work_time(core, request) + delay;
+    // A sleep of zero lasts until the next tick of the timer.
+    if !work.is_zero() {
+        tokio::time::sleep(work).await;
+    }
     Some(answer)
 }
 
--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -7,6 +7,7 @@
 mod experiment_entry;
 mod experiment_report;
 mod platform_calls;
+mod request;
 
 pub use experiment_context::{ExperimentContext, SizeSetting};
 pub use experiment_entry::Experiment;
--- /dev/null
+++ b/crates/emulator/src/experiment/request/bench_mesh.rs
@@ -0,0 +1,75 @@
+use std::net::SocketAddr;
+
+use bronzelb_kernel::{clock::TimeBudget, config::RequestPriority, error::MeshError};
+
+use crate::mesh::{BackendSpec, LocalMesh, MeshAnswers, MeshBuilder, RouteAnswers};
+
+/// Name of the service that the experiments call.
+pub(crate) const SERVICE: &str = "work";
+/// Routes of the service, one for each priority.
+pub(crate) const ROUTES: [BenchRoute; 3] = [
+    BenchRoute::new("/urgent", RequestPriority::Urgent),
+    BenchRoute::new("/normal", RequestPriority::Normal),
+    BenchRoute::new("/deferrable", RequestPriority::Deferrable),
+];
+const LIMIT: TimeBudget = TimeBudget::from_secs(30);
+const SETTLE_TIME: TimeBudget = TimeBudget::from_secs(2);
+
+/// A route that the experiments call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BenchRoute {
+    pub(crate) path: &'static str,
+    pub(crate) priority: RequestPriority,
+}
+
+impl BenchRoute {
+    const fn new(path: &'static str, priority: RequestPriority) -> Self {
+        Self { path, priority }
+    }
+}
+
+/// Starts a mesh, publishes the answers, and waits until the backend servers are known and warm.
+pub(crate) async fn start(
+    builder: MeshBuilder,
+    centres: u8,
+    backends: &[(&str, BackendSpec)],
+) -> Result<LocalMesh, MeshError> {
+    let mut mesh = builder.data_centres(centres).start().await?;
+    for (node, spec) in backends {
+        mesh.add_backend(node, spec).await?;
+    }
+    let slots = backends.first().map_or(1, |(_, spec)| spec.slots);
+    mesh.publish(&answers(centres, slots).to_string()).await?;
+    mesh.wait_version(1, LIMIT).await?;
+    mesh.wait_backends(SERVICE, backends.len(), LIMIT).await?;
+    // The slow start of the servers is over after this.
+    tokio::time::sleep(SETTLE_TIME.to_std()).await;
+    Ok(mesh)
+}
+
+/// Returns the addresses of the backend servers themselves.
+pub(crate) fn backend_targets(mesh: &LocalMesh) -> Result<Vec<SocketAddr>, MeshError> {
+    let names = mesh.backend_names();
+    names
+        .iter()
+        .map(|name| Ok(mesh.backend(name)?.addresses().address))
+        .collect()
+}
+
+/// Returns the callers' listeners of all nodes.
+pub(crate) fn node_targets(mesh: &LocalMesh) -> Result<Vec<SocketAddr>, MeshError> {
+    let names = mesh.node_names();
+    names
+        .iter()
+        .map(|name| Ok(mesh.node(name)?.addresses().callers))
+        .collect()
+}
+
+fn answers(centres: u8, slots: u32) -> MeshAnswers {
+    let mut answers = MeshAnswers::new(centres).service_line(SERVICE, format!("slots: {slots}"));
+    for route in ROUTES {
+        let rule = RouteAnswers::new(route.path, SERVICE).with_priority(route.priority);
+        answers = answers.route(&route.path[1..], rule);
+    }
+    answers
+}
--- /dev/null
+++ b/crates/emulator/src/experiment/request/mod.rs
@@ -0,0 +1,6 @@
+//! Experiments with requests through a mesh of separate processes, each beside a baseline.
+
+mod bench_mesh;
+mod request_latency;
+mod request_overload;
+mod sick_server;
--- /dev/null
+++ b/crates/emulator/src/experiment/request/sick_server.rs
@@ -0,0 +1,137 @@
+use bronzelb_kernel::{clock::TimeBudget, error::MeshError};
+
+use crate::{
+    backend::{BackendFaults, FaultAction, FaultRule, ReportFaults},
+    experiment::{Experiment, ExperimentContext, ExperimentReport, request::bench_mesh},
+    load::{LoadPlan, LoadRoute, TargetPolicy, run_load},
+    mesh::{BackendSpec, LocalMesh},
+};
+
+inventory::submit! {
+    Experiment {
+        name: "request-sick-server",
+        about: "Goodput while one of three backend servers is slow, dead, frozen or lying",
+        run,
+    }
+}
+
+const NODES: [&str; 3] = ["dc1-n1", "dc2-n1", "dc3-n1"];
+const CENTRES: u8 = 3;
+const SLOTS: u32 = 4;
+const SERVICE_TIME: &str = "20ms";
+const DEFAULT_RATE: u64 = 300;
+const DEFAULT_SECONDS: u64 = 5;
+const DEADLINE_MS: u64 = 500;
+const SLOW_MS: u64 = 400;
+const PLAIN_RETRIES: u32 = 3;
+const SICKNESSES: [Sickness; 6] = [
+    Sickness::None,
+    Sickness::Slow,
+    Sickness::FailsFast,
+    Sickness::Dead,
+    Sickness::Frozen,
+    Sickness::Lying,
+];
+
+/// What is wrong with one of the servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sickness {
+    None,
+    Slow,
+    FailsFast,
+    Dead,
+    Frozen,
+    /// Fails every request and reports itself healthy and idle.
+    Lying,
+}
+
+impl Sickness {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Slow => "slow",
+            Self::FailsFast => "fails fast",
+            Self::Dead => "dead",
+            Self::Frozen => "frozen",
+            Self::Lying => "fails, reports idle",
+        }
+    }
+
+    async fn strike(self, mesh: &mut LocalMesh) -> Result<(), MeshError> {
+        let name = mesh.backend_names().remove(0);
+        let rule = match self {
+            Self::None => return Ok(()),
+            Self::Dead => {
+                mesh.backend_mut(&name)?.process().kill();
+                return Ok(());
+            }
+            Self::Frozen => return mesh.backend_mut(&name)?.process().freeze(),
+            Self::Slow => FaultRule::new(FaultAction::Delay(SLOW_MS)),
+            Self::FailsFast => FaultRule::new(FaultAction::FailFast),
+            Self::Lying => FaultRule::new(FaultAction::Fail),
+        };
+        let mut faults = BackendFaults::from_rules([rule]);
+        if self == Self::Lying {
+            faults.report = ReportFaults {
+                healthy: Some(true),
+                busy: Some(0),
+                ..ReportFaults::default()
+            };
+        }
+        mesh.set_backend_faults(&name, &faults).await
+    }
+}
+
+fn run(context: &ExperimentContext) -> Result<ExperimentReport, MeshError> {
+    let rate = context.size("rate", DEFAULT_RATE);
+    let seconds = context.size("seconds", DEFAULT_SECONDS);
+    let columns = ["server", "caller", "in_time_share", "p50_ms", "p99_ms"];
+    let mut report = ExperimentReport::new("request-sick-server", context.seed(), columns)
+        .size("servers", NODES.len() as u64)
+        .size("rate", rate)
+        .size("seconds", seconds)
+        .size("deadline_ms", DEADLINE_MS);
+    for sickness in SICKNESSES {
+        for is_mesh in [true, false] {
+            let load = context.block_on(async {
+                let spec = BackendSpec::new(bench_mesh::SERVICE, "v1")
+                    .with_slots(SLOTS)
+                    .with_service_time(SERVICE_TIME);
+                let backends = NODES.map(|node| (node, spec.clone()));
+                let builder = LocalMesh::builder().without_proxy();
+                let mut mesh = bench_mesh::start(builder, CENTRES, &backends).await?;
+                let plan = plan(&mesh, is_mesh)?
+                    .with_seed(context.seed())
+                    .with_rate(rate as f64)
+                    .with_duration(TimeBudget::from_secs(seconds));
+                sickness.strike(&mut mesh).await?;
+                run_load(&plan).await
+            })?;
+            let caller = if is_mesh {
+                "mesh"
+            } else {
+                "round robin, 3 retries"
+            };
+            report.row([
+                sickness.name().into(),
+                caller.into(),
+                load.total.in_time_share().into(),
+                (load.total.done.p50_us as f64 / 1_000.0).into(),
+                (load.total.done.p99_us as f64 / 1_000.0).into(),
+            ]);
+        }
+    }
+    report.remark("the server falls sick just before the first request that is measured");
+    Ok(report)
+}
+
+fn plan(mesh: &LocalMesh, is_mesh: bool) -> Result<LoadPlan, MeshError> {
+    let plan = if is_mesh {
+        LoadPlan::new(bench_mesh::node_targets(mesh)?)
+    } else {
+        LoadPlan::new(bench_mesh::backend_targets(mesh)?)
+            .with_policy(TargetPolicy::RoundRobin(PLAIN_RETRIES))
+    };
+    let route = LoadRoute::get(bench_mesh::ROUTES[0].path).with_deadline_ms(DEADLINE_MS);
+    Ok(plan.with_route(route))
+}
--- a/crates/emulator/src/mesh/local_mesh.rs
+++ b/crates/emulator/src/mesh/local_mesh.rs
@@ -115,16 +115,17 @@
     }
 
     async fn add_nodes(&mut self, builder: &MeshBuilder) -> Result<(), MeshError> {
-        let platform = self
-            .proxy
-            .listen(PLATFORM_LISTENER, Some(self.platform.address()))
-            .await?;
+        let mut platform = self.platform.address();
+        if builder.is_proxied {
+            platform = self.proxy.listen(PLATFORM_LISTENER, Some(platform)).await?;
+        }
         for centre in 1..=builder.centres {
             for number in 1..=builder.nodes_per_centre {
-                let advertised = self
-                    .proxy
-                    .listen(peer_listener(centre, number), None)
-                    .await?;
+                let mut advertised = None;
+                if builder.is_proxied {
+                    let listener = peer_listener(centre, number);
+                    advertised = Some(self.proxy.listen(listener, None).await?);
+                }
                 let place = (centre, number);
                 let directory = self.directory.path();
                 let mut node = MeshNode::new(place, advertised, platform, &builder.mesh, directory);
@@ -132,22 +133,27 @@
                 self.nodes.insert(node_name(centre, number), node);
             }
         }
-        let mut first_peers: Vec<_> = self.nodes.values().collect();
-        first_peers.sort_by_key(|node| (node.number, node.centre));
-        let first_peers: Vec<SocketAddr> = first_peers
+        self.set_first_peers(|node| node.advertised);
+        Ok(())
+    }
+
+    /// Tells every node the addresses of the first nodes of all data centres, as far as known.
+    fn set_first_peers(&mut self, address: impl Fn(&MeshNode) -> Option<SocketAddr>) {
+        let mut ordered: Vec<_> = self.nodes.values().collect();
+        ordered.sort_by_key(|node| (node.number, node.centre));
+        let first_peers: Vec<SocketAddr> = ordered
             .into_iter()
+            .filter_map(&address)
             .take(MAX_FIRST_PEERS)
-            .map(|node| node.advertised)
             .collect();
         for node in self.nodes.values_mut() {
-            let own = node.advertised;
+            let own = address(node);
             node.first_peers = first_peers
                 .iter()
                 .copied()
-                .filter(|peer| *peer != own)
+                .filter(|peer| Some(*peer) != own)
                 .collect();
         }
-        Ok(())
     }
 
     /// Returns the directory with the settings, answers, journals and outputs.
@@ -202,7 +208,12 @@
         node.start(&daemon).await?;
         let listener = node.peer_listener();
         let peers = node.addresses().peers;
-        self.proxy.set_target(listener, peers).await
+        if node.advertised.is_some() {
+            return self.proxy.set_target(listener, peers).await;
+        }
+        // Without the proxy, each node learns the addresses of those that started before it.
+        self.set_first_peers(|node| node.known_addresses().map(|addresses| addresses.peers));
+        Ok(())
     }
 
     /// Shuts a node down gracefully and waits for its end.
--- a/crates/emulator/src/mesh/mesh_builder.rs
+++ b/crates/emulator/src/mesh/mesh_builder.rs
@@ -26,6 +26,7 @@
     pub(crate) nodes_per_centre: u8,
     pub(crate) backends: Vec<BackendSpec>,
     pub(crate) extra_settings: String,
+    pub(crate) is_proxied: bool,
 }
 
 impl MeshBuilder {
@@ -36,6 +37,7 @@
             nodes_per_centre: 1,
             backends: Vec::new(),
             extra_settings: String::new(),
+            is_proxied: true,
         }
     }
 
@@ -74,6 +76,13 @@
         self
     }
 
+    /// Lets the nodes reach each other and the platform without the fault proxy, for measuring.
+    #[must_use]
+    pub const fn without_proxy(mut self) -> Self {
+        self.is_proxied = false;
+        self
+    }
+
     /// Starts every process and waits until all listen.
     ///
     /// # Errors
--- a/crates/emulator/src/mesh/mesh_node.rs
+++ b/crates/emulator/src/mesh/mesh_node.rs
@@ -35,7 +35,7 @@
 pub struct MeshNode {
     pub(crate) centre: u8,
     pub(crate) number: u8,
-    pub(crate) advertised: SocketAddr,
+    pub(crate) advertised: Option<SocketAddr>,
     pub(crate) first_peers: Vec<SocketAddr>,
     pub(crate) platform: SocketAddr,
     pub(crate) mesh: String,
@@ -49,7 +49,7 @@
 impl MeshNode {
     pub(crate) fn new(
         (centre, number): (u8, u8),
-        advertised: SocketAddr,
+        advertised: Option<SocketAddr>,
         platform: SocketAddr,
         mesh: &str,
         directory: &Path,
@@ -97,6 +97,11 @@
         self.addresses.expect("the node was started")
     }
 
+    /// Returns the addresses of the node's listeners, if it was started.
+    pub(crate) const fn known_addresses(&self) -> Option<NodeAddresses> {
+        self.addresses
+    }
+
     /// Returns whether the node's process runs; a frozen one does.
     pub fn is_running(&mut self) -> bool {
         self.process.as_mut().is_some_and(ChildProcess::is_running)
@@ -157,6 +162,9 @@
             operators: any_port,
         });
         let mut first = String::new();
+        let advertise = self.advertised.map_or_else(String::new, |address| {
+            format!("  advertise: \"{address}\"\n")
+        });
         for peer in &self.first_peers {
             write!(first, "\"{peer}\",").expect("writing to a string succeeds");
         }
@@ -166,7 +174,7 @@
              data_centre: {centre}\n\
              mesh_key: {key:?}\n\
              callers: {{listen: \"{callers}\"}}\n\
-             peers:\n  listen: \"{peers}\"\n  advertise: \"{advertised}\"\n  first: [{first}]\n\
+             peers:\n  listen: \"{peers}\"\n{advertise}  first: [{first}]\n\
              operators: {{listen: \"{operators}\"}}\n\
              platform: {{kind: http, address: \"{platform}\"}}\n\
              {extra}",
@@ -176,7 +184,6 @@
             key = self.mesh_key,
             callers = addresses.callers,
             peers = addresses.peers,
-            advertised = self.advertised,
             operators = addresses.operators,
             platform = self.platform,
             extra = self.extra_settings,
