--- a/crates/daemon/tests/request.rs
+++ b/crates/daemon/tests/request.rs
@@ -191,18 +191,18 @@
 
 #[actix_web::test]
 async fn what_is_told_as_not_run_did_not_run_while_nodes_and_servers_die_or_freeze() {
-    let mut mesh = start(BackendSpec::new("work", "v1").with_service_time("60ms")).await;
+    let mut mesh = start(BackendSpec::new("work", "v1").with_service_time("200ms")).await;
     let mut answers = Vec::new();
     for round in 0..4 {
         let victim = NODES[1 + round % 2];
-        let calls = (0..24).map(|_| {
+        let calls = (0..36).map(|_| {
             let request = CallRequest::post("/orders", "x").with_deadline_ms(1_500);
             let client = bronzelb_emulator::http::CallerClient::new();
             let address = mesh.node(NODES[0]).expect("a node").addresses().callers;
             actix_web::rt::spawn(async move { client.call(address, &request).await.ok() })
         });
         let calls: Vec<_> = calls.collect();
-        tokio::time::sleep(STEP / 2 * (round as u32 + 1)).await;
+        tokio::time::sleep(STEP * 2).await;
         match round {
             0 | 1 => kill_node(&mut mesh, victim),
             2 => {
@@ -505,24 +505,33 @@
 #[actix_web::test]
 async fn deep_chain_does_not_multiply_attempts() {
     let mesh = start(BackendSpec::new("work", "v1").with_slots(200)).await;
-    let rule = FaultRule::new(FaultAction::Fail)
-        .with_path("/reads/deepest")
-        .with_share(0.5);
+    // The failures of one call are not independent: repeating it anywhere fails again.
+    let rule = FaultRule::new(FaultAction::Fail).with_path("/reads/failing");
     set_faults(&mesh, &[rule]).await;
     let chain: Vec<String> = (1..20).map(|depth| format!("/reads/{depth}")).collect();
-    let chain = format!("{},/reads/deepest", chain.join(","));
+    let chain = chain.join(",");
+    let chains = [
+        format!("{chain},/reads/working"),
+        format!("{chain},/reads/failing"),
+    ];
     let calls = 120;
+    let mut served = 0;
     for round in 0..6 {
         let batch = (0..calls / 6).map(|number| {
             let mesh = &mesh;
-            let request =
-                CallRequest::get("/reads/0").with_header("x-emulator-chain", chain.as_str());
+            let chain = chains[number % 2].as_str();
+            let request = CallRequest::get("/reads/0").with_header("x-emulator-chain", chain);
             async move { call(mesh, NODES[(round + number) % NODES.len()], &request).await }
         });
-        join_all(batch).await;
+        let answers = join_all(batch).await;
+        served += answers
+            .iter()
+            .flatten()
+            .filter(|answer| answer.status == 200)
+            .count();
     }
     let runs = mesh.runs().expect("readable journals").len();
     let ratio = runs as f64 / (calls * 21) as f64;
     assert!(ratio < 1.2, "{ratio} runs for each call");
-    assert!(ratio > 0.9, "{ratio} runs for each call");
+    assert!(served * 10 > calls * 4, "{served} of {calls} were served");
 }
