--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -92,8 +92,7 @@
 fn note_broken(state: &NodeState, address: SocketAddr, error: &(dyn Error + 'static)) {
     let mut next = Some(error);
     while let Some(cause) = next {
-        let broken = cause.downcast_ref::<io::Error>();
-        if broken.is_some_and(|broken| broken.kind() == io::ErrorKind::InvalidData) {
+        if is_malformed(cause) {
             refuse_peer(state, address, &error.to_string());
             return;
         }
@@ -101,6 +100,12 @@
     }
 }
 
+fn is_malformed(cause: &(dyn Error + 'static)) -> bool {
+    let shared = cause.downcast_ref::<Arc<io::Error>>().map(AsRef::as_ref);
+    let broken = shared.or_else(|| cause.downcast_ref::<io::Error>());
+    broken.is_some_and(|broken| broken.kind() == io::ErrorKind::InvalidData)
+}
+
 fn refuse_peer(state: &NodeState, address: SocketAddr, message: &str) {
     state.count("peer_refused");
     info!(state.logger, "{}", EventName::PeerRefused;
--- a/crates/emulator/src/mesh/node_status.rs
+++ b/crates/emulator/src/mesh/node_status.rs
@@ -29,6 +29,12 @@
     pub applied_at: ClockInstant,
     /// Whether the platform does not answer.
     pub is_platform_away: bool,
+    /// Whether no other data centre has been heard from for a while.
+    #[serde(default)]
+    pub is_cut_off: bool,
+    /// Data centres that have not been heard from for a while.
+    #[serde(default)]
+    pub silent_data_centres: Vec<DataCentre>,
     /// Members that the node knows, itself among them.
     pub members: Vec<MemberStatus>,
 }
