--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -23,6 +23,7 @@
     callers::{error_response, route_match::match_route},
     forward::{PlannedRequest, RequestForwarder, fingerprint, is_hop_header},
     log::EventName,
+    rollout::record_burn,
 };
 
 const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
@@ -108,7 +109,9 @@
             body,
         },
     };
-    forwarder.run(planned).await
+    let result = forwarder.run(planned).await;
+    record_burn(state, route, rule, now, &result);
+    result
 }
 
 fn read_deadline(
--- a/crates/daemon/src/operators/operator_server.rs
+++ b/crates/daemon/src/operators/operator_server.rs
@@ -41,6 +41,7 @@
             .configure(status_routes::configure)
             .configure(backend_routes::configure)
             .configure(rollout::configure)
+            .configure(rollout::configure_burn)
     })
     .workers(1)
     .max_connections(MAX_CONNECTIONS)
--- /dev/null
+++ b/crates/daemon/src/rollout/burn_routes.rs
@@ -0,0 +1,65 @@
+use actix_web::{HttpResponse, Responder, web};
+use bronzelb_kernel::{
+    burn::{BurnKey, NodeBurn},
+    clock::ClockInstant,
+    config::RouteRule,
+    error::MeshError,
+    ids::RouteName,
+};
+use bronzelb_wire::peer::ForwardAnswer;
+
+use crate::node::NodeState;
+
+const SERVER_ERROR: u16 = 500;
+
+/// Adds the route for service-level burn.
+pub(crate) fn configure_burn(config: &mut web::ServiceConfig) {
+    config.route("/v1/burn", web::get().to(burn));
+}
+
+async fn burn(state: web::Data<NodeState>) -> impl Responder {
+    let now = state.now();
+    let routes = state.config().map(|config| {
+        let routes = config.snapshot().routes.iter();
+        routes
+            .map(|(route, rule)| (route.clone(), rule.objective.clone()))
+            .collect()
+    });
+    HttpResponse::Ok().json(NodeBurn {
+        node: state.settings.node.clone(),
+        data_centre: state.settings.data_centre.clone(),
+        now,
+        objectives: routes.unwrap_or_default(),
+        rows: state.rollout.burn().rows(now),
+    })
+}
+
+/// Counts a caller's request against its route's objective.
+pub(crate) fn record_burn(
+    state: &NodeState,
+    route: &RouteName,
+    rule: &RouteRule,
+    started_at: ClockInstant,
+    result: &Result<ForwardAnswer, MeshError>,
+) {
+    let now = state.now();
+    let took = started_at.elapsed(now);
+    let status = match result {
+        Ok(answer) => answer.status,
+        Err(error) => error.kind().answer().status,
+    };
+    let is_bad = status >= SERVER_ERROR || (status < 400 && took > rule.objective.latency);
+    let table = state.rollout.table();
+    let record = table.record(&rule.service);
+    let running_move = record
+        .filter(|record| !record.state.is_final())
+        .map(|record| record.number);
+    drop(table);
+    let key = BurnKey {
+        route: route.clone(),
+        service: rule.service.clone(),
+        version: result.as_ref().ok().map(|answer| answer.version.clone()),
+        running_move,
+    };
+    state.rollout.burn().record(key, is_bad, now);
+}
--- a/crates/daemon/src/rollout/mod.rs
+++ b/crates/daemon/src/rollout/mod.rs
@@ -1,10 +1,12 @@
 //! Version moves on this node: its shares, its evidence, and the platform's rows.
 
+mod burn_routes;
 mod move_routes;
 mod move_rows;
 mod rollout_state;
 mod rollout_task;
 
+pub(crate) use burn_routes::{configure_burn, record_burn};
 pub(crate) use move_routes::configure;
 pub use move_routes::{MoveReport, RouteShare};
 pub use move_rows::run_move_rows;
--- a/crates/daemon/src/rollout/rollout_state.rs
+++ b/crates/daemon/src/rollout/rollout_state.rs
@@ -4,6 +4,7 @@
 };
 
 use bronzelb_kernel::{
+    burn::BurnTable,
     clock::{ClockInstant, TimeBudget},
     ids::{BackendName, DataCentre, RouteName, ServiceName},
     rollout::{EvidenceReport, MoveTable, NodeSlot, OutcomeReport, VersionSplit},
@@ -18,6 +19,7 @@
 pub struct RolloutState {
     table: Mutex<MoveTable>,
     first_seen: Mutex<BTreeMap<BackendName, ClockInstant>>,
+    burn: Mutex<BurnTable>,
 }
 
 impl RolloutState {
@@ -27,6 +29,7 @@
         Self {
             table: Mutex::new(MoveTable::new(slot, data_centre)),
             first_seen: Mutex::default(),
+            burn: Mutex::default(),
         }
     }
 
@@ -67,6 +70,11 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the counts of callers' requests, locked.
+    pub(crate) fn burn(&self) -> MutexGuard<'_, BurnTable> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn is_warming(&self, backend: &BackendName, slow_start: TimeBudget, now: ClockInstant) -> bool {
         let mut seen = self
             .first_seen
--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -190,7 +190,7 @@
     let answer = mesh.call("dc1-n1", &CallRequest::get("/reads/1")).await;
     let answer = answer.expect("an answer");
     assert_eq!(answer.headers["x-bronzelb-build"], "v2");
-    assert!(servers.contains(&answer.headers["x-bronzelb-backend"].to_string()));
+    assert!(servers.contains(&answer.headers["x-bronzelb-backend"]));
 }
 
 #[actix_web::test]
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 //! caller passes time, messages and randomness in, so that one seed replays every decision. The
 //! daemon is a thin shell around these types.
 //!
+//! - [`burn`]: service-level burn
 //! - [`config`]: the configuration that a mesh runs, and its checks
 //! - [`member`]: which nodes are alive, and the backend servers beside them
 //! - [`spread`]: how a configuration version travels between nodes
@@ -11,6 +12,7 @@
 //! - [`rollout`]: version moves, evidence and their state machine
 //! - [`plugin`]: formats and clients that register themselves
 
+pub mod burn;
 pub mod clock;
 pub mod config;
 pub mod error;
