Report service-level burn on the command line

What was not heard is listed. A first process test expected failures of the new version in the report and failed: the caller never saw them, since the retry went to the old version, so the report now is tested with a version that is too slow.

--- a/crates/cli/src/builder/command_list.rs
+++ b/crates/cli/src/builder/command_list.rs
@@ -1,4 +1,4 @@
-use crate::{answers, builder::CommandSpec, completions, init, publish, rollout, status};
+use crate::{answers, builder::CommandSpec, burn, completions, init, publish, rollout, status};
 
 /// Every command, in the order of the help.
 ///
@@ -11,5 +11,6 @@
     publish::PUBLISH_COMMAND,
     status::STATUS_COMMAND,
     rollout::MOVE_COMMAND,
+    burn::REPORT_COMMAND,
     completions::COMPLETIONS_COMMAND,
 ];
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod output;
 
 mod answers;
+mod burn;
 mod completions;
 mod init;
 mod nodes;
--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -14,6 +14,10 @@
 const LIMIT: TimeBudget = TimeBudget::from_secs(30);
 const PACE: Duration = Duration::from_millis(5);
 const STATUS_EVERY: u32 = 20;
+/// Longer than the latency that the route's objective allows.
+const SLOW_MILLIS: u64 = 400;
+/// Address at which no node listens.
+const SILENT: &str = "127.0.0.1:1";
 /// Time in which a mark reaches every node that can be reached, by the stated target.
 const MARK_TIME: TimeBudget = TimeBudget::from_secs(5);
 
@@ -158,6 +162,10 @@
 }
 
 fn failing() -> BackendFaults {
+    faults(FaultAction::Fail)
+}
+
+fn faults(action: FaultAction) -> BackendFaults {
     BackendFaults {
         rules: vec![FaultRule {
             path: String::new(),
@@ -165,7 +173,7 @@
             above: 0,
             after_ms: 0,
             next: None,
-            action: FaultAction::Fail,
+            action,
         }],
         ..BackendFaults::default()
     }
@@ -285,3 +293,43 @@
     drive_for(&mesh, TimeBudget::from_secs(1)).await;
     assert!(last_run(&mesh, &servers).expect("some ran") < known_at);
 }
+
+#[actix_web::test]
+async fn burn_report_tells_what_a_slow_version_spent_and_what_was_not_heard() {
+    let mut mesh = start().await;
+    let slow = faults(FaultAction::Delay(SLOW_MILLIS));
+    start_move(&mut mesh, "60s", &slow).await;
+    drive(&mesh, LIMIT, async |mesh| {
+        is_everywhere(mesh, "taken-back").await
+    })
+    .await;
+    let addresses = mesh.node_names().into_iter().map(|node| {
+        let addresses = mesh.node(&node).expect("exists").addresses();
+        addresses.operators.to_string()
+    });
+    let addresses: Vec<String> = addresses.chain([SILENT.to_owned()]).collect();
+    let page = mesh.directory().join("burn.html");
+    let page_path = page.display().to_string();
+    let mut args = vec!["report", "burn", "--html", &page_path];
+    for address in &addresses {
+        args.extend(["--node", address]);
+    }
+    let output = mesh.run_tool(&args).await.expect("the tool runs");
+    assert_eq!(output.exit_code, Some(0), "{}", output.text);
+    let unheard = format!("not heard: node {SILENT}");
+    for wanted in [
+        "3 nodes answered",
+        "version v2:",
+        "move 1:",
+        "data centre dc",
+        &unheard,
+    ] {
+        assert!(output.text.contains(wanted), "{wanted}: {}", output.text);
+    }
+    let page = std::fs::read_to_string(page).expect("was written");
+    assert!(page.contains("<svg"), "{page}");
+    assert!(page.contains(SILENT), "{page}");
+    for outside in ["<script", "<link", "src=", "url("] {
+        assert!(!page.contains(outside), "{outside}: {page}");
+    }
+}
