--- a/crates/cli/src/rollout/move_command.rs
+++ b/crates/cli/src/rollout/move_command.rs
@@ -17,9 +17,15 @@
 const MESH: &str = "mesh";
 const SERVICE: &str = "service";
 
+const EXAMPLES: &str = "\
+Examples:
+  bronzelb move start tracker --from v1 --to v2 --by 30m --mesh hemelval --platform 10.1.0.4:8080
+  bronzelb move status --mesh hemelval --platform 10.1.0.4:8080";
+
 fn build(command: Command) -> Command {
     command
         .about("Starts, stops and shows moves of traffic to new backend server versions")
+        .after_help(EXAMPLES)
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(start_command::build(Command::new("start")))
