--- a/crates/daemon/src/operators/operator_server.rs
+++ b/crates/daemon/src/operators/operator_server.rs
@@ -15,6 +15,7 @@
     operators::{
         backend_routes, operator_guard::check_operator, status_routes, time_limit::limit_time,
     },
+    rollout,
 };
 
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -39,6 +40,7 @@
             .wrap(from_fn(check_operator))
             .configure(status_routes::configure)
             .configure(backend_routes::configure)
+            .configure(rollout::configure)
     })
     .workers(1)
     .max_connections(MAX_CONNECTIONS)
