Check report formats before publishing, and show refused versions

A format that no reader serves was only seen on the nodes. The readers move from the daemon into a crate of their own (crates/reports, files unchanged but for one use line), which the daemon and the answers both link, so check and publish refuse an unknown format and name those that exist.

The test of the help now walks subcommands too: move only groups its three, each of which has examples.

--- a/crates/answers/src/lib.rs
+++ b/crates/answers/src/lib.rs
@@ -16,4 +16,4 @@
 mod model;
 mod reader;
 
-pub use reader::{parse_answers, read_answers};
+pub use reader::{parse_answers, parse_report_format, read_answers};
--- a/crates/answers/src/reader/mod.rs
+++ b/crates/answers/src/reader/mod.rs
@@ -7,3 +7,4 @@
 mod snapshot_check;
 
 pub use answers_reader::{parse_answers, read_answers};
+pub use service_reader::parse_report_format;
--- a/crates/answers/src/reader/service_reader.rs
+++ b/crates/answers/src/reader/service_reader.rs
@@ -2,8 +2,12 @@
 
 use bronzelb_kernel::{
     config::ServiceSpec,
+    error::MeshError,
     ids::{CrewName, ServiceName, SlotCount},
+    plugin::ReportReader,
 };
+// Registers every vendor's reader.
+use bronzelb_reports as _;
 use bronzelb_yaml::reader::{FieldNode, MapReader, parse_count, parse_with};
 use compact_str::{CompactString, format_compact};
 
@@ -67,7 +71,7 @@
         crew: reader.optional("crew", parse_with),
         slots: reader.optional("slots", parse_count).map(SlotCount::new),
         connections: reader.optional("connections", parse_count),
-        report_format: reader.optional("report_format", |text| Ok(CompactString::from(text))),
+        report_format: reader.optional("report_format", parse_report_format),
         slow_start: reader.optional("slow_start", parse_with),
         drain: reader.optional("drain", parse_with),
         rollout: read_rollout(reader),
@@ -87,3 +91,20 @@
     fields.finish();
     answers
 }
+
+/// Parses the name of a registered reader of reports.
+///
+/// # Errors
+///
+/// [`ErrorKind::Invalid`](bronzelb_kernel::error::ErrorKind::Invalid) names those that exist.
+pub fn parse_report_format(text: &str) -> Result<CompactString, MeshError> {
+    if ReportReader::find(text).is_ok() {
+        return Ok(CompactString::from(text));
+    }
+    let mut names: Vec<_> = ReportReader::all().map(|reader| reader.name).collect();
+    names.sort_unstable();
+    Err(MeshError::invalid(format!(
+        "report format {text:?} does not exist; formats are {}",
+        names.join(", ")
+    )))
+}
--- a/crates/cli/src/init/question_list.rs
+++ b/crates/cli/src/init/question_list.rs
@@ -1,13 +1,15 @@
 use std::{collections::BTreeSet, str::FromStr};
 
-use bronzelb_answers::draft::{CentrePair, MeshDraft, ServiceDraft};
+use bronzelb_answers::{
+    draft::{CentrePair, MeshDraft, ServiceDraft},
+    parse_report_format,
+};
 use bronzelb_kernel::{
     clock::TimeBudget,
     error::MeshError,
     ids::{DataCentre, ServiceName, SlotCount},
 };
 use bronzelb_yaml::reader::{parse_count, parse_with};
-use compact_str::CompactString;
 
 use crate::init::text_prompt::TextPrompt;
 
@@ -62,7 +64,7 @@
     draft.report_format = prompt.ask(
         "Format of the servers' health and load reports",
         &draft.report_format.clone(),
-        |text| Ok(CompactString::from(text)),
+        parse_report_format,
     )?;
     Ok(())
 }
--- a/crates/cli/src/nodes/mod.rs
+++ b/crates/cli/src/nodes/mod.rs
@@ -6,4 +6,4 @@
 
 pub(crate) use node_args::{NodeAddress, NodeArgs};
 pub(crate) use node_client::NodeClient;
-pub(crate) use node_status::{MemberStatus, NodeStatus};
+pub(crate) use node_status::{MemberStatus, NodeStatus, RefusedVersion};
--- a/crates/cli/src/publish/version_wait.rs
+++ b/crates/cli/src/publish/version_wait.rs
@@ -49,7 +49,8 @@
 ///
 /// # Errors
 ///
-/// `DeadlinePassed` names the nodes that were not there in time, and what they said last.
+/// `Invalid` when a node refused the version, with its reason. `DeadlinePassed` names the nodes
+/// that were not there in time, and what they said last.
 pub(super) async fn wait_for_version(
     client: &NodeClient,
     addresses: &[NodeAddress],
@@ -62,7 +63,7 @@
         .map(|address| (*address, NodeLag::NotAsked))
         .collect();
     loop {
-        ask_pending(client, &mut pending, number, deadline).await;
+        ask_pending(client, &mut pending, number, deadline).await?;
         bar.set_position((addresses.len() - pending.len()) as u64);
         if pending.is_empty() {
             bar.finish_and_clear();
@@ -81,16 +82,17 @@
     pending: &mut BTreeMap<NodeAddress, NodeLag>,
     number: VersionNumber,
     deadline: ClockInstant,
-) {
+) -> Result<(), MeshError> {
     let addresses: Vec<_> = pending.keys().copied().collect();
     let limit = deadline.min(wall_clock().after(ASK_BUDGET));
     let answers = client.statuses(&addresses, limit).await;
     for (address, answer) in addresses.into_iter().zip(answers) {
         match answer {
-            Ok(status) => note_answer(pending, address, &status, number),
+            Ok(status) => note_answer(pending, address, &status, number)?,
             Err(error) => note_silence(pending, address, &error),
         }
     }
+    Ok(())
 }
 
 fn note_answer(
@@ -98,7 +100,17 @@
     address: NodeAddress,
     status: &NodeStatus,
     number: VersionNumber,
-) {
+) -> Result<(), MeshError> {
+    let refused = status.refused.iter();
+    if let Some(refused) = refused
+        .rev()
+        .find(|refused| refused.version.number == number)
+    {
+        return Err(MeshError::invalid(format!(
+            "node {} refused version {number}: {}",
+            status.node, refused.reason
+        )));
+    }
     let held = status.version.map(|stamp| stamp.number);
     if held >= Some(number) {
         pending.remove(&address);
@@ -106,6 +118,7 @@
         let node = status.node.clone();
         pending.insert(address, NodeLag::Behind { node, held });
     }
+    Ok(())
 }
 
 /// Keeps what a node said last when it falls silent.
--- a/crates/cli/src/status/mesh_status.rs
+++ b/crates/cli/src/status/mesh_status.rs
@@ -10,7 +10,7 @@
 use compact_str::{CompactString, format_compact};
 use serde::Serialize;
 
-use crate::nodes::{MemberStatus, NodeAddress, NodeStatus};
+use crate::nodes::{MemberStatus, NodeAddress, NodeStatus, RefusedVersion};
 
 /// What is known of a mesh from the nodes that answered.
 #[derive(Debug, Serialize)]
@@ -46,6 +46,9 @@
     pub(crate) age_ms: u64,
     pub(crate) is_platform_away: bool,
     pub(crate) backends: usize,
+    pub(crate) is_cut_off: bool,
+    pub(crate) silent_data_centres: Vec<DataCentre>,
+    pub(crate) refused: Vec<RefusedVersion>,
 }
 
 /// What the nodes of one data centre run.
@@ -115,6 +118,9 @@
             version: answer.version.map(|stamp| stamp.number),
             age_ms: answer.applied_at.elapsed(answer.now).as_millis(),
             is_platform_away: answer.is_platform_away,
+            is_cut_off: answer.is_cut_off,
+            silent_data_centres: answer.silent_data_centres,
+            refused: answer.refused,
         };
         for member in answer.members {
             known.insert(member.node.clone(), (member, answer.node.clone()));
--- a/crates/cli/src/status/status_table.rs
+++ b/crates/cli/src/status/status_table.rs
@@ -23,6 +23,7 @@
     for (centre, summary) in &status.data_centres {
         lines.push(format!("{centre}: {}", centre_line(summary)));
     }
+    lines.extend(status.nodes.iter().flat_map(trouble_lines));
     if !status.not_heard.is_empty() {
         lines.push("not heard:".to_owned());
         lines.extend(status.not_heard.iter().map(|line| format!("  {line}")));
@@ -57,6 +58,25 @@
     ]
 }
 
+/// Writes what is wrong on a node that answered.
+fn trouble_lines(line: &NodeLine) -> Vec<String> {
+    let node = &line.node;
+    let mut lines = Vec::new();
+    if line.is_cut_off {
+        lines.push(format!(
+            "node {node} hears neither the platform nor other data centres"
+        ));
+    }
+    let silent = line.silent_data_centres.iter();
+    lines.extend(silent.map(|centre| format!("node {node} does not hear data centre {centre}")));
+    let refused = line.refused.iter();
+    lines.extend(refused.map(|refused| {
+        let number = refused.version.number;
+        format!("node {node} refused version {number}: {}", refused.reason)
+    }));
+    lines
+}
+
 fn centre_line(summary: &CentreSummary) -> String {
     let versions = match (summary.lowest, summary.highest) {
         (lowest, highest) if lowest == highest => format!("version {}", version_text(highest)),
--- a/crates/cli/tests/commands/definition.rs
+++ b/crates/cli/tests/commands/definition.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use bronzelb::builder::{COMMANDS, build_root};
+use clap::Command;
 
 use crate::support;
 
@@ -13,14 +14,26 @@
 
 #[test]
 fn every_command_explains_itself_with_an_example() {
-    for spec in COMMANDS {
-        let run = support::run(&[spec.name, "--help"]);
-        assert_eq!(run.code, 0);
-        assert!(run.stdout.contains("Examples:"), "{}", run.stdout);
-        assert!(run.stdout.contains(&format!("bronzelb {} ", spec.name)));
+    for command in build_root().get_subcommands() {
+        assert_explained(&["bronzelb"], command);
     }
 }
 
+/// Checks a command, or every subcommand of one that only groups them.
+fn assert_explained(parents: &[&str], command: &Command) {
+    let path = [parents, &[command.get_name()]].concat();
+    let mut subcommands = command.get_subcommands().peekable();
+    if subcommands.peek().is_some() {
+        subcommands.for_each(|command| assert_explained(&path, command));
+        return;
+    }
+    let run = support::run(&[&path[1..], &["--help"]].concat());
+    assert_eq!(run.code, 0);
+    assert!(run.stdout.contains("Examples:"), "{}", run.stdout);
+    let example = format!("  {} ", path.join(" "));
+    assert!(run.stdout.contains(&example), "{example:?}: {}", run.stdout);
+}
+
 #[test]
 fn command_names_are_unique() {
     let names: BTreeSet<_> = COMMANDS.iter().map(|spec| spec.name).collect();
--- a/crates/cli/tests/commands/status.rs
+++ b/crates/cli/tests/commands/status.rs
@@ -22,6 +22,10 @@
         ghent        ghent-1   serving  2        1m   answers   0
         ghent: 1 heard with version 2, 1 not heard
         leuven: 1 heard with version 3, 0 not heard
+        node leuven-1 does not hear data centre antwerp
+        node leuven-1 refused version 9: content has another hash
+        node ghent-1 does not hear data centre antwerp
+        node ghent-1 refused version 9: content has another hash
         not heard:
           node ghent-2 in ghent: not asked; ghent-1 knows it as suspect
     "#]]
@@ -99,3 +103,32 @@
         &node.address(),
     ])
 }
+
+#[test]
+fn publish_ends_when_a_node_refuses_the_version() {
+    let platform = "wait-refused";
+    let node = StandInNode::start("leuven-1", "leuven", 0);
+    let mut text = std::fs::read_to_string(example("hemelval")).expect("is readable");
+    let folder = tempfile::tempdir().expect("is writable");
+    let path = folder.path().join("answers.yaml");
+    let file = path.to_str().expect("is UTF-8").to_owned();
+    let mut last = None;
+    for number in 1..=9 {
+        text = text.replace("mesh: hemelval", &format!("# {number}\nmesh: hemelval"));
+        let slots = format!("slots: {number}  ");
+        std::fs::write(&path, text.replace("slots: 12  ", &slots)).expect("is writable");
+        let mut args = vec!["publish", &file, "--platform", platform];
+        args.extend(["--platform-kind", "memory", "--timeout", "5s"]);
+        let address = node.address();
+        if number == 9 {
+            args.extend(["--wait", "--node", &address]);
+        }
+        last = Some(run(&args));
+    }
+    let last = last.expect("was published");
+    assert_eq!(last.code, 2);
+    expect![[r#"
+        error: node leuven-1 refused version 9: content has another hash
+    "#]]
+    .assert_eq(&last.stderr);
+}
--- a/crates/cli/tests/commands/support/stand_in_node.rs
+++ b/crates/cli/tests/commands/support/stand_in_node.rs
@@ -109,6 +109,12 @@
         "applied_at": 10_000_000,
         "now": 100_000_000,
         "is_platform_away": false,
+        "is_cut_off": false,
+        "silent_data_centres": ["antwerp"],
+        "refused": [{
+            "version": {"number": 9, "hash": "0".repeat(64)},
+            "reason": "content has another hash",
+        }],
         "members": [member(name, centre, "serving"), member("ghent-2", "ghent", "suspect")],
     })
 }
--- a/crates/daemon/src/report/json_load.rs
+++ b/crates/reports/src/json_load.rs
@@ -4,7 +4,7 @@
 };
 use serde::Deserialize;
 
-use crate::report::slot_share;
+use crate::slot_share;
 
 inventory::submit! {
     ReportReader {
--- a/crates/daemon/src/report/plain_status.rs
+++ b/crates/reports/src/plain_status.rs
@@ -5,7 +5,7 @@
     plugin::{LoadReport, ReportReader},
 };
 
-use crate::report::slot_share;
+use crate::slot_share;
 
 const HEALTH_FIELD: &str = "health";
 const BUSY_FIELD: &str = "busy-slots";
