--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -103,7 +103,14 @@
 fn is_malformed(cause: &(dyn Error + 'static)) -> bool {
     let shared = cause.downcast_ref::<Arc<io::Error>>().map(AsRef::as_ref);
     let broken = shared.or_else(|| cause.downcast_ref::<io::Error>());
-    broken.is_some_and(|broken| broken.kind() == io::ErrorKind::InvalidData)
+    let Some(broken) = broken else {
+        return false;
+    };
+    // The transport wraps the codec's errors in an error of its own.
+    match broken.get_ref() {
+        Some(inner) if broken.kind() == io::ErrorKind::Other => is_malformed(inner),
+        _ => broken.kind() == io::ErrorKind::InvalidData,
+    }
 }
 
 fn refuse_peer(state: &NodeState, address: SocketAddr, message: &str) {
