Tell judges only what has changed, and test a data centre that returns with a mark

Change: a judge gets the cells that changed since it last confirmed; judges of the same rank exchange their data centres' sums every two seconds; a task of its own sends, so that a cut link does not delay a mark.

--- a/crates/cli/src/rollout/move_printer.rs
+++ b/crates/cli/src/rollout/move_printer.rs
@@ -89,7 +89,7 @@
     }
     if let Some(mark) = &record.mark {
         text += &format!(
-            "; a fault showed since{}: start a move back",
+            "; marked since{}: start a move back",
             describe_mark(Some(mark))
         );
     }
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -16,7 +16,7 @@
     operators::start_operator_server,
     peers::start_peer_server,
     report::run_reports,
-    rollout::{run_move_rows, run_rollout},
+    rollout::{run_evidence, run_move_rows, run_rollout},
     settings::NodeSettings,
 };
 
@@ -85,7 +85,8 @@
         stop.clone(),
     ));
     spawn_local(run_reports(Arc::clone(&state), stop.clone()));
-    spawn_local(run_rollout(
+    spawn_local(run_rollout(Arc::clone(&state), stop.clone()));
+    spawn_local(run_evidence(
         Arc::clone(&state),
         Rc::clone(&pool),
         stop.clone(),
--- a/crates/daemon/src/rollout/mod.rs
+++ b/crates/daemon/src/rollout/mod.rs
@@ -1,12 +1,14 @@
 //! Version moves on this node: its shares, its evidence, and the platform's rows.
 
 mod burn_routes;
+mod evidence_sender;
 mod move_routes;
 mod move_rows;
 mod rollout_state;
 mod rollout_task;
 
 pub(crate) use burn_routes::{configure_burn, record_burn};
+pub use evidence_sender::run_evidence;
 pub(crate) use move_routes::configure;
 pub use move_routes::{MoveReport, RouteShare};
 pub use move_rows::run_move_rows;
--- a/crates/daemon/src/rollout/move_rows.rs
+++ b/crates/daemon/src/rollout/move_rows.rs
@@ -4,7 +4,6 @@
     clock::TimeBudget,
     error::{ErrorKind, MeshError},
     ids::{AttemptToken, DataCentre},
-    member::MemberState,
     rollout::{MOVE_KIND, MoveChange, MoveRecord, MoveState, MoveStatement, RouteTally},
     spread::{RecordKey, choose_readers},
 };
@@ -139,12 +138,12 @@
         }))
     }
 
-    /// Returns the data centres with members that were not heard lately.
+    /// Returns the data centres that were not heard lately, also those whose members are gone:
+    /// a data centre that is cut off looks like one that has ended.
     fn unheard(&self, heard: &[DataCentre]) -> Vec<DataCentre> {
         let members = self.state.members();
         let centres = members
             .iter()
-            .filter(|row| row.state != MemberState::Gone)
             .map(|row| row.data_centre.clone())
             .collect::<std::collections::BTreeSet<_>>();
         centres
--- a/crates/daemon/src/rollout/rollout_task.rs
+++ b/crates/daemon/src/rollout/rollout_task.rs
@@ -1,21 +1,12 @@
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     error::MeshError,
-    ids::{DataCentre, NodeName, ServiceName},
-    rollout::{
-        EvidenceReport, MARK_KIND, MOVE_KIND, MoveMark, MoveRecord, MoveView, SharePlan, VIEW_KIND,
-        choose_judges,
-    },
+    ids::ServiceName,
+    rollout::{MARK_KIND, MOVE_KIND, MoveMark, MoveRecord, MoveView, SharePlan, VIEW_KIND},
     spread::{RecordEntry, RecordKey},
 };
-use futures::future;
 use slog::{info, warn};
 use tokio::{
     sync::broadcast::error::RecvError,
@@ -23,27 +14,22 @@
 };
 
 use crate::{
-    gossip::GossipPool,
     log::EventName,
     node::{NodeState, StopSignal},
+    rollout::evidence_sender::{JudgeMap, judges_of_running_moves},
 };
 
 const INTERVAL: Duration = Duration::from_millis(500);
-const SEND_BUDGET: TimeBudget = TimeBudget::from_millis(400);
 /// Time after which an unchanged view is told again, so that the others know it is still held.
 const VIEW_TIME: TimeBudget = TimeBudget::from_secs(3);
 
-/// Nodes that judge the moves of a service, by data centre.
-type JudgeMap = BTreeMap<DataCentre, BTreeSet<NodeName>>;
-
 /// Takes in and judges version moves until the stop signal.
-pub async fn run_rollout(state: Arc<NodeState>, pool: Rc<GossipPool>, mut stop: StopSignal) {
+pub async fn run_rollout(state: Arc<NodeState>, mut stop: StopSignal) {
     let mut changes = state.record_changes();
     let mut interval = time::interval(INTERVAL);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut runner = MoveRunner {
         state: Arc::clone(&state),
-        pool,
         told: BTreeMap::new(),
     };
     runner.take_in_all();
@@ -54,7 +40,7 @@
                 Err(RecvError::Lagged(_)) => runner.take_in_all(),
                 Err(RecvError::Closed) => return,
             },
-            _ = interval.tick() => runner.tick().await,
+            _ = interval.tick() => runner.tick(),
             () = stop.stopped() => return,
         }
     }
@@ -62,7 +48,6 @@
 
 struct MoveRunner {
     state: Arc<NodeState>,
-    pool: Rc<GossipPool>,
     told: BTreeMap<ServiceName, MoveView>,
 }
 
@@ -128,20 +113,11 @@
         Ok(())
     }
 
-    async fn tick(&mut self) {
+    fn tick(&mut self) {
         let now = self.state.now();
-        let services = self.state.rollout.table().running_services();
-        if services.is_empty() {
-            return;
-        }
-        let members = self.state.members();
-        let judges: BTreeMap<ServiceName, JudgeMap> = services
-            .into_iter()
-            .map(|service| (service.clone(), choose_judges(&members, &service)))
-            .collect();
+        let judges = judges_of_running_moves(&self.state);
         self.judge(&judges, now);
         self.tell_views(&judges, now);
-        self.send_evidence(&judges, now).await;
     }
 
     fn judge(&self, judges: &BTreeMap<ServiceName, JudgeMap>, now: ClockInstant) {
@@ -192,52 +168,6 @@
         is_news.then(|| view.clone())
     }
 
-    async fn send_evidence(&self, judges: &BTreeMap<ServiceName, JudgeMap>, now: ClockInstant) {
-        let mut parcels: BTreeMap<NodeName, Vec<EvidenceReport>> = BTreeMap::new();
-        {
-            let table = self.state.rollout.table();
-            for (service, map) in judges {
-                for (centre, nodes) in map {
-                    let Some(report) = self.report_to(&table, service, centre) else {
-                        continue;
-                    };
-                    for node in nodes {
-                        parcels
-                            .entry(node.clone())
-                            .or_default()
-                            .push(report.clone());
-                    }
-                }
-            }
-        }
-        parcels.remove(&self.state.settings.node);
-        let deadline = now.after(SEND_BUDGET);
-        let sends = parcels.into_iter().map(|(node, reports)| async move {
-            let address = self.state.peer_address_of(&node)?;
-            self.pool.evidence(address, reports, deadline).await
-        });
-        // The counts only grow, so a lost report is made good by the next one.
-        let _ = future::join_all(sends).await;
-    }
-
-    /// Returns the own counts for judges near, and the data centre's sum for those elsewhere.
-    fn report_to(
-        &self,
-        table: &bronzelb_kernel::rollout::MoveTable,
-        service: &ServiceName,
-        centre: &DataCentre,
-    ) -> Option<EvidenceReport> {
-        let evidence = if *centre == self.state.settings.data_centre {
-            table.evidence_of(service).cloned()
-        } else {
-            table.centre_evidence(service)
-        };
-        Some(EvidenceReport {
-            service: service.clone(),
-            evidence: evidence?,
-        })
-    }
-
     fn put(&self, kind: &str, name: &str, value: Vec<u8>) {
         let key = RecordKey::new(kind, name);
         if let Err(error) = self.state.put_record(key, value) {
--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -4,8 +4,9 @@
 
 use bronzelb_emulator::{
     backend::{BackendFaults, FaultAction, FaultRule},
-    http::CallRequest,
+    http::{CallRequest, JsonClient},
     mesh::{BackendSpec, CommandOutput, LocalMesh},
+    proxy::ProxyAction,
     server::wall_clock,
 };
 use bronzelb_kernel::clock::{ClockInstant, TimeBudget};
@@ -94,7 +95,7 @@
 
 async fn node_moves(mesh: &LocalMesh, node: &str) -> serde_json::Value {
     let operators = mesh.node(node).expect("exists").addresses().operators;
-    let client = bronzelb_emulator::http::JsonClient::new();
+    let client = JsonClient::new();
     client.get(operators, "/v1/moves").await.expect("answers")
 }
 
@@ -333,3 +334,48 @@
         assert!(!page.contains(outside), "{outside}: {page}");
     }
 }
+
+#[actix_web::test]
+async fn done_stays_said_when_a_cut_off_data_centre_returns_with_a_mark() {
+    let mut mesh = start().await;
+    start_move(&mut mesh, "25s", &BackendFaults::default()).await;
+    mesh.separate(1, 3, ProxyAction::Cut).await.expect("is cut");
+    mesh.separate(2, 3, ProxyAction::Cut).await.expect("is cut");
+    mesh.separate_platform(3, ProxyAction::Cut)
+        .await
+        .expect("is cut");
+    let operators = mesh.node("dc3-n1").expect("exists").addresses().operators;
+    let client = JsonClient::new();
+    let stopped: serde_json::Value = client
+        .post(operators, "/v1/moves/tracker/stop", &())
+        .await
+        .expect("is stopped there");
+    assert_eq!(stopped["mark"]["cause"], "operator");
+
+    drive(&mesh, LIMIT, async |mesh| {
+        let states = states(mesh).await;
+        states[..2].iter().all(|state| state == "\"done\"")
+    })
+    .await;
+    let output = tool(&mesh, &["status", "tracker"]).await;
+    assert!(output.text.contains(": done at"), "{}", output.text);
+    assert!(output.text.contains("not heard: dc3"), "{}", output.text);
+
+    mesh.heal().await.expect("is healed");
+    drive(&mesh, LIMIT, async |mesh| {
+        let is_done = is_everywhere(mesh, "done").await;
+        is_done && is_marked_everywhere(mesh).await
+    })
+    .await;
+    let deadline = wall_clock().after(LIMIT);
+    loop {
+        let output = tool(&mesh, &["status", "tracker"]).await;
+        assert!(output.text.contains(": done at"), "{}", output.text);
+        if output.text.contains("marked since") {
+            break;
+        }
+        assert!(!deadline.has_passed(wall_clock()), "{}", output.text);
+    }
+    let failed = drive_for(&mesh, TimeBudget::from_secs(1)).await;
+    assert_eq!(failed, 0);
+}
--- a/crates/kernel/src/rollout/node_evidence.rs
+++ b/crates/kernel/src/rollout/node_evidence.rs
@@ -134,6 +134,26 @@
         }
     }
 
+    /// Returns this evidence with only the counts that differ from what was `told` before.
+    ///
+    /// The counts stay whole, so a receiver that missed a report loses nothing but time.
+    #[must_use]
+    pub fn changed_since(&self, told: Option<&Self>) -> Self {
+        let is_told = |key: &EvidenceKey, cell: &EvidenceCell| {
+            told.is_some_and(|told| told.number == self.number && told.cells.get(key) == Some(cell))
+        };
+        let cells = self.cells.iter().filter(|(key, cell)| !is_told(key, cell));
+        Self {
+            slot: self.slot.clone(),
+            data_centre: self.data_centre.clone(),
+            number: self.number,
+            taken_at: self.taken_at,
+            cells: cells
+                .map(|(key, cell)| (key.clone(), cell.clone()))
+                .collect(),
+        }
+    }
+
     /// Adds what another slot counted, for the sum of a data centre.
     pub fn add(&mut self, other: &Self) {
         self.taken_at = self.taken_at.max(other.taken_at);
--- a/crates/kernel/tests/rollout_judge.rs
+++ b/crates/kernel/tests/rollout_judge.rs
@@ -424,6 +424,13 @@
         }
         let mut forth = evidence("n1", 1);
         let mut back = evidence("n1", 1);
+        let mut parts = evidence("n1", 1);
+        let mut told = None;
+        for view in &views {
+            parts.absorb(&view.changed_since(told));
+            told = Some(view);
+        }
+        prop_assert_eq!(&parts.cells, &own.cells);
         for view in &views {
             forth.absorb(view);
         }
