Make two operators really race in the test, and lose an answer

Cause: with the compare-and-set taken out on purpose the race test still passed: the second tool read the first one's row. Change: the platform is slowed, so that both read before either writes; and a start whose answer is lost after the write is reported as started.

--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -6,6 +6,7 @@
     backend::{BackendFaults, FaultAction, FaultRule},
     http::{CallRequest, JsonClient},
     mesh::{BackendSpec, CommandOutput, LocalMesh},
+    platform::{LostAnswers, PlatformFaults},
     proxy::ProxyAction,
     server::wall_clock,
 };
@@ -249,7 +250,14 @@
 
 #[actix_web::test]
 async fn of_two_operators_who_start_a_move_one_is_told_that_it_lost() {
-    let mesh = start().await;
+    let mut mesh = start().await;
+    // Each reads the row before either has written it.
+    let slow = PlatformFaults {
+        delay_ms: SLOW_MILLIS,
+        ..PlatformFaults::default()
+    };
+    let platform = mesh.platform();
+    platform.set_faults(&slow).await.expect("are set");
     let args = |to: &'static str| {
         [
             "start", "tracker", "--from", "v1", "--to", to, "--by", "60s",
@@ -379,3 +387,26 @@
     let failed = drive_for(&mesh, TimeBudget::from_secs(1)).await;
     assert_eq!(failed, 0);
 }
+
+#[actix_web::test]
+async fn start_whose_answer_was_lost_after_the_write_is_reported_as_started() {
+    let mut mesh = start().await;
+    let lost = PlatformFaults {
+        lose_answers: LostAnswers {
+            next: 1,
+            key_prefix: "local/move/".to_owned(),
+            ..LostAnswers::default()
+        },
+        ..PlatformFaults::default()
+    };
+    let platform = mesh.platform();
+    platform.set_faults(&lost).await.expect("are set");
+    let args = [
+        "start", "tracker", "--from", "v1", "--to", "v2", "--by", "60s",
+    ];
+    let output = tool(&mesh, &args).await;
+    assert_eq!(output.exit_code, Some(0), "{}", output.text);
+    assert!(output.text.contains("move 1 of"), "{}", output.text);
+    let output = tool(&mesh, &["status", "tracker"]).await;
+    assert!(output.text.contains("move 1 of"), "{}", output.text);
+}
