--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -6,6 +6,7 @@
 mod experiment_context;
 mod experiment_entry;
 mod experiment_report;
+mod node_size;
 mod platform_calls;
 mod request;
 pub mod rollout;
