--- a/crates/cli/src/rollout/move_command.rs
+++ b/crates/cli/src/rollout/move_command.rs
@@ -14,6 +14,12 @@
     run,
 };
 
+const EXAMPLES: &str = "\
+Examples:
+  bronzelb move start tracker --from v1 --to v2 --by 30m --mesh hemelval --platform 10.1.0.4:8080
+  bronzelb move status --mesh hemelval --platform 10.1.0.4:8080
+  bronzelb move stop tracker --mesh hemelval --platform 10.1.0.4:8080";
+
 const MESH: &str = "mesh";
 const SERVICE: &str = "service";
 
