--- a/crates/emulator/src/experiment/request/mod.rs
+++ b/crates/emulator/src/experiment/request/mod.rs
@@ -1,6 +1,7 @@
 //! Experiments with requests through a mesh of separate processes, each beside a baseline.
 
 mod bench_mesh;
+mod request_chain;
 mod request_latency;
 mod request_overload;
 mod sick_server;
--- a/crates/emulator/src/experiment/request/request_overload.rs
+++ b/crates/emulator/src/experiment/request/request_overload.rs
@@ -7,7 +7,7 @@
         Experiment, ExperimentContext, ExperimentReport, ReportCell,
         request::bench_mesh::{self, BenchRoute},
     },
-    load::{LoadPlan, LoadReport, LoadRoute, RouteReport, TargetPolicy, run_load},
+    load::{CallOutcome, LoadPlan, LoadReport, LoadRoute, RouteReport, TargetPolicy, run_load},
     mesh::{BackendSpec, LocalMesh},
 };
 
@@ -77,7 +77,6 @@
         }
     }
     report.remark("load is a multiple of the capacity; in_time is the share of the calls due");
-    report.remark("runs_per_done counts the warm-up's runs too");
     Ok(report)
 }
 
@@ -147,7 +146,8 @@
     ];
     let shares = load.routes.iter().map(RouteReport::in_time_share);
     cells.extend(shares.map(ReportCell::from));
-    cells.push((runs as f64 / load.total.in_time.max(1) as f64).into());
+    let done = load.total.count(CallOutcome::Done) + load.warm_up_done;
+    cells.push((runs as f64 / done.max(1) as f64).into());
     cells.push((load.total.refused.p99_us as f64 / MILLIS_PER_SECOND as f64).into());
     cells
 }
--- a/crates/emulator/src/load/load_generator.rs
+++ b/crates/emulator/src/load/load_generator.rs
@@ -29,6 +29,7 @@
     routes: Vec<RouteTally>,
     lag_micros: Histogram<u64>,
     records: Vec<CallRecord>,
+    warm_up_done: u64,
     in_flight: usize,
 }
 
@@ -179,6 +180,7 @@
             .map(|(route, tally)| tally.report(&route.name))
             .collect(),
         send_lag: LatencySummary::of(&figures.lag_micros),
+        warm_up_done: figures.warm_up_done,
         records: figures.records.clone(),
     }
 }
@@ -189,6 +191,7 @@
             routes: vec![RouteTally::new(); routes],
             lag_micros: histogram(),
             records: Vec::new(),
+            warm_up_done: 0,
             in_flight: 0,
         }
     }
@@ -199,6 +202,7 @@
         }
         self.lag_micros += &other.lag_micros;
         self.records.extend(other.records);
+        self.warm_up_done += other.warm_up_done;
     }
 }
 
@@ -234,10 +238,12 @@
             .request(&call.token, &self.body)
             .with_timeout(deadline + self.plan.patience);
         let (attempts, result) = self.attempt(&request, call.first_target).await;
+        let outcome = CallOutcome::of(&request, &result);
         if !call.is_measured {
+            let is_done = outcome == CallOutcome::Done;
+            self.figures.borrow_mut().warm_up_done += u64::from(is_done);
             return;
         }
-        let outcome = CallOutcome::of(&request, &result);
         let header = |name: &str| result.as_ref().map_or("", |answer| answer.header(name));
         let figures = CallFigures {
             outcome,
--- a/crates/emulator/src/load/load_report.rs
+++ b/crates/emulator/src/load/load_report.rs
@@ -60,6 +60,8 @@
     pub routes: Vec<RouteReport>,
     /// How late the generator itself sent its requests.
     pub send_lag: LatencySummary,
+    /// Calls that were done before the measuring.
+    pub warm_up_done: u64,
     /// Single calls, as far as they were recorded.
     #[serde(skip)]
     pub records: Vec<CallRecord>,
