--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -8,6 +8,7 @@
 mod experiment_report;
 mod platform_calls;
 mod request;
+pub mod rollout;
 
 pub use experiment_context::{ExperimentContext, SizeSetting};
 pub use experiment_entry::Experiment;
