--- a/crates/answers/src/reader/centre_reader.rs
+++ b/crates/answers/src/reader/centre_reader.rs
@@ -1,6 +1,10 @@
 use std::collections::BTreeMap;
 
-use bronzelb_kernel::{clock::TimeBudget, config::ProxySpec, ids::DataCentre};
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    config::{MAX_DATA_CENTRES, ProxySpec},
+    ids::DataCentre,
+};
 use bronzelb_yaml::reader::{FieldNode, parse_with};
 use compact_str::format_compact;
 
@@ -12,6 +16,13 @@
         return BTreeMap::new();
     };
     let fields = reader.named(parse_with::<DataCentre>);
+    if fields.len() > MAX_DATA_CENTRES {
+        section.refuse(format_compact!(
+            "{} data centres are more than the limit of {MAX_DATA_CENTRES}",
+            fields.len()
+        ));
+        return BTreeMap::new();
+    }
     let mut table = CentreLatencies::new(fields.iter().map(|(centre, _)| centre.clone()));
     for (centre, field) in &fields {
         read_centre(centre, field, &mut table);
--- a/crates/cli/tests/commands/init.rs
+++ b/crates/cli/tests/commands/init.rs
@@ -6,7 +6,7 @@
     process::{Command, Output, Stdio},
 };
 
-use expect_test::expect;
+use expect_test::{expect, expect_file};
 
 use crate::support::run;
 
@@ -123,3 +123,9 @@
     let text = fs::read_to_string(&path).expect("is readable");
     assert!(text.starts_with("# Answers of a mesh."));
 }
+
+#[test]
+fn the_example_of_the_letters_size_is_the_sample() {
+    let init = run(&["init", "-", "--sample", "78", "--mesh", "letter-size"]);
+    expect_file!["../../../../examples/letter-size/answers.yaml"].assert_eq(&init.stdout);
+}
--- a/crates/kernel/src/config/config_check.rs
+++ b/crates/kernel/src/config/config_check.rs
@@ -1,4 +1,4 @@
-use std::fmt;
+use std::{collections::BTreeMap, fmt};
 
 use compact_str::{CompactString, format_compact};
 
@@ -8,6 +8,9 @@
     ids::{ByteCount, DataCentre, RouteName, ServiceName, SlotCount},
 };
 
+/// Number of data centres that a mesh may have.
+pub const MAX_DATA_CENTRES: usize = 64;
+
 /// Longest timeout of a route.
 const MAX_TIMEOUT: TimeBudget = TimeBudget::from_secs(3_600);
 
@@ -46,6 +49,14 @@
             "at least one data centre is needed",
         );
     }
+    if snapshot.proxies.len() > MAX_DATA_CENTRES {
+        let message = format_compact!(
+            "{} data centres are more than the limit of {MAX_DATA_CENTRES}",
+            snapshot.proxies.len()
+        );
+        push(&mut problems, "proxies", message);
+        return problems;
+    }
     for (centre, spec) in &snapshot.proxies {
         check_proxy(snapshot, centre, spec, &mut problems);
     }
@@ -174,11 +185,10 @@
 }
 
 fn check_duplicate_paths(snapshot: &ConfigSnapshot, problems: &mut Vec<CheckProblem>) {
-    let rules: Vec<_> = snapshot.routes.iter().collect();
-    for (index, (name, rule)) in rules.iter().enumerate() {
-        let twin = rules[..index]
-            .iter()
-            .find(|(_, other)| other.path == rule.path && shares_method(other, rule));
+    let mut seen: BTreeMap<&str, Vec<(&RouteName, &RouteRule)>> = BTreeMap::new();
+    for (name, rule) in &snapshot.routes {
+        let others = seen.entry(&rule.path).or_default();
+        let twin = others.iter().find(|(_, other)| shares_method(other, rule));
         if let Some((twin_name, _)) = twin {
             let place = format_compact!("routes.{name}.path");
             let message = format_compact!(
@@ -186,6 +196,8 @@
                 rule.path
             );
             push(problems, place, message);
+        } else {
+            others.push((name, rule));
         }
     }
 }
--- a/crates/kernel/src/config/mod.rs
+++ b/crates/kernel/src/config/mod.rs
@@ -7,7 +7,7 @@
 mod service_spec;
 mod version_stamp;
 
-pub use config_check::{CheckProblem, check_snapshot};
+pub use config_check::{CheckProblem, MAX_DATA_CENTRES, check_snapshot};
 pub use config_snapshot::{ConfigSnapshot, ConfigVersion, MAX_SNAPSHOT_BYTES};
 pub use proxy_spec::ProxySpec;
 pub use route_rule::{HttpMethod, RequestPriority, RouteObjective, RouteRule, ShareRatio};
