--- a/crates/cli/src/answers/diff_command.rs
+++ b/crates/cli/src/answers/diff_command.rs
@@ -4,11 +4,20 @@
     change::{ConfigChange, compare_snapshots},
     read_answers,
 };
-use bronzelb_kernel::{config::ConfigSnapshot, ids::DataCentre};
+use bronzelb_kernel::{
+    config::ConfigSnapshot,
+    error::MeshError,
+    ids::{DataCentre, MeshName},
+};
 use clap::{Arg, ArgMatches, Command, value_parser};
 use serde::Serialize;
 
-use crate::{builder::CommandSpec, error::CommandError, output::OutputPrinter};
+use crate::{
+    builder::{CommandSpec, timeout_arg},
+    error::CommandError,
+    output::OutputPrinter,
+    platform::{PlatformAccess, read_accepted_snapshot},
+};
 
 pub(crate) const DIFF_COMMAND: CommandSpec = CommandSpec {
     name: "diff",
@@ -16,15 +25,17 @@
     run,
 };
 
-const OLD: &str = "old";
-const NEW: &str = "new";
+const ANSWERS: &str = "answers";
+const MAX_FILES: usize = 2;
 const PROXY_PREFIX: &str = "proxies.";
 
 const EXAMPLES: &str = "\
 Examples:
+  bronzelb diff answers.yaml --platform 10.1.0.4:8080
   bronzelb diff answers-before.yaml answers.yaml
   git show HEAD:answers.yaml > /tmp/old.yaml && bronzelb diff /tmp/old.yaml answers.yaml
 
+With one file the change is the one that publishing it would make to the newest accepted version.
 Lines start with + for what is added, - for what is removed and ~ for what changes.";
 
 /// What a change of answers does, by the proxies that it reaches.
@@ -40,39 +51,43 @@
     command
         .about("Shows what a change of answers does to every proxy")
         .after_help(EXAMPLES)
-        .arg(file_arg(
-            OLD,
-            "OLD",
-            "YAML file with the answers before the change",
-        ))
-        .arg(file_arg(
-            NEW,
-            "NEW",
-            "YAML file with the answers after the change",
-        ))
-}
-
-fn file_arg(id: &'static str, name: &'static str, help: &'static str) -> Arg {
-    Arg::new(id)
-        .value_name(name)
-        .value_parser(value_parser!(PathBuf))
-        .required(true)
-        .help(help)
+        .arg(
+            Arg::new(ANSWERS)
+                .value_name("ANSWERS")
+                .value_parser(value_parser!(PathBuf))
+                .num_args(1..=MAX_FILES)
+                .required(true)
+                .help("YAML files with the answers before and after the change, or only after"),
+        )
+        .args(PlatformAccess::optional_args())
+        .arg(timeout_arg("30s"))
 }
 
 fn run(matches: &ArgMatches, printer: &mut OutputPrinter<'_>) -> Result<(), CommandError> {
-    let old = read_side(matches, OLD);
-    let new = read_side(matches, NEW);
-    let report = DiffReport::new(&old?, &new?);
+    let paths: Vec<_> = matches
+        .get_many::<PathBuf>(ANSWERS)
+        .expect("the argument is required")
+        .collect();
+    let (old, new) = match paths.as_slice() {
+        [new] => {
+            let new = read_answers(new)?;
+            (read_accepted(matches, &new.mesh)?, new)
+        }
+        [old, new, ..] => (read_answers(old)?, read_answers(new)?),
+        [] => unreachable!("the argument is required"),
+    };
+    let report = DiffReport::new(&old, &new);
     printer.result(report.to_text(), &report);
     Ok(())
 }
 
-fn read_side(matches: &ArgMatches, id: &str) -> Result<ConfigSnapshot, CommandError> {
-    let path = matches
-        .get_one::<PathBuf>(id)
-        .expect("the argument is required");
-    Ok(read_answers(path)?)
+fn read_accepted(matches: &ArgMatches, mesh: &MeshName) -> Result<ConfigSnapshot, MeshError> {
+    actix_web::rt::System::new().block_on(async {
+        let access = PlatformAccess::from_optional(matches)?.ok_or_else(|| {
+            MeshError::invalid("one file needs --platform, or a second file to compare with")
+        })?;
+        read_accepted_snapshot(&access, mesh).await
+    })
 }
 
 impl DiffReport {
--- a/crates/cli/src/platform/version_read.rs
+++ b/crates/cli/src/platform/version_read.rs
@@ -1,5 +1,6 @@
 use bronzelb_kernel::{
-    error::MeshError,
+    config::{ConfigSnapshot, ConfigVersion},
+    error::{ErrorKind, MeshError},
     ids::MeshName,
     spread::{CurrentRow, VersionRow},
 };
@@ -29,3 +30,31 @@
         revision: row.revision.get(),
     }))
 }
+
+/// Reads the configuration of a mesh's newest version, repeating until time is up.
+pub(crate) async fn read_accepted_snapshot(
+    access: &PlatformAccess,
+    mesh: &MeshName,
+) -> Result<ConfigSnapshot, MeshError> {
+    let current = read_version_row(access, mesh).await?;
+    let row = match current {
+        Some(current) => current.row,
+        None => return Err(not_found(format!("mesh {mesh} has no accepted version"))),
+    };
+    let body = access
+        .repeat(|| access.client.get_object(&row.object, access.deadline))
+        .await?;
+    let body = body.ok_or_else(|| {
+        let number = row.number;
+        not_found(format!(
+            "object {:?} of version {number} does not exist",
+            row.object
+        ))
+    })?;
+    let version = ConfigVersion::from_bytes(row.stamp(), body)?;
+    Ok(ConfigSnapshot::clone(version.snapshot()))
+}
+
+fn not_found(message: String) -> MeshError {
+    MeshError::new(ErrorKind::NotFound, message)
+}
--- a/crates/cli/tests/commands/diff.rs
+++ b/crates/cli/tests/commands/diff.rs
@@ -90,3 +90,33 @@
         run.stderr
     );
 }
+
+#[test]
+fn one_file_is_compared_with_the_newest_accepted_version() {
+    let answers = example("hemelval");
+    let platform = ["--platform", "diff", "--platform-kind", "memory"];
+    let diff = |file: &str| run(&[&["diff", file], &platform[..]].concat());
+    let none = diff(&answers);
+    assert_eq!(none.code, 4);
+    assert_eq!(
+        none.stderr,
+        "error: mesh hemelval has no accepted version\n"
+    );
+    let publish = run(&[&["publish", &answers], &platform[..]].concat());
+    assert_eq!(publish.code, 0, "{}", publish.stderr);
+    let text = fs::read_to_string(&answers).expect("is readable");
+    let folder = tempfile::tempdir().expect("is writable");
+    let path = folder.path().join("answers.yaml");
+    fs::write(&path, text.replace("drain: 60s", "drain: 45s")).expect("is writable");
+    let changed = diff(path.to_str().expect("is UTF-8"));
+    assert_eq!(changed.code, 0, "{}", changed.stderr);
+    let change = "every proxy: 1 change\n  ~ services.dispatcher.drain: 1m -> 45s\n";
+    assert!(changed.stdout.starts_with(change), "{}", changed.stdout);
+}
+
+#[test]
+fn one_file_alone_needs_a_platform() {
+    let run = run(&["diff", &example("hemelval")]);
+    assert_eq!(run.code, 2);
+    assert!(run.stderr.contains("--platform"), "{}", run.stderr);
+}
