--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -15,7 +15,7 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
-    ids::BackendName,
+    ids::{BackendName, SlotCount},
     member::BackendState,
     request::{CrashSuspicion, ServerLife},
 };
@@ -41,6 +41,10 @@
 /// Time for which a living server leaves an idle connection open.
 const PROBE_SILENCE: Duration = Duration::from_millis(50);
 const DEFAULT_PAUSE: TimeBudget = TimeBudget::from_millis(100);
+/// Part of a server's connections that may be idle.
+const IDLE_DIVISOR: usize = 3;
+/// Threads besides the workers that send to backend servers: the one that serves other nodes.
+const OTHER_THREADS: usize = 1;
 const REQUEST_HEADER: &str = "x-bronzelb-request";
 const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
 const ATTEMPT_HEADER: &str = "x-bronzelb-attempt";
@@ -151,7 +155,7 @@
             let message = "the deadline passed before the request ran";
             return Err(MeshError::new(ErrorKind::DeadlinePassed, message));
         }
-        let exchange = self.exchange(announcement.address, gate, left, message);
+        let exchange = self.exchange(announcement, gate, left, message);
         let Ok(result) = time::timeout(left.to_std(), exchange).await else {
             let message = format!("backend server {name} did not answer before the deadline");
             return Err(MeshError::new(ErrorKind::OutcomeUnknown, message));
@@ -180,11 +184,12 @@
 
     async fn exchange(
         &self,
-        address: SocketAddr,
+        announcement: &BackendAnnouncement,
         gate: &HostGate,
         left: TimeBudget,
         message: &ForwardRequest,
     ) -> Result<WholeAnswer, ExchangeError> {
+        let address = announcement.address;
         let echoes = gate.echoes.load(Ordering::Relaxed);
         let connection = match self.take_idle(address) {
             Some(connection) => connection,
@@ -208,15 +213,22 @@
         }
         let connection = connection.filter(|_| gate.echoes.load(Ordering::Relaxed));
         if let Some(connection) = connection {
-            self.idle
-                .borrow_mut()
-                .entry(address)
-                .or_default()
-                .push(connection);
+            self.keep_idle(announcement, connection);
         }
         Ok(answer)
     }
 
+    /// Keeps a connection, within this thread's part of the idle ones that the server accepts.
+    fn keep_idle(&self, announcement: &BackendAnnouncement, connection: BackendConnection) {
+        let threads = self.state.settings.workers + OTHER_THREADS;
+        let share = announcement.connections as usize / IDLE_DIVISOR / threads;
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(announcement.address).or_default();
+        if connections.len() < share.max(1) {
+            connections.push(connection);
+        }
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<BackendConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
@@ -262,6 +274,14 @@
     }
 }
 
+/// Returns the requests that run on a server at once: its slots, unless it accepts too few
+/// connections for them and for idle ones.
+fn usable_slots(announcement: &BackendAnnouncement) -> SlotCount {
+    let connections = announcement.connections;
+    let most = connections - connections / IDLE_DIVISOR as u32;
+    SlotCount::new(announcement.slots.get().min(most.max(1)))
+}
+
 /// Frees a slot; only a whole answer teaches the gate how long a request takes.
 fn finish(permit: SlotPermit, result: &Result<WholeAnswer, MeshError>) {
     if result.is_ok() {
--- a/crates/daemon/tests/request.rs
+++ b/crates/daemon/tests/request.rs
@@ -516,8 +516,8 @@
     ];
     let calls = 120;
     let mut served = 0;
-    for round in 0..6 {
-        let batch = (0..calls / 6).map(|number| {
+    for round in 0..20 {
+        let batch = (0..calls / 20).map(|number| {
             let mesh = &mesh;
             let chain = chains[number % 2].as_str();
             let request = CallRequest::get("/reads/0").with_header("x-emulator-chain", chain);
