Add the experiment of spreading, and a stale peer to the restart test

The restart test had no stale peer alive when the node started: with the start gate opened at once it still passed. One of the two peers is kept at the first version by rules of the proxy now.

--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -6,7 +6,7 @@
     http::CallRequest,
     mesh::{BackendSpec, LocalMesh, wait_until},
     platform::{LostAnswers, PlatformFaults},
-    proxy::{ProxyAction, ProxyRule},
+    proxy::{ProxyAction, ProxyRule, ProxyRules},
 };
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
@@ -161,40 +161,51 @@
 #[actix_web::test]
 async fn restarted_node_does_not_fall_behind_its_peers_while_the_platform_is_away() {
     let mut mesh = start(3).await;
-    // Two of the data centre's three nodes sleep through the second version.
-    for node in ["dc1-n2", "dc1-n3"] {
-        mesh.node_mut(node)
-            .expect("is known")
-            .process()
-            .expect("runs")
-            .freeze()
-            .expect("stops");
+    mesh.node_mut("dc1-n3")
+        .expect("is known")
+        .process()
+        .expect("runs")
+        .kill();
+    // The second node is cut off from every other, and stays at the first version.
+    let stall = ProxyRule::new(ProxyAction::Stall);
+    for rule in [
+        stall.clone().with_source("127.0.1.2"),
+        stall.with_listener("dc1/dc1-n2/"),
+    ] {
+        mesh.add_rule(rule).await.expect("is set");
     }
     mesh.publish(&answers("v2")).await.expect("is accepted");
-    let awake = mesh.node_names().into_iter();
-    let awake: Vec<_> = awake
+    let others: Vec<_> = mesh
+        .node_names()
+        .into_iter()
         .filter(|node| !["dc1-n2", "dc1-n3"].contains(&node.as_str()))
         .collect();
     let is_applied = async || {
-        let mut awake = awake.iter();
-        awake.all(|node| applied_versions(&mesh, node).contains(&2))
+        let mut others = others.iter();
+        others.all(|node| applied_versions(&mesh, node).contains(&2))
     };
-    wait_until("version 2 on every node awake", LIMIT, is_applied)
+    wait_until("version 2 on the other nodes", LIMIT, is_applied)
         .await
         .expect("is in force");
-    mesh.cut_platform().await.expect("is set");
-    for centre in [2, 3] {
-        mesh.separate(1, centre, ProxyAction::Cut)
-            .await
-            .expect("is set");
+    // The data centre is alone now, and its two nodes that run do not reach each other.
+    let cut = ProxyRule::new(ProxyAction::Cut);
+    let mut rules = vec![
+        cut.clone().with_listener("platform"),
+        cut.clone()
+            .with_source("127.0.1.2")
+            .with_listener("dc1/dc1-n1/"),
+        cut.clone()
+            .with_source("127.0.1.1")
+            .with_listener("dc1/dc1-n2/"),
+    ];
+    for other in ["dc2/", "dc3/"] {
+        rules.push(cut.clone().with_source("127.0.1.").with_listener(other));
     }
-    for node in ["dc1-n2", "dc1-n3"] {
-        mesh.node_mut(node)
-            .expect("is known")
-            .process()
-            .expect("runs")
-            .kill();
+    for other in ["127.0.2.", "127.0.3."] {
+        rules.push(cut.clone().with_source(other).with_listener("dc1/"));
     }
+    let rules = ProxyRules { rules };
+    mesh.proxy().set_rules(&rules).await.expect("is set");
     mesh.start_node("dc1-n3").await.expect("starts again");
     mesh.wait_version(2, LIMIT).await.expect("is in force");
     assert_eq!(
--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -9,6 +9,7 @@
 mod platform_calls;
 mod request;
 pub mod rollout;
+mod spread;
 
 pub use experiment_context::{ExperimentContext, SizeSetting};
 pub use experiment_entry::Experiment;
--- /dev/null
+++ b/crates/emulator/src/experiment/spread/fleet_usage.rs
@@ -0,0 +1,142 @@
+use std::fs;
+
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    error::MeshError,
+};
+
+use crate::{
+    http::{CallRequest, CallerClient},
+    mesh::LocalMesh,
+    server::{local_error, wall_clock},
+};
+
+const TICKS_PER_SECOND: f64 = 100.0;
+const BYTES_PER_MB: f64 = 1_000_000.0;
+const BYTES_PER_KIB: f64 = 1_024.0;
+const UTIME_FIELD: usize = 11;
+const STIME_FIELD: usize = 12;
+
+/// What the running nodes of a mesh have used up to an instant.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetUsage {
+    at: ClockInstant,
+    /// One entry for each running node, in name order.
+    nodes: Vec<NodeUsage>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct NodeUsage {
+    peer_bytes: f64,
+    cpu_seconds: f64,
+    resident_mb: f64,
+}
+
+/// What a node used each second between two readings.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UsageRate {
+    /// Bytes sent and received, the mean over the nodes.
+    pub(crate) bytes: f64,
+    /// Bytes of the busiest node.
+    pub(crate) max_bytes: f64,
+    /// Percent of one core, the mean over the nodes.
+    pub(crate) cpu_percent: f64,
+    /// Percent of one core of the busiest node.
+    pub(crate) max_cpu_percent: f64,
+    /// Resident memory of the largest node.
+    pub(crate) max_resident_mb: f64,
+}
+
+impl FleetUsage {
+    /// Reads what the running nodes have used.
+    pub(crate) async fn read(mesh: &mut LocalMesh) -> Result<Self, MeshError> {
+        let client = CallerClient::new();
+        let mut nodes = Vec::new();
+        for name in mesh.node_names() {
+            if !mesh.node_mut(&name)?.is_running() {
+                continue;
+            }
+            let id = mesh.node_mut(&name)?.process()?.id();
+            let operators = mesh.node(&name)?.addresses().operators;
+            let answer = client
+                .call(operators, &CallRequest::get("/v1/metrics"))
+                .await?;
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            nodes.push(NodeUsage {
+                peer_bytes: metric(&text, "bronzelb.peer_bytes_sent")
+                    + metric(&text, "bronzelb.peer_bytes_received"),
+                cpu_seconds: cpu_seconds(id)?,
+                resident_mb: resident_mb(id)?,
+            });
+        }
+        Ok(Self {
+            at: wall_clock(),
+            nodes,
+        })
+    }
+
+    /// Returns what was used each second since `before`, a reading of the same nodes.
+    pub(crate) fn rate_since(&self, before: &Self) -> UsageRate {
+        let seconds = before.at.elapsed(self.at).as_secs_f64();
+        let pairs = || self.nodes.iter().zip(&before.nodes);
+        let bytes: Vec<_> = pairs()
+            .map(|(now, then)| (now.peer_bytes - then.peer_bytes) / seconds)
+            .collect();
+        let cpu: Vec<_> = pairs()
+            .map(|(now, then)| 100.0 * (now.cpu_seconds - then.cpu_seconds) / seconds)
+            .collect();
+        let memory = self.nodes.iter().map(|node| node.resident_mb);
+        UsageRate {
+            bytes: mean(&bytes),
+            max_bytes: bytes.iter().copied().fold(0.0, f64::max),
+            cpu_percent: mean(&cpu),
+            max_cpu_percent: cpu.iter().copied().fold(0.0, f64::max),
+            max_resident_mb: memory.fold(0.0, f64::max),
+        }
+    }
+
+    /// Returns the time between two readings.
+    pub(crate) const fn time_since(&self, before: &Self) -> TimeBudget {
+        before.at.elapsed(self.at)
+    }
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+fn metric(text: &str, name: &str) -> f64 {
+    let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+    let value = lines.find(|(key, _)| *key == name);
+    value.map_or(0.0, |(_, value)| value.parse().unwrap_or(0.0))
+}
+
+fn cpu_seconds(id: u32) -> Result<f64, MeshError> {
+    let text = read_proc(id, "stat")?;
+    // The process's name, in parentheses, may hold spaces.
+    let fields: Vec<_> = text
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace()
+        .collect();
+    let ticks = |index: usize| {
+        let field = fields.get(index).copied().unwrap_or_default();
+        field.parse::<f64>().unwrap_or(0.0)
+    };
+    Ok((ticks(UTIME_FIELD) + ticks(STIME_FIELD)) / TICKS_PER_SECOND)
+}
+
+fn resident_mb(id: u32) -> Result<f64, MeshError> {
+    let text = read_proc(id, "status")?;
+    let mut lines = text.lines();
+    let line = lines.find_map(|line| line.strip_prefix("VmRSS:"));
+    let value = line.and_then(|line| line.split_whitespace().next());
+    let kib: f64 = value.map_or(0.0, |value| value.parse().unwrap_or(0.0));
+    Ok(kib * BYTES_PER_KIB / BYTES_PER_MB)
+}
+
+fn read_proc(id: u32, file: &str) -> Result<String, MeshError> {
+    let path = format!("/proc/{id}/{file}");
+    fs::read_to_string(&path).map_err(|error| local_error(&path, &error))
+}
