Find first peers by rows in the platform

A node without first peers in its settings found nobody. Each node writes MESH/member/NODE within its first 10 s and renews it about once a minute (180 s lease); only a node that knows nobody scans, at most 16 rows behind its own name.

--- a/crates/daemon/src/gossip/spread_task.rs
+++ b/crates/daemon/src/gossip/spread_task.rs
@@ -15,7 +15,7 @@
     gossip::GossipPool,
     log::EventName,
     node::{NodeState, StopSignal},
-    source::{connect_platform, read_object, read_version_row},
+    source::{connect_platform, find_seeds, read_object, read_version_row, write_lease},
 };
 
 const TICK: Duration = Duration::from_millis(50);
@@ -116,6 +116,19 @@
             }
             SpreadAction::Fetch(fetch) => self.fetch(fetch).await,
             SpreadAction::ReadSource => self.read_source().await,
+            SpreadAction::WriteLease(row) => {
+                if write_lease(&self.state, self.platform.as_ref(), &row)
+                    .await
+                    .is_err()
+                {
+                    self.state.count("lease_write_failed");
+                }
+            }
+            SpreadAction::SearchSeeds => {
+                let found = find_seeds(&self.state, self.platform.as_ref()).await;
+                let found = found.unwrap_or_default();
+                self.state.spread.step(|node, _| node.seeds_found(found));
+            }
             SpreadAction::Changed(change) => self.report(change),
         }
     }
--- /dev/null
+++ b/crates/daemon/src/source/lease_writer.rs
@@ -0,0 +1,66 @@
+use std::net::SocketAddr;
+
+use bronzelb_kernel::{clock::TimeBudget, error::MeshError, member::LeaseRow};
+use bronzelb_platform::{
+    PlatformClient,
+    table::{RowKey, RowWrite},
+};
+
+use crate::{node::NodeState, source::source_reader::no_platform};
+
+const CALL_BUDGET: TimeBudget = TimeBudget::from_secs(5);
+const MAX_SEED_ROWS: usize = 16;
+
+/// Writes this node's row to the platform.
+///
+/// # Errors
+///
+/// `PlatformAway` when the platform does not answer; the row may have been written.
+pub async fn write_lease(
+    state: &NodeState,
+    platform: Option<&PlatformClient>,
+    row: &LeaseRow,
+) -> Result<(), MeshError> {
+    let platform = platform.ok_or_else(no_platform)?;
+    let key: RowKey = LeaseRow::key(&state.settings.mesh, &state.settings.node).parse()?;
+    let write = RowWrite::put(key, row.to_json());
+    let deadline = state.now().after(CALL_BUDGET);
+    platform.transact(vec![write], deadline).await?;
+    Ok(())
+}
+
+/// Reads the addresses of a few nodes whose rows in the platform still hold.
+///
+/// The scan starts behind this node's own name, so that nodes that search at once do not all find
+/// the same peers.
+///
+/// # Errors
+///
+/// `PlatformAway` when the platform does not answer.
+pub async fn find_seeds(
+    state: &NodeState,
+    platform: Option<&PlatformClient>,
+) -> Result<Vec<SocketAddr>, MeshError> {
+    let platform = platform.ok_or_else(no_platform)?;
+    let mesh = &state.settings.mesh;
+    let own: RowKey = LeaseRow::key(mesh, &state.settings.node).parse()?;
+    let prefix = LeaseRow::prefix(mesh);
+    let mut rows = Vec::new();
+    for after in [Some(&own), None] {
+        let deadline = state.now().after(CALL_BUDGET);
+        let page = platform
+            .scan_rows(&prefix, after, MAX_SEED_ROWS, deadline)
+            .await?;
+        rows.extend(page.rows);
+        if rows.len() >= MAX_SEED_ROWS {
+            break;
+        }
+    }
+    let now = state.now();
+    let rows = rows.iter().filter(|row| row.key != own);
+    Ok(rows
+        .filter_map(|row| LeaseRow::from_json(&row.value).ok())
+        .filter(|row| !row.lease_deadline.has_passed(now))
+        .map(|row| row.peer_address)
+        .collect())
+}
--- a/crates/daemon/src/source/source_reader.rs
+++ b/crates/daemon/src/source/source_reader.rs
@@ -53,7 +53,7 @@
     Ok(body.map_or(SnapshotReply::Missing, SnapshotReply::Whole))
 }
 
-fn no_platform() -> MeshError {
+pub(super) fn no_platform() -> MeshError {
     MeshError::new(
         ErrorKind::PlatformAway,
         "the platform's settings are not usable",
--- /dev/null
+++ b/crates/kernel/src/member/lease_schedule.rs
@@ -0,0 +1,55 @@
+use rand::Rng;
+
+use crate::clock::{ClockInstant, TimeBudget};
+
+/// Time for which a node's row in the platform holds.
+pub const ROW_LEASE: TimeBudget = TimeBudget::from_secs(180);
+const FIRST_WRITE_MAX_MS: u64 = 10_000;
+const RENEWAL_MIN_MS: u64 = 45_000;
+const RENEWAL_MAX_MS: u64 = 75_000;
+const SEARCH_MIN_MS: u64 = 2_000;
+const SEARCH_MAX_MS: u64 = 4_000;
+
+/// Schedule of a node's writes and scans of member rows in the platform.
+///
+/// First writes are spread over ten seconds and renewals lie about a minute apart, so that neither
+/// the fleet nor a herd that returns takes much of the platform's writes. Only a node that knows
+/// nobody scans.
+#[derive(Clone, Debug)]
+pub struct LeaseSchedule {
+    next_write: ClockInstant,
+    next_search: ClockInstant,
+}
+
+impl LeaseSchedule {
+    /// Builds the schedule of a node that starts.
+    #[must_use]
+    pub fn new(now: ClockInstant, rng: &mut impl Rng) -> Self {
+        Self {
+            next_write: drawn(now, 0, FIRST_WRITE_MAX_MS, rng),
+            next_search: drawn(now, 0, SEARCH_MIN_MS, rng),
+        }
+    }
+
+    /// Returns whether the row is to be written now, and schedules the next time.
+    pub fn takes_write(&mut self, now: ClockInstant, rng: &mut impl Rng) -> bool {
+        let is_due = self.next_write.has_passed(now);
+        if is_due {
+            self.next_write = drawn(now, RENEWAL_MIN_MS, RENEWAL_MAX_MS, rng);
+        }
+        is_due
+    }
+
+    /// Returns whether a node that knows nobody scans now, and schedules the next time.
+    pub fn takes_search(&mut self, now: ClockInstant, rng: &mut impl Rng) -> bool {
+        let is_due = self.next_search.has_passed(now);
+        if is_due {
+            self.next_search = drawn(now, SEARCH_MIN_MS, SEARCH_MAX_MS, rng);
+        }
+        is_due
+    }
+}
+
+fn drawn(now: ClockInstant, min_ms: u64, max_ms: u64, rng: &mut impl Rng) -> ClockInstant {
+    now.after(TimeBudget::from_millis(rng.random_range(min_ms..=max_ms)))
+}
--- a/crates/kernel/src/member/mod.rs
+++ b/crates/kernel/src/member/mod.rs
@@ -2,12 +2,16 @@
 
 mod backend_row;
 mod lease_guard;
+mod lease_row;
+mod lease_schedule;
 mod member_agent;
 mod member_row;
 mod member_table;
 
 pub use backend_row::{BackendRow, BackendState};
 pub use lease_guard::LeaseGuard;
+pub use lease_row::LeaseRow;
+pub use lease_schedule::{LeaseSchedule, ROW_LEASE};
 pub use member_agent::{MemberAgent, MergeOutcome};
 pub use member_row::{MemberRow, MemberState};
 pub use member_table::MemberTable;
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     ids::DataCentre,
-    member::{MemberRow, MemberState, MemberTable},
+    member::{LeaseRow, MemberRow, MemberState, MemberTable, ROW_LEASE},
     spread::{
         GossipRequest, PeerTarget, RecordEntry, SpreadAction, SpreadChange, SpreadMode, SpreadNode,
         StartGate, choose_readers,
@@ -24,6 +24,7 @@
         self.keep_lease(now);
         self.expire_members(now);
         self.poll_source(now, rng);
+        self.keep_row(now, rng);
         self.exchange(now, rng);
         self.push(now, rng);
         self.start_fetch(now, rng);
@@ -62,6 +63,18 @@
         }
     }
 
+    /// Keeps this node's row in the platform, and looks there for peers while it knows nobody.
+    fn keep_row(&mut self, now: ClockInstant, rng: &mut impl Rng) {
+        if self.row_leases.takes_write(now, rng) {
+            let row = LeaseRow::of(self.agent.own(), now, ROW_LEASE);
+            self.actions.push(SpreadAction::WriteLease(row));
+        }
+        let is_alone = self.agent.table().live().count() <= 1;
+        if is_alone && self.row_leases.takes_search(now, rng) {
+            self.actions.push(SpreadAction::SearchSeeds);
+        }
+    }
+
     /// Returns whether this node reads the platform's version row.
     #[must_use]
     pub fn is_reader(&self) -> bool {
--- a/crates/kernel/src/spread/spread_action.rs
+++ b/crates/kernel/src/spread/spread_action.rs
@@ -4,6 +4,7 @@
     clock::ClockInstant,
     config::{ConfigVersion, VersionStamp},
     error::MeshError,
+    member::LeaseRow,
     spread::{
         GossipRequest, PeerTarget, ProbeRequest, ReconcileRequest, RecordEntry, VersionFetch,
     },
@@ -41,6 +42,10 @@
     },
     /// Fetch a version's content and pass it to `fetch_answered`.
     Fetch(VersionFetch),
+    /// Write this node's row to the platform; nothing depends on whether that succeeds.
+    WriteLease(LeaseRow),
+    /// Scan a few member rows of the platform and pass their addresses to `seeds_found`.
+    SearchSeeds,
     /// Read the platform's version row and pass it to `source_answered`.
     ReadSource,
     /// Tell the rest of the process what has changed.
--- a/crates/kernel/src/spread/spread_node.rs
+++ b/crates/kernel/src/spread/spread_node.rs
@@ -7,7 +7,9 @@
     config::{ConfigVersion, VersionStamp},
     error::MeshError,
     ids::{DataCentre, MeshName, NodeName},
-    member::{BackendRow, LeaseGuard, MemberAgent, MemberRow, MemberState, MemberTable},
+    member::{
+        BackendRow, LeaseGuard, LeaseSchedule, MemberAgent, MemberRow, MemberState, MemberTable,
+    },
     spread::{
         FetchPlan, PeerCard, PeerPicker, PlatformState, RecordEntry, RecordKey, RecordLog,
         RecordTable, RecordValue, RootDigest, SourcePoll, SpreadAction, SpreadChange, SpreadRule,
@@ -15,6 +17,8 @@
     },
 };
 
+const MAX_SEEDS: usize = 64;
+
 /// Counts of what went wrong while spreading, since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SpreadCounters {
@@ -53,6 +57,7 @@
     pub(crate) poll: SourcePoll,
     /// When any node last heard from the platform, as far as this node knows.
     pub(crate) source_seen: Option<ClockInstant>,
+    pub(crate) row_leases: LeaseSchedule,
     pub(crate) picker: PeerPicker,
     /// Indirect probes that are still out, by probed member.
     pub(crate) probes: BTreeMap<NodeName, usize>,
@@ -90,6 +95,7 @@
             gate: StartGate::new(now.after(rule.survey), now.after(rule.last_wait)),
             poll: SourcePoll::new(now, rng),
             source_seen: None,
+            row_leases: LeaseSchedule::new(now, rng),
             picker: PeerPicker::default(),
             probes: BTreeMap::new(),
             stamp_rounds: 0,
@@ -191,10 +197,12 @@
         self.agent.is_cut_off(now.before(self.rule.silence))
     }
 
-    /// Adds an address at which first peers may be found.
-    pub fn add_seed(&mut self, address: SocketAddr) {
-        if !self.seeds.contains(&address) {
-            self.seeds.push(address);
+    /// Takes in the addresses at which the platform's rows say that peers were lately.
+    pub fn seeds_found(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        for address in addresses {
+            if !self.seeds.contains(&address) && self.seeds.len() < MAX_SEEDS {
+                self.seeds.push(address);
+            }
         }
     }
 
--- a/crates/kernel/tests/spread/fixture.rs
+++ b/crates/kernel/tests/spread/fixture.rs
@@ -10,7 +10,7 @@
     config::{ConfigSnapshot, check_snapshot},
     error::{ErrorKind, MeshError},
     ids::{AttemptToken, ContentHash, DataCentre, IncarnationNumber, NodeName, VersionNumber},
-    member::{MemberRow, MemberState},
+    member::{LeaseRow, MemberRow, MemberState},
     spread::{
         CurrentRow, FetchSource, ProbeReply, PublishAttempt, PublishPlan, SnapshotReply,
         SnapshotRequest, SpreadAction, SpreadChange, SpreadNode, SpreadRule, VersionFetch,
@@ -32,6 +32,8 @@
     pub(crate) objects: BTreeMap<String, Bytes>,
     pub(crate) is_away: bool,
     pub(crate) answer_ms: u64,
+    pub(crate) leases: BTreeMap<NodeName, LeaseRow>,
+    pub(crate) lease_writes: u64,
     pub(crate) row_reads: u64,
     pub(crate) object_reads: u64,
 }
@@ -45,6 +47,8 @@
     /// Data centres that reach neither the others nor the platform.
     pub(crate) cut: BTreeSet<DataCentre>,
     pub(crate) paused: BTreeSet<NodeName>,
+    /// Whether nodes know first peers from their settings.
+    pub(crate) has_seeds: bool,
     pub(crate) drop_percent: u32,
     pub(crate) duplicate_percent: u32,
     pub(crate) alter_percent: u32,
@@ -70,6 +74,7 @@
             source: FakeSource::default(),
             cut: BTreeSet::new(),
             paused: BTreeSet::new(),
+            has_seeds: true,
             drop_percent: 0,
             duplicate_percent: 0,
             alter_percent: 0,
@@ -120,7 +125,11 @@
         let mut row = self.rows[node].clone();
         row.incarnation = IncarnationNumber::new(self.now.as_micros());
         let seeds = self.rows.values().step_by(3).map(|row| row.peer_address);
-        let seeds = seeds.collect();
+        let seeds = if self.has_seeds {
+            seeds.collect()
+        } else {
+            Vec::new()
+        };
         let mesh = "m".parse().unwrap();
         let rule = self.rule.clone();
         let started = SpreadNode::new(mesh, row, seeds, rule, self.now, &mut self.rng);
@@ -327,6 +336,15 @@
             }
             SpreadAction::Fetch(fetch) => self.fetch(sender, fetch),
             SpreadAction::ReadSource => self.read_source(sender),
+            SpreadAction::WriteLease(row) => {
+                self.source.leases.insert(from.clone(), row);
+                self.source.lease_writes += 1;
+            }
+            SpreadAction::SearchSeeds => {
+                let rows = self.source.leases.values();
+                let found: Vec<_> = rows.map(|row| row.peer_address).collect();
+                self.answer_later(sender, move |node, _, _| node.seeds_found(found));
+            }
             SpreadAction::Changed(change) => self.changes.push((from.clone(), change)),
         }
     }
--- a/crates/kernel/tests/spread/member.rs
+++ b/crates/kernel/tests/spread/member.rs
@@ -281,3 +281,25 @@
     assert!(wait >= TimeBudget::from_millis(100), "{wait}");
     assert_eq!(gate.enter(size, now.after(wait), &mut rng), Ok(()));
 }
+
+#[test]
+fn nodes_without_first_peers_find_each_other_by_rows_that_they_renew_sparsely() {
+    for seed in 0..10 {
+        let mut mesh = MeshFixture::new(seed, 3, 4);
+        mesh.has_seeds = false;
+        for node in mesh.names() {
+            mesh.start(&node);
+        }
+        mesh.publish("first");
+        mesh.run_until(2 * SETTLE_MS, |mesh| {
+            mesh.nodes
+                .values()
+                .all(|node| serving(node.members()) == 12)
+        });
+        let before = mesh.source.lease_writes;
+        mesh.run_for(120_000);
+        let writes = mesh.source.lease_writes - before;
+        // At the letter's 990 nodes that is at most 22 writes a second of several hundred.
+        assert!(writes <= 12 * 120 / 45 + 12, "seed {seed}: {writes}");
+    }
+}
