--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -10,6 +10,7 @@
 mod platform_calls;
 mod request;
 pub mod rollout;
+mod spread;
 
 pub use experiment_context::{ExperimentContext, SizeSetting};
 pub use experiment_entry::Experiment;
