--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -6,9 +6,11 @@
 mod experiment_context;
 mod experiment_entry;
 mod experiment_report;
+mod node_size;
 mod platform_calls;
 mod request;
 pub mod rollout;
+mod spread;
 
 pub use experiment_context::{ExperimentContext, SizeSetting};
 pub use experiment_entry::Experiment;
