Compare the versions of an interval by its own requests only

Ruled out: the limits. The share that the new version was expected to have lagged behind the real one when it rose fast or jumped in a doubt, which biased the test. Change: the part is the interval's own; an interval is compared once it has 24 requests of its route.

--- a/crates/kernel/src/rollout/move_judge.rs
+++ b/crates/kernel/src/rollout/move_judge.rs
@@ -9,12 +9,13 @@
     },
 };
 
-/// Length of the intervals in which the versions are compared.
+/// Least length of the intervals in which the versions are compared.
 pub const INTERVAL: TimeBudget = TimeBudget::from_millis(500);
 
 /// Time without evidence after which a data centre counts as unheard.
 pub const HEARING_TIME: TimeBudget = TimeBudget::from_secs(10);
 
+const INTERVAL_REQUESTS: u64 = 24;
 const STALE_REQUESTS: u64 = 50;
 const MAX_INTERVALS: f64 = 100_000.0;
 
@@ -83,8 +84,7 @@
             return None;
         }
         self.interval_end = now.after(INTERVAL);
-        let pending = std::mem::take(&mut self.pending);
-        for (route, bin) in pending {
+        for (route, bin) in self.take_full() {
             let wanted = self.plan.share(&self.view, &route, now);
             self.judge_of(&route).observe(&bin, wanted, now);
         }
@@ -122,6 +122,16 @@
         sum
     }
 
+    /// Takes the routes' outcomes that are enough for a comparison: an interval with a few
+    /// requests of one version only says nothing.
+    fn take_full(&mut self) -> BTreeMap<RouteName, RouteBin> {
+        let (full, rest) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|(_, bin)| bin.requests() >= INTERVAL_REQUESTS);
+        self.pending = rest;
+        full
+    }
+
     fn hear(&mut self, data_centre: &DataCentre, now: ClockInstant) {
         match self.heard.get_mut(data_centre) {
             Some(at) => *at = now,
--- a/crates/kernel/src/rollout/route_judge.rs
+++ b/crates/kernel/src/rollout/route_judge.rs
@@ -22,7 +22,6 @@
 const MIN_BASELINE_LATENCIES: f64 = 30.0;
 const MEMORY_OF_NEW: f64 = 60.0;
 const MEMORY_OF_OLD: f64 = 500.0;
-const MEMORY_OF_PART: f64 = 200.0;
 const SLOW_QUANTILES: [f64; 2] = [0.80, 0.95];
 
 /// Why a version is found bad on a route, in figures.
@@ -52,12 +51,20 @@
     old: FadingCounts,
     new: FadingCounts,
     servers: BTreeMap<BackendName, EventCount>,
-    part: EventCount,
     failures: SequentialTest,
     slow: [SequentialTest; 2],
     doubt: DoubtWatch,
 }
 
+impl RouteBin {
+    /// Returns the requests on both versions.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        let new: u64 = self.new.values().map(|cell| cell.requests).sum();
+        self.old.requests + new
+    }
+}
+
 impl RouteJudge {
     /// Builds a judge for a move of about `intervals` intervals.
     #[must_use]
@@ -68,7 +75,6 @@
             old: FadingCounts::new(MEMORY_OF_OLD),
             new: FadingCounts::new(MEMORY_OF_NEW),
             servers: BTreeMap::new(),
-            part: EventCount::default(),
             failures: SequentialTest::new(FAILURE_ODDS, intervals),
             slow: [slow(), slow()],
             doubt: DoubtWatch::default(),
@@ -77,12 +83,11 @@
 
     /// Takes in the outcomes of one interval, in which the new version had the share `wanted`.
     pub fn observe(&mut self, bin: &RouteBin, wanted: ShareRatio, now: ClockInstant) {
-        let expected = self.expected_part(bin, wanted);
         let limits = self.slow_limits();
-        self.failures.observe(&failure_bin(bin), expected);
+        self.failures.observe(&failure_bin(bin));
         if let Some(limits) = limits {
             for (test, limit) in self.slow.iter_mut().zip(limits) {
-                test.observe(&slow_bin(bin, limit), expected);
+                test.observe(&slow_bin(bin, limit));
             }
         }
         let tail = limits.map(|[_, tail]| tail);
@@ -180,20 +185,8 @@
         Some([near?, far?])
     }
 
-    /// Blends the share that the new version really had lately with the wanted one.
-    fn expected_part(&self, bin: &RouteBin, wanted: ShareRatio) -> f64 {
-        let seen = self.part.requests + total_requests(bin);
-        let on_new = self.part.events + new_requests(bin);
-        let weight = MEMORY_OF_PART / 4.0;
-        (on_new + weight * wanted.as_f64()) / (seen + weight)
-    }
-
     fn count(&mut self, bin: &RouteBin) {
-        let all = total_requests(bin);
         let on_new = new_requests(bin);
-        let keep = (-all / MEMORY_OF_PART).exp();
-        self.part.requests = self.part.requests * keep + all;
-        self.part.events = self.part.events * keep + on_new;
         *self.requests.entry(VersionSide::Old).or_default() += bin.old.requests;
         *self.requests.entry(VersionSide::New).or_default() += on_new as u64;
         self.old.add(failure_count(&bin.old), &bin.old.latency);
@@ -219,10 +212,6 @@
     bin.new.values().map(|cell| cell.requests as f64).sum()
 }
 
-fn total_requests(bin: &RouteBin) -> f64 {
-    bin.old.requests as f64 + new_requests(bin)
-}
-
 /// Returns the requests of a cell, with its failures as the events.
 pub(crate) fn failure_count(cell: &EvidenceCell) -> EventCount {
     EventCount {
--- a/crates/kernel/src/rollout/sequential_test.rs
+++ b/crates/kernel/src/rollout/sequential_test.rs
@@ -3,9 +3,6 @@
 use crate::ids::BackendName;
 
 const START_WEIGHT: f64 = 0.5;
-const PRIOR_EVENTS: f64 = 20.0;
-const SMALLEST_PART: f64 = 0.000_5;
-const LARGEST_PART: f64 = 0.99;
 const LARGEST_WEALTH: f64 = 1e200;
 
 /// Events of one kind on a route in one interval, per server of the new version.
@@ -47,12 +44,12 @@
 /// Sequential test of whether events fall on the new version more often than its share of the
 /// requests explains.
 ///
-/// Under the null hypothesis each event falls on the new version with the probability of the
-/// share that the new version had in the same interval, whatever the rate of events is and
-/// however it changes. The wealth is a likelihood ratio against that, averaged over several
-/// odds ratios and over the interval in which the fault may have begun, so its expectation
-/// never exceeds one: it passes `1 / alpha` with a probability of at most `alpha`, however often
-/// one looks (Ville's inequality).
+/// Under the null hypothesis the events of an interval fall on its requests at random, whatever
+/// the rate of events is and however it changes: the number on the new version follows the
+/// hypergeometric distribution, which the binomial one bounds in convex order. The wealth is a
+/// likelihood ratio against that, averaged over several odds ratios and over the interval in
+/// which the fault may have begun, so its expectation never exceeds one: it passes `1 / alpha`
+/// with a probability of at most `alpha`, however often one looks (Ville's inequality).
 ///
 /// The test also runs once without each server of the new version, and the smallest of these
 /// wealths must pass a limit of its own, so one sick server does not speak for its version.
@@ -83,8 +80,8 @@
         }
     }
 
-    /// Takes in an interval; `expected` is the share that the new version had lately.
-    pub fn observe(&mut self, bin: &EventBin, expected: f64) {
+    /// Takes in an interval.
+    pub fn observe(&mut self, bin: &EventBin) {
         for server in bin.new.keys() {
             if !self.without.contains_key(server) {
                 self.without.insert(server.clone(), self.whole.clone());
@@ -93,14 +90,14 @@
         let mut all = EventCount::default();
         bin.new.values().for_each(|count| all.add(*count));
         self.whole
-            .observe(self.odds, self.restart_weight, bin.old, all, expected);
+            .observe(self.odds, self.restart_weight, bin.old, all);
         for (server, mix) in &mut self.without {
             let own = bin.new.get(server).copied().unwrap_or_default();
             let rest = EventCount {
                 requests: all.requests - own.requests,
                 events: all.events - own.events,
             };
-            mix.observe(self.odds, self.restart_weight, bin.old, rest, expected);
+            mix.observe(self.odds, self.restart_weight, bin.old, rest);
         }
     }
 
@@ -125,17 +122,11 @@
 }
 
 impl WealthMix {
-    fn observe(
-        &mut self,
-        odds: &[f64],
-        restart_weight: f64,
-        old: EventCount,
-        new: EventCount,
-        expected: f64,
-    ) {
-        let requests = old.requests + new.requests + PRIOR_EVENTS;
-        let part = (new.requests + PRIOR_EVENTS * expected) / requests;
-        let part = part.clamp(SMALLEST_PART, LARGEST_PART);
+    fn observe(&mut self, odds: &[f64], restart_weight: f64, old: EventCount, new: EventCount) {
+        if old.requests <= 0.0 || new.requests <= 0.0 {
+            return;
+        }
+        let part = new.requests / (old.requests + new.requests);
         for (wealth, odds) in self.wealth.iter_mut().zip(odds) {
             let tilted = odds * part / (odds * part + 1.0 - part);
             let on_new = new.events * (tilted / part).ln();
--- a/crates/kernel/tests/rollout_judge.rs
+++ b/crates/kernel/tests/rollout_judge.rs
@@ -373,7 +373,7 @@
                     bin.old.add(count);
                 }
             }
-            test.observe(&bin, share);
+            test.observe(&bin);
             if test.wealth().0 >= LIMIT {
                 alarms += 1;
                 break;
