--- a/crates/kernel/src/rollout/doubt_watch.rs
+++ b/crates/kernel/src/rollout/doubt_watch.rs
@@ -10,7 +10,11 @@
 /// Level of a cumulative sum at which a doubt begins.
 const DOUBT_LIMIT: f64 = 4.6;
 const SHORTEST_DOUBT: TimeBudget = TimeBudget::from_secs(10);
-const LONGEST_DOUBT: TimeBudget = TimeBudget::from_secs(120);
+const LONGEST_DOUBT: TimeBudget = TimeBudget::from_secs(240);
+/// Length of a doubt from which on the next one does not raise the share.
+const LONG_DOUBT: TimeBudget = TimeBudget::from_secs(30);
+/// Wealth of a test above which a doubt goes on.
+const OPEN_WEALTH: f64 = 20.0;
 const DOUBT_REQUESTS: f64 = 120.0;
 const REST_TIME: TimeBudget = TimeBudget::from_secs(5);
 const FAILURE_TOLERANCE: f64 = 0.02;
@@ -37,7 +41,7 @@
 pub struct DoubtWatch {
     failures: f64,
     slow: f64,
-    doubts: usize,
+    step: usize,
     requests: f64,
     begun_at: Option<ClockInstant>,
     rest_until: ClockInstant,
@@ -51,17 +55,17 @@
         baseline: EventCount,
         tail: Option<u8>,
         wanted: ShareRatio,
+        wealth: f64,
         now: ClockInstant,
     ) {
         if self.begun_at.is_some() {
             self.requests += sum_of(bin, failure_count).requests + bin.old.requests as f64;
-            self.end_if_over(now);
+            self.end_if_over(wealth, now);
             return;
         }
         self.sum_up(bin, baseline, tail);
         let is_doubtful = self.failures.max(self.slow) >= DOUBT_LIMIT;
-        if is_doubtful && wanted > self.next_share() && self.rest_until.has_passed(now) {
-            self.doubts += 1;
+        if is_doubtful && wanted > self.doubt_share() && self.rest_until.has_passed(now) {
             self.requests = 0.0;
             self.begun_at = Some(now);
         }
@@ -70,13 +74,11 @@
     /// Returns the share of the new version while there is a doubt.
     #[must_use]
     pub fn share(&self) -> Option<ShareRatio> {
-        self.begun_at?;
-        let step = self.doubts.saturating_sub(1) % DOUBT_SHARES.len();
-        Some(DOUBT_SHARES[step])
+        self.begun_at.map(|_| self.doubt_share())
     }
 
-    fn next_share(&self) -> ShareRatio {
-        DOUBT_SHARES[self.doubts % DOUBT_SHARES.len()]
+    const fn doubt_share(&self) -> ShareRatio {
+        DOUBT_SHARES[self.step % DOUBT_SHARES.len()]
     }
 
     fn sum_up(&mut self, bin: &RouteBin, baseline: EventCount, tail: Option<u8>) {
@@ -91,18 +93,22 @@
         }
     }
 
-    fn end_if_over(&mut self, now: ClockInstant) {
+    fn end_if_over(&mut self, wealth: f64, now: ClockInstant) {
         let Some(begun_at) = self.begun_at else {
             return;
         };
-        let has_enough =
-            self.requests >= DOUBT_REQUESTS && begun_at.after(SHORTEST_DOUBT).has_passed(now);
-        if has_enough || begun_at.after(LONGEST_DOUBT).has_passed(now) {
-            self.begun_at = None;
-            self.rest_until = now.after(REST_TIME);
-            self.failures = 0.0;
-            self.slow = 0.0;
+        let lasts = |time| begun_at.after(time).has_passed(now);
+        let has_enough = self.requests >= DOUBT_REQUESTS && lasts(SHORTEST_DOUBT);
+        if !(lasts(LONGEST_DOUBT) || has_enough && wealth < OPEN_WEALTH) {
+            return;
+        }
+        if !lasts(LONG_DOUBT) {
+            self.step += 1;
         }
+        self.begun_at = None;
+        self.rest_until = now.after(REST_TIME);
+        self.failures = 0.0;
+        self.slow = 0.0;
     }
 }
 
--- a/crates/kernel/src/rollout/route_judge.rs
+++ b/crates/kernel/src/rollout/route_judge.rs
@@ -92,7 +92,8 @@
         }
         let tail = limits.map(|[_, tail]| tail);
         let baseline = self.old.total();
-        self.doubt.observe(bin, baseline, tail, wanted, now);
+        let wealth = self.wealth();
+        self.doubt.observe(bin, baseline, tail, wanted, wealth, now);
         self.count(bin);
     }
 
@@ -136,6 +137,12 @@
         (tail(&self.old), tail(&self.new))
     }
 
+    /// Returns the largest wealth of the tests.
+    fn wealth(&self) -> f64 {
+        let slow = self.slow.iter().map(|test| test.wealth().0);
+        slow.fold(self.failures.wealth().0, f64::max)
+    }
+
     fn failure_fault(&self) -> Option<RouteFault> {
         let (old, new) = self.failure_shares();
         let is_bad = self.failures.speaks_against(WEALTH_LIMIT, REST_LIMIT)
