--- a/crates/emulator/src/experiment/rollout/mod.rs
+++ b/crates/emulator/src/experiment/rollout/mod.rs
@@ -6,6 +6,7 @@
 mod policy_kind;
 mod rollout_experiment;
 mod sample;
+mod size_experiment;
 mod trial_node;
 mod trial_report;
 mod window_limits;
