--- a/crates/emulator/src/trial/trial_run.rs
+++ b/crates/emulator/src/trial/trial_run.rs
@@ -93,7 +93,7 @@
 
 async fn send_requests(account: &mut TrialAccount, mesh: &LocalMesh) -> Result<(), MeshError> {
     account.begin("Sending reads and dispatches, each to a node chosen at random");
-    let report = send_load(mesh, &mesh.node_names()).await?;
+    let report = send_load(mesh, LOAD_SEED).await?;
     account.note(&report.to_string());
     expect_all_done(&report)?;
     let runs = mesh.runs()?;
@@ -156,8 +156,9 @@
     Ok(())
 }
 
-/// Sends the trial's load to some nodes.
-pub(crate) async fn send_load(mesh: &LocalMesh, nodes: &[String]) -> Result<LoadReport, MeshError> {
+/// Sends the trial's load to all nodes; another seed gives other idempotency keys.
+pub(crate) async fn send_load(mesh: &LocalMesh, seed: u64) -> Result<LoadReport, MeshError> {
+    let nodes = mesh.node_names();
     let targets: Result<Vec<SocketAddr>, MeshError> = nodes
         .iter()
         .map(|name| Ok(mesh.node(name)?.addresses().callers))
@@ -165,7 +166,7 @@
     let reads = LoadRoute::get("/positions").with_weight(4);
     let dispatches = LoadRoute::keyed_post("/dispatches");
     let plan = LoadPlan::new(targets?)
-        .with_seed(LOAD_SEED)
+        .with_seed(seed)
         .with_rate(LOAD_RATE)
         .with_duration(LOAD_TIME)
         .with_route(reads.with_deadline_ms(LOAD_DEADLINE_MS))
