Add an experiment with the cost of a call

Processor time a call on the entry node and on the serving node, less the idle time, by number of routes, servers and idle connections.

--- a/crates/emulator/src/experiment/request/bench_mesh.rs
+++ b/crates/emulator/src/experiment/request/bench_mesh.rs
@@ -34,12 +34,22 @@
     centres: u8,
     backends: &[(&str, BackendSpec)],
 ) -> Result<LocalMesh, MeshError> {
-    let mut mesh = builder.data_centres(centres).start().await?;
+    let slots = backends.first().map_or(1, |(_, spec)| spec.slots);
+    let answers = answers(centres, slots);
+    start_with(builder.data_centres(centres), &answers, backends).await
+}
+
+/// Starts a mesh with answers of the experiment's own.
+pub(crate) async fn start_with(
+    builder: MeshBuilder,
+    answers: &MeshAnswers,
+    backends: &[(&str, BackendSpec)],
+) -> Result<LocalMesh, MeshError> {
+    let mut mesh = builder.start().await?;
     for (node, spec) in backends {
         mesh.add_backend(node, spec).await?;
     }
-    let slots = backends.first().map_or(1, |(_, spec)| spec.slots);
-    mesh.publish(&answers(centres, slots).to_string()).await?;
+    mesh.publish(&answers.to_string()).await?;
     mesh.wait_version(1, LIMIT).await?;
     mesh.wait_backends(SERVICE, backends.len(), LIMIT).await?;
     // The slow start of the servers is over after this.
@@ -65,7 +75,8 @@
         .collect()
 }
 
-fn answers(centres: u8, slots: u32) -> MeshAnswers {
+/// Returns answers with one route for each priority.
+pub(crate) fn answers(centres: u8, slots: u32) -> MeshAnswers {
     let mut answers = MeshAnswers::new(centres).service_line(SERVICE, format!("slots: {slots}"));
     for route in ROUTES {
         let rule = RouteAnswers::new(route.path, SERVICE).with_priority(route.priority);
--- a/crates/emulator/src/process/mod.rs
+++ b/crates/emulator/src/process/mod.rs
@@ -1,7 +1,9 @@
 //! Processes that a test, a trial or an experiment starts, and their end.
 
 mod child_process;
+mod process_usage;
 mod program_path;
 
 pub use child_process::ChildProcess;
+pub use process_usage::ProcessUsage;
 pub use program_path::program_path;
