Document commands, settings, answers and what to do when

COMMANDS.md, ERRORS.md and the pages under bad-inputs are written and compared by tests from what the programs print; OPERATING.md, GLOSSARY.md, CONTRIBUTING.md and CHANGELOG.md are written by hand. examples/node.yaml is checked by a test.

--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -6,5 +6,6 @@
 mod diff;
 mod init;
 mod publish;
+mod reference;
 mod status;
 mod support;
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -130,3 +130,10 @@
         assert!(!token.is_carried_by(wrong.as_bytes()), "{wrong}");
     }
 }
+
+#[test]
+fn the_example_is_valid() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/node.yaml");
+    let output = check_file(&path);
+    assert!(output.status.success(), "{output:?}");
+}
