--- a/crates/cli/src/rollout/move_command.rs
+++ b/crates/cli/src/rollout/move_command.rs
@@ -23,11 +23,6 @@
 const MESH: &str = "mesh";
 const SERVICE: &str = "service";
 
-const EXAMPLES: &str = "\
-Examples:
-  bronzelb move start tracker --from v1 --to v2 --by 30m --mesh hemelval --platform 10.1.0.4:8080
-  bronzelb move status --mesh hemelval --platform 10.1.0.4:8080";
-
 fn build(command: Command) -> Command {
     command
         .about("Starts, stops and shows moves of traffic to new backend server versions")
