--- a/crates/cli/src/status/mesh_status.rs
+++ b/crates/cli/src/status/mesh_status.rs
@@ -56,8 +56,10 @@
 pub(crate) struct CentreSummary {
     /// Nodes that answered.
     pub(crate) heard: usize,
-    /// Nodes that others know and that did not answer or were not asked.
+    /// Nodes that others know as serving, and that did not answer or were not asked.
     pub(crate) not_heard: usize,
+    /// Nodes that others know in another state, and that did not answer or were not asked.
+    pub(crate) in_doubt: usize,
     /// Lowest version in force among the nodes that answered.
     pub(crate) lowest: Option<VersionNumber>,
     /// Highest version in force among the nodes that answered.
@@ -134,16 +136,21 @@
         self.nodes.push(line);
     }
 
+    /// Counts the members that were not heard, and names those that do not serve.
     fn add_unheard(&mut self, known: &BTreeMap<NodeName, (MemberStatus, NodeName)>) {
         for (name, (member, witness)) in known {
             let is_heard = self.nodes.iter().any(|line| line.node == *name);
             if is_heard || member.state == MemberState::Gone {
                 continue;
             }
-            self.centre(&member.data_centre).not_heard += 1;
+            if member.state == MemberState::Serving {
+                self.centre(&member.data_centre).not_heard += 1;
+                continue;
+            }
+            self.centre(&member.data_centre).in_doubt += 1;
             let state = state_name(member.state);
             self.not_heard.push(format_compact!(
-                "node {name} in {}: not asked; {witness} knows it as {state}",
+                "node {name} in {}: {witness} knows it as {state}",
                 member.data_centre
             ));
         }
--- a/crates/cli/src/status/status_command.rs
+++ b/crates/cli/src/status/status_command.rs
@@ -28,7 +28,8 @@
   bronzelb status --node 127.0.0.1:9200 --platform 10.1.0.4:8080 --output json
 
 AGE is the time since the node's version came into force. Nodes that others know and that were not
-asked, or did not answer, are listed as not heard. The exit code is 6 when no node answers.";
+asked, or did not answer, are counted as not heard, and listed if they do not serve. The exit code
+is 6 when no node answers.";
 
 fn build(command: Command) -> Command {
     command
--- a/crates/cli/src/status/status_table.rs
+++ b/crates/cli/src/status/status_table.rs
@@ -15,6 +15,9 @@
     "BACKEND SERVERS",
 ];
 
+/// Number of nodes that are listed by name as not heard.
+const MAX_LISTED: usize = 20;
+
 /// Writes a mesh's status for people.
 pub(super) fn to_text(status: &MeshStatus) -> String {
     let mut lines = Vec::new();
@@ -26,7 +29,12 @@
     lines.extend(status.nodes.iter().flat_map(trouble_lines));
     if !status.not_heard.is_empty() {
         lines.push("not heard:".to_owned());
-        lines.extend(status.not_heard.iter().map(|line| format!("  {line}")));
+        let listed = status.not_heard.iter().take(MAX_LISTED);
+        lines.extend(listed.map(|line| format!("  {line}")));
+        let hidden = status.not_heard.len().saturating_sub(MAX_LISTED);
+        if hidden > 0 {
+            lines.push(format!("  (and {hidden} more)"));
+        }
     }
     lines.join("\n")
 }
@@ -78,6 +86,12 @@
 }
 
 fn centre_line(summary: &CentreSummary) -> String {
+    if summary.heard == 0 {
+        return format!(
+            "none heard, {} serving and {} in doubt by others' word",
+            summary.not_heard, summary.in_doubt
+        );
+    }
     let versions = match (summary.lowest, summary.highest) {
         (lowest, highest) if lowest == highest => format!("version {}", version_text(highest)),
         (lowest, highest) => format!(
@@ -86,10 +100,14 @@
             version_text(highest)
         ),
     };
-    format!(
-        "{} heard with {versions}, {} not heard",
-        summary.heard, summary.not_heard
-    )
+    let mut text = format!("{} heard with {versions}", summary.heard);
+    if summary.not_heard > 0 {
+        text.push_str(&format!(", {} serving and not heard", summary.not_heard));
+    }
+    if summary.in_doubt > 0 {
+        text.push_str(&format!(", {} in doubt", summary.in_doubt));
+    }
+    text
 }
 
 fn version_text(version: Option<VersionNumber>) -> String {
--- a/crates/cli/tests/commands/status.rs
+++ b/crates/cli/tests/commands/status.rs
@@ -20,14 +20,14 @@
         DATA CENTRE  NODE      STATE    VERSION  AGE  PLATFORM  BACKEND SERVERS
         leuven       leuven-1  serving  3        1m   answers   0
         ghent        ghent-1   serving  2        1m   answers   0
-        ghent: 1 heard with version 2, 1 not heard
-        leuven: 1 heard with version 3, 0 not heard
+        ghent: 1 heard with version 2, 1 in doubt
+        leuven: 1 heard with version 3, 98 serving and not heard
         node leuven-1 does not hear data centre antwerp
         node leuven-1 refused version 9: content has another hash
         node ghent-1 does not hear data centre antwerp
         node ghent-1 refused version 9: content has another hash
         not heard:
-          node ghent-2 in ghent: not asked; ghent-1 knows it as suspect
+          node ghent-2 in ghent: ghent-1 knows it as suspect
     "#]]
     .assert_eq(&run.stdout);
 }
@@ -64,7 +64,8 @@
     let run = status(&["--node", &node.address(), "--output", "json"]);
     let document: serde_json::Value = serde_json::from_str(&run.stdout).expect("is JSON");
     assert_eq!(document["nodes"][0]["version"], 3);
-    assert_eq!(document["data_centres"]["ghent"]["not_heard"], 1);
+    assert_eq!(document["data_centres"]["ghent"]["in_doubt"], 1);
+    assert_eq!(document["data_centres"]["leuven"]["not_heard"], 98);
 }
 
 #[test]
--- a/crates/cli/tests/commands/support/stand_in_node.rs
+++ b/crates/cli/tests/commands/support/stand_in_node.rs
@@ -22,7 +22,7 @@
 impl StandInNode {
     /// Starts a node whose version `number` has been in force for 90 s.
     ///
-    /// It knows one more node, `ghent-2` in `ghent`.
+    /// It knows 99 serving nodes in `leuven`, and `ghent-2` in `ghent`, which it suspects.
     pub(crate) fn start(name: &str, centre: &str, number: u64) -> Self {
         let body = status(name, centre, number).to_string();
         let head = format!(
@@ -98,6 +98,13 @@
 
 fn status(name: &str, centre: &str, number: u64) -> Value {
     let member = |name: &str, centre: &str, state: &str| json!({"node": name, "data_centre": centre, "state": state, "backends": []});
+    let mut members: Vec<_> = (1..=99)
+        .map(|number| member(&format!("leuven-{number}"), "leuven", "serving"))
+        .collect();
+    members.push(member("ghent-2", "ghent", "suspect"));
+    if centre != "leuven" {
+        members.push(member(name, centre, "serving"));
+    }
     json!({
         "mesh": "hemelval",
         "node": name,
@@ -115,6 +122,6 @@
             "version": {"number": 9, "hash": "0".repeat(64)},
             "reason": "content has another hash",
         }],
-        "members": [member(name, centre, "serving"), member("ghent-2", "ghent", "suspect")],
+        "members": members,
     })
 }
