--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -89,7 +89,10 @@
         message: &ForwardRequest,
     ) -> Result<ForwardAnswer, MeshError> {
         let announcement = self.announcement(name)?;
-        let gate = self.state.requests.host_gate(name, announcement.slots);
+        let gate = self
+            .state
+            .requests
+            .host_gate(name, usable_slots(&announcement));
         let suspicion = self.crashes.check(message.fingerprint)?;
         let alone = match suspicion {
             CrashSuspicion::Suspect => Some(gate.suspects.enter(message.priority, deadline).await?),
