Refuse callers too until a woken node has asked anew

Only forwarded requests were refused, and only until the timer had run. The start gate closes at a pause, and callers' and forwarded requests are refused as not run until it opens: the platform or the peers were asked anew. The kernel's test of a paused node fails without the closing of the gate.

--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -75,6 +75,7 @@
     request_id: &CompactString,
 ) -> Result<ForwardAnswer, MeshError> {
     let state = forwarder.state();
+    state.check_lease()?;
     let now = state.now();
     let config = state.config().ok_or_else(|| {
         MeshError::new(ErrorKind::NotReady, "the node has no configuration yet")
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwapOption;
 use bronzelb_kernel::{
-    clock::ClockInstant,
+    clock::{ClockInstant, TimeBudget},
     config::ConfigVersion,
     error::{ErrorKind, MeshError},
     ids::{IncarnationNumber, NodeName},
@@ -36,6 +36,8 @@
     settings::NodeSettings,
 };
 
+const RETRY_PAUSE: TimeBudget = TimeBudget::from_secs(1);
+
 /// Addresses of a node's listeners, as opened.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeAddresses {
@@ -214,20 +216,20 @@
         self.spread.record_changes()
     }
 
-    /// Checks that the process was not paused for longer than its lease.
+    /// Checks that the node may act on what it knows: it was not paused for longer than its lease,
+    /// or has asked the platform or its peers anew since.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::NotReady`] until the node has rejoined.
+    /// [`ErrorKind::NotReady`] otherwise, with a time to come back.
     pub fn check_lease(&self) -> Result<(), MeshError> {
         let now = self.now();
-        if self.spread.read(SpreadNode::lease_deadline).has_passed(now) {
-            return Err(MeshError::new(
-                ErrorKind::NotReady,
-                "the node was paused and has not rejoined yet",
-            ));
+        if self.spread.read(|node| node.may_act(now)) {
+            return Ok(());
         }
-        Ok(())
+        let message = "the node starts, or was paused and has not rejoined yet";
+        let error = MeshError::new(ErrorKind::NotReady, message);
+        Err(error.with_retry_at(now.after(RETRY_PAUSE)))
     }
 
     /// Drops the backend servers whose lease has lapsed.
--- a/crates/kernel/src/spread/spread_node.rs
+++ b/crates/kernel/src/spread/spread_node.rs
@@ -130,10 +130,14 @@
     /// holds, and it is neither starting nor draining.
     #[must_use]
     pub fn is_ready(&self, now: ClockInstant) -> bool {
-        self.gate.is_open()
-            && self.guard.holds(now)
-            && self.in_force.is_some()
-            && self.own().state == MemberState::Serving
+        self.may_act(now) && self.in_force.is_some() && self.own().state == MemberState::Serving
+    }
+
+    /// Returns whether the node may act on what it knows: its own lease holds, and since its start
+    /// or its latest pause it has asked the platform or its peers anew.
+    #[must_use]
+    pub const fn may_act(&self, now: ClockInstant) -> bool {
+        self.gate.is_open() && self.guard.holds(now)
     }
 
     /// Returns when this node's lease lapses unless its timer renews it.
--- a/crates/kernel/tests/spread/member.rs
+++ b/crates/kernel/tests/spread/member.rs
@@ -125,7 +125,9 @@
         );
         mesh.changes.clear();
         mesh.paused.clear();
+        mesh.source.answer_ms = 1_000;
         mesh.run_until(SETTLE_MS, |mesh| woke(mesh, &owner));
+        assert!(!mesh.nodes[&owner].may_act(mesh.now), "it has not asked");
         let own = mesh.nodes[&owner].own();
         assert!(own.backends.is_empty(), "seed {seed}");
         assert!(own.incarnation > before, "seed {seed}");
