Bring a woken node's row up to its backend servers at every tick

Cause: a node that wakes after its lease clears its row, while the table beside it may already hold a renewed announcement, taken by another thread before the tick; the announcement was then no change and the servers stayed unknown to the mesh. Seen as servers_that_leave_die_or_freeze_... failing in 2 of 4 runs of the whole file and never alone; the status showed the node serving with no backend servers. Ruled out: a stuck announcer (its leases were renewed) and a lost rumour (the row itself was empty). Change: the row is set from the table at each tick, so no missed change can stay.

--- a/crates/daemon/src/gossip/spread_task.rs
+++ b/crates/daemon/src/gossip/spread_task.rs
@@ -58,6 +58,8 @@
         self.state.expire_backends();
         let actions = self.state.spread.drive(|node, rng| {
             node.tick(now, rng);
+            // A woken node has cleared its row, also of servers that renewed their lease since.
+            node.set_backends(self.state.backends().rows(), now);
             node.take_actions()
         });
         for action in actions {
