Tell the mesh again of a woken node's backend servers

A server's announcement that waited in a woken node's socket could be taken in before the spreading task ran. It renewed the entry without changing it; the rejoin then cleared the row, and no later announcement changed the entry, so the server got no work from any node for good.

--- a/crates/daemon/src/gossip/spread_task.rs
+++ b/crates/daemon/src/gossip/spread_task.rs
@@ -56,7 +56,11 @@
     fn tick(&self) {
         let now = self.state.now();
         self.state.expire_backends();
+        // Set at every tick: a rejoin clears the row, and an announcement that came before it
+        // changes nothing in the table.
+        let backends = self.state.backends().rows();
         let actions = self.state.spread.drive(|node, rng| {
+            node.set_backends(backends, now);
             node.tick(now, rng);
             node.take_actions()
         });
