List bad requests to the callers' port with what they get

17 requests against a node with a backend server: each is refused, none runs (the servers' journals stay empty), and a good one works afterwards. Slow senders to the callers' port join the test of cut-offs.

--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use bronzelb_emulator::mesh::{BackendSpec, LocalMesh};
 use bronzelb_kernel::clock::TimeBudget;
 use bronzelb_wire::handshake::{MeshKey, connect_peer};
 use bronzelbd::{operators::is_operator_allowed, settings::OperatorToken};
@@ -21,6 +22,31 @@
     time::timeout,
 };
 
+const CALLERS_PAGE_HEAD: &str = "\
+# Bad requests to the callers' port and what each one gets
+
+Written by the test `bad_input` of `crates/daemon` from a node's answers; rewrite it with
+`UPDATE_EXPECT=1 cargo test -p bronzelbd --test bad_input`. The route takes bodies of 1 KiB and has a
+timeout of 1 s.
+
+| request | answer |
+| --- | --- |
+";
+
+const ANSWERS: &str = "\
+mesh: local
+data_centres: {dc1: {}}
+services: {dispatcher: {slots: 12, connections: 110, report_format: json-load}}
+routes:
+  dispatches:
+    path: /dispatches
+    methods: [GET, POST]
+    service: dispatcher
+    idempotent: false
+    timeout: 1s
+    max_body: 1KiB
+";
+
 const PAGE_HEAD: &str = "\
 # Bad requests to the operators' port and what each one gets
 
@@ -168,6 +194,114 @@
     expect_file!["../../../docs/bad-inputs/ports.md"].assert_eq(&page);
 }
 
+/// A request to the route, with headers and a body as they are.
+fn dispatch(headers: &str, body: &str) -> Vec<u8> {
+    let mut bytes = request("POST /dispatches/1", headers);
+    bytes.extend(body.as_bytes());
+    bytes
+}
+
+fn bad_dispatches() -> Vec<(&'static str, Vec<u8>)> {
+    let long_body = "a".repeat(1_025);
+    let chunk = format!("401\r\n{long_body}\r\n0\r\n\r\n");
+    let chunked = "transfer-encoding: chunked\r\n";
+    let long_key = format!("idempotency-key: {}\r\n", "k".repeat(129));
+    vec![
+        ("no HTTP at all", b"NONSENSE\r\n\r\n".to_vec()),
+        (
+            "a header of 200 KB",
+            dispatch(&format!("x: {}\r\n", "a".repeat(200_000)), ""),
+        ),
+        (
+            "a path of 200 KB",
+            request(&format!("GET /dispatches/{}", "a".repeat(200_000)), ""),
+        ),
+        ("a path without a route", request("GET /dispatchesque", "")),
+        ("a path with a NUL byte", request("GET /dispatches/\0", "")),
+        (
+            "a method that no route can match",
+            request("TRACE /dispatches/1", ""),
+        ),
+        (
+            "a method that the route does not take",
+            request("DELETE /dispatches/1", ""),
+        ),
+        (
+            "a body over the route's limit",
+            dispatch("content-length: 1025\r\n", &long_body),
+        ),
+        (
+            "a chunked body over the route's limit",
+            dispatch(chunked, &chunk),
+        ),
+        (
+            "a chunk with a broken length",
+            dispatch(chunked, "zz\r\nabc\r\n0\r\n\r\n"),
+        ),
+        (
+            "a body that stops half way",
+            dispatch("content-length: 100\r\n", "half"),
+        ),
+        (
+            "a deadline that is no number",
+            dispatch("x-bronzelb-deadline-ms: soon\r\n", ""),
+        ),
+        (
+            "a deadline that has passed",
+            dispatch("x-bronzelb-deadline-ms: -5\r\n", ""),
+        ),
+        (
+            "a deadline beyond all numbers",
+            dispatch(
+                &format!("x-bronzelb-deadline-ms: {}\r\n", "9".repeat(40)),
+                "",
+            ),
+        ),
+        (
+            "an empty idempotency key",
+            dispatch("idempotency-key:\r\n", ""),
+        ),
+        (
+            "an idempotency key of 129 characters",
+            dispatch(&long_key, ""),
+        ),
+        (
+            "an idempotency key that is not ASCII",
+            dispatch("idempotency-key: caf\u{e9}\r\n", ""),
+        ),
+    ]
+}
+
+#[actix_web::test]
+async fn bad_requests_to_the_callers_port_are_refused_and_run_nowhere() {
+    let mut mesh = LocalMesh::builder()
+        .data_centres(1)
+        .backend(BackendSpec::new("dispatcher", "v1"))
+        .start()
+        .await
+        .expect("the mesh starts");
+    mesh.publish(ANSWERS).await.expect("is accepted");
+    mesh.wait_version(1, LIMIT).await.expect("is in force");
+    mesh.wait_backends("dispatcher", 1, LIMIT)
+        .await
+        .expect("is known");
+    let callers = mesh.node("dc1-n1").expect("runs").addresses().callers;
+    let mut page = CALLERS_PAGE_HEAD.to_owned();
+    for (title, bytes) in bad_dispatches() {
+        let answer = exchange(callers, &bytes).await;
+        let text = String::from_utf8_lossy(&answer).to_lowercase();
+        let line = summary(&answer);
+        let is_refused = line.starts_with('4') || line.starts_with("504") || line == "closed";
+        assert!(is_refused, "{title}: {line}");
+        assert!(!text.contains("x-bronzelb-run: ran"), "{title}: {text}");
+        writeln!(page, "| {title} | {line} |").expect("writing to a string succeeds");
+    }
+    assert_eq!(mesh.runs().expect("are readable"), []);
+    let good = exchange(callers, &dispatch("content-length: 2\r\n", "ok")).await;
+    assert!(summary(&good).starts_with("200 "), "{}", summary(&good));
+    expect_file!["../../../docs/bad-inputs/callers.md"].assert_eq(&page);
+}
+
 #[actix_web::test]
 async fn slow_senders_are_cut_off() {
     let mut node = LoneNode::start("leuven-1", MESH_KEY, &[]).await;
@@ -175,10 +309,14 @@
     let half_body = "PUT /v1/backends/a HTTP/1.1\r\nhost: node\r\n\
                      content-type: application/json\r\ncontent-length: 100\r\n\r\n{";
     let peers = node.addresses.peers;
+    let callers = node.addresses.callers;
     let senders: Vec<(SocketAddr, &[u8])> = vec![
         (operators, b""),
         (operators, b"GET /v1/health HTTP/1.1\r\nho"),
         (operators, half_body.as_bytes()),
+        (callers, b""),
+        (callers, b"POST /dispatches HTTP/1.1\r\nho"),
+        (callers, half_body.as_bytes()),
         (peers, b""),
         (peers, b"bzl1"),
         (peers, b"bzl1 and half of a nonce"),
