Read the machine's clock in one place, and keep rows that are not understood

Two tests of publish: a row in an unknown form is not overwritten, and an address without a port is refused.

--- a/crates/cli/src/platform/mod.rs
+++ b/crates/cli/src/platform/mod.rs
@@ -2,8 +2,7 @@
 
 mod platform_access;
 mod version_read;
-mod wall_clock;
 
+pub(crate) use bronzelb_platform::wall_clock;
 pub(crate) use platform_access::PlatformAccess;
 pub(crate) use version_read::{read_accepted_snapshot, read_version_row, version_key};
-pub(crate) use wall_clock::wall_clock;
--- a/crates/cli/tests/commands/publish.rs
+++ b/crates/cli/tests/commands/publish.rs
@@ -148,3 +148,30 @@
     "#]]
     .assert_eq(&run.stderr);
 }
+
+#[test]
+fn a_row_that_is_not_understood_is_not_overwritten() {
+    publish("garbage", &[]);
+    let garbage = r#"{"number":"seven"}"#;
+    with_store("garbage", |store| {
+        let row = store.rows.get_mut(KEY).expect("was written");
+        row.value = garbage.to_owned();
+    });
+    let run = publish("garbage", &[]);
+    assert_eq!(run.code, 2);
+    assert!(run.stderr.contains("version row: "), "{}", run.stderr);
+    let held = with_store("garbage", |store| store.rows[KEY].value.clone());
+    assert_eq!(held, garbage);
+}
+
+#[test]
+fn a_platform_needs_an_address_with_a_port() {
+    let answers = example("hemelval");
+    let run = run(&["publish", &answers, "--platform", "localhost"]);
+    assert_eq!(run.code, 2);
+    assert!(
+        run.stderr.contains("is not an IP address with a port"),
+        "{}",
+        run.stderr
+    );
+}
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -4,4 +4,4 @@
 mod path_encoding;
 mod wall_clock;
 
-pub(crate) use wall_clock::wall_clock;
+pub use wall_clock::wall_clock;
--- a/crates/platform/src/http/wall_clock.rs
+++ b/crates/platform/src/http/wall_clock.rs
@@ -3,7 +3,8 @@
 use bronzelb_kernel::clock::ClockInstant;
 
 /// Reads the machine's clock, by which the deadlines of calls are set.
-pub(crate) fn wall_clock() -> ClockInstant {
+#[must_use]
+pub fn wall_clock() -> ClockInstant {
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod table;
 
 pub use client::{PlatformClient, PlatformKind, PlatformTarget};
+pub use http::wall_clock;
