--- a/crates/kernel/src/request/server_stat.rs
+++ b/crates/kernel/src/request/server_stat.rs
@@ -17,6 +17,7 @@
 const FIRST_EJECTION: TimeBudget = TimeBudget::from_millis(500);
 const MAX_EJECTION_DOUBLINGS: u32 = 6;
 const REPORT_LIFETIME: TimeBudget = TimeBudget::from_millis(500);
+const SHED_LIFETIME: TimeBudget = TimeBudget::from_millis(100);
 const TIMEOUT_FACTOR: f64 = 4.0;
 const STALL_FACTOR: f64 = 8.0;
 const STALL_FLOOR_MICROS: f64 = 50_000.0;
@@ -125,7 +126,11 @@
         self.failure_share = self.failure_share(now);
         self.failure_at = now;
         match outcome {
-            AttemptOutcome::Shed | AttemptOutcome::Abandoned => return false,
+            AttemptOutcome::Shed => {
+                self.note_full(now);
+                return false;
+            }
+            AttemptOutcome::Abandoned => return false,
             AttemptOutcome::TimedOut if !self.is_overlong(took) => return false,
             AttemptOutcome::Served => self.succeed(took),
             _ => self.fail(),
@@ -192,6 +197,15 @@
         self.outstanding > 0 && silence > patience
     }
 
+    /// Counts the server as full for a while, since a refusal carries no load report.
+    fn note_full(&mut self, now: ClockInstant) {
+        self.load = ServerLoad {
+            running: self.slots,
+            waiting: self.slots,
+        };
+        self.load_until = now.after(SHED_LIFETIME);
+    }
+
     /// Returns whether an unanswered request had far more time than the server usually takes.
     fn is_overlong(&self, took: TimeBudget) -> bool {
         took.as_micros() as f64 > self.latency_micros * TIMEOUT_FACTOR
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -213,6 +213,19 @@
     assert_eq!(next.as_str(), "b");
 }
 
+#[test]
+fn server_that_sheds_counts_as_full_for_a_while() {
+    let mut bench = Bench::new(&[("a", "leuven"), ("b", "gent")]);
+    let first = bench.choose(&[]).expect("a server is left");
+    assert_eq!(first.as_str(), "a");
+    bench.settle(&first, AttemptOutcome::Shed, STEP);
+    let next = bench.choose(&[]).expect("a server is left");
+    assert_eq!(next.as_str(), "b");
+    bench.now = bench.now.after(TimeBudget::from_secs(1));
+    let later = bench.choose(&[]).expect("a server is left");
+    assert_eq!(later.as_str(), "a");
+}
+
 #[test]
 fn server_that_was_tried_is_not_chosen_again() {
     let mut bench = Bench::new(&THREE);
