Price a retry of a request that did not run at a quarter

Cause: with one of three servers slow, the refusals left after marking it as full came from an empty retry budget; such a retry costs a hop and no server any work. Ruled out: a larger budget for all retries, which a failing service would spend on more work.

--- a/crates/kernel/src/request/retry_budget.rs
+++ b/crates/kernel/src/request/retry_budget.rs
@@ -7,6 +7,8 @@
 
 const MAX_ATTEMPTS: u32 = 3;
 const RETRY_SHARE: f64 = 0.1;
+const FULL_PRICE: f64 = 1.0;
+const NOT_RUN_PRICE: f64 = 0.25;
 const FIRST_TOKENS: f64 = 3.0;
 const MAX_TOKENS: f64 = 30.0;
 const MAX_FAILURE_SHARE: ShareRatio = ShareRatio::from_ppm(200_000);
@@ -54,14 +56,23 @@
 
     /// Decides whether a request gets another attempt, and pays for it if so.
     pub fn spend(&mut self, now: ClockInstant, case: &RetryCase) -> bool {
-        if !is_allowed(now, case) || self.tokens < 1.0 {
+        let price = price(case.outcome);
+        if !is_allowed(now, case) || self.tokens < price {
             return false;
         }
-        self.tokens -= 1.0;
+        self.tokens -= price;
         true
     }
 }
 
+/// Returns what a retry costs; one of a request that did not run adds no work to any server.
+fn price(outcome: AttemptOutcome) -> f64 {
+    match outcome.run_state() {
+        RunState::NotRun => NOT_RUN_PRICE,
+        _ => FULL_PRICE,
+    }
+}
+
 fn is_allowed(now: ClockInstant, case: &RetryCase) -> bool {
     let has_time = case.deadline > now.after(MIN_TIME_LEFT);
     if !has_time || case.is_nested_retry || case.attempts >= MAX_ATTEMPTS {
