--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -10,7 +10,10 @@
     proxy::ProxyAction,
     server::wall_clock,
 };
-use bronzelb_kernel::clock::{ClockInstant, TimeBudget};
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    config::ShareRatio,
+};
 use futures::future::join_all;
 
 const LIMIT: TimeBudget = TimeBudget::from_secs(30);
@@ -18,6 +21,7 @@
 const STATUS_EVERY: u32 = 20;
 /// Longer than the latency that the route's objective allows.
 const SLOW_MILLIS: u64 = 400;
+const HALF_PPM: u32 = 500_000;
 /// Address at which no node listens.
 const SILENT: &str = "127.0.0.1:1";
 /// Time in which a mark reaches every node that can be reached, by the stated target.
@@ -410,3 +414,38 @@
     let output = tool(&mesh, &["status", "tracker"]).await;
     assert!(output.text.contains("move 1 of"), "{}", output.text);
 }
+
+fn share_ppm(moves: &serde_json::Value) -> u32 {
+    let share = moves[0]["routes"]["reads"]["share"].as_str();
+    let share = share.and_then(|text| text.parse::<ShareRatio>().ok());
+    share.unwrap_or_default().as_ppm()
+}
+
+#[actix_web::test]
+async fn good_version_is_done_in_time_while_the_platform_is_away_and_a_third_of_the_nodes_die() {
+    let mut mesh = start().await;
+    start_move(&mut mesh, "35s", &BackendFaults::default()).await;
+    mesh.cut_platform().await.expect("is cut");
+    let node = mesh.node_mut("dc2-n1").expect("exists");
+    node.process().expect("runs").kill();
+    drive(&mesh, LIMIT, async |mesh| {
+        let moves = node_moves(mesh, "dc1-n1").await;
+        // Shown when the test fails.
+        println!("{moves}");
+        share_ppm(&moves) >= HALF_PPM
+    })
+    .await;
+    mesh.start_node("dc2-n1").await.expect("starts again");
+    mesh.heal().await.expect("is healed");
+    drive(&mesh, LIMIT, async |mesh| {
+        let moves = node_moves(mesh, "dc1-n1").await;
+        // Shown when the test fails.
+        println!("{moves}");
+        moves[0]["record"]["state"] == "done"
+    })
+    .await;
+    let moves = node_moves(&mesh, "dc1-n1").await;
+    let record = &moves[0]["record"];
+    let done_at = record["statement"]["decided_at"].as_u64();
+    assert!(done_at <= record["by"].as_u64(), "{moves}");
+}
