--- a/crates/emulator/src/experiment/spread/fleet_usage.rs
+++ b/crates/emulator/src/experiment/spread/fleet_usage.rs
@@ -1,4 +1,4 @@
-use std::fs;
+use std::{collections::BTreeMap, fs};
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
@@ -21,8 +21,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct FleetUsage {
     at: ClockInstant,
-    /// One entry for each running node, in name order.
-    nodes: Vec<NodeUsage>,
+    /// Use of each running node, by name and process.
+    nodes: BTreeMap<(String, u32), NodeUsage>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -51,7 +51,7 @@
     /// Reads what the running nodes have used.
     pub(crate) async fn read(mesh: &mut LocalMesh) -> Result<Self, MeshError> {
         let client = CallerClient::new();
-        let mut nodes = Vec::new();
+        let mut nodes = BTreeMap::new();
         for name in mesh.node_names() {
             if !mesh.node_mut(&name)?.is_running() {
                 continue;
@@ -62,12 +62,13 @@
                 .call(operators, &CallRequest::get("/v1/metrics"))
                 .await?;
             let text = String::from_utf8_lossy(&answer.body).into_owned();
-            nodes.push(NodeUsage {
+            let usage = NodeUsage {
                 peer_bytes: metric(&text, "bronzelb.peer_bytes_sent")
                     + metric(&text, "bronzelb.peer_bytes_received"),
                 cpu_seconds: cpu_seconds(id)?,
                 resident_mb: resident_mb(id)?,
-            });
+            };
+            nodes.insert((name, id), usage);
         }
         Ok(Self {
             at: wall_clock(),
@@ -75,17 +76,20 @@
         })
     }
 
-    /// Returns what was used each second since `before`, a reading of the same nodes.
+    /// Returns what was used each second since `before`, by the processes that ran at both times.
     pub(crate) fn rate_since(&self, before: &Self) -> UsageRate {
         let seconds = before.at.elapsed(self.at).as_secs_f64();
-        let pairs = || self.nodes.iter().zip(&before.nodes);
+        let pairs = || {
+            let now = self.nodes.iter();
+            now.filter_map(|(key, now)| Some((now, before.nodes.get(key)?)))
+        };
         let bytes: Vec<_> = pairs()
             .map(|(now, then)| (now.peer_bytes - then.peer_bytes) / seconds)
             .collect();
         let cpu: Vec<_> = pairs()
             .map(|(now, then)| 100.0 * (now.cpu_seconds - then.cpu_seconds) / seconds)
             .collect();
-        let memory = self.nodes.iter().map(|node| node.resident_mb);
+        let memory = self.nodes.values().map(|node| node.resident_mb);
         UsageRate {
             bytes: mean(&bytes),
             max_bytes: bytes.iter().copied().fold(0.0, f64::max),
--- a/crates/emulator/src/experiment/spread/spread_cost.rs
+++ b/crates/emulator/src/experiment/spread/spread_cost.rs
@@ -19,7 +19,7 @@
 const DEFAULT_IDLE_SECONDS: u64 = 10;
 /// Time between two changes at the letter's rate of 3,500 a day.
 const SECONDS_PER_CHANGE: f64 = 86_400.0 / 3_500.0;
-const COLUMNS: [&str; 16] = [
+const COLUMNS: [&str; 17] = [
     "way",
     "median_ms",
     "p99_ms",
@@ -35,6 +35,7 @@
     "reads_s",
     "herd_ms",
     "herd_objects",
+    "herd_bytes",
     "last_ratio",
 ];
 
@@ -87,6 +88,7 @@
         result.reads_per_second.into(),
         result.herd_ms.into(),
         result.herd_objects.into(),
+        result.herd_bytes.into(),
         ratio.into(),
     ]);
 }
--- a/crates/emulator/src/experiment/spread/spread_trial.rs
+++ b/crates/emulator/src/experiment/spread/spread_trial.rs
@@ -54,6 +54,8 @@
     pub(crate) herd_ms: f64,
     /// Contents that the returning third read from the platform.
     pub(crate) herd_objects: u64,
+    /// Bytes of a node that lived on, for each node that died and returned.
+    pub(crate) herd_bytes: f64,
     /// Size of the configuration.
     pub(crate) body_bytes: u64,
 }
@@ -93,11 +95,17 @@
     let seconds = changed.time_since(&after).as_secs_f64();
     let change_bytes = (busy.bytes - idle.bytes) * seconds / size.changes.max(1) as f64;
     let quiet_ms = trial.delays(first..=trial.newest());
+    let calm = FleetUsage::read(&mut trial.mesh).await?;
     let victims = trial.publish_and_kill_a_third().await?;
     trial.wait_everywhere().await?;
     let newest = trial.newest();
     let killed = trial.delays(newest..=newest);
+    sleep(SETTLE).await;
     let (herd_ms, herd_objects) = trial.restart(&victims).await?;
+    sleep(SETTLE).await;
+    let settled = FleetUsage::read(&mut trial.mesh).await?;
+    let churn = settled.rate_since(&calm).bytes - idle.bytes;
+    let churn_seconds = settled.time_since(&calm).as_secs_f64();
     Ok(TrialResult {
         quiet_ms,
         killed_last_ms: killed.last().copied().unwrap_or(f64::NAN),
@@ -106,6 +114,7 @@
         reads_per_second,
         herd_ms,
         herd_objects,
+        herd_bytes: churn * churn_seconds / victims.len().max(1) as f64,
         body_bytes: trial.body_bytes,
     })
 }
