Bound the bursts of member rows in pushes and reconciliations

A push carries 8 rows instead of 32, a reconciliation 4 buckets instead of 16, and member rows are pushed in 2 rounds instead of 3 (3 for those that leave, and from the node itself).

--- a/crates/kernel/src/member/member_agent.rs
+++ b/crates/kernel/src/member/member_agent.rs
@@ -100,7 +100,8 @@
             return MergeOutcome::Known;
         }
         self.note_state(&node, state, now);
-        self.rumours.add(node, self.rounds);
+        let urgent_round = u8::from(state >= MemberState::Draining);
+        self.rumours.add(node, self.rounds + urgent_round);
         MergeOutcome::Changed
     }
 
@@ -215,7 +216,7 @@
         change(&mut row);
         row.revision += 1;
         self.table.merge(row);
-        self.rumours.add(self.own.clone(), self.rounds);
+        self.rumours.add(self.own.clone(), self.rounds + 1);
     }
 
     fn declare_gone(&mut self, node: &NodeName, now: ClockInstant) {
--- a/crates/kernel/src/spread/node_answer.rs
+++ b/crates/kernel/src/spread/node_answer.rs
@@ -14,7 +14,7 @@
     },
 };
 
-const MAX_BUCKETS: u8 = 16;
+const MAX_BUCKETS: u8 = 4;
 const MAX_BUCKETS_AT_START: u8 = 64;
 const MAX_RETURNED_ROWS: usize = 256;
 const STORE_WAIT_MIN_MS: u64 = 500;
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -12,7 +12,7 @@
     },
 };
 
-const MAX_PUSHED_ROWS: usize = 32;
+const MAX_PUSHED_ROWS: usize = 8;
 const SURVEY_INTERVAL: TimeBudget = TimeBudget::from_millis(100);
 const SURVEY_FAN_OUT: usize = 4;
 const LOST_EVERY: u32 = 2;
--- a/crates/kernel/src/spread/spread_node.rs
+++ b/crates/kernel/src/spread/spread_node.rs
@@ -81,7 +81,7 @@
         now: ClockInstant,
         rng: &mut impl Rng,
     ) -> Self {
-        let agent = MemberAgent::new(own, rule.push_rounds, rule.suspicion, rule.tombstone);
+        let agent = MemberAgent::new(own, rule.member_rounds, rule.suspicion, rule.tombstone);
         Self {
             seeds,
             agent,
--- a/crates/kernel/src/spread/spread_rule.rs
+++ b/crates/kernel/src/spread/spread_rule.rs
@@ -75,6 +75,8 @@
     pub push_interval: TimeBudget,
     /// Rounds in which a change is pushed.
     pub push_rounds: u8,
+    /// Rounds in which a member's row is pushed; one more when the member leaves.
+    pub member_rounds: u8,
     /// Peers of the own data centre that each round reaches.
     pub local_fan_out: usize,
     /// Pushes a round that the nodes of a data centre together send to each other data centre.
@@ -110,6 +112,7 @@
             avoidance: TimeBudget::from_millis(2_000),
             push_interval: TimeBudget::from_millis(100),
             push_rounds: 3,
+            member_rounds: 2,
             local_fan_out: 3,
             remote_links: 4,
             remote_every: 3,
