--- a/crates/daemon/src/gossip/spread_task.rs
+++ b/crates/daemon/src/gossip/spread_task.rs
@@ -56,11 +56,7 @@
     fn tick(&self) {
         let now = self.state.now();
         self.state.expire_backends();
-        // Set at every tick: a rejoin clears the row, and an announcement that came before it
-        // changes nothing in the table.
-        let backends = self.state.backends().rows();
         let actions = self.state.spread.drive(|node, rng| {
-            node.set_backends(backends, now);
             node.tick(now, rng);
             // A woken node has cleared its row, also of servers that renewed their lease since.
             node.set_backends(self.state.backends().rows(), now);
