--- a/crates/emulator/src/experiment/request/sick_server.rs
+++ b/crates/emulator/src/experiment/request/sick_server.rs
@@ -3,7 +3,7 @@
 use crate::{
     backend::{BackendFaults, FaultAction, FaultRule, ReportFaults},
     experiment::{Experiment, ExperimentContext, ExperimentReport, request::bench_mesh},
-    load::{LoadPlan, LoadRoute, TargetPolicy, run_load},
+    load::{CallOutcome, LoadPlan, LoadRoute, TargetPolicy, run_load},
     mesh::{BackendSpec, LocalMesh},
 };
 
@@ -85,7 +85,18 @@
 fn run(context: &ExperimentContext) -> Result<ExperimentReport, MeshError> {
     let rate = context.size("rate", DEFAULT_RATE);
     let seconds = context.size("seconds", DEFAULT_SECONDS);
-    let columns = ["server", "caller", "in_time_share", "p50_ms", "p99_ms"];
+    let columns = [
+        "server",
+        "caller",
+        "in_time_share",
+        "p50_ms",
+        "p99_ms",
+        "late",
+        "not_run",
+        "failed",
+        "unknown",
+        "no_answer",
+    ];
     let mut report = ExperimentReport::new("request-sick-server", context.seed(), columns)
         .size("servers", NODES.len() as u64)
         .size("rate", rate)
@@ -112,12 +123,20 @@
             } else {
                 "round robin, 3 retries"
             };
+            let total = &load.total;
+            let late = total.count(CallOutcome::Done) - total.in_time;
+            let failed = total.count(CallOutcome::Failed) + total.count(CallOutcome::Unmarked);
             report.row([
                 sickness.name().into(),
                 caller.into(),
-                load.total.in_time_share().into(),
-                (load.total.done.p50_us as f64 / 1_000.0).into(),
-                (load.total.done.p99_us as f64 / 1_000.0).into(),
+                total.in_time_share().into(),
+                (total.done.p50_us as f64 / 1_000.0).into(),
+                (total.done.p99_us as f64 / 1_000.0).into(),
+                late.into(),
+                total.count(CallOutcome::NotRun).into(),
+                failed.into(),
+                total.count(CallOutcome::OutcomeUnknown).into(),
+                total.count(CallOutcome::NoAnswer).into(),
             ]);
         }
     }
