--- a/crates/emulator/src/proxy/proxy_link.rs
+++ b/crates/emulator/src/proxy/proxy_link.rs
@@ -71,7 +71,12 @@
 
     /// Returns the bytes after which the next answer is cut off.
     pub(crate) fn truncation(&self) -> Option<u64> {
-        self.sum(|action| match action {
+        let rules = self.rules.borrow();
+        let mut matching = rules
+            .rules
+            .iter()
+            .filter(|rule| rule.matches(self.source, &self.listener.name));
+        matching.find_map(|rule| match rule.action {
             ProxyAction::Truncate(bytes) => Some(bytes),
             _ => None,
         })
--- a/crates/emulator/src/proxy/proxy_rule.rs
+++ b/crates/emulator/src/proxy/proxy_rule.rs
@@ -48,7 +48,7 @@
     Truncate(u64),
     /// Closes the connection when the next answer arrives, without passing any of it.
     LoseAnswer,
-    /// Sends a request's first chunk a second time on a connection of its own.
+    /// Sends each chunk of a request a second time on a connection of its own.
     Duplicate,
 }
 
