Tell want of the operators' token apart from silence

status exited 6 when every node refused it for want of the token; it now exits 3, as the table of errors says. Seen to fail: with the kind of the refusal ignored the new test gets 6 in place of 3. It also shows that a token file with anything but one line of visible characters is refused and that no message repeats a token.

--- a/crates/cli/src/status/mesh_status.rs
+++ b/crates/cli/src/status/mesh_status.rs
@@ -2,7 +2,7 @@
 
 use bronzelb_kernel::{
     clock::TimeBudget,
-    error::MeshError,
+    error::{ErrorKind, MeshError},
     ids::{DataCentre, MeshName, NodeName, VersionNumber},
     member::MemberState,
     spread::VersionRow,
@@ -23,6 +23,8 @@
     pub(crate) data_centres: BTreeMap<DataCentre, CentreSummary>,
     /// What could not be heard, and why.
     pub(crate) not_heard: Vec<CompactString>,
+    /// Whether a node wanted the operators' token.
+    pub(crate) is_token_missing: bool,
 }
 
 /// The newest version that the platform has accepted.
@@ -77,12 +79,13 @@
             nodes: Vec::new(),
             data_centres: BTreeMap::new(),
             not_heard: Vec::new(),
+            is_token_missing: false,
         };
         let mut known = BTreeMap::new();
         for (address, answer) in addresses.iter().zip(answers) {
             match answer {
                 Ok(answer) => status.add_node(*address, answer, &mut known),
-                Err(error) => status.not_heard.push(error.message().into()),
+                Err(error) => status.add_failure(&error),
             }
         }
         status.add_unheard(&known);
@@ -136,6 +139,11 @@
         self.nodes.push(line);
     }
 
+    fn add_failure(&mut self, error: &MeshError) {
+        self.not_heard.push(error.message().into());
+        self.is_token_missing |= error.kind() == ErrorKind::Unauthorized;
+    }
+
     /// Counts the members that were not heard, and names those that do not serve.
     fn add_unheard(&mut self, known: &BTreeMap<NodeName, (MemberStatus, NodeName)>) {
         for (name, (member, witness)) in known {
--- a/crates/cli/src/status/status_command.rs
+++ b/crates/cli/src/status/status_command.rs
@@ -29,7 +29,7 @@
 
 AGE is the time since the node's version came into force. Nodes that others know and that were not
 asked, or did not answer, are counted as not heard, and listed if they do not serve. The exit code
-is 6 when no node answers.";
+is 6 when no node answers, and 3 when that is for want of the token.";
 
 fn build(command: Command) -> Command {
     command
@@ -46,12 +46,19 @@
 fn run(matches: &ArgMatches, printer: &mut OutputPrinter<'_>) -> Result<(), CommandError> {
     let status = actix_web::rt::System::new().block_on(ask(matches))?;
     printer.result(to_text(&status), &status);
-    if status.nodes.is_empty() {
-        return Err(MeshError::new(ErrorKind::NoBackend, "no node answered").into());
-    }
+    check_heard(&status)?;
     Ok(())
 }
 
+fn check_heard(status: &MeshStatus) -> Result<(), MeshError> {
+    let kind = match (status.nodes.is_empty(), status.is_token_missing) {
+        (false, _) => return Ok(()),
+        (true, true) => ErrorKind::Unauthorized,
+        (true, false) => ErrorKind::NoBackend,
+    };
+    Err(MeshError::new(kind, "no node answered"))
+}
+
 async fn ask(matches: &ArgMatches) -> Result<MeshStatus, MeshError> {
     let addresses = NodeArgs::addresses(matches);
     let client = NodeClient::new(NodeArgs::token_path(matches))?;
--- a/crates/cli/tests/commands/status.rs
+++ b/crates/cli/tests/commands/status.rs
@@ -133,3 +133,38 @@
     "#]]
     .assert_eq(&last.stderr);
 }
+
+#[test]
+fn a_node_elsewhere_is_shown_the_token_from_a_file() {
+    let node = StandInNode::start_guarded("token-of-the-operators");
+    let folder = tempfile::tempdir().expect("is writable");
+    let path = folder.path().join("token");
+    let file = path.to_str().expect("is UTF-8");
+    std::fs::write(&path, "token-of-the-operators\n").expect("is writable");
+    let allowed = status(&["--node", &node.address(), "--token", file]);
+    assert_eq!(allowed.code, 0, "{}", allowed.stderr);
+
+    let without = status(&["--node", &node.address()]);
+    assert_eq!(without.code, 3);
+    assert!(without.stdout.contains("give it with --token FILE"));
+
+    std::fs::write(&path, "another-token-1234567\n").expect("is writable");
+    let wrong = status(&["--node", &node.address(), "--token", file]);
+    assert_eq!(wrong.code, 3);
+    assert!(!wrong.stdout.contains("another-token") && !wrong.stderr.contains("another-token"));
+
+    for bad in ["", "two words\n", "two\nlines\n"] {
+        std::fs::write(&path, bad).expect("is writable");
+        let refused = status(&["--node", &node.address(), "--token", file]);
+        assert_eq!(refused.code, 2, "{bad:?}");
+        assert!(
+            refused.stderr.contains("does not hold one line"),
+            "{}",
+            refused.stderr
+        );
+    }
+    let missing = folder.path().join("missing");
+    let missing = missing.to_str().expect("is UTF-8");
+    let refused = status(&["--node", &node.address(), "--token", missing]);
+    assert_eq!(refused.code, 1);
+}
--- a/crates/cli/tests/commands/support/stand_in_node.rs
+++ b/crates/cli/tests/commands/support/stand_in_node.rs
@@ -30,15 +30,33 @@
              connection: close\r\n\r\n",
             body.len()
         );
-        Self::serve(move |stream| {
+        Self::serve(move |stream, _request| {
             let _ = stream.write_all(format!("{head}{body}").as_bytes());
         })
     }
 
+    /// Starts a node that answers only those who send `token`.
+    pub(crate) fn start_guarded(token: &str) -> Self {
+        let expected = format!("authorization: bearer {token}\r\n");
+        let body = status("leuven-1", "leuven", 3).to_string();
+        let length = body.len();
+        Self::serve(move |stream, request| {
+            let answer = if request.to_lowercase().contains(&expected) {
+                format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+                )
+            } else {
+                "HTTP/1.1 401 Unauthorized\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+                    .to_owned()
+            };
+            let _ = stream.write_all(answer.as_bytes());
+        })
+    }
+
     /// Starts a node that announces an answer and never sends it.
     pub(crate) fn start_silent() -> Self {
         let mut held = Vec::new();
-        Self::serve(move |stream| {
+        Self::serve(move |stream, _request| {
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{");
             held.extend(stream.try_clone());
         })
@@ -46,7 +64,7 @@
 
     /// Starts a node that closes every connection without an answer.
     pub(crate) fn start_closing() -> Self {
-        Self::serve(|_stream| {})
+        Self::serve(|_stream, _request| {})
     }
 
     /// Returns the address of the listener.
@@ -54,7 +72,7 @@
         self.address.to_string()
     }
 
-    fn serve(mut answer: impl FnMut(&mut TcpStream) + Send + 'static) -> Self {
+    fn serve(mut answer: impl FnMut(&mut TcpStream, &str) + Send + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("is bound");
         let is_stopped = Arc::new(AtomicBool::new(false));
@@ -65,8 +83,8 @@
                     return;
                 }
                 let mut stream = stream.expect("a connection arrives");
-                read_head(&stream);
-                answer(&mut stream);
+                let request = read_head(&stream);
+                answer(&mut stream, &request);
             }
         });
         Self {
@@ -88,12 +106,11 @@
     }
 }
 
-fn read_head(stream: &TcpStream) {
+fn read_head(stream: &TcpStream) -> String {
     let mut reader = BufReader::new(stream);
-    let mut line = String::new();
-    while reader.read_line(&mut line).is_ok_and(|count| count > 2) {
-        line.clear();
-    }
+    let mut head = String::new();
+    while reader.read_line(&mut head).is_ok_and(|count| count > 2) {}
+    head
 }
 
 fn status(name: &str, centre: &str, number: u64) -> Value {
