--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -501,7 +501,7 @@
 }
 
 #[actix_web::test]
-async fn woken_node_refuses_what_waited_for_it_until_it_has_rejoined() {
+async fn server_that_died_while_its_node_was_frozen_gets_no_work_after_the_wake() {
     let mut mesh = start(1).await;
     let spec = BackendSpec::new("tracker", "v1");
     let server = mesh.add_backend("dc1-n1", &spec).await.expect("starts");
