--- a/crates/emulator/src/command/emulator_command.rs
+++ b/crates/emulator/src/command/emulator_command.rs
@@ -4,7 +4,8 @@
 use clap::{ArgMatches, Command};
 
 use crate::command::{
-    backend_command, experiment_command, load_command, platform_command, proxy_command, try_command,
+    backend_command, capacity_command, experiment_command, load_command, platform_command,
+    proxy_command, try_command,
 };
 
 /// A subcommand: how its arguments look, and what it does.
@@ -13,11 +14,15 @@
     run: fn(&ArgMatches) -> Result<(), MeshError>,
 }
 
-const SUBCOMMANDS: [Subcommand; 6] = [
+const SUBCOMMANDS: [Subcommand; 7] = [
     Subcommand {
         define: backend_command::define,
         run: backend_command::run,
     },
+    Subcommand {
+        define: capacity_command::define,
+        run: capacity_command::run,
+    },
     Subcommand {
         define: experiment_command::define,
         run: experiment_command::run,
--- a/crates/emulator/src/command/mod.rs
+++ b/crates/emulator/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod backend_command;
+mod capacity_command;
 mod emulator_command;
 mod experiment_command;
 mod load_command;
--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 //! An experiment is one file in this folder that submits an [`Experiment`] with
 //! `inventory::submit!` and returns an [`ExperimentReport`].
 
+mod capacity_plan;
 mod experiment_context;
 mod experiment_entry;
 mod experiment_report;
@@ -12,6 +13,7 @@
 pub mod rollout;
 mod spread;
 
+pub use capacity_plan::{CAPACITY_PLAN, PlannedRun};
 pub use experiment_context::{ExperimentContext, SizeSetting};
 pub use experiment_entry::Experiment;
 pub use experiment_report::{ExperimentReport, ReportCell, ReportRow, ReportSize};
