Add an experiment with a herd of restarts

All nodes but one of each data centre are killed at once and started again while callers use the others.

--- a/crates/emulator/src/experiment/request/mod.rs
+++ b/crates/emulator/src/experiment/request/mod.rs
@@ -5,4 +5,5 @@
 mod request_cost;
 mod request_latency;
 mod request_overload;
+mod restart_herd;
 mod sick_server;
--- /dev/null
+++ b/crates/emulator/src/experiment/request/restart_herd.rs
@@ -0,0 +1,142 @@
+use std::time::{Duration, Instant};
+
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    error::{ErrorKind, MeshError},
+};
+
+use crate::{
+    experiment::{Experiment, ExperimentContext, ExperimentReport, request::bench_mesh},
+    load::{LoadPlan, LoadRoute, run_load},
+    mesh::{BackendSpec, LocalMesh, node_name},
+};
+
+inventory::submit! {
+    Experiment {
+        name: "request-restart-herd",
+        about: "Recovery after most nodes die at once and return, with the load on the others",
+        run,
+    }
+}
+
+const CENTRES: u8 = 3;
+const SLOTS: u32 = 12;
+const SERVICE_TIME: &str = "10ms";
+const DEFAULT_NODES: u64 = 4;
+const DEFAULT_RATE: u64 = 200;
+const DEFAULT_SECONDS: u64 = 10;
+const DEADLINE_MS: u64 = 500;
+const PAUSE: Duration = Duration::from_secs(2);
+const LIMIT: TimeBudget = TimeBudget::from_secs(60);
+const SURVIVOR_SUFFIX: &str = "-n1";
+
+/// What a herd of deaths did.
+struct HerdFigures {
+    killed: u64,
+    restart_seconds: f64,
+    recovery_seconds: f64,
+    in_time_share: f64,
+    reads_per_second: u64,
+    objects_read: u64,
+}
+
+fn run(context: &ExperimentContext) -> Result<ExperimentReport, MeshError> {
+    let nodes = context.size("nodes", DEFAULT_NODES);
+    let rate = context.size("rate", DEFAULT_RATE);
+    let seconds = context.size("seconds", DEFAULT_SECONDS);
+    let columns = [
+        "killed",
+        "restarted_s",
+        "recovered_s",
+        "in_time_share",
+        "source_reads_max_per_s",
+        "objects_read",
+    ];
+    let mut report = ExperimentReport::new("request-restart-herd", context.seed(), columns)
+        .size("data_centres", CENTRES.into())
+        .size("nodes_per_data_centre", nodes)
+        .size("rate", rate)
+        .size("seconds", seconds)
+        .size("deadline_ms", DEADLINE_MS);
+    let figures = context.block_on(measure(context.seed(), nodes, rate, seconds))?;
+    report.row([
+        figures.killed.into(),
+        figures.restart_seconds.into(),
+        figures.recovery_seconds.into(),
+        figures.in_time_share.into(),
+        figures.reads_per_second.into(),
+        figures.objects_read.into(),
+    ]);
+    report.remark("every node but one in each data centre is killed and started again at once");
+    report.remark("times count from the deaths; recovered: each node knows all backend servers");
+    Ok(report)
+}
+
+async fn measure(seed: u64, nodes: u64, rate: u64, seconds: u64) -> Result<HerdFigures, MeshError> {
+    let nodes =
+        u8::try_from(nodes).map_err(|_| MeshError::new(ErrorKind::Invalid, "at most 255 nodes"))?;
+    let spec = BackendSpec::new(bench_mesh::SERVICE, "v1")
+        .with_slots(SLOTS)
+        .with_service_time(SERVICE_TIME);
+    let builder = LocalMesh::builder().data_centres(CENTRES).nodes(nodes);
+    let answers = bench_mesh::answers(CENTRES, SLOTS);
+    let names: Vec<String> = (1..=CENTRES)
+        .flat_map(|centre| (1..=nodes).map(move |node| node_name(centre, node)))
+        .collect();
+    let backends: Vec<_> = names
+        .iter()
+        .map(|name| (name.as_str(), spec.clone()))
+        .collect();
+    let servers = backends.len();
+    let mut mesh = bench_mesh::start_with(builder, &answers, &backends).await?;
+    let (survivors, victims): (Vec<_>, Vec<_>) = names
+        .into_iter()
+        .partition(|name| name.ends_with(SURVIVOR_SUFFIX));
+    let plan = plan(&mesh, &survivors, seed, rate, seconds)?;
+    mesh.platform().reset_counters().await?;
+    let load = actix_web::rt::spawn(async move { run_load(&plan).await });
+    tokio::time::sleep(PAUSE).await;
+    let died_at = Instant::now();
+    for name in &victims {
+        mesh.node_mut(name)?.process()?.kill();
+    }
+    for name in &victims {
+        mesh.start_node(name).await?;
+    }
+    let restart_seconds = died_at.elapsed().as_secs_f64();
+    mesh.wait_version(1, LIMIT).await?;
+    mesh.wait_backends(bench_mesh::SERVICE, servers, LIMIT)
+        .await?;
+    let recovery_seconds = died_at.elapsed().as_secs_f64();
+    let load = load
+        .await
+        .map_err(|error| MeshError::new(ErrorKind::LocalIo, format!("load: {error}")))??;
+    let counters = mesh.platform().counters().await?;
+    Ok(HerdFigures {
+        killed: victims.len() as u64,
+        restart_seconds,
+        recovery_seconds,
+        in_time_share: load.total.in_time_share(),
+        reads_per_second: counters.reads.max_per_second,
+        objects_read: counters.objects_read,
+    })
+}
+
+fn plan(
+    mesh: &LocalMesh,
+    survivors: &[String],
+    seed: u64,
+    rate: u64,
+    seconds: u64,
+) -> Result<LoadPlan, MeshError> {
+    let targets: Result<Vec<_>, MeshError> = survivors
+        .iter()
+        .map(|name| Ok(mesh.node(name)?.addresses().callers))
+        .collect();
+    let route = LoadRoute::get(bench_mesh::ROUTES[0].path).with_deadline_ms(DEADLINE_MS);
+    Ok(LoadPlan::new(targets?)
+        .with_seed(seed)
+        .with_rate(rate as f64)
+        .with_duration(TimeBudget::from_secs(seconds))
+        .with_route(route))
+}
