--- a/crates/emulator/src/mesh/local_mesh.rs
+++ b/crates/emulator/src/mesh/local_mesh.rs
@@ -3,23 +3,19 @@
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
-    time::Duration,
 };
 
 use bronzelb_kernel::{
     clock::TimeBudget,
     error::{ErrorKind, MeshError},
-    ids::ServiceName,
 };
 use tempfile::TempDir;
 
 use crate::{
-    backend::{BackendAddresses, BackendFaults, BackendTally, JournalEntry, read_journal},
     http::{CallAnswer, CallRequest, CallerClient, JsonClient},
     mesh::{
-        BackendSpec, MeshBuilder, MeshNode, NodeStatus, PlatformStandIn, ProxyStandIn,
+        MeshBackend, MeshBuilder, MeshNode, NodeStatus, PlatformStandIn, ProxyStandIn,
         mesh_names::{PLATFORM_LISTENER, node_name, peer_listener},
-        wait_until,
     },
     process::{ChildProcess, program_path},
     proxy::ProxyRules,
@@ -28,28 +24,20 @@
 
 const COMMAND_LIMIT: TimeBudget = TimeBudget::from_secs(60);
 const MAX_FIRST_PEERS: usize = 8;
-const START_PAUSE: Duration = Duration::from_millis(1);
 
 /// A running mesh; dropping it ends every process.
 pub struct LocalMesh {
     pub(crate) proxy: ProxyStandIn,
     pub(crate) rules: ProxyRules,
-    platform: PlatformStandIn,
-    nodes: BTreeMap<String, MeshNode>,
-    backends: BTreeMap<String, MeshBackend>,
-    backend_count: usize,
-    programs: MeshPrograms,
-    client: JsonClient,
+    pub(super) platform: PlatformStandIn,
+    pub(super) nodes: BTreeMap<String, MeshNode>,
+    pub(super) backends: BTreeMap<String, MeshBackend>,
+    pub(super) backend_count: usize,
+    pub(super) programs: MeshPrograms,
+    pub(super) client: JsonClient,
     caller: CallerClient,
     // The last field, so that the directory goes after the processes that write to it.
-    directory: TempDir,
-}
-
-/// A backend server of a local mesh.
-pub struct MeshBackend {
-    node: String,
-    addresses: BackendAddresses,
-    process: ChildProcess,
+    pub(super) directory: TempDir,
 }
 
 /// What a run of the command-line tool came to.
@@ -61,10 +49,10 @@
     pub text: String,
 }
 
-struct MeshPrograms {
+pub(super) struct MeshPrograms {
     daemon: PathBuf,
     tool: PathBuf,
-    emulator: PathBuf,
+    pub(super) emulator: PathBuf,
 }
 
 impl MeshPrograms {
@@ -251,127 +239,6 @@
         self.caller.call(callers, request).await
     }
 
-    /// Starts a backend server beside a node and returns its name.
-    ///
-    /// # Errors
-    ///
-    /// `LocalIo` when it does not start.
-    pub async fn add_backend(
-        &mut self,
-        node: &str,
-        spec: &BackendSpec,
-    ) -> Result<String, MeshError> {
-        self.backend_count += 1;
-        let name = format!("{}-{}-{}", spec.service, spec.version, self.backend_count);
-        let addresses = self.node(node)?.addresses();
-        let journal = self.journal_path(&name);
-        let mut args: Vec<String> = [
-            "backend",
-            "--name",
-            &name,
-            "--service",
-            &spec.service,
-            "--version",
-            &spec.version,
-            "--slots",
-            &spec.slots.to_string(),
-            "--service-time",
-            &spec.service_time,
-            "--node",
-            &addresses.operators.to_string(),
-            "--callers",
-            &addresses.callers.to_string(),
-            "--journal",
-            &journal.display().to_string(),
-        ]
-        .map(str::to_owned)
-        .to_vec();
-        args.extend(spec.args.iter().cloned());
-        let mut listener = None;
-        if spec.is_proxied {
-            let centre = self.node(node)?.centre();
-            let listener_name = format!("dc{centre}/{node}/backend/{name}");
-            let advertised = self.proxy.listen(&listener_name, None).await?;
-            args.extend(["--advertise".to_owned(), advertised.to_string()]);
-            listener = Some(listener_name);
-        }
-        let mut process =
-            ChildProcess::start(&name, &self.programs.emulator, args, self.directory.path())?;
-        let addresses: BackendAddresses = process.listening().await?;
-        if let Some(listener) = listener {
-            self.proxy.set_target(listener, addresses.address).await?;
-        }
-        let backend = MeshBackend {
-            node: node.to_owned(),
-            addresses,
-            process,
-        };
-        self.backends.insert(name.clone(), backend);
-        Ok(name)
-    }
-
-    /// Returns the names of all backend servers that were started, in order.
-    #[must_use]
-    pub fn backend_names(&self) -> Vec<String> {
-        self.backends.keys().cloned().collect()
-    }
-
-    /// Returns a backend server, to freeze or kill its process.
-    ///
-    /// # Errors
-    ///
-    /// `NotFound` when no backend server has that name.
-    pub fn backend_mut(&mut self, name: &str) -> Result<&mut MeshBackend, MeshError> {
-        self.backends.get_mut(name).ok_or_else(|| no_backend(name))
-    }
-
-    /// Returns a backend server.
-    ///
-    /// # Errors
-    ///
-    /// `NotFound` when no backend server has that name.
-    pub fn backend(&self, name: &str) -> Result<&MeshBackend, MeshError> {
-        self.backends.get(name).ok_or_else(|| no_backend(name))
-    }
-
-    /// Replaces the faults of a backend server.
-    ///
-    /// # Errors
-    ///
-    /// `LocalIo` when it does not take them.
-    pub async fn set_backend_faults(
-        &self,
-        name: &str,
-        faults: &BackendFaults,
-    ) -> Result<(), MeshError> {
-        let control = self.backend(name)?.addresses.control;
-        self.client.put(control, "/faults", faults).await
-    }
-
-    /// Reads what a running backend server ran.
-    ///
-    /// # Errors
-    ///
-    /// `LocalIo` when it does not answer.
-    pub async fn tally(&self, name: &str) -> Result<BackendTally, MeshError> {
-        let control = self.backend(name)?.addresses.control;
-        self.client.get(control, "/tally").await
-    }
-
-    /// Reads every run of every backend server, also of those that have ended.
-    ///
-    /// # Errors
-    ///
-    /// `LocalIo` when a journal is unreadable.
-    pub fn runs(&self) -> Result<Vec<JournalEntry>, MeshError> {
-        let mut entries = Vec::new();
-        for name in self.backends.keys() {
-            entries.extend(read_journal(self.journal_path(name))?);
-        }
-        entries.sort_by_key(|entry| entry.at);
-        Ok(entries)
-    }
-
     /// Runs the command-line tool and waits for its end.
     ///
     /// # Errors
@@ -406,111 +273,8 @@
         }
         Err(MeshError::invalid(format!("publish: {}", output.text)))
     }
-
-    /// Waits until every running node has configuration version `number` or a later one in force.
-    ///
-    /// # Errors
-    ///
-    /// `LocalIo` names the nodes that do not.
-    pub async fn wait_version(&mut self, number: u64, limit: TimeBudget) -> Result<(), MeshError> {
-        let what = format!("version {number} in force on every node");
-        self.wait_status(&what, limit, |status| status.version_number() >= number)
-            .await
-    }
-
-    /// Waits until every running node knows `count` serving backend servers of `service`.
-    ///
-    /// # Errors
-    ///
-    /// `LocalIo` names the nodes that do not.
-    pub async fn wait_backends(
-        &mut self,
-        service: &str,
-        count: usize,
-        limit: TimeBudget,
-    ) -> Result<(), MeshError> {
-        let service: ServiceName = service.parse()?;
-        let what = format!("{count} backend servers of {service} known to every node");
-        self.wait_status(&what, limit, |status| {
-            status.serving_backends(&service) == count
-        })
-        .await
-    }
-
-    /// Waits until the status of every running node meets a condition.
-    ///
-    /// # Errors
-    ///
-    /// `LocalIo` names a node that does not, after its last lines were printed.
-    pub async fn wait_status(
-        &mut self,
-        what: &str,
-        limit: TimeBudget,
-        condition: impl Fn(&NodeStatus) -> bool,
-    ) -> Result<(), MeshError> {
-        let running: Vec<_> = self
-            .nodes
-            .iter_mut()
-            .filter_map(|(name, node)| node.is_running().then(|| name.clone()))
-            .collect();
-        for name in running {
-            let is_met = async || {
-                self.status(&name)
-                    .await
-                    .is_ok_and(|status| condition(&status))
-            };
-            let waited = wait_until(&format!("node {name}: {what}"), limit, is_met).await;
-            if let Err(error) = waited {
-                self.print_state(&name).await;
-                return Err(error);
-            }
-            tokio::time::sleep(START_PAUSE).await;
-        }
-        Ok(())
-    }
-
-    /// Prints a node's status and its last log lines to standard error.
-    pub async fn print_state(&self, name: &str) {
-        match self.status(name).await {
-            Ok(status) => eprintln!("--- {name}: {status:?}"),
-            Err(error) => eprintln!("--- {name}: {error}"),
-        }
-        if let Ok(node) = self.node(name) {
-            eprintln!("--- {name} logged last:\n{}", node.tail());
-        }
-    }
-
-    fn journal_path(&self, backend: &str) -> PathBuf {
-        self.directory.path().join(format!("{backend}.journal"))
-    }
-}
-
-impl MeshBackend {
-    /// Returns the node that the server is beside.
-    #[must_use]
-    pub fn node(&self) -> &str {
-        &self.node
-    }
-
-    /// Returns the addresses of the server.
-    #[must_use]
-    pub const fn addresses(&self) -> BackendAddresses {
-        self.addresses
-    }
-
-    /// Returns the process of the server, to freeze or kill it.
-    pub const fn process(&mut self) -> &mut ChildProcess {
-        &mut self.process
-    }
 }
 
 fn no_node(name: &str) -> MeshError {
     MeshError::new(ErrorKind::NotFound, format!("node {name:?} does not exist"))
 }
-
-fn no_backend(name: &str) -> MeshError {
-    MeshError::new(
-        ErrorKind::NotFound,
-        format!("backend server {name:?} does not exist"),
-    )
-}
--- a/crates/emulator/src/mesh/mod.rs
+++ b/crates/emulator/src/mesh/mod.rs
@@ -7,17 +7,20 @@
 mod backend_spec;
 mod local_mesh;
 mod mesh_answers;
+mod mesh_backend;
 mod mesh_builder;
 mod mesh_faults;
 mod mesh_names;
 mod mesh_node;
+mod mesh_wait;
 mod node_status;
 mod stand_ins;
 mod wait;
 
 pub use backend_spec::BackendSpec;
-pub use local_mesh::{CommandOutput, LocalMesh, MeshBackend};
+pub use local_mesh::{CommandOutput, LocalMesh};
 pub use mesh_answers::{MeshAnswers, RouteAnswers};
+pub use mesh_backend::MeshBackend;
 pub use mesh_builder::MeshBuilder;
 pub use mesh_names::{data_centre_name, node_name};
 pub use mesh_node::{MeshNode, NodeAddresses};
