Measure the choice of a server as servers grow

Change: experiment request-choice, the kernel's processor time for a choice with its settlement and for taking the members in, at 78 to 3,960 nodes.

--- a/crates/emulator/src/experiment/request/mod.rs
+++ b/crates/emulator/src/experiment/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod bench_mesh;
 mod request_chain;
+mod request_choice;
 mod request_cost;
 mod request_latency;
 mod request_overload;
