--- a/crates/emulator/src/experiment/request/mod.rs
+++ b/crates/emulator/src/experiment/request/mod.rs
@@ -2,7 +2,9 @@
 
 mod bench_mesh;
 mod request_chain;
+mod request_choice;
 mod request_cost;
 mod request_latency;
 mod request_overload;
+mod restart_herd;
 mod sick_server;
