--- a/crates/cli/src/nodes/mod.rs
+++ b/crates/cli/src/nodes/mod.rs
@@ -2,8 +2,6 @@
 
 mod node_args;
 mod node_client;
-mod node_status;
 
 pub(crate) use node_args::{NodeAddress, NodeArgs};
 pub(crate) use node_client::NodeClient;
-pub(crate) use node_status::{MemberStatus, NodeStatus, RefusedVersion};
--- a/crates/cli/src/nodes/node_client.rs
+++ b/crates/cli/src/nodes/node_client.rs
@@ -7,14 +7,12 @@
 use bronzelb_kernel::{
     clock::ClockInstant,
     error::{ErrorKind, MeshError},
+    status::NodeStatus,
 };
 use futures::future::join_all;
 use serde::de::DeserializeOwned;
 
-use crate::{
-    nodes::{NodeAddress, NodeStatus},
-    platform::wall_clock,
-};
+use crate::{nodes::NodeAddress, platform::wall_clock};
 
 /// Size limit of a node's answer.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
--- a/crates/cli/src/publish/version_wait.rs
+++ b/crates/cli/src/publish/version_wait.rs
@@ -4,12 +4,13 @@
     clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
     ids::{NodeName, VersionNumber},
+    status::NodeStatus,
 };
 use compact_str::CompactString;
 use indicatif::{ProgressBar, ProgressStyle};
 
 use crate::{
-    nodes::{NodeAddress, NodeClient, NodeStatus},
+    nodes::{NodeAddress, NodeClient},
     platform::wall_clock,
 };
 
--- a/crates/cli/src/status/mesh_status.rs
+++ b/crates/cli/src/status/mesh_status.rs
@@ -6,11 +6,12 @@
     ids::{DataCentre, MeshName, NodeName, VersionNumber},
     member::MemberState,
     spread::VersionRow,
+    status::{MemberStatus, NodeStatus, RefusedStatus},
 };
 use compact_str::{CompactString, format_compact};
 use serde::Serialize;
 
-use crate::nodes::{MemberStatus, NodeAddress, NodeStatus, RefusedVersion};
+use crate::nodes::NodeAddress;
 
 /// What is known of a mesh from the nodes that answered.
 #[derive(Debug, Serialize)]
@@ -50,7 +51,7 @@
     pub(crate) backends: usize,
     pub(crate) is_cut_off: bool,
     pub(crate) silent_data_centres: Vec<DataCentre>,
-    pub(crate) refused: Vec<RefusedVersion>,
+    pub(crate) refused: Vec<RefusedStatus>,
 }
 
 /// What the nodes of one data centre run.
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -1,12 +1,11 @@
 //! The listener for operators and for the backend servers of the VM.
 
 mod backend_routes;
+mod node_status;
 mod operator_guard;
 mod operator_server;
-mod status_report;
 mod status_routes;
 mod time_limit;
 
 pub use operator_guard::is_operator_allowed;
 pub use operator_server::start_operator_server;
-pub use status_report::{MemberStatus, RefusedStatus, StatusReport};
--- /dev/null
+++ b/crates/daemon/src/operators/node_status.rs
@@ -0,0 +1,41 @@
+use bronzelb_kernel::{
+    spread::SpreadNode,
+    status::{MemberStatus, NodeStatus, RefusedStatus},
+};
+
+use crate::node::{NodeState, PlatformHealth};
+
+/// Takes the status of a node.
+pub(crate) fn node_status(state: &NodeState) -> NodeStatus {
+    let settings = &state.settings;
+    let now = state.now();
+    let spread = &state.spread;
+    NodeStatus {
+        mesh: settings.mesh.clone(),
+        node: settings.node.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: state.incarnation(),
+        state: state.member_state(),
+        callers: state.addresses.callers,
+        version: state.config().map(|config| config.stamp()),
+        applied_at: state.applied_at(),
+        now,
+        is_platform_away: state.platform_health() == PlatformHealth::Away,
+        platform: spread.read(|node| node.platform_state(now).name().into()),
+        is_cut_off: spread.read(|node| node.is_cut_off(now)),
+        silent_data_centres: spread.read(|node| node.silent_centres(now)),
+        is_reader: spread.read(SpreadNode::is_reader),
+        refused: spread.read(refused_versions),
+        members: state.members().iter().map(MemberStatus::from).collect(),
+    }
+}
+
+fn refused_versions(node: &SpreadNode) -> Vec<RefusedStatus> {
+    node.refused()
+        .iter()
+        .map(|(version, error)| RefusedStatus {
+            version: *version,
+            reason: error.message().into(),
+        })
+        .collect()
+}
--- a/crates/daemon/src/operators/status_routes.rs
+++ b/crates/daemon/src/operators/status_routes.rs
@@ -4,7 +4,7 @@
     member::MemberState,
 };
 
-use crate::{callers::error_response, node::NodeState, operators::StatusReport};
+use crate::{callers::error_response, node::NodeState, operators::node_status::node_status};
 
 /// Adds the routes for health, readiness, status and metrics.
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
@@ -34,7 +34,7 @@
 }
 
 async fn status(state: web::Data<NodeState>) -> impl Responder {
-    HttpResponse::Ok().json(StatusReport::of(&state))
+    HttpResponse::Ok().json(node_status(&state))
 }
 
 async fn metrics(state: web::Data<NodeState>) -> impl Responder {
--- a/crates/daemon/tests/lone_node/mod.rs
+++ b/crates/daemon/tests/lone_node/mod.rs
@@ -4,10 +4,10 @@
 
 use bronzelb_emulator::{
     http::JsonClient,
-    mesh::{NodeAddresses, NodeStatus, wait_until},
+    mesh::{NodeAddresses, wait_until},
     process::{ChildProcess, program_path},
 };
-use bronzelb_kernel::clock::TimeBudget;
+use bronzelb_kernel::{clock::TimeBudget, status::NodeStatus};
 use tempfile::TempDir;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
--- a/crates/daemon/tests/report.rs
+++ b/crates/daemon/tests/report.rs
@@ -3,10 +3,11 @@
 use bronzelb_emulator::{
     backend::{BackendFaults, ReportFaults},
     http::CallRequest,
-    mesh::{BackendSpec, LocalMesh, NodeStatus},
+    mesh::{BackendSpec, LocalMesh},
 };
 use bronzelb_kernel::{
     clock::TimeBudget, config::ShareRatio, error::ErrorKind, plugin::ReportReader,
+    status::NodeStatus,
 };
 // The readers register themselves when the daemon is linked.
 use bronzelbd as _;
--- a/crates/emulator/src/mesh/local_mesh.rs
+++ b/crates/emulator/src/mesh/local_mesh.rs
@@ -8,13 +8,14 @@
 use bronzelb_kernel::{
     clock::TimeBudget,
     error::{ErrorKind, MeshError},
+    status::NodeStatus,
 };
 use tempfile::TempDir;
 
 use crate::{
     http::{CallAnswer, CallRequest, CallerClient, JsonClient},
     mesh::{
-        MeshBackend, MeshBuilder, MeshNode, NodeStatus, PlatformStandIn, ProxyStandIn,
+        MeshBackend, MeshBuilder, MeshNode, PlatformStandIn, ProxyStandIn,
         mesh_names::{PLATFORM_LISTENER, node_name, peer_listener},
     },
     process::{ChildProcess, program_path},
--- a/crates/emulator/src/mesh/mesh_wait.rs
+++ b/crates/emulator/src/mesh/mesh_wait.rs
@@ -1,6 +1,6 @@
-use bronzelb_kernel::{clock::TimeBudget, error::MeshError, ids::ServiceName};
+use bronzelb_kernel::{clock::TimeBudget, error::MeshError, ids::ServiceName, status::NodeStatus};
 
-use crate::mesh::{LocalMesh, NodeStatus, wait_until};
+use crate::mesh::{LocalMesh, wait_until};
 
 impl LocalMesh {
     /// Waits until every running node has configuration version `number` or a later one in force.
--- a/crates/emulator/src/mesh/mod.rs
+++ b/crates/emulator/src/mesh/mod.rs
@@ -13,7 +13,6 @@
 mod mesh_names;
 mod mesh_node;
 mod mesh_wait;
-mod node_status;
 mod stand_ins;
 mod wait;
 
@@ -24,6 +23,5 @@
 pub use mesh_builder::MeshBuilder;
 pub use mesh_names::{data_centre_name, node_name};
 pub use mesh_node::{MeshNode, NodeAddresses};
-pub use node_status::{MemberStatus, NodeStatus};
 pub use stand_ins::{PlatformStandIn, ProxyStandIn};
 pub use wait::wait_until;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`spread`]: how a configuration version travels between nodes
 //! - [`request`]: admission, choice of backend server, retries and at-most-once
 //! - [`rollout`]: version moves, evidence and their state machine
+//! - [`status`]: what a node says of itself
 //! - [`plugin`]: formats and clients that register themselves
 
 pub mod burn;
@@ -22,3 +23,4 @@
 pub mod request;
 pub mod rollout;
 pub mod spread;
+pub mod status;
--- /dev/null
+++ b/crates/kernel/src/status/mod.rs
@@ -0,0 +1,9 @@
+//! What a node says of itself to operators at `GET /v1/status`.
+
+mod member_status;
+mod node_status;
+mod refused_status;
+
+pub use member_status::MemberStatus;
+pub use node_status::NodeStatus;
+pub use refused_status::RefusedStatus;
--- a/crates/emulator/src/mesh/node_status.rs
+++ b/crates/kernel/src/status/node_status.rs
@@ -1,14 +1,17 @@
 use std::net::SocketAddr;
 
-use bronzelb_kernel::{
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::{
     clock::ClockInstant,
     config::VersionStamp,
     ids::{DataCentre, IncarnationNumber, MeshName, NodeName, ServiceName},
-    member::{BackendRow, BackendState, MemberState},
+    member::{BackendState, MemberState},
+    status::{MemberStatus, RefusedStatus},
 };
-use serde::{Deserialize, Serialize};
 
-/// What a node says of itself at `/v1/status`, as far as tests look at it.
+/// What a node says of itself and of the members that it knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeStatus {
     /// Mesh that the node belongs to.
@@ -25,33 +28,31 @@
     pub callers: SocketAddr,
     /// Configuration version in force.
     pub version: Option<VersionStamp>,
-    /// Instant at which it came into force.
+    /// Instant at which it came into force, by the node's clock.
     pub applied_at: ClockInstant,
+    /// Instant of the answer, by the node's clock.
+    pub now: ClockInstant,
     /// Whether the platform does not answer.
     pub is_platform_away: bool,
+    /// What is known of the platform: `unknown`, `reachable` or `away`.
+    #[serde(default)]
+    pub platform: CompactString,
     /// Whether no other data centre has been heard from for a while.
     #[serde(default)]
     pub is_cut_off: bool,
     /// Data centres that have not been heard from for a while.
     #[serde(default)]
     pub silent_data_centres: Vec<DataCentre>,
+    /// Whether this node reads the platform's version row for its data centre.
+    #[serde(default)]
+    pub is_reader: bool,
+    /// Versions that this node refused, each with the reason.
+    #[serde(default)]
+    pub refused: Vec<RefusedStatus>,
     /// Members that the node knows, itself among them.
     pub members: Vec<MemberStatus>,
 }
 
-/// What a node knows of a member.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberStatus {
-    /// Name of the member.
-    pub node: NodeName,
-    /// Data centre of the member.
-    pub data_centre: DataCentre,
-    /// Lifecycle of the member.
-    pub state: MemberState,
-    /// Backend servers beside the member.
-    pub backends: Vec<BackendRow>,
-}
-
 impl NodeStatus {
     /// Returns the number of the configuration version in force, zero without one.
     #[must_use]
@@ -62,20 +63,20 @@
     /// Returns how many serving members the node knows.
     #[must_use]
     pub fn serving_members(&self) -> usize {
-        let members = self.members.iter();
-        members
-            .filter(|member| member.state == MemberState::Serving)
-            .count()
+        self.serving().count()
     }
 
     /// Returns how many serving backend servers of `service` the node knows.
     #[must_use]
     pub fn serving_backends(&self, service: &ServiceName) -> usize {
-        let members = self.members.iter();
-        members
-            .filter(|member| member.state == MemberState::Serving)
+        self.serving()
             .flat_map(|member| &member.backends)
             .filter(|row| row.service == *service && row.state == BackendState::Serving)
             .count()
     }
+
+    fn serving(&self) -> impl Iterator<Item = &MemberStatus> {
+        let members = self.members.iter();
+        members.filter(|member| member.state == MemberState::Serving)
+    }
 }
