Say in the burn report how many serving nodes were not heard

Cause: status had begun to count serving members that were not asked by data centre instead of naming each, and the burn report took only the names over, so it said nothing of them (seen on a mesh of two nodes with one asked). Change: the counts are listed too. The new test failed before (only the suspected node was listed) and passes after. The page was looked at as a picture: its last label was -0, now 0.

--- a/crates/cli/src/burn/burn_gather.rs
+++ b/crates/cli/src/burn/burn_gather.rs
@@ -3,6 +3,7 @@
     clock::ClockInstant,
     error::MeshError,
 };
+use compact_str::{CompactString, format_compact};
 use futures::future::join_all;
 
 use crate::{
@@ -22,7 +23,7 @@
         .map(|address| client.get(*address, "/v1/burn", deadline));
     let answers: Vec<Result<NodeBurn, MeshError>> = join_all(asked).await;
     let statuses = client.statuses(addresses, deadline).await;
-    let mut not_heard = MeshStatus::new(addresses, statuses).not_heard;
+    let mut not_heard = unheard(&MeshStatus::new(addresses, statuses));
     let mut nodes: Vec<NodeBurn> = Vec::new();
     for answer in answers {
         match answer {
@@ -35,3 +36,17 @@
     }
     BurnReport::of(&nodes, not_heard, wall_clock())
 }
+
+/// Returns whose counts are missing: single nodes, and serving ones by data centre.
+fn unheard(status: &MeshStatus) -> Vec<CompactString> {
+    let mut reasons = status.not_heard.clone();
+    for (centre, summary) in &status.data_centres {
+        if summary.not_heard > 0 {
+            reasons.push(format_compact!(
+                "{} serving nodes of data centre {centre}",
+                summary.not_heard
+            ));
+        }
+    }
+    reasons
+}
--- a/crates/cli/src/burn/burn_plot.rs
+++ b/crates/cli/src/burn/burn_plot.rs
@@ -72,7 +72,7 @@
         .disable_x_mesh()
         .x_desc("minutes ago")
         .y_desc("burn rate")
-        .x_label_formatter(&|age| format!("{:.0}", -age))
+        .x_label_formatter(&|age| format!("{:.0}", age.abs()))
         .label_style(font.clone())
         .axis_desc_style(font)
         .axis_style(BLACK)
--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -1,6 +1,7 @@
 //! Every command, run in the test's own process.
 
 mod bad_answers;
+mod burn;
 mod completions;
 mod definition;
 mod diff;
--- a/crates/cli/tests/commands/support/stand_in_node.rs
+++ b/crates/cli/tests/commands/support/stand_in_node.rs
@@ -140,5 +140,7 @@
             "reason": "content has another hash",
         }],
         "members": members,
+        "objectives": {},
+        "rows": [],
     })
 }
