--- a/crates/daemon/src/forward/crash_watch.rs
+++ b/crates/daemon/src/forward/crash_watch.rs
@@ -1,6 +1,7 @@
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bronzelb_kernel::{
+    clock::TimeBudget,
     error::{ErrorKind, MeshError},
     ids::{ContentHash, NodeName, ServiceName},
     request::{CrashRecord, CrashSuspicion, ServerLife},
@@ -11,7 +12,7 @@
 
 use crate::{backends::BackendAnnouncement, node::NodeState, peers::PeerPool};
 
-const MARK_TIMEOUT: Duration = Duration::from_millis(250);
+const MARK_BUDGET: TimeBudget = TimeBudget::from_millis(250);
 
 /// Keeps requests that kill backend servers from running on a third one.
 ///
@@ -96,11 +97,12 @@
             value: record.encode().into(),
         };
         let nodes = self.nodes_beside(service);
+        let deadline = self.state.now().after(MARK_BUDGET);
         let marks = nodes
             .iter()
-            .map(|node| self.peers.mark(node, MARK_TIMEOUT, entry.clone()));
+            .map(|node| self.peers.mark(node, deadline, entry.clone()));
         // A node that is not reached now learns of the record by gossip.
-        let _ = time::timeout(MARK_TIMEOUT, future::join_all(marks)).await;
+        let _ = time::timeout(MARK_BUDGET.to_std(), future::join_all(marks)).await;
     }
 
     fn nodes_beside(&self, service: &ServiceName) -> Vec<NodeName> {
--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -1,10 +1,6 @@
 use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
+    cell::RefCell, collections::BTreeMap, future::Future, net::SocketAddr, rc::Rc, sync::Arc,
+    time::Instant,
 };
 
 use bronzelb_kernel::{
@@ -54,11 +50,9 @@
         deadline: ClockInstant,
         message: ForwardRequest,
     ) -> Result<ForwardAnswer, MeshError> {
-        let address = self.address(node)?;
-        let client = self.client(address).await?;
-        let context = context_until(deadline.left(self.state.now()).to_std());
-        let result = client.forward(context, message).await;
-        self.settle(address, result)?
+        let send =
+            async |client: PeerServiceClient, context| client.forward(context, message).await;
+        self.call(node, deadline, send).await
     }
 
     /// Passes a request to the node that holds its idempotency key.
@@ -72,11 +66,8 @@
         deadline: ClockInstant,
         message: ForwardRequest,
     ) -> Result<ForwardAnswer, MeshError> {
-        let address = self.address(node)?;
-        let client = self.client(address).await?;
-        let context = context_until(deadline.left(self.state.now()).to_std());
-        let result = client.resume(context, message).await;
-        self.settle(address, result)?
+        let send = async |client: PeerServiceClient, context| client.resume(context, message).await;
+        self.call(node, deadline, send).await
     }
 
     /// Sends one replicated record to a node.
@@ -87,13 +78,11 @@
     pub async fn mark(
         &self,
         node: &NodeName,
-        timeout: Duration,
+        deadline: ClockInstant,
         record: RecordEntry,
     ) -> Result<(), MeshError> {
-        let address = self.address(node)?;
-        let client = self.client(address).await?;
-        let result = client.mark(context_until(timeout), record).await;
-        self.settle(address, result)?
+        let send = async |client: PeerServiceClient, context| client.mark(context, record).await;
+        self.call(node, deadline, send).await
     }
 
     /// Returns whether a connection to a node is open.
@@ -111,6 +100,23 @@
         Ok(row.peer_address)
     }
 
+    async fn call<T, F>(
+        &self,
+        node: &NodeName,
+        deadline: ClockInstant,
+        send: impl FnOnce(PeerServiceClient, context::Context) -> F,
+    ) -> Result<T, MeshError>
+    where
+        F: Future<Output = Result<Result<T, MeshError>, RpcError>>,
+    {
+        let address = self.address(node)?;
+        let client = self.client(address).await?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + deadline.left(self.state.now()).to_std();
+        let result = send(client, context).await;
+        self.settle(address, result)?
+    }
+
     async fn client(&self, address: SocketAddr) -> Result<PeerServiceClient, MeshError> {
         if let Some(client) = self.clients.borrow().get(&address) {
             return Ok(client.clone());
@@ -138,9 +144,3 @@
         })
     }
 }
-
-fn context_until(left: Duration) -> context::Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + left;
-    context
-}
