--- a/crates/answers/src/defaults/mod.rs
+++ b/crates/answers/src/defaults/mod.rs
@@ -24,7 +24,7 @@
 pub const HOLD: TimeBudget = TimeBudget::from_secs(30);
 
 /// What happens to a route's requests under load.
-pub const PRIORITY: RequestPriority = RequestPriority::Normal;
+pub const PRIORITY: RequestPriority = RequestPriority::NORMAL;
 
 /// Time that a request without a deadline of its own gets.
 pub const TIMEOUT: TimeBudget = TimeBudget::from_secs(2);
--- a/crates/answers/src/reader/route_reader.rs
+++ b/crates/answers/src/reader/route_reader.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use bronzelb_kernel::{
-    config::{HttpMethod, RouteRule},
+    config::{HttpMethod, RouteRule, RouteTraffic},
     ids::{RouteName, ServiceName},
 };
 use bronzelb_yaml::reader::{FieldNode, MapReader, parse_bytes, parse_flag, parse_with};
@@ -45,6 +45,7 @@
         timeout: resolved.timeout,
         max_body: resolved.max_body,
         objective: resolved.objective,
+        traffic: RouteTraffic::default(),
     })
 }
 
--- a/crates/answers/tests/examples.rs
+++ b/crates/answers/tests/examples.rs
@@ -39,7 +39,7 @@
     );
     let dispatches = &snapshot.routes["dispatches"];
     assert!(!dispatches.idempotent);
-    assert_eq!(dispatches.priority, RequestPriority::Urgent);
+    assert_eq!(dispatches.priority, RequestPriority::URGENT);
 }
 
 #[test]
@@ -57,7 +57,7 @@
 fn only_the_archive_can_wait() {
     for name in ["hemelval", "fraser-basin"] {
         for rule in example(name).routes.values() {
-            let can_wait = rule.priority == RequestPriority::Deferrable;
+            let can_wait = rule.priority == RequestPriority::DEFERRABLE;
             assert_eq!(can_wait, rule.service.as_str() == "archive");
         }
     }
--- a/crates/cli/src/platform/platform_access.rs
+++ b/crates/cli/src/platform/platform_access.rs
@@ -4,7 +4,7 @@
     clock::ClockInstant,
     error::{ErrorKind, MeshError},
 };
-use bronzelb_platform::client::{PlatformClient, PlatformTarget};
+use bronzelb_store::client::{PlatformClient, PlatformTarget};
 use clap::{Arg, ArgMatches};
 
 use crate::{
--- a/crates/cli/src/platform/version_read.rs
+++ b/crates/cli/src/platform/version_read.rs
@@ -4,7 +4,7 @@
     ids::MeshName,
     spread::{CurrentRow, VersionRow},
 };
-use bronzelb_platform::table::RowKey;
+use bronzelb_store::table::RowKey;
 
 use crate::platform::PlatformAccess;
 
--- a/crates/cli/src/publish/version_publisher.rs
+++ b/crates/cli/src/publish/version_publisher.rs
@@ -4,7 +4,7 @@
     ids::{ContentHash, MeshName},
     spread::{CurrentRow, PublishAttempt, PublishPlan, PublishStep, WriteAnswer},
 };
-use bronzelb_platform::table::{RowExpect, RowKey, RowRevision, RowWrite};
+use bronzelb_store::table::{RowExpect, RowKey, RowRevision, RowWrite};
 use serde::Serialize;
 
 use crate::platform::{PlatformAccess, read_version_row, version_key};
--- a/crates/cli/src/rollout/move_rows.rs
+++ b/crates/cli/src/rollout/move_rows.rs
@@ -3,7 +3,7 @@
     ids::{AttemptToken, MeshName, ServiceName},
     rollout::MoveRecord,
 };
-use bronzelb_platform::table::{RowExpect, RowKey, RowRevision, RowWrite};
+use bronzelb_store::table::{RowExpect, RowKey, RowRevision, RowWrite};
 
 use crate::platform::PlatformAccess;
 
--- a/crates/cli/tests/commands/support/memory_platform.rs
+++ b/crates/cli/tests/commands/support/memory_platform.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, future::ready, sync::Mutex};
 
 use bronzelb_kernel::error::{ErrorKind, MeshError};
-use bronzelb_platform::{
+use bronzelb_store::{
     client::{PlatformCalls, PlatformKind, PlatformTarget},
     table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
 };
@@ -156,5 +156,6 @@
         get_object: Box::new(move |name, _| {
             Box::pin(ready(with_store(&fetcher, |store| store.get_object(&name))))
         }),
+        operators: None,
     })
 }
--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     ids::BackendName,
-    member::BackendRow,
+    member::{BackendHeartbeat, BackendLifetime, BackendNews, BackendRow},
     plugin::LoadReport,
     request::ReportFilter,
 };
@@ -13,6 +13,9 @@
 /// Time for which an announcement holds.
 pub const LEASE_BUDGET: TimeBudget = TimeBudget::from_secs(3);
 
+/// Servers that have left and are remembered; a VM has one or a few at a time.
+const MAX_LEFT: usize = 64;
+
 /// A backend server beside this node, and the end of its lease.
 #[derive(Clone, Debug)]
 pub struct BackendEntry {
@@ -24,15 +27,94 @@
     pub filter: ReportFilter,
     /// Latest report that could be read.
     pub report: Option<LoadReport>,
+    /// Run of the server, and the number of its latest heartbeat.
+    order: (BackendLifetime, u64),
 }
 
 /// The backend servers beside this node, by name.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct BackendTable {
+    lease: TimeBudget,
     entries: BTreeMap<BackendName, BackendEntry>,
+    /// Latest runs of servers that have left, so that a late heartbeat brings none of them back.
+    left: BTreeMap<BackendName, BackendLifetime>,
+}
+
+impl Default for BackendTable {
+    fn default() -> Self {
+        Self::new(LEASE_BUDGET)
+    }
 }
 
 impl BackendTable {
+    /// Builds an empty table whose announcements hold for `lease`.
+    #[must_use]
+    pub const fn new(lease: TimeBudget) -> Self {
+        Self {
+            lease,
+            entries: BTreeMap::new(),
+            left: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in what a server tells in its own order and returns whether it changed what other
+    /// nodes need to know.
+    ///
+    /// News from before the latest that is held change nothing: a lower sequence within a run,
+    /// an earlier run, or an earlier run of another server at the same address.
+    pub fn take_news(&mut self, now: ClockInstant, news: BackendNews) -> bool {
+        match news {
+            BackendNews::Heartbeat(heartbeat) => self.take_heartbeat(now, heartbeat),
+            BackendNews::Leaving { name, lifetime } => self.take_leave(&name, lifetime),
+        }
+    }
+
+    fn take_heartbeat(&mut self, now: ClockInstant, heartbeat: BackendHeartbeat) -> bool {
+        let order = (heartbeat.lifetime, heartbeat.sequence);
+        let left = self.left.get(&heartbeat.name);
+        let has_left = left.is_some_and(|left| heartbeat.lifetime <= *left);
+        let address = heartbeat.announcement.address;
+        let is_late = |(name, entry): (&BackendName, &BackendEntry)| {
+            let is_same = *name == heartbeat.name;
+            let is_beside = !is_same && entry.announcement.address == address;
+            (is_same && order < entry.order) || (is_beside && order.0 < entry.order.0)
+        };
+        if has_left || self.entries.iter().any(is_late) {
+            return false;
+        }
+        let replaced: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(name, entry)| {
+                **name != heartbeat.name && entry.announcement.address == address
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &replaced {
+            self.entries.remove(name);
+        }
+        let name = heartbeat.name.clone();
+        let is_changed = self.announce(now, heartbeat.name, heartbeat.announcement);
+        if let Some(entry) = self.entries.get_mut(&name) {
+            entry.order = order;
+        }
+        is_changed || !replaced.is_empty()
+    }
+
+    fn take_leave(&mut self, name: &BackendName, lifetime: Option<BackendLifetime>) -> bool {
+        let held = self.entries.get(name).map(|entry| entry.order.0);
+        if held.zip(lifetime).is_some_and(|(held, left)| left < held) {
+            return false;
+        }
+        if let Some(lifetime) = lifetime.or(held) {
+            self.left.insert(name.clone(), lifetime);
+        }
+        while self.left.len() > MAX_LEFT {
+            self.left.pop_first();
+        }
+        self.entries.remove(name).is_some()
+    }
+
     /// Takes in an announcement and returns whether it changed what other nodes need to know.
     pub fn announce(
         &mut self,
@@ -40,7 +122,7 @@
         name: BackendName,
         announcement: BackendAnnouncement,
     ) -> bool {
-        let lease_deadline = now.after(LEASE_BUDGET);
+        let lease_deadline = now.after(self.lease);
         if let Some(entry) = self.entries.get_mut(&name) {
             let is_changed = entry.announcement != announcement;
             entry.announcement = announcement;
@@ -52,6 +134,7 @@
             lease_deadline,
             filter: ReportFilter::default(),
             report: None,
+            order: (BackendLifetime::default(), 0),
         };
         self.entries.insert(name, entry);
         true
--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -2,7 +2,7 @@
     HttpRequest, HttpResponse,
     http::{
         ConnectionType, StatusCode,
-        header::{HeaderMap, HeaderName},
+        header::{HOST, HeaderMap, HeaderName},
     },
     web,
 };
@@ -11,6 +11,7 @@
     config::{HttpMethod, RouteRule},
     error::{ErrorKind, MeshError, RunState},
     ids::IdempotencyKey,
+    plugin::CallerDialect,
 };
 use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest, HeaderPair};
 use bytes::{Bytes, BytesMut};
@@ -20,17 +21,16 @@
 use tokio::time;
 
 use crate::{
-    callers::{error_response, route_match::match_route},
+    callers::{caller_error, route_match::match_route},
     forward::{PlannedRequest, RequestForwarder, fingerprint, is_hop_header},
     log::EventName,
+    node::NodeState,
     rollout::record_burn,
 };
 
-const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
-const KEY_HEADER: &str = "idempotency-key";
-const ATTEMPT_HEADER: &str = "x-bronzelb-attempt";
-const REQUEST_HEADER: &str = "x-bronzelb-request";
 const CONFIG_HEADER: &str = "x-bronzelb-config";
+/// Longer identifiers are not taken from callers, so that log lines stay short.
+const MAX_REQUEST_ID_BYTES: usize = 128;
 
 /// Answers one request of a caller.
 pub(crate) async fn handle_caller(
@@ -39,23 +39,24 @@
     forwarder: web::Data<RequestForwarder>,
 ) -> HttpResponse {
     let state = forwarder.state();
-    let request_id = state.next_request_id();
+    let dialect = &state.settings.dialect.callers;
+    let request_id = request_id(&request, state);
     let result = run_request(&request, payload, &forwarder, &request_id).await;
     let mut response = match result {
-        Ok(answer) => answer_response(&answer),
+        Ok(answer) => answer_response(dialect, &answer),
         Err(error) => {
             state.count(error.kind().name());
             info!(state.logger, "{}", EventName::RequestFailed;
                 "request" => request_id.as_str(), "kind" => error.kind().name(),
                 "message" => error.message().to_owned());
-            error_response(&error, Some(state.now()))
+            caller_error(dialect, &error, state.now())
         }
     };
     let headers = response.headers_mut();
     if let Ok(value) = request_id.parse() {
-        headers.insert(HeaderName::from_static(REQUEST_HEADER), value);
+        headers.insert(HeaderName::from_static(dialect.request_header), value);
     }
-    if let Some(config) = state.config() {
+    if let Some(config) = state.config().filter(|_| dialect.describes_answers) {
         let number = config.stamp().number.get();
         headers.insert(HeaderName::from_static(CONFIG_HEADER), number.into());
     }
@@ -81,20 +82,24 @@
         MeshError::new(ErrorKind::NotReady, "the node has no configuration yet")
             .with_retry_at(now.after(TimeBudget::from_secs(1)))
     })?;
+    let dialect = &state.settings.dialect.callers;
+    let headers = request.headers();
     let method: HttpMethod = request.method().as_str().parse()?;
-    let (route, rule) = match_route(config.snapshot(), method, request.path())?;
-    let deadline = read_deadline(request.headers(), rule, now)?;
-    let key = read_key(request.headers())?;
+    let host = request_host(request);
+    let (route, rule) = match_route(config.snapshot(), host, method, request.path())?;
+    let deadline = read_deadline(dialect, headers, rule, now)?;
+    let key = read_key(dialect, headers)?;
     let left = deadline.left(now).to_std();
     let body = time::timeout(left, read_body(payload, rule))
         .await
         .map_err(|_| MeshError::new(ErrorKind::SlowSender, "the body did not arrive in time"))??;
-    let attempt = read_attempt(request.headers());
+    let attempt = read_attempt(dialect, headers);
     let target = request_target(request);
     let planned = PlannedRequest {
-        service: rule.service.clone(),
+        service: rule.choose_service(rand::random()).clone(),
         deadline,
         idempotent: rule.idempotent,
+        attempts: rule.traffic.attempts,
         is_nested_retry: attempt > 1,
         message: ForwardRequest {
             request_id: request_id.clone(),
@@ -106,7 +111,7 @@
             attempt,
             method,
             target,
-            headers: end_to_end_headers(request.headers()),
+            headers: passed_headers(state, headers, host),
             body,
         },
     };
@@ -115,12 +120,30 @@
     result
 }
 
+/// Returns the caller's identifier of the request where the dialect takes it, else a new one.
+fn request_id(request: &HttpRequest, state: &NodeState) -> CompactString {
+    let dialect = &state.settings.dialect.callers;
+    let sent = request.headers().get(dialect.request_header);
+    sent.filter(|_| dialect.takes_request_id)
+        .and_then(|value| value.to_str().ok())
+        .filter(|text| !text.is_empty() && text.len() <= MAX_REQUEST_ID_BYTES)
+        .map_or_else(|| state.next_request_id(), CompactString::from)
+}
+
+/// Returns the host that the caller addressed, with its port if it named one.
+fn request_host(request: &HttpRequest) -> &str {
+    let header = request.headers().get(HOST);
+    let sent = header.and_then(|value| value.to_str().ok());
+    request.uri().host().or(sent).unwrap_or("")
+}
+
 fn read_deadline(
+    dialect: &CallerDialect,
     headers: &HeaderMap,
     rule: &RouteRule,
     now: ClockInstant,
 ) -> Result<ClockInstant, MeshError> {
-    let Some(value) = headers.get(DEADLINE_HEADER) else {
+    let Some(value) = headers.get(dialect.deadline_header) else {
         return Ok(now.after(rule.timeout));
     };
     let millis: i64 = value
@@ -128,12 +151,14 @@
         .ok()
         .and_then(|text| text.parse().ok())
         .ok_or_else(|| {
-            MeshError::invalid(format!("{DEADLINE_HEADER} is not a number of milliseconds"))
+            let name = dialect.deadline_header;
+            MeshError::invalid(format!("{name} is not a number of milliseconds"))
         })?;
     let millis = u64::try_from(millis).unwrap_or(0);
     if millis == 0 {
         return Err(MeshError::invalid(format!(
-            "{DEADLINE_HEADER} leaves no time; send the time that is left, in milliseconds"
+            "{} leaves no time; send the time that is left, in milliseconds",
+            dialect.deadline_header
         )));
     }
     let wanted = TimeBudget::from_millis(millis);
@@ -141,21 +166,27 @@
 }
 
 /// Reads the number of the attempt further up a chain of calls that the request belongs to.
-fn read_attempt(headers: &HeaderMap) -> u32 {
-    headers
-        .get(ATTEMPT_HEADER)
+fn read_attempt(dialect: &CallerDialect, headers: &HeaderMap) -> u32 {
+    let header = dialect.attempt_header.and_then(|name| headers.get(name));
+    header
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok())
         .unwrap_or(1)
 }
 
-fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, MeshError> {
-    let Some(value) = headers.get(KEY_HEADER) else {
+fn read_key(
+    dialect: &CallerDialect,
+    headers: &HeaderMap,
+) -> Result<Option<IdempotencyKey>, MeshError> {
+    let Some(name) = dialect.key_header else {
+        return Ok(None);
+    };
+    let Some(value) = headers.get(name) else {
         return Ok(None);
     };
     let text = value
         .to_str()
-        .map_err(|_| MeshError::invalid(format!("{KEY_HEADER} is not visible ASCII")))?;
+        .map_err(|_| MeshError::invalid(format!("{name} is not visible ASCII")))?;
     text.parse().map(Some)
 }
 
@@ -183,25 +214,43 @@
     )
 }
 
-fn end_to_end_headers(headers: &HeaderMap) -> Vec<HeaderPair> {
-    headers
+/// Returns the headers that reach the backend server, with those that the dialect adds.
+fn passed_headers(state: &NodeState, headers: &HeaderMap, host: &str) -> Vec<HeaderPair> {
+    let dialect = state.settings.dialect;
+    let origin_header = dialect.servers.origin_header;
+    let mut pairs: Vec<_> = headers
         .iter()
         .filter(|(name, _)| !is_hop_header(name.as_str()))
-        .map(|(name, value)| HeaderPair {
-            name: name.as_str().into(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
-        })
-        .collect()
+        .filter(|(name, _)| origin_header != Some(name.as_str()))
+        .map(|(name, value)| header_pair(name.as_str(), value.as_bytes()))
+        .collect();
+    if dialect.callers.keeps_host && !host.is_empty() {
+        pairs.push(header_pair(HOST.as_str(), host.as_bytes()));
+    }
+    let origin = state.settings.callers.origin.as_ref();
+    if let Some((name, origin)) = origin_header.zip(origin) {
+        pairs.push(header_pair(name, origin.as_str().as_bytes()));
+    }
+    pairs
 }
 
-fn answer_response(answer: &ForwardAnswer) -> HttpResponse {
+fn header_pair(name: &str, value: &[u8]) -> HeaderPair {
+    HeaderPair {
+        name: name.into(),
+        value: Bytes::copy_from_slice(value),
+    }
+}
+
+fn answer_response(dialect: &CallerDialect, answer: &ForwardAnswer) -> HttpResponse {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
     for pair in &answer.headers {
         builder.append_header((pair.name.as_str(), pair.value.as_ref()));
     }
-    builder.insert_header(("x-bronzelb-run", RunState::Ran.name()));
-    builder.insert_header(("x-bronzelb-backend", answer.backend.as_str()));
-    builder.insert_header(("x-bronzelb-build", answer.version.as_str()));
+    if dialect.describes_answers {
+        builder.insert_header(("x-bronzelb-run", RunState::Ran.name()));
+        builder.insert_header(("x-bronzelb-backend", answer.backend.as_str()));
+        builder.insert_header(("x-bronzelb-build", answer.version.as_str()));
+    }
     builder.body(answer.body.clone())
 }
--- a/crates/daemon/src/callers/caller_server.rs
+++ b/crates/daemon/src/callers/caller_server.rs
@@ -38,6 +38,8 @@
     .max_connections(MAX_CONNECTIONS)
     .client_request_timeout(HEADER_TIMEOUT)
     .keep_alive(IDLE_TIMEOUT)
+    // A caller that has gone away gets no answer, so its request ends.
+    .h1_allow_half_closed(false)
     .shutdown_timeout(SHUTDOWN_SECS)
     .disable_signals()
     .listen(listener)
--- a/crates/daemon/src/callers/error_response.rs
+++ b/crates/daemon/src/callers/error_response.rs
@@ -1,5 +1,5 @@
 use actix_web::{HttpResponse, http::StatusCode};
-use bronzelb_kernel::{clock::ClockInstant, error::MeshError};
+use bronzelb_kernel::{clock::ClockInstant, error::MeshError, plugin::CallerDialect};
 use compact_str::CompactString;
 use serde::Serialize;
 
@@ -41,3 +41,22 @@
         retry_after_ms,
     })
 }
+
+/// Builds the HTTP answer that a dialect gives to a caller for `error`.
+pub(crate) fn caller_error(
+    dialect: &CallerDialect,
+    error: &MeshError,
+    now: ClockInstant,
+) -> HttpResponse {
+    if dialect.describes_answers {
+        return error_response(error, Some(now));
+    }
+    let status = (dialect.status)(error.kind());
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    if let Some(instant) = error.retry_at() {
+        let wait = (dialect.retry_after)(instant.left(now));
+        builder.insert_header(("retry-after", wait.as_str()));
+    }
+    builder.finish()
+}
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -3,8 +3,11 @@
 mod caller_handler;
 mod caller_server;
 mod error_response;
+mod own_dialect;
 mod route_match;
 mod ticket_handler;
 
 pub use caller_server::start_caller_server;
+pub(crate) use error_response::caller_error;
 pub use error_response::error_response;
+pub use own_dialect::OWN_DIALECT;
--- /dev/null
+++ b/crates/daemon/src/callers/own_dialect.rs
@@ -0,0 +1,60 @@
+//! The mesh's own dialect.
+
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    error::ErrorKind,
+    plugin::{AnswerHeaders, CallerDialect, ServerDialect, WireDialect},
+};
+use compact_str::{CompactString, format_compact};
+
+/// Name by which the setting `dialect` chooses the mesh's own dialect.
+pub const OWN_DIALECT: &str = "bronzelb";
+
+const REQUEST_HEADER: &str = "x-bronzelb-request";
+const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
+const ATTEMPT_HEADER: &str = "x-bronzelb-attempt";
+const KEY_HEADER: &str = "idempotency-key";
+const BACKEND_RUN_HEADER: &str = "x-backend-run";
+const NOT_RUN: &[u8] = b"not-run";
+const SHED_STATUS: u16 = 503;
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+inventory::submit! {
+    WireDialect {
+        name: OWN_DIALECT,
+        callers: CallerDialect {
+            request_header: REQUEST_HEADER,
+            deadline_header: DEADLINE_HEADER,
+            key_header: Some(KEY_HEADER),
+            attempt_header: Some(ATTEMPT_HEADER),
+            takes_request_id: false,
+            keeps_host: false,
+            describes_answers: true,
+            status,
+            retry_after,
+        },
+        servers: ServerDialect {
+            request_header: REQUEST_HEADER,
+            deadline_header: DEADLINE_HEADER,
+            attempt_header: Some(ATTEMPT_HEADER),
+            expected_server_header: None,
+            origin_header: None,
+            takes_unframed: false,
+            is_not_run,
+        },
+        local: None,
+    }
+}
+
+fn status(kind: ErrorKind) -> u16 {
+    kind.answer().status
+}
+
+/// Writes whole seconds, rounded up (RFC 9110, section 10.2.3).
+fn retry_after(wait: TimeBudget) -> CompactString {
+    format_compact!("{}", wait.as_millis().div_ceil(MILLIS_PER_SECOND))
+}
+
+fn is_not_run(status: u16, header: &AnswerHeaders<'_>) -> bool {
+    status == SHED_STATUS && header(BACKEND_RUN_HEADER) == Some(NOT_RUN)
+}
--- a/crates/daemon/src/command/run_daemon.rs
+++ b/crates/daemon/src/command/run_daemon.rs
@@ -26,7 +26,7 @@
         print_summary(&settings);
         return ExitCode::SUCCESS;
     }
-    match run_node(settings) {
+    match run_node(settings, path.clone()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(error.kind(), &format_args!("bronzelbd: {error}")),
     }
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -17,6 +17,7 @@
     error::{ErrorKind, MeshError},
     ids::{BackendName, SlotCount},
     member::BackendState,
+    plugin::ServerDialect,
     request::{CrashSuspicion, ServerLife},
 };
 use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest, HeaderPair};
@@ -26,7 +27,9 @@
 use crate::{
     backends::BackendAnnouncement,
     forward::{
-        backend_connection::{BackendConnection, ExchangeError, MAX_ANSWER_BYTES, WholeAnswer},
+        backend_connection::{
+            BackendConnection, ExchangeError, ExchangeRule, MAX_ANSWER_BYTES, WholeAnswer,
+        },
         crash_watch::CrashWatch,
         gate_keeper::SlotPermit,
         is_hop_header,
@@ -45,11 +48,6 @@
 const IDLE_DIVISOR: usize = 3;
 /// Threads besides the workers that send to backend servers: the one that serves other nodes.
 const OTHER_THREADS: usize = 1;
-const REQUEST_HEADER: &str = "x-bronzelb-request";
-const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
-const ATTEMPT_HEADER: &str = "x-bronzelb-attempt";
-const BACKEND_RUN_HEADER: &str = "x-backend-run";
-const NOT_RUN: &str = "not-run";
 
 /// Client of the backend servers beside this node; clones share their connections.
 #[derive(Clone)]
@@ -99,6 +97,8 @@
             _ => None,
         };
         let permit = gate.slots.enter(message.priority, deadline).await?;
+        // The server may have begun to leave while the request waited.
+        let announcement = self.announcement(name)?;
         let result = self
             .run_in_slot(name, &announcement, &gate, deadline, message)
             .await;
@@ -132,12 +132,26 @@
             MeshError::new(ErrorKind::NoBackend, message).with_retry_at(self.pause())
         })?;
         if entry.announcement.state == BackendState::Serving {
-            return Ok(entry.announcement.clone());
+            let mut announcement = entry.announcement.clone();
+            announcement.connections = announcement
+                .connections
+                .min(self.declared_connections(&announcement));
+            return Ok(announcement);
         }
         let message = format!("backend server {name} takes no new work");
         Err(MeshError::new(ErrorKind::Draining, message).with_retry_at(self.pause()))
     }
 
+    /// Returns the connections that the configuration grants each server of the service.
+    fn declared_connections(&self, announcement: &BackendAnnouncement) -> u32 {
+        let config = self.state.config();
+        let spec = config.as_ref().and_then(|config| {
+            let services = &config.snapshot().services;
+            services.get(&announcement.service)
+        });
+        spec.map_or(u32::MAX, |spec| spec.connections)
+    }
+
     async fn run_in_slot(
         &self,
         name: &BackendName,
@@ -158,7 +172,7 @@
             let message = "the deadline passed before the request ran";
             return Err(MeshError::new(ErrorKind::DeadlinePassed, message));
         }
-        let exchange = self.exchange(announcement, gate, left, message);
+        let exchange = self.exchange(name, announcement, gate, left, message);
         let Ok(result) = time::timeout(left.to_std(), exchange).await else {
             let message = format!("backend server {name} did not answer before the deadline");
             return Err(MeshError::new(ErrorKind::OutcomeUnknown, message));
@@ -187,6 +201,7 @@
 
     async fn exchange(
         &self,
+        name: &BackendName,
         announcement: &BackendAnnouncement,
         gate: &HostGate,
         left: TimeBudget,
@@ -198,21 +213,28 @@
             Some(connection) => connection,
             None => BackendConnection::open(address).await?,
         };
-        let is_fresh = connection.is_fresh();
-        let head = request_head(address, echoes, left, message)?;
-        let (answer, connection) = connection.exchange(head, message.body.clone()).await?;
-        let echo = answer.headers.get(REQUEST_HEADER);
-        match echo {
-            Some(echo) if echo.as_bytes() == message.request_id.as_bytes() => {
-                gate.echoes.store(true, Ordering::Relaxed);
+        let dialect = &self.state.settings.dialect.servers;
+        let head = request_head(dialect, name, address, echoes, left, message)?;
+        let is_own = |answer: &WholeAnswer, is_fresh: bool| {
+            match answer.headers.get(dialect.request_header) {
+                Some(echo) => echo.as_bytes() == message.request_id.as_bytes(),
+                // A server that does not echo gets a connection for each request.
+                None => is_fresh || is_not_run(dialect, answer),
             }
-            // A server that does not echo gets a connection for each request.
-            None if is_fresh => gate.echoes.store(false, Ordering::Relaxed),
-            _ => {
+        };
+        let rule = ExchangeRule {
+            takes_unframed: dialect.takes_unframed,
+            is_own: &is_own,
+        };
+        let exchanged = connection.exchange(head, message.body.clone(), &rule).await;
+        let (answer, connection) = exchanged.inspect_err(|error| {
+            if matches!(error, ExchangeError::Lost(_)) {
                 gate.echoes.store(false, Ordering::Relaxed);
-                let reason = "it answered for another request";
-                return Err(ExchangeError::Lost(reason.to_owned()));
             }
+        })?;
+        if !is_not_run(dialect, &answer) {
+            let has_echoed = answer.headers.contains_key(dialect.request_header);
+            gate.echoes.store(has_echoed, Ordering::Relaxed);
         }
         let connection = connection.filter(|_| gate.echoes.load(Ordering::Relaxed));
         if let Some(connection) = connection {
@@ -250,14 +272,11 @@
         name: &BackendName,
         answer: WholeAnswer,
     ) -> Result<WholeAnswer, MeshError> {
-        let run = answer.headers.get(BACKEND_RUN_HEADER);
-        let is_shed = answer.status.as_u16() == 503
-            && run.is_some_and(|run| run.as_bytes() == NOT_RUN.as_bytes());
-        if !is_shed {
+        if !is_not_run(&self.state.settings.dialect.servers, &answer) {
             return Ok(answer);
         }
         let message = format!("backend server {name} shed the request");
-        Err(MeshError::new(ErrorKind::Overloaded, message).with_retry_at(self.pause()))
+        Err(MeshError::new(ErrorKind::Shed, message).with_retry_at(self.pause()))
     }
 
     /// Withdraws a dead server at once; one that lives announces itself again.
@@ -313,7 +332,14 @@
     false
 }
 
+fn is_not_run(dialect: &ServerDialect, answer: &WholeAnswer) -> bool {
+    let header = |name: &str| answer.headers.get(name).map(HeaderValue::as_bytes);
+    (dialect.is_not_run)(answer.status.as_u16(), &header)
+}
+
 fn request_head(
+    dialect: &ServerDialect,
+    name: &BackendName,
     address: SocketAddr,
     echoes: bool,
     left: TimeBudget,
@@ -328,24 +354,17 @@
         let value = HeaderValue::from_bytes(&pair.value).map_err(|e| unsendable(&e))?;
         head.headers.append(name, value);
     }
-    let own = [
-        (HOST, address.to_string()),
-        (
-            HeaderName::from_static(REQUEST_HEADER),
-            message.request_id.to_string(),
-        ),
-        (
-            HeaderName::from_static(DEADLINE_HEADER),
-            left.as_millis().max(1).to_string(),
-        ),
-        (
-            HeaderName::from_static(ATTEMPT_HEADER),
-            message.attempt.to_string(),
-        ),
-    ];
-    for (name, value) in own {
-        let value = HeaderValue::try_from(value).map_err(|error| unsendable(&error))?;
-        head.headers.insert(name, value);
+    if !head.headers.contains_key(HOST) {
+        insert(&mut head, HOST.as_str(), &address.to_string())?;
+    }
+    insert(&mut head, dialect.request_header, &message.request_id)?;
+    let left = left.as_millis().max(1).to_string();
+    insert(&mut head, dialect.deadline_header, &left)?;
+    if let Some(header) = dialect.attempt_header {
+        insert(&mut head, header, &message.attempt.to_string())?;
+    }
+    if let Some(header) = dialect.expected_server_header {
+        insert(&mut head, header, name.as_str())?;
     }
     if !echoes {
         head.set_connection_type(ConnectionType::Close);
@@ -353,6 +372,13 @@
     Ok(head)
 }
 
+fn insert(head: &mut RequestHead, name: &str, value: &str) -> Result<(), ExchangeError> {
+    let name = HeaderName::from_bytes(name.as_bytes()).map_err(|error| unsendable(&error))?;
+    let value = HeaderValue::try_from(value).map_err(|error| unsendable(&error))?;
+    head.headers.insert(name, value);
+    Ok(())
+}
+
 fn unsendable(error: &dyn std::fmt::Display) -> ExchangeError {
     ExchangeError::Unreached(format!("the request cannot be written: {error}"))
 }
--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -1,24 +1,32 @@
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io, mem,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use actix_http::{
     RequestHead, RequestHeadType, ResponseHead,
     body::BodySize,
-    h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
+    h1::{ClientCodec, Message, MessageType},
     header::HeaderMap,
 };
 use actix_web::http::{
     Method, StatusCode,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
-use bytes::{Bytes, BytesMut};
-use futures::{SinkExt, StreamExt};
+use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
     time,
 };
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Decoder, Encoder};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Answers to earlier requests that are passed over before the server counts as confused.
+const MAX_STRAYS: usize = 3;
+/// Part of the idle time that a server states after which it may already be closing.
+const IDLE_PART: f64 = 0.8;
 
 /// Size limit of an answer's body, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -42,15 +50,29 @@
     pub(crate) body: Bytes,
 }
 
+/// Which answers an exchange takes.
+pub(crate) struct ExchangeRule<'a> {
+    /// Whether an answer without a length is whole when its connection ends in order.
+    pub(crate) takes_unframed: bool,
+    /// Returns whether an answer belongs to the request; the flag says that the connection has
+    /// carried no other one.
+    pub(crate) is_own: &'a dyn Fn(&WholeAnswer, bool) -> bool,
+}
+
 /// One connection to a backend server.
 ///
 /// The exchange is written on actix's own codec rather than on `awc`, which reports the end of
 /// the connection inside a body as the end of the body, and a connection that is closed after the
 /// request was written as one that was not established.
-#[derive(Debug)]
 pub(crate) struct BackendConnection {
-    framed: Framed<TcpStream, ClientCodec>,
+    stream: TcpStream,
+    codec: ClientCodec,
+    received: BytesMut,
     is_fresh: bool,
+    /// Whether a part of the request could not be written.
+    is_broken: bool,
+    /// Instant from which the server may close the idle connection, if it says so.
+    idle_deadline: Option<Instant>,
 }
 
 impl BackendConnection {
@@ -68,106 +90,178 @@
         // Without the option small requests wait for acknowledgements, but still arrive.
         let _ = stream.set_nodelay(true);
         Ok(Self {
-            framed: Framed::new(stream, ClientCodec::default()),
+            stream,
+            codec: ClientCodec::default(),
+            received: BytesMut::new(),
             is_fresh: true,
+            is_broken: false,
+            idle_deadline: None,
         })
     }
 
-    /// Returns whether the server has neither closed the idle connection nor sent anything on it.
+    /// Returns whether the server has neither closed the idle connection nor sent anything on it,
+    /// and does not say that it is about to close it.
     pub(crate) fn is_usable(&self) -> bool {
         let mut byte = [0];
-        let read = self.framed.get_ref().try_read(&mut byte);
+        let read = self.stream.try_read(&mut byte);
         let is_silent = read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
-        is_silent && self.framed.read_buffer().is_empty()
-    }
-
-    /// Returns whether no exchange has been made, so that the next answer belongs to the next
-    /// request whatever it says.
-    pub(crate) const fn is_fresh(&self) -> bool {
-        self.is_fresh
+        let is_kept = self
+            .idle_deadline
+            .is_none_or(|deadline| Instant::now() < deadline);
+        is_silent && is_kept && self.received.is_empty()
     }
 
     /// Sends a request and reads its whole answer.
     ///
-    /// The connection comes back if it can serve another exchange.
+    /// Answers that belong to earlier requests are passed over. The connection comes back if it
+    /// can serve another exchange.
     pub(crate) async fn exchange(
         mut self,
         head: RequestHead,
         body: Bytes,
+        rule: &ExchangeRule<'_>,
     ) -> Result<(WholeAnswer, Option<Self>), ExchangeError> {
-        self.is_fresh = false;
+        let is_fresh = mem::replace(&mut self.is_fresh, false);
         let method = head.method.clone();
-        self.send(head, body).await.map_err(|error| lost(&error))?;
-        let head = self.read_head().await?;
-        if !has_end(&method, &head) {
-            let reason = "the answer's body has no length, so that a cut would not show";
-            return Err(lost(&reason));
-        }
-        if self.framed.codec().message_type() == MessageType::None {
-            let is_kept = self.framed.codec().keep_alive();
-            let answer = whole_answer(head, Bytes::new());
-            return Ok((answer, is_kept.then_some(self)));
+        let mut unsent = self.encode(head, body).map_err(|error| lost(&error))?;
+        for strays in 0..=MAX_STRAYS {
+            let (answer, is_kept) = self.read_answer(&method, &mut unsent, rule).await?;
+            if (rule.is_own)(&answer, is_fresh) {
+                // A server that answered early still expects the rest of the body.
+                let is_reusable = is_kept && unsent.is_empty() && strays == 0 && !self.is_broken;
+                self.idle_deadline = idle_deadline(&answer.headers);
+                return Ok((answer, is_reusable.then_some(self)));
+            }
+            if !is_kept {
+                break;
+            }
         }
-        self.read_payload(head).await
+        Err(lost(&"it answered for another request"))
     }
 
-    async fn send(&mut self, head: RequestHead, body: Bytes) -> io::Result<()> {
-        let size = match body.is_empty() {
-            true => BodySize::Sized(0),
-            false => BodySize::Sized(body.len() as u64),
-        };
+    fn encode(&mut self, head: RequestHead, body: Bytes) -> io::Result<BytesMut> {
+        let mut encoded = BytesMut::new();
+        let size = BodySize::Sized(body.len() as u64);
         let head = RequestHeadType::Owned(head);
-        self.framed.feed(Message::Item((head, size))).await?;
+        self.codec
+            .encode(Message::Item((head, size)), &mut encoded)?;
         if !body.is_empty() {
-            self.framed.feed(Message::Chunk(Some(body))).await?;
-            self.framed.feed(Message::Chunk(None)).await?;
+            self.codec
+                .encode(Message::Chunk(Some(body)), &mut encoded)?;
+            self.codec.encode(Message::Chunk(None), &mut encoded)?;
+        }
+        Ok(encoded)
+    }
+
+    /// Reads one answer, and returns whether another one may follow on the connection.
+    async fn read_answer(
+        &mut self,
+        method: &Method,
+        unsent: &mut BytesMut,
+        rule: &ExchangeRule<'_>,
+    ) -> Result<(WholeAnswer, bool), ExchangeError> {
+        let head = self.read_head(unsent).await?;
+        if !has_end(method, &head) {
+            if !rule.takes_unframed {
+                let reason = "the answer's body has no length, so that a cut would not show";
+                return Err(lost(&reason));
+            }
+            let body = self.read_to_end(unsent).await?;
+            return Ok((whole_answer(head, body), false));
         }
-        SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(&mut self.framed).await
+        if self.codec.message_type() == MessageType::None {
+            let is_kept = self.codec.keep_alive();
+            return Ok((whole_answer(head, Bytes::new()), is_kept));
+        }
+        let (body, is_kept) = self.read_payload(unsent).await?;
+        Ok((whole_answer(head, body), is_kept))
     }
 
-    async fn read_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+    async fn read_head(&mut self, unsent: &mut BytesMut) -> Result<ResponseHead, ExchangeError> {
         loop {
-            let head = match self.framed.next().await {
-                Some(Ok(head)) => head,
-                Some(Err(error)) => return Err(lost(&error)),
-                None => return Err(lost(&"closed before an answer")),
-            };
-            if !head.status.is_informational() {
-                return Ok(head);
+            let decoded = self.codec.decode(&mut self.received);
+            match decoded.map_err(|error| lost(&error))? {
+                Some(head) if !head.status.is_informational() => return Ok(head),
+                Some(_) => {}
+                None => self.fill(unsent, "closed before an answer").await?,
             }
         }
     }
 
     async fn read_payload(
-        self,
-        head: ResponseHead,
-    ) -> Result<(WholeAnswer, Option<Self>), ExchangeError> {
-        let mut framed: Framed<TcpStream, ClientPayloadCodec> =
-            self.framed.map_codec(ClientCodec::into_payload_codec);
+        &mut self,
+        unsent: &mut BytesMut,
+    ) -> Result<(Bytes, bool), ExchangeError> {
+        let mut codec = mem::take(&mut self.codec).into_payload_codec();
         let mut body = BytesMut::new();
         loop {
-            let chunk = match framed.next().await {
-                Some(Ok(Some(chunk))) => chunk,
-                Some(Ok(None)) => break,
-                Some(Err(error)) => return Err(lost(&error)),
-                None => return Err(lost(&"closed inside the answer's body")),
-            };
-            if body.len() + chunk.len() > MAX_ANSWER_BYTES {
-                return Err(ExchangeError::TooLarge);
+            let decoded = codec.decode(&mut self.received);
+            match decoded.map_err(|error| lost(&error))? {
+                Some(Some(chunk)) => append(&mut body, &chunk)?,
+                Some(None) => break,
+                None => self.fill(unsent, "closed inside the answer's body").await?,
             }
-            body.extend_from_slice(&chunk);
         }
-        let is_kept = framed.codec().keep_alive();
-        let framed = framed.map_codec(ClientPayloadCodec::into_message_codec);
-        let answer = whole_answer(head, body.freeze());
-        Ok((
-            answer,
-            is_kept.then_some(Self {
-                framed,
-                is_fresh: false,
-            }),
-        ))
+        let is_kept = codec.keep_alive();
+        self.codec = codec.into_message_codec();
+        Ok((body.freeze(), is_kept))
     }
+
+    /// Reads a body that ends with the connection; a reset is not such an end.
+    async fn read_to_end(&mut self, unsent: &mut BytesMut) -> Result<Bytes, ExchangeError> {
+        let mut body = self.received.split();
+        while self.receive(unsent).await.map_err(|error| lost(&error))? > 0 {
+            append(&mut body, &self.received.split())?;
+        }
+        Ok(body.freeze())
+    }
+
+    async fn fill(&mut self, unsent: &mut BytesMut, reason: &str) -> Result<(), ExchangeError> {
+        match self.receive(unsent).await {
+            Ok(0) => Err(lost(&reason)),
+            Ok(_) => Ok(()),
+            Err(error) => Err(lost(&error)),
+        }
+    }
+
+    /// Receives some bytes, and meanwhile sends what is left of the request.
+    async fn receive(&mut self, unsent: &mut BytesMut) -> io::Result<usize> {
+        while !unsent.is_empty() {
+            let (mut reader, mut writer) = self.stream.split();
+            tokio::select! {
+                biased;
+                written = writer.write(unsent) => match written {
+                    Ok(count) => unsent.advance(count),
+                    // The server may have answered before it stopped reading.
+                    Err(_) => {
+                        unsent.clear();
+                        self.is_broken = true;
+                    }
+                },
+                count = reader.read_buf(&mut self.received) => return count,
+            }
+        }
+        self.stream.read_buf(&mut self.received).await
+    }
+}
+
+fn append(body: &mut BytesMut, chunk: &[u8]) -> Result<(), ExchangeError> {
+    if body.len() + chunk.len() > MAX_ANSWER_BYTES {
+        return Err(ExchangeError::TooLarge);
+    }
+    body.extend_from_slice(chunk);
+    Ok(())
+}
+
+/// Returns when the connection is no longer to be used, by the server's `keep-alive` header.
+fn idle_deadline(headers: &HeaderMap) -> Option<Instant> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: u32 = seconds.parse().ok()?;
+    let allowed = Duration::from_secs(u64::from(seconds)).mul_f64(IDLE_PART);
+    Some(Instant::now() + allowed)
 }
 
 /// Returns whether the end of the body is marked by more than the end of the connection.
@@ -182,7 +276,7 @@
 fn whole_answer(mut head: ResponseHead, body: Bytes) -> WholeAnswer {
     WholeAnswer {
         status: head.status,
-        headers: std::mem::replace(head.headers_mut(), HeaderMap::new()),
+        headers: mem::replace(head.headers_mut(), HeaderMap::new()),
         body,
     }
 }
--- a/crates/daemon/src/forward/claim_table.rs
+++ b/crates/daemon/src/forward/claim_table.rs
@@ -9,7 +9,7 @@
     },
     request::{ClaimOutcome, ClaimRow, ClaimSight, MAX_CLAIM_BODY, ServerLoad},
 };
-use bronzelb_platform::{
+use bronzelb_store::{
     PlatformClient, PlatformTarget,
     table::{RowExpect, RowKey, RowRevision, RowWrite, TableRow},
 };
--- a/crates/daemon/src/forward/planned_request.rs
+++ b/crates/daemon/src/forward/planned_request.rs
@@ -1,6 +1,6 @@
 use bronzelb_kernel::{
     clock::ClockInstant,
-    ids::{ContentHash, IdempotencyKey, ServiceName},
+    ids::{AttemptCount, ContentHash, IdempotencyKey, ServiceName},
 };
 use bronzelb_wire::peer::ForwardRequest;
 
@@ -13,6 +13,8 @@
     pub deadline: ClockInstant,
     /// Whether the route's requests may run more than once.
     pub idempotent: bool,
+    /// Most backend servers that the request may be sent to; `None` leaves it to the node.
+    pub attempts: Option<AttemptCount>,
     /// Whether the request is part of a retry further up a chain of calls.
     pub is_nested_retry: bool,
     /// Request as it travels to the node beside the backend server.
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -2,9 +2,12 @@
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
+    config::ShareRatio,
     error::{ErrorKind, MeshError, RunState},
     ids::BackendName,
-    request::{AttemptOutcome, ChoiceRule, RetryCase, ServerPlace},
+    request::{
+        AttemptCase, AttemptOutcome, BudgetRule, ChoiceRule, RetryCase, RetryVerdict, ServerPlace,
+    },
     rollout::{OutcomeClass, OutcomeReport, VersionSplit},
 };
 use bronzelb_wire::peer::ForwardAnswer;
@@ -105,10 +108,9 @@
         planned: &PlannedRequest,
         pass: EntryPass,
     ) -> Result<ForwardAnswer, MeshError> {
-        if !planned.is_nested_retry {
-            self.state.requests.budget().earn();
-        }
+        self.count_fresh(planned);
         let mut tried = Vec::new();
+        let mut arrivals = 0;
         let mut end = RequestEnd::default();
         loop {
             let Some(place) = self.choose(planned, &tried) else {
@@ -119,12 +121,30 @@
             let (outcome, result) = self.attempt(planned, &place, attempt).await;
             pass.gate.settle(self.state.now(), outcome);
             let is_final = result.as_ref().is_err_and(is_final);
+            let has_arrived = has_arrived(&result);
+            arrivals += u32::from(has_arrived);
             end.take(result);
             if outcome == AttemptOutcome::Served || is_final {
                 pass.permit.finish();
                 return end.with_default(deadline_passed);
             }
-            if !self.may_retry(planned, outcome, attempt) {
+            let may_retry = match self.state.requests.budget_rule() {
+                Some(rule) => {
+                    let case = AttemptCase {
+                        outcome,
+                        has_arrived,
+                        idempotent: planned.idempotent,
+                        tries: attempt,
+                        arrivals,
+                        max_arrivals: planned.attempts,
+                        deadline: planned.deadline,
+                        failure_share: self.failure_share(planned),
+                    };
+                    self.may_repeat(planned, rule, &case)
+                }
+                None => self.may_retry(planned, outcome, attempt),
+            };
+            if !may_retry {
                 return end.with_default(deadline_passed);
             }
             self.state.count("retries");
@@ -198,13 +218,41 @@
         }
     }
 
+    fn count_fresh(&self, planned: &PlannedRequest) {
+        let requests = &self.state.requests;
+        if let Some(rule) = requests.budget_rule() {
+            let now = self.state.now();
+            requests.with_shared_budget(rule, &planned.service, |budget| budget.count_fresh(now));
+        } else if !planned.is_nested_retry {
+            requests.budget().earn();
+        }
+    }
+
+    fn failure_share(&self, planned: &PlannedRequest) -> ShareRatio {
+        let now = self.state.now();
+        let book = self.state.requests.book();
+        book.failure_share(now, &planned.service)
+    }
+
+    /// Decides on another attempt by the budget that all nodes share.
+    fn may_repeat(&self, planned: &PlannedRequest, rule: BudgetRule, case: &AttemptCase) -> bool {
+        let now = self.state.now();
+        match case.verdict(now) {
+            RetryVerdict::Never => false,
+            RetryVerdict::Free => true,
+            RetryVerdict::Paid => {
+                let nodes = self.state.members().live().count();
+                let requests = &self.state.requests;
+                requests.with_shared_budget(rule, &planned.service, |budget| {
+                    budget.take_repeat(now, nodes)
+                })
+            }
+        }
+    }
+
     fn may_retry(&self, planned: &PlannedRequest, outcome: AttemptOutcome, attempts: u32) -> bool {
         let now = self.state.now();
-        let failure_share = self
-            .state
-            .requests
-            .book()
-            .failure_share(now, &planned.service);
+        let failure_share = self.failure_share(planned);
         let case = RetryCase {
             outcome,
             idempotent: planned.idempotent,
@@ -349,6 +397,17 @@
     )
 }
 
+/// Returns whether an attempt reached a backend server, whether or not that ran it.
+fn has_arrived(result: &Result<ForwardAnswer, MeshError>) -> bool {
+    match result {
+        Ok(_) => true,
+        Err(error) => {
+            let is_run = error.kind().answer().run_state != RunState::NotRun;
+            is_run || error.kind() == ErrorKind::Shed
+        }
+    }
+}
+
 fn deadline_passed() -> MeshError {
     MeshError::new(
         ErrorKind::DeadlinePassed,
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -12,7 +12,9 @@
     error::{ErrorKind, MeshError},
     ids::{BackendName, ServiceName, SlotCount},
     member::MemberTable,
-    request::{AdaptiveLimit, AttemptOutcome, KeyLedger, RetryBudget, ServerBook},
+    request::{
+        AdaptiveLimit, AttemptOutcome, BudgetRule, KeyLedger, RetryBudget, ServerBook, SharedBudget,
+    },
 };
 use bronzelb_wire::peer::ForwardAnswer;
 use tokio::sync::watch;
@@ -36,6 +38,8 @@
     book: Mutex<ServerBook>,
     members_seen: AtomicU64,
     budget: Mutex<RetryBudget>,
+    budget_rule: Option<BudgetRule>,
+    shared_budgets: Mutex<BTreeMap<ServiceName, SharedBudget>>,
     entries: Mutex<BTreeMap<ServiceName, Arc<EntryGate>>>,
     hosts: Mutex<BTreeMap<BackendName, Arc<HostGate>>>,
     ledger: Mutex<KeyLedger<ResultReceiver, SharedResult>>,
@@ -64,12 +68,14 @@
 }
 
 impl RequestState {
-    pub(crate) fn new(clock: SystemClock) -> Self {
+    pub(crate) fn new(clock: SystemClock, budget_rule: Option<BudgetRule>) -> Self {
         Self {
             clock,
             book: Mutex::default(),
             members_seen: AtomicU64::new(0),
             budget: Mutex::default(),
+            budget_rule,
+            shared_budgets: Mutex::default(),
             entries: Mutex::default(),
             hosts: Mutex::default(),
             ledger: Mutex::default(),
@@ -87,6 +93,26 @@
         lock(&self.budget)
     }
 
+    /// Returns the rule of the budget that all nodes share, if they share one.
+    pub(crate) const fn budget_rule(&self) -> Option<BudgetRule> {
+        self.budget_rule
+    }
+
+    /// Changes this node's part in the shared budget of `service`.
+    pub(crate) fn with_shared_budget<T>(
+        &self,
+        rule: BudgetRule,
+        service: &ServiceName,
+        change: impl FnOnce(&mut SharedBudget) -> T,
+    ) -> T {
+        let mut budgets = lock(&self.shared_budgets);
+        if let Some(budget) = budgets.get_mut(service) {
+            return change(budget);
+        }
+        let budget = budgets.entry(service.clone());
+        change(budget.or_insert_with(|| SharedBudget::new(rule)))
+    }
+
     pub(crate) fn ledger(&self) -> MutexGuard<'_, KeyLedger<ResultReceiver, SharedResult>> {
         lock(&self.ledger)
     }
--- a/crates/daemon/src/gossip/spread_task.rs
+++ b/crates/daemon/src/gossip/spread_task.rs
@@ -7,7 +7,7 @@
         VersionFetch,
     },
 };
-use bronzelb_platform::PlatformClient;
+use bronzelb_store::PlatformClient;
 use slog::{info, warn};
 use tokio::{task::spawn_local, time};
 
@@ -159,7 +159,15 @@
             .step(|node, rng| node.fetch_answered(&fetch, result, now, rng));
     }
 
+    /// Reads the version row, unless operators' documents come by a feed of their own.
     async fn read_source(&self) {
+        let has_feed = self
+            .platform
+            .as_ref()
+            .is_some_and(|platform| platform.operators().is_some());
+        if has_feed {
+            return;
+        }
         let result = read_version_row(&self.state, self.platform.as_ref()).await;
         if let Err(error) = &result {
             self.state.count("source_read_failed");
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -26,6 +26,14 @@
     BackendAnnounced,
     /// A backend server left, or its lease lapsed.
     BackendLeft,
+    /// An announcement could not be read; nothing that was known changes.
+    AnnouncementRefused,
+    /// An operator's document could not be read; nothing that was in force changes.
+    DocumentRefused,
+    /// The settings file has changed; what can change while the node runs was taken over.
+    SettingsReloaded,
+    /// The changed settings file has mistakes; the settings of before stay in force.
+    SettingsRefused,
     /// A request failed or was refused.
     RequestFailed,
     /// A version move changed its state.
@@ -54,6 +62,10 @@
             Self::MemberChanged => "member-changed",
             Self::BackendAnnounced => "backend-announced",
             Self::BackendLeft => "backend-left",
+            Self::AnnouncementRefused => "announcement-refused",
+            Self::DocumentRefused => "document-refused",
+            Self::SettingsReloaded => "settings-reloaded",
+            Self::SettingsRefused => "settings-refused",
             Self::RequestFailed => "request-failed",
             Self::MoveChanged => "move-changed",
             Self::Draining => "draining",
--- a/crates/daemon/src/node/drain_node.rs
+++ b/crates/daemon/src/node/drain_node.rs
@@ -9,6 +9,10 @@
 
 /// Time for which a draining node still takes new requests while the others learn of it.
 const NOTICE_TIME: Duration = Duration::from_millis(1_500);
+/// Time that a supervisor needs to see twice in a row that a node is no longer ready.
+const SUPERVISOR_TIME: Duration = Duration::from_millis(2_300);
+/// Part of a limited shutdown that stays for the last answers to go out.
+const SPARE_TIME: TimeBudget = TimeBudget::from_millis(400);
 /// Time after the notice that requests in flight get at least.
 const MIN_DRAIN_TIME: TimeBudget = TimeBudget::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -20,10 +24,17 @@
 /// nodes that have not heard of it. Then it refuses new ones as not run, and waits for those in
 /// flight until the drain deadline: the longest drain time of any service, and at least 30 s.
 pub(crate) async fn drain_node(state: &NodeState, callers: &ServerHandle) {
+    let shutdown = state.settings.shutdown;
+    let limit = shutdown.map(|time| state.now().after(time).before(SPARE_TIME));
     state.start_draining();
-    time::sleep(NOTICE_TIME).await;
+    time::sleep(if limit.is_some() {
+        SUPERVISOR_TIME
+    } else {
+        NOTICE_TIME
+    })
+    .await;
     state.requests.close();
-    let deadline = state.now().after(drain_time(state));
+    let deadline = limit.unwrap_or_else(|| state.now().after(drain_time(state)));
     let stopped = callers.stop(true);
     while state.requests.in_flight() > 0 && !deadline.has_passed(state.now()) {
         time::sleep(POLL_INTERVAL).await;
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod drain_node;
 mod node_state;
+mod reload_settings;
 mod run_node;
 mod stop_signal;
 mod system_clock;
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -21,11 +21,11 @@
 use cadence::CountedExt;
 use compact_str::{CompactString, format_compact};
 use rand::{SeedableRng, rngs::StdRng};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::broadcast;
 
 use crate::{
-    backends::BackendTable,
+    backends::{BackendTable, LEASE_BUDGET},
     forward::RequestState,
     gossip::SpreadState,
     log::EventName,
@@ -87,6 +87,7 @@
     /// Requests that the node admits and runs.
     pub requests: Arc<RequestState>,
     is_draining: AtomicBool,
+    is_platform_away: AtomicBool,
     request_count: AtomicU64,
 }
 
@@ -95,6 +96,11 @@
     #[must_use]
     pub fn new(settings: NodeSettings, addresses: NodeAddresses, logger: Logger) -> Arc<Self> {
         let clock = SystemClock::start();
+        let budget_rule = settings.retries;
+        let lease = settings
+            .local
+            .as_ref()
+            .map_or(LEASE_BUDGET, |local| local.lease);
         let metric_sink = MetricSink::default();
         let spread = start_spread(&settings, addresses, clock.now());
         let slot = NodeSlot {
@@ -114,9 +120,10 @@
             metric_sink,
             config: ArcSwapOption::empty(),
             applied_at: AtomicU64::new(0),
-            backends: Mutex::default(),
-            requests: Arc::new(RequestState::new(clock)),
+            backends: Mutex::new(BackendTable::new(lease)),
+            requests: Arc::new(RequestState::new(clock, budget_rule)),
             is_draining: AtomicBool::new(false),
+            is_platform_away: AtomicBool::new(false),
             request_count: AtomicU64::new(0),
         })
     }
@@ -267,6 +274,29 @@
         }
     }
 
+    /// Returns whether the node takes requests: a version is in force and it neither starts, is
+    /// cut off from its own clock, nor drains.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let now = self.now();
+        !self.is_draining()
+            && self.config().is_some()
+            && self.spread.read(|node| node.is_ready(now))
+    }
+
+    /// Takes in whether a call to the platform was answered, and logs when that changes.
+    pub fn note_platform(&self, failure: Option<&MeshError>) {
+        let is_away = failure.is_some();
+        if self.is_platform_away.swap(is_away, Ordering::Relaxed) == is_away {
+            return;
+        }
+        match failure {
+            Some(error) => warn!(self.logger, "{}", EventName::PlatformState;
+                "state" => "lost", "message" => error.to_string()),
+            None => info!(self.logger, "{}", EventName::PlatformState; "state" => "regained"),
+        }
+    }
+
     /// Returns the lifecycle state of this node.
     #[must_use]
     pub fn member_state(&self) -> MemberState {
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -1,4 +1,4 @@
-use std::{net::TcpListener, rc::Rc, sync::Arc};
+use std::{net::TcpListener, path::PathBuf, rc::Rc, sync::Arc};
 
 use actix::System;
 use bronzelb_kernel::error::{ErrorKind, MeshError};
@@ -12,30 +12,36 @@
     callers::start_caller_server,
     gossip::{GossipPool, run_spread},
     log::{EventName, NodeLogger},
-    node::{NodeAddresses, NodeState, StopSignal, drain_node::drain_node},
-    operators::start_operator_server,
+    node::{
+        NodeAddresses, NodeState, StopSignal, drain_node::drain_node, reload_settings::run_reload,
+    },
+    operators::{start_local_server, start_operator_server},
     peers::start_peer_server,
     report::run_reports,
     rollout::{run_evidence, run_move_rows, run_rollout},
     settings::NodeSettings,
+    source::run_operator_feed,
 };
 
 /// Runs a node until a termination signal and a graceful shutdown.
 ///
+/// `path` is the settings file, which is watched for changes.
+///
 /// # Errors
 ///
 /// [`ErrorKind::LocalIo`] when a listener does not open.
-pub fn run_node(settings: NodeSettings) -> Result<(), MeshError> {
+pub fn run_node(settings: NodeSettings, path: PathBuf) -> Result<(), MeshError> {
     let listeners = NodeListeners::open(&settings)?;
     let logger = NodeLogger::stdout(&settings.node, &settings.data_centre);
     let state = NodeState::new(settings, listeners.addresses()?, logger);
-    System::new().block_on(serve(state, listeners))
+    System::new().block_on(serve(state, listeners, path))
 }
 
 struct NodeListeners {
     callers: TcpListener,
     peers: TcpListener,
     operators: TcpListener,
+    local: Vec<TcpListener>,
 }
 
 impl NodeListeners {
@@ -44,6 +50,10 @@
             callers: open(settings.callers.listen)?,
             peers: open(settings.peers.listen)?,
             operators: open(settings.operators.listen)?,
+            local: match &settings.local {
+                Some(local) => vec![open(local.announcements)?, open(local.ready)?],
+                None => Vec::new(),
+            },
         })
     }
 
@@ -68,10 +78,18 @@
     MeshError::new(ErrorKind::LocalIo, error.to_string())
 }
 
-async fn serve(state: Arc<NodeState>, listeners: NodeListeners) -> Result<(), MeshError> {
+async fn serve(
+    state: Arc<NodeState>,
+    listeners: NodeListeners,
+    path: PathBuf,
+) -> Result<(), MeshError> {
     let (sender, stop) = StopSignal::channel();
     let callers = start_caller_server(Arc::clone(&state), listeners.callers)?;
     let operators = start_operator_server(Arc::clone(&state), listeners.operators)?;
+    if let Some(dialect) = state.settings.dialect.local {
+        let local = start_local_server(Arc::clone(&state), dialect, listeners.local)?;
+        spawn_local(local);
+    }
     let peers = tokio::net::TcpListener::from_std(listeners.peers).map_err(io_error)?;
     let caller_handle = callers.handle();
     let operator_handle = operators.handle();
@@ -91,6 +109,8 @@
         Rc::clone(&pool),
         stop.clone(),
     ));
+    spawn_local(run_operator_feed(Arc::clone(&state), stop.clone()));
+    spawn_local(run_reload(Arc::clone(&state), path, stop.clone()));
     spawn_local(run_move_rows(Arc::clone(&state), stop.clone()));
     let spread = spawn_local(run_spread(Arc::clone(&state), pool, stop));
     announce_listening(&state);
--- /dev/null
+++ b/crates/daemon/src/operators/local_server.rs
@@ -0,0 +1,112 @@
+use std::{net::TcpListener, sync::Arc, time::Duration};
+
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, dev::Server, http::StatusCode, web};
+use bronzelb_kernel::{
+    error::{ErrorKind, MeshError},
+    member::{BackendNews, BackendState},
+    plugin::{LocalCall, LocalDialect},
+};
+use slog::{info, warn};
+
+use crate::{callers::caller_error, log::EventName, node::NodeState};
+
+/// Announcements are a few hundred bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+
+/// Starts the listeners for the backend servers and the supervisor of the VM.
+///
+/// # Errors
+///
+/// [`ErrorKind::LocalIo`] when a socket is not usable.
+pub fn start_local_server(
+    state: Arc<NodeState>,
+    dialect: LocalDialect,
+    listeners: Vec<TcpListener>,
+) -> Result<Server, MeshError> {
+    let mut server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::from(Arc::clone(&state)))
+            .app_data(web::Data::new(dialect))
+            .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+            .default_service(web::to(handle_call))
+    })
+    .workers(1)
+    .client_request_timeout(HEADER_TIMEOUT)
+    .keep_alive(IDLE_TIMEOUT)
+    .disable_signals();
+    for listener in listeners {
+        server = server.listen(listener).map_err(|error| {
+            MeshError::new(ErrorKind::LocalIo, format!("local listener: {error}"))
+        })?;
+    }
+    Ok(server.run())
+}
+
+async fn handle_call(
+    request: HttpRequest,
+    body: web::Bytes,
+    state: web::Data<NodeState>,
+    dialect: web::Data<LocalDialect>,
+) -> HttpResponse {
+    if request.path() == dialect.ready_path {
+        return ready(&state);
+    }
+    let call = LocalCall {
+        method: request.method().as_str(),
+        path: request.path(),
+        query: request.query_string(),
+        body: &body,
+    };
+    match (dialect.decode_announcement)(&call) {
+        Ok(news) => {
+            take_news(&state, news);
+            HttpResponse::Ok().json(serde_json::Map::new())
+        }
+        Err(error) => {
+            state.count("announcement_refused");
+            warn!(state.logger, "{}", EventName::AnnouncementRefused;
+                "message" => error.to_string());
+            caller_error(&state.settings.dialect.callers, &error, state.now())
+        }
+    }
+}
+
+fn ready(state: &NodeState) -> HttpResponse {
+    match state.is_ready() {
+        true => HttpResponse::Ok().finish(),
+        false => HttpResponse::build(StatusCode::SERVICE_UNAVAILABLE).finish(),
+    }
+}
+
+fn take_news(state: &NodeState, news: BackendNews) {
+    let (name, service, backend_state) = match &news {
+        BackendNews::Heartbeat(heartbeat) => (
+            heartbeat.name.clone(),
+            Some(heartbeat.announcement.service.clone()),
+            Some(heartbeat.announcement.state),
+        ),
+        BackendNews::Leaving { name, .. } => (name.clone(), None, None),
+    };
+    if !state.backends().take_news(state.now(), news) {
+        return;
+    }
+    state.refresh_own_row();
+    let event = match backend_state {
+        Some(_) => EventName::BackendAnnounced,
+        None => EventName::BackendLeft,
+    };
+    info!(state.logger, "{event}";
+        "backend" => name.to_string(),
+        "service" => service.map(|service| service.to_string()),
+        "state" => backend_state.map(state_name));
+}
+
+const fn state_name(state: BackendState) -> &'static str {
+    match state {
+        BackendState::Starting => "starting",
+        BackendState::Serving => "serving",
+        BackendState::Draining => "draining",
+    }
+}
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -1,11 +1,13 @@
 //! The listener for operators and for the backend servers of the VM.
 
 mod backend_routes;
+mod local_server;
 mod node_status;
 mod operator_guard;
 mod operator_server;
 mod status_routes;
 mod time_limit;
 
+pub use local_server::start_local_server;
 pub use operator_guard::is_operator_allowed;
 pub use operator_server::start_operator_server;
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -8,6 +8,6 @@
 mod transport;
 
 pub use counted_stream::PeerTraffic;
-pub(crate) use peer_connection::open_connection;
+pub(crate) use peer_connection::{open_connection, watch_silence};
 pub use peer_pool::PeerPool;
 pub use peer_server::start_peer_server;
--- a/crates/daemon/src/peers/peer_connection.rs
+++ b/crates/daemon/src/peers/peer_connection.rs
@@ -6,6 +6,7 @@
     handshake::connect_peer,
     peer::{PeerServiceRequest, PeerServiceResponse},
 };
+use socket2::{SockRef, TcpKeepalive};
 use tarpc::{
     ClientMessage, Response,
     client::{self, NewClient},
@@ -23,7 +24,13 @@
     },
 };
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Some hundred round trips within a region; a peer that is cut off does not answer at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which unacknowledged bytes show that the peer is cut off.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The shortest time between probes of an idle connection that the system allows.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBE_COUNT: u32 = 2;
 
 /// Outgoing connection: the client, and the task that carries its messages.
 ///
@@ -71,9 +78,21 @@
     }
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
+    watch_silence(&stream)?;
     Ok(stream)
 }
 
+/// Lets the system end a connection whose other side no longer answers.
+pub(crate) fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBE_COUNT);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))
+}
+
 fn unreachable(address: SocketAddr, reason: &str) -> MeshError {
     MeshError::new(
         ErrorKind::NoBackend,
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -134,6 +134,7 @@
             service: rule.service.clone(),
             deadline,
             idempotent: rule.idempotent,
+            attempts: rule.traffic.attempts,
             is_nested_retry: request.attempt > 1,
             message: request,
         };
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -18,7 +18,10 @@
     gossip::GossipPool,
     log::EventName,
     node::{NodeState, StopSignal},
-    peers::{counted_stream::CountedStream, peer_handler::PeerHandler, transport::peer_transport},
+    peers::{
+        counted_stream::CountedStream, peer_handler::PeerHandler, transport::peer_transport,
+        watch_silence,
+    },
 };
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -57,6 +60,10 @@
 ) {
     let state = Arc::clone(handler.state());
     let _ = stream.set_nodelay(true);
+    if let Err(error) = watch_silence(&stream) {
+        refuse_peer(&state, address, &error.to_string());
+        return;
+    }
     let mut stream = CountedStream::new(stream, state.peer_traffic.clone());
     let key = &state.settings.mesh_key;
     let handshake = accept_peer(&mut stream, key, rand::random());
--- a/crates/daemon/src/rollout/mod.rs
+++ b/crates/daemon/src/rollout/mod.rs
@@ -2,6 +2,7 @@
 
 mod burn_routes;
 mod evidence_sender;
+mod move_order;
 mod move_routes;
 mod move_rows;
 mod rollout_state;
@@ -9,6 +10,7 @@
 
 pub(crate) use burn_routes::{configure_burn, record_burn};
 pub use evidence_sender::run_evidence;
+pub(crate) use move_order::take_order;
 pub(crate) use move_routes::configure;
 pub use move_routes::{MoveReport, RouteShare};
 pub use move_rows::run_move_rows;
--- /dev/null
+++ b/crates/daemon/src/rollout/move_order.rs
@@ -0,0 +1,96 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    ids::{AttemptToken, BuildVersion},
+    member::MemberTable,
+    plugin::MoveOrder,
+    rollout::{MOVE_KIND, MoveRecord, MoveState},
+    spread::RecordKey,
+};
+use bronzelb_store::{PlatformClient, table::RowKey};
+use compact_str::format_compact;
+use slog::{info, warn};
+
+use crate::{log::EventName, node::NodeState};
+
+const READ_BUDGET: TimeBudget = TimeBudget::from_millis(500);
+
+/// Takes in an operator's order: the move's record as the platform holds it, else a new one.
+///
+/// Every node that reads the order starts the move by itself, so that no version gets traffic of
+/// which no node has decided; the records merge into one.
+pub(crate) async fn take_order(
+    state: &Arc<NodeState>,
+    platform: &PlatformClient,
+    order: &MoveOrder,
+) {
+    let held = state.rollout.table().record(&order.service).cloned();
+    if held.is_some_and(|held| held.number >= order.number) {
+        return;
+    }
+    let record = match read_record(state, platform, order).await {
+        Some(record) => record,
+        None => new_record(state, order),
+    };
+    info!(state.logger, "{}", EventName::MoveChanged;
+        "service" => order.service.to_string(), "move" => order.number.get(),
+        "from" => record.from.to_string(), "to" => record.to.to_string(),
+        "state" => record.state.name(), "left_ms" => record.by.left(state.now()).as_millis());
+    let key = RecordKey::new(MOVE_KIND, order.service.as_str());
+    if let Err(error) = state.put_record(key, record.to_bytes()) {
+        warn!(state.logger, "{}", EventName::RecordRefused; "message" => error.to_string());
+    }
+}
+
+/// Returns the record of this order, if another run of the mesh has stored one.
+async fn read_record(
+    state: &NodeState,
+    platform: &PlatformClient,
+    order: &MoveOrder,
+) -> Option<MoveRecord> {
+    let key: RowKey = format_compact!("{}/move/{}", state.settings.mesh, order.service)
+        .parse()
+        .ok()?;
+    let deadline = state.now().after(READ_BUDGET);
+    // Without an answer the move starts anew, and merges with the stored one when that is read.
+    let row = platform.get_row(&key, deadline).await.ok()??;
+    let record = MoveRecord::from_row(&row.value).ok()?;
+    (record.number >= order.number).then_some(record)
+}
+
+fn new_record(state: &NodeState, order: &MoveOrder) -> MoveRecord {
+    let now = state.now();
+    let config = state.config();
+    let spec = config
+        .as_ref()
+        .and_then(|config| config.snapshot().services.get(&order.service));
+    let rule = spec.map_or_else(
+        || bronzelb_kernel::config::ServiceSpec::undeclared(u32::MAX).rollout,
+        |spec| spec.rollout.clone(),
+    );
+    MoveRecord {
+        service: order.service.clone(),
+        number: order.number,
+        from: present_version(&state.members(), order),
+        to: order.target.clone(),
+        start: now,
+        by: now.after(order.allowed),
+        rule,
+        state: MoveState::Running,
+        attempt: AttemptToken::new(rand::random()),
+        statement: None,
+        mark: None,
+    }
+}
+
+/// Returns the version, other than the target, that most slots of the service run now.
+fn present_version(members: &MemberTable, order: &MoveOrder) -> BuildVersion {
+    let rows = members.live().flat_map(|member| &member.backends);
+    let mut slots: BTreeMap<&BuildVersion, u32> = BTreeMap::new();
+    for row in rows.filter(|row| row.service == order.service && row.version != order.target) {
+        *slots.entry(&row.version).or_default() += row.slots.get();
+    }
+    let most = slots.into_iter().max_by_key(|(_, count)| *count);
+    most.map_or_else(|| order.target.clone(), |(version, _)| version.clone())
+}
--- a/crates/daemon/src/rollout/move_rows.rs
+++ b/crates/daemon/src/rollout/move_rows.rs
@@ -1,15 +1,15 @@
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bronzelb_kernel::{
     clock::TimeBudget,
     error::{ErrorKind, MeshError},
-    ids::{AttemptToken, DataCentre},
+    ids::{AttemptToken, DataCentre, MoveNumber, ServiceName},
     rollout::{MOVE_KIND, MoveChange, MoveRecord, MoveState, MoveStatement, RouteTally},
     spread::{RecordKey, choose_readers},
 };
-use bronzelb_platform::{
+use bronzelb_store::{
     PlatformClient,
-    table::{RowExpect, RowWrite, TableRow},
+    table::{RowExpect, RowKey, RowRevision, RowWrite, TableRow},
 };
 use compact_str::{CompactString, format_compact};
 use slog::{info, warn};
@@ -32,7 +32,11 @@
         // The spreading task has logged why.
         return;
     };
-    let keeper = RowKeeper { state, platform };
+    let mut keeper = RowKeeper {
+        state,
+        platform,
+        settled: BTreeMap::new(),
+    };
     while stop.pause(POLL_INTERVAL).await {
         if !keeper.is_reader() {
             continue;
@@ -50,6 +54,8 @@
 struct RowKeeper {
     state: Arc<NodeState>,
     platform: PlatformClient,
+    /// Moves whose end the platform's row is known to hold.
+    settled: BTreeMap<ServiceName, MoveNumber>,
 }
 
 impl RowKeeper {
@@ -59,7 +65,10 @@
         readers.contains(&settings.node)
     }
 
-    async fn poll(&self) -> Result<(), MeshError> {
+    async fn poll(&mut self) -> Result<(), MeshError> {
+        if self.platform.operators().is_some() {
+            return self.keep_known().await;
+        }
         let prefix = format!("{}/move/", self.state.settings.mesh);
         let mut after = None;
         loop {
@@ -78,6 +87,72 @@
         }
     }
 
+    /// Keeps the rows of the moves that operators' documents have started.
+    async fn keep_known(&mut self) -> Result<(), MeshError> {
+        let table = self.state.rollout.table();
+        let records: Vec<_> = table.records().cloned().collect();
+        drop(table);
+        for held in records {
+            if self.settled.get(&held.service) == Some(&held.number) {
+                continue;
+            }
+            let key: RowKey =
+                format_compact!("{}/move/{}", self.state.settings.mesh, held.service).parse()?;
+            let deadline = self.state.now().after(CALL_BUDGET);
+            let row = self.platform.get_row(&key, deadline).await?;
+            let stored = row
+                .as_ref()
+                .map(|row| MoveRecord::from_row(&row.value))
+                .transpose()?;
+            match (row, stored) {
+                (Some(row), Some(stored)) if stored.number >= held.number => {
+                    if stored.state.is_final() {
+                        self.take_in(&stored)?;
+                        self.settled.insert(held.service, stored.number);
+                    } else {
+                        self.keep(&row).await?;
+                    }
+                }
+                (row, _) => {
+                    self.write_start(key, row.map(|row| row.revision), &held)
+                        .await?
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes the row of a move that the platform does not hold yet.
+    async fn write_start(
+        &self,
+        key: RowKey,
+        revision: Option<RowRevision>,
+        record: &MoveRecord,
+    ) -> Result<(), MeshError> {
+        let expect = revision.map_or(RowExpect::Absent, RowExpect::Revision);
+        let write = RowWrite::put(key, record.to_row()).with_expect(expect);
+        let writes = self.with_statement(write, record)?;
+        let deadline = self.state.now().after(CALL_BUDGET);
+        match self.platform.transact(writes, deadline).await {
+            // Another node was first; the next poll reads what it wrote.
+            Err(error) if error.kind() != ErrorKind::Conflict => Err(error),
+            _ => Ok(()),
+        }
+    }
+
+    /// Adds the row that states to operators how the move stands, where the platform has one.
+    fn with_statement(
+        &self,
+        write: RowWrite,
+        record: &MoveRecord,
+    ) -> Result<Vec<RowWrite>, MeshError> {
+        let mut writes = vec![write];
+        if let Some(calls) = self.platform.operators() {
+            writes.push((calls.state_move)(record)?);
+        }
+        Ok(writes)
+    }
+
     /// Takes in a row, and writes the move's end if this node knows one that the row lacks.
     async fn keep(&self, row: &TableRow) -> Result<(), MeshError> {
         let record = MoveRecord::from_row(&row.value)?;
@@ -91,10 +166,11 @@
         };
         let write = RowWrite::put(row.key.clone(), written.to_row())
             .with_expect(RowExpect::Revision(row.revision));
+        let writes = self.with_statement(write, &written)?;
         let deadline = self.state.now().after(CALL_BUDGET);
         let result = self
             .platform
-            .transact_with_token(vec![write], token, deadline)
+            .transact_with_token(writes, token, deadline)
             .await;
         match result {
             Ok(_) => {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -7,7 +7,8 @@
 mod settings_check;
 
 pub use node_settings::{
-    CallerSettings, NodeSettings, OperatorSettings, PeerSettings, PlatformSettings, SpreadSettings,
+    CallerSettings, LocalSettings, NodeSettings, OperatorSettings, PeerSettings, PlatformSettings,
+    SpreadSettings,
 };
 pub use operator_token::OperatorToken;
 pub use read_settings::{parse_settings, read_settings};
--- a/crates/daemon/src/settings/node_settings.rs
+++ b/crates/daemon/src/settings/node_settings.rs
@@ -1,7 +1,10 @@
 use std::net::SocketAddr;
 
 use bronzelb_kernel::{
-    ids::{DataCentre, MeshName, NodeName},
+    clock::TimeBudget,
+    ids::{DataCentre, MeshName, NodeName, ServiceName},
+    plugin::WireDialect,
+    request::BudgetRule,
     spread::SpreadMode,
 };
 use bronzelb_wire::handshake::MeshKey;
@@ -20,10 +23,20 @@
     pub data_centre: DataCentre,
     /// Secret that every node of the mesh shares.
     pub mesh_key: MeshKey,
+    /// How callers, backend servers and the VM's supervisor speak to the node.
+    pub dialect: &'static WireDialect,
+    /// Every data centre of the mesh, where operators' documents do not name them.
+    pub data_centres: Vec<DataCentre>,
     /// Listener for callers.
     pub callers: CallerSettings,
     /// Listener for other nodes.
     pub peers: PeerSettings,
+    /// Listeners for the backend servers and the supervisor of the VM, in the dialect's terms.
+    pub local: Option<LocalSettings>,
+    /// Budget of retries that all nodes share; without one, each node has a budget of its own.
+    pub retries: Option<BudgetRule>,
+    /// Time that a graceful shutdown may take; without it, requests in flight decide.
+    pub shutdown: Option<TimeBudget>,
     /// Listener for operators and for the backend servers of the VM.
     pub operators: OperatorSettings,
     /// Where the platform's services are.
@@ -39,6 +52,19 @@
 pub struct CallerSettings {
     /// Address to listen on.
     pub listen: SocketAddr,
+    /// Service that runs on the node's VM, from which its callers' requests come.
+    pub origin: Option<ServiceName>,
+}
+
+/// Settings of the listeners for the backend servers and the supervisor of the VM.
+#[derive(Clone, Debug)]
+pub struct LocalSettings {
+    /// Address for announcements of backend servers.
+    pub announcements: SocketAddr,
+    /// Address for the supervisor's readiness check.
+    pub ready: SocketAddr,
+    /// Time for which an announcement holds.
+    pub lease: TimeBudget,
 }
 
 /// Settings of the listener for other nodes.
--- a/crates/daemon/src/settings/section_reader.rs
+++ b/crates/daemon/src/settings/section_reader.rs
@@ -1,15 +1,25 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
-use bronzelb_kernel::error::MeshError;
+use bronzelb_kernel::{
+    clock::TimeBudget, error::MeshError, plugin::WireDialect, request::BudgetRule,
+};
+use bronzelb_platform as _;
 use bronzelb_yaml::reader::{FieldNode, MapReader, parse_with};
 use compact_str::CompactString;
 
-use crate::settings::{
-    CallerSettings, NodeSettings, OperatorSettings, PeerSettings, PlatformSettings, SpreadSettings,
+use crate::{
+    backends::LEASE_BUDGET,
+    callers::OWN_DIALECT,
+    settings::{
+        CallerSettings, LocalSettings, NodeSettings, OperatorSettings, PeerSettings,
+        PlatformSettings, SpreadSettings,
+    },
 };
 
 const DEFAULT_WORKERS: usize = 1;
 const MAX_WORKERS: usize = 64;
+/// More retries than requests help nobody.
+const MAX_RATIO: f64 = 1.0;
 const ADDRESS_EXAMPLE: &str = "listen: 10.0.1.1:9000";
 
 /// Reads every section, and notes each mistake on the way.
@@ -40,6 +50,11 @@
         "platform: {kind: http, address: 10.1.0.4:8080}",
         read_platform,
     );
+    let dialect = read_dialect(&mut reader);
+    let data_centres = read_list(&mut reader, "data_centres", parse_with);
+    let local = read_optional_section(&mut reader, "local", read_local);
+    let retries = read_optional_section(&mut reader, "retries", read_retries);
+    let shutdown = reader.optional("shutdown", parse_time);
     let workers = reader.optional("workers", parse_workers);
     let spread = read_spread(&mut reader);
     reader.finish();
@@ -48,6 +63,11 @@
         node: node?,
         data_centre: data_centre?,
         mesh_key: mesh_key?,
+        dialect: dialect?,
+        data_centres,
+        local,
+        retries,
+        shutdown,
         callers: callers?,
         peers: peers?,
         operators: operators?,
@@ -73,20 +93,73 @@
     settings
 }
 
+fn read_optional_section<T>(
+    reader: &mut MapReader<'_>,
+    key: &'static str,
+    read: impl FnOnce(&mut MapReader<'_>) -> Option<T>,
+) -> Option<T> {
+    let mut section = reader.take(key)?.map()?;
+    let settings = read(&mut section);
+    section.finish();
+    settings
+}
+
+fn read_list<T>(
+    reader: &mut MapReader<'_>,
+    key: &'static str,
+    parse: impl Fn(&str) -> Result<T, MeshError>,
+) -> Vec<T> {
+    let items = reader.take(key).and_then(|field| field.list());
+    let items = items.unwrap_or_default();
+    items.iter().filter_map(|item| item.value(&parse)).collect()
+}
+
+fn read_dialect(reader: &mut MapReader<'_>) -> Option<&'static WireDialect> {
+    match reader.take("dialect") {
+        Some(field) => field.value(WireDialect::find),
+        None => WireDialect::find(OWN_DIALECT).ok(),
+    }
+}
+
 fn read_callers(section: &mut MapReader<'_>) -> Option<CallerSettings> {
     let listen = section.required("listen", ADDRESS_EXAMPLE, parse_address);
-    Some(CallerSettings { listen: listen? })
+    let origin = section.optional("origin", parse_with);
+    Some(CallerSettings {
+        listen: listen?,
+        origin,
+    })
+}
+
+fn read_local(section: &mut MapReader<'_>) -> Option<LocalSettings> {
+    let example = "announcements: 10.0.1.1:9300";
+    let announcements = section.required("announcements", example, parse_address);
+    let ready = section.required("ready", "ready: 10.0.1.1:9301", parse_address);
+    let lease = section.optional("lease", parse_time);
+    Some(LocalSettings {
+        announcements: announcements?,
+        ready: ready?,
+        lease: lease.unwrap_or(LEASE_BUDGET),
+    })
+}
+
+fn read_retries(section: &mut MapReader<'_>) -> Option<BudgetRule> {
+    let ratio = section.required("ratio", "ratio: 0.2", parse_ratio);
+    let window = section.required("window", "window: 10s", parse_time);
+    let slack = section.required("slack", "slack: 50", parse_number);
+    Some(BudgetRule {
+        ratio: ratio?,
+        window: window?,
+        slack: slack?,
+    })
 }
 
 fn read_peers(section: &mut MapReader<'_>) -> Option<PeerSettings> {
     let listen = section.required("listen", ADDRESS_EXAMPLE, parse_address);
     let advertise = section.optional("advertise", parse_remote_address);
-    let items = section.take("first").and_then(|field| field.list());
-    let first = items
-        .unwrap_or_default()
-        .iter()
-        .filter_map(|item| item.value(parse_remote_address))
-        .collect();
+    let mut first = read_list(section, "first", parse_remote_address);
+    if let Some(port) = section.optional("first_port", parse_port) {
+        first.iter_mut().for_each(|address| address.set_port(port));
+    }
     Some(PeerSettings {
         listen: listen?,
         advertise,
@@ -152,6 +225,41 @@
     Ok(address)
 }
 
+fn parse_port(text: &str) -> Result<u16, MeshError> {
+    let port = text.parse().ok().filter(|port| *port > 0);
+    port.ok_or_else(|| MeshError::invalid(format!("{text:?} is not a port between 1 and 65535")))
+}
+
+fn parse_number(text: &str) -> Result<u32, MeshError> {
+    text.parse()
+        .map_err(|_| MeshError::invalid(format!("{text:?} is not a whole number")))
+}
+
+fn parse_ratio(text: &str) -> Result<f64, MeshError> {
+    let ratio = text.parse().ok();
+    ratio
+        .filter(|ratio| (0.0..=MAX_RATIO).contains(ratio))
+        .ok_or_else(|| {
+            MeshError::invalid(format!(
+                "{text:?} is not a ratio between 0 and {MAX_RATIO}, such as 0.2"
+            ))
+        })
+}
+
+/// Parses a time with its unit, which may have a fraction, such as `2.5s`.
+fn parse_time(text: &str) -> Result<TimeBudget, MeshError> {
+    let Some((whole, rest)) = text.split_once('.') else {
+        return text.parse();
+    };
+    let split = rest.find(|c: char| !c.is_ascii_digit());
+    let (fraction, unit) = rest.split_at(split.unwrap_or(rest.len()));
+    let share: f64 = format!("0.{fraction}0").parse().unwrap_or(0.0);
+    let whole: TimeBudget = format!("{whole}{unit}").parse()?;
+    let one: TimeBudget = format!("1{unit}").parse()?;
+    let part = (one.as_micros() as f64 * share) as u64;
+    Ok(TimeBudget::from_micros(whole.as_micros() + part))
+}
+
 fn parse_workers(text: &str) -> Result<usize, MeshError> {
     let count = text.parse().ok();
     count
--- a/crates/daemon/src/settings/settings_check.rs
+++ b/crates/daemon/src/settings/settings_check.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use bronzelb_platform::PlatformKind;
+use bronzelb_store::PlatformKind;
 use bronzelb_yaml::{
     node::{FieldIndex, YamlNode},
     problem::ProblemList,
--- a/crates/daemon/src/source/lease_writer.rs
+++ b/crates/daemon/src/source/lease_writer.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use bronzelb_kernel::{clock::TimeBudget, error::MeshError, member::LeaseRow};
-use bronzelb_platform::{
+use bronzelb_store::{
     PlatformClient,
     table::{RowKey, RowWrite},
 };
--- a/crates/daemon/src/source/mod.rs
+++ b/crates/daemon/src/source/mod.rs
@@ -1,7 +1,9 @@
 //! What the node reads from the platform: the version row and the content of versions.
 
 mod lease_writer;
+mod operator_feed;
 mod source_reader;
 
 pub use lease_writer::{find_seeds, write_lease};
+pub use operator_feed::run_operator_feed;
 pub use source_reader::{connect_platform, read_object, read_version_row};
--- /dev/null
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -0,0 +1,147 @@
+use std::{sync::Arc, time::Duration};
+
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    config::ConfigVersion,
+    error::{ErrorKind, MeshError},
+    plugin::{DocumentContext, OperatorDocument},
+};
+use bronzelb_store::{
+    PlatformClient,
+    client::{OperatorCalls, OperatorNews},
+    table::RowRevision,
+};
+use rand::Rng;
+use slog::warn;
+
+use crate::{
+    log::EventName,
+    node::{NodeState, StopSignal},
+    rollout::take_order,
+    source::connect_platform,
+};
+
+/// Longest wait for changes; a connection that went silent is noticed after this time.
+const WATCH_TIME: TimeBudget = TimeBudget::from_millis(2_500);
+/// Time for a read of everything that operators have written.
+const READ_TIME: TimeBudget = TimeBudget::from_millis(1_000);
+/// Pauses after a call that failed, drawn at random so that nodes do not return together.
+const MIN_PAUSE_MS: u64 = 100;
+const MAX_PAUSE_MS: u64 = 400;
+
+/// Follows what operators write to the platform until the stop signal.
+///
+/// Returns at once for a platform to which operators do not write documents themselves.
+pub async fn run_operator_feed(state: Arc<NodeState>, mut stop: StopSignal) {
+    let Ok(platform) = connect_platform(&state) else {
+        // The spreading task has logged why.
+        return;
+    };
+    let Some(calls) = platform.operators() else {
+        return;
+    };
+    let mut feed = OperatorFeed {
+        state: &state,
+        platform: &platform,
+        calls,
+        place: None,
+    };
+    loop {
+        let pause = tokio::select! {
+            pause = feed.follow() => pause,
+            () = stop.stopped() => return,
+        };
+        if let Some(pause) = pause
+            && !stop.pause(pause).await
+        {
+            return;
+        }
+    }
+}
+
+struct OperatorFeed<'a> {
+    state: &'a Arc<NodeState>,
+    platform: &'a PlatformClient,
+    calls: &'a OperatorCalls,
+    /// Revision from which to watch on; none before the first read of everything.
+    place: Option<RowRevision>,
+}
+
+impl OperatorFeed<'_> {
+    /// Makes one call, and returns the pause before the next one if it failed.
+    async fn follow(&mut self) -> Option<Duration> {
+        let time = match self.place {
+            Some(_) => WATCH_TIME,
+            None => READ_TIME,
+        };
+        let deadline = self.state.now().after(time);
+        let result = (self.calls.watch)(self.place, self.context(), deadline).await;
+        self.state.count("source_read");
+        match result {
+            Ok(news) => {
+                self.take_news(news).await;
+                None
+            }
+            Err(error) if error.kind() == ErrorKind::NotFound => {
+                self.place = None;
+                self.state.count("source_history_lost");
+                None
+            }
+            Err(error) => {
+                self.note_failure(error);
+                let millis = rand::rng().random_range(MIN_PAUSE_MS..=MAX_PAUSE_MS);
+                Some(Duration::from_millis(millis))
+            }
+        }
+    }
+
+    fn context(&self) -> DocumentContext {
+        let settings = &self.state.settings;
+        DocumentContext {
+            mesh: settings.mesh.clone(),
+            data_centres: settings.data_centres.clone(),
+        }
+    }
+
+    fn note_failure(&self, error: MeshError) {
+        self.state.count("source_read_failed");
+        self.state.note_platform(Some(&error));
+        let now = self.state.now();
+        let spread = &self.state.spread;
+        spread.step(|node, rng| node.source_answered(Err(error), now, rng));
+    }
+
+    async fn take_news(&mut self, news: OperatorNews) {
+        self.state.note_platform(None);
+        for document in news.documents {
+            self.take_document(document).await;
+        }
+        self.place = Some(news.revision);
+        let now = self.state.now();
+        let spread = &self.state.spread;
+        spread.step(|node, rng| node.source_answered(Ok(None), now, rng));
+    }
+
+    async fn take_document(&self, document: OperatorDocument) {
+        match document {
+            OperatorDocument::Config { number, snapshot } => {
+                match ConfigVersion::from_snapshot(number, *snapshot) {
+                    Ok(version) => {
+                        let now = self.state.now();
+                        let spread = &self.state.spread;
+                        spread.step(|node, _| node.version_read(version, now));
+                    }
+                    Err(error) => self.refuse(&error),
+                }
+            }
+            OperatorDocument::Move(order) => take_order(self.state, self.platform, &order).await,
+            OperatorDocument::Unreadable(error) => self.refuse(&error),
+        }
+    }
+
+    fn refuse(&self, error: &MeshError) {
+        self.state.count("document_refused");
+        warn!(self.state.logger, "{}", EventName::DocumentRefused;
+            "message" => error.to_string());
+    }
+}
--- a/crates/daemon/src/source/source_reader.rs
+++ b/crates/daemon/src/source/source_reader.rs
@@ -3,7 +3,7 @@
     error::{ErrorKind, MeshError},
     spread::{SnapshotReply, VersionRow},
 };
-use bronzelb_platform::{PlatformClient, PlatformTarget, table::RowKey};
+use bronzelb_store::{PlatformClient, PlatformTarget, table::RowKey};
 
 use crate::node::NodeState;
 
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -15,7 +15,7 @@
     clock::{ClockInstant, TimeBudget},
     config::{
         ConfigSnapshot, ConfigVersion, HttpMethod, ProxySpec, RequestPriority, RolloutRule,
-        RouteObjective, RouteRule, ServiceSpec, ShareRatio,
+        RouteObjective, RouteRule, RouteTraffic, ServiceSpec, ShareRatio,
     },
     error::{ErrorKind, MeshError, RunState},
     ids::{ByteCount, SlotCount, VersionNumber},
@@ -151,7 +151,7 @@
         path: "/".into(),
         methods: Vec::new(),
         service: "tracker".parse().expect("a valid name"),
-        priority: RequestPriority::Normal,
+        priority: RequestPriority::NORMAL,
         idempotent,
         timeout: TimeBudget::from_millis(500),
         max_body: ByteCount::new(1_000),
@@ -159,6 +159,7 @@
             success: ShareRatio::from_ppm(999_000),
             latency: TimeBudget::from_millis(100),
         },
+        traffic: RouteTraffic::default(),
     };
     ConfigSnapshot {
         mesh: "test".parse().expect("a valid name"),
@@ -250,6 +251,7 @@
             service: "tracker".parse().expect("a valid name"),
             deadline,
             idempotent: self.idempotent,
+            attempts: None,
             is_nested_retry: false,
             message: ForwardRequest {
                 request_id: format_compact!("request-{number}"),
@@ -257,7 +259,7 @@
                 backend: None,
                 key: None,
                 fingerprint: fingerprint("all", "GET", &target, b""),
-                priority: RequestPriority::Normal,
+                priority: RequestPriority::NORMAL,
                 attempt: 1,
                 method: HttpMethod::Get,
                 target,
--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -15,7 +15,7 @@
     member::MemberState,
     spread::{CurrentRow, PublishAttempt, PublishPlan, VersionRow},
 };
-use bronzelb_platform::{
+use bronzelb_store::{
     PlatformClient, PlatformTarget,
     table::{RowExpect, RowKey, RowRevision, RowWrite},
 };
--- a/crates/emulator/src/experiment/node_size/config_sample.rs
+++ b/crates/emulator/src/experiment/node_size/config_sample.rs
@@ -2,7 +2,7 @@
     clock::TimeBudget,
     config::{
         ConfigSnapshot, HttpMethod, ProxySpec, RequestPriority, RolloutRule, RouteObjective,
-        RouteRule, ServiceSpec, ShareRatio,
+        RouteRule, RouteTraffic, ServiceSpec, ShareRatio,
     },
     error::MeshError,
     ids::{ByteCount, DataCentre, ServiceName, SlotCount},
@@ -62,7 +62,7 @@
         path: format!("/service-{number}/route-{route}").into(),
         methods: vec![HttpMethod::Get],
         service: service.clone(),
-        priority: RequestPriority::Normal,
+        priority: RequestPriority::NORMAL,
         idempotent: true,
         timeout: TimeBudget::from_secs(2),
         max_body: ByteCount::new(65_536),
@@ -70,5 +70,6 @@
             success: ShareRatio::from_ppm(999_000),
             latency: TimeBudget::from_millis(250),
         },
+        traffic: RouteTraffic::default(),
     }
 }
--- a/crates/emulator/src/experiment/platform_calls.rs
+++ b/crates/emulator/src/experiment/platform_calls.rs
@@ -1,7 +1,7 @@
 use std::time::Instant;
 
 use bronzelb_kernel::{clock::TimeBudget, error::MeshError};
-use bronzelb_platform::{
+use bronzelb_store::{
     PlatformClient, PlatformTarget,
     table::{RowKey, RowWrite},
 };
--- a/crates/emulator/src/experiment/request/bench_mesh.rs
+++ b/crates/emulator/src/experiment/request/bench_mesh.rs
@@ -8,9 +8,9 @@
 pub(crate) const SERVICE: &str = "work";
 /// Routes of the service, one for each priority.
 pub(crate) const ROUTES: [BenchRoute; 3] = [
-    BenchRoute::new("/urgent", RequestPriority::Urgent),
-    BenchRoute::new("/normal", RequestPriority::Normal),
-    BenchRoute::new("/deferrable", RequestPriority::Deferrable),
+    BenchRoute::new("/urgent", RequestPriority::URGENT),
+    BenchRoute::new("/normal", RequestPriority::NORMAL),
+    BenchRoute::new("/deferrable", RequestPriority::DEFERRABLE),
 ];
 const LIMIT: TimeBudget = TimeBudget::from_secs(30);
 const SETTLE_TIME: TimeBudget = TimeBudget::from_secs(2);
--- a/crates/emulator/src/experiment/spread/spread_trial.rs
+++ b/crates/emulator/src/experiment/spread/spread_trial.rs
@@ -7,7 +7,7 @@
     ids::AttemptToken,
     spread::{CurrentRow, PublishAttempt, PublishPlan, SpreadMode, VersionRow},
 };
-use bronzelb_platform::{
+use bronzelb_store::{
     PlatformClient, PlatformTarget,
     table::{RowExpect, RowKey, RowRevision, RowWrite},
 };
--- a/crates/emulator/src/mesh/mesh_answers.rs
+++ b/crates/emulator/src/mesh/mesh_answers.rs
@@ -82,7 +82,7 @@
             path: path.into(),
             service: service.into(),
             methods: Vec::new(),
-            priority: RequestPriority::Normal,
+            priority: RequestPriority::NORMAL,
             is_idempotent: true,
             timeout: "2s".to_owned(),
         }
--- a/crates/emulator/src/platform/table_handler.rs
+++ b/crates/emulator/src/platform/table_handler.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use actix_web::{HttpRequest, HttpResponse, web};
-use bronzelb_platform::table::{RowKey, RowRevision, RowWrite};
+use bronzelb_store::table::{RowKey, RowRevision, RowWrite};
 use serde::{Deserialize, Serialize};
 
 use crate::platform::{
--- a/crates/emulator/src/platform/table_store.rs
+++ b/crates/emulator/src/platform/table_store.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, ops::Bound};
 
-use bronzelb_platform::table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow};
+use bronzelb_store::table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow};
 use serde::Serialize;
 
 /// Value and revision of a stored row.
--- a/crates/emulator/src/server/mod.rs
+++ b/crates/emulator/src/server/mod.rs
@@ -3,6 +3,6 @@
 mod connection_handle;
 mod listening_event;
 
-pub use bronzelb_platform::wall_clock;
+pub use bronzelb_store::wall_clock;
 pub use connection_handle::ConnectionHandle;
 pub use listening_event::{first_address, local_error, print_listening};
--- a/crates/emulator/src/trial/trial_run.rs
+++ b/crates/emulator/src/trial/trial_run.rs
@@ -63,10 +63,10 @@
 /// Returns the answers of the trial, with the positions served under `positions_path`.
 pub(crate) fn answers(positions_path: &str) -> MeshAnswers {
     let positions = RouteAnswers::new(positions_path, "tracker")
-        .with_priority(RequestPriority::Urgent)
+        .with_priority(RequestPriority::URGENT)
         .with_methods([HttpMethod::Get]);
     let dispatches = RouteAnswers::new("/dispatches", "dispatcher")
-        .with_priority(RequestPriority::Urgent)
+        .with_priority(RequestPriority::URGENT)
         .with_methods([HttpMethod::Post])
         .at_most_once()
         .with_timeout("5s");
--- a/crates/emulator/tests/platform.rs
+++ b/crates/emulator/tests/platform.rs
@@ -14,7 +14,7 @@
     error::ErrorKind,
     ids::AttemptToken,
 };
-use bronzelb_platform::{
+use bronzelb_store::{
     PlatformClient, PlatformTarget,
     table::{RowExpect, RowKey, RowRevision, RowWrite},
 };
--- a/crates/kernel/src/config/config_check.rs
+++ b/crates/kernel/src/config/config_check.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     clock::TimeBudget,
-    config::{ConfigSnapshot, ProxySpec, RouteRule, ServiceSpec, ShareRatio},
-    ids::{ByteCount, DataCentre, RouteName, ServiceName, SlotCount},
+    config::{ConfigSnapshot, ProxySpec, RouteRule, RouteTraffic, ServiceSpec, ShareRatio},
+    ids::{AttemptCount, DataCentre, RouteName, ServiceName, SlotCount},
 };
 
 /// Number of data centres that a mesh may have.
@@ -14,9 +14,6 @@
 /// Longest timeout of a route.
 const MAX_TIMEOUT: TimeBudget = TimeBudget::from_secs(3_600);
 
-/// Largest limit of a request's body, which nodes hold in memory.
-const MAX_BODY: ByteCount = ByteCount::new(8 * 1024 * 1024);
-
 /// Number of services that a message lists.
 const MAX_LISTED: usize = 5;
 
@@ -131,15 +128,18 @@
     rule: &RouteRule,
     problems: &mut Vec<CheckProblem>,
 ) {
-    if !snapshot.services.contains_key(&rule.service) {
+    for service in rule.services() {
+        if snapshot.services.contains_key(service) {
+            continue;
+        }
         let place = format_compact!("routes.{name}.service");
         let message = format_compact!(
-            "service \"{}\" does not exist; services are {}",
-            rule.service,
+            "service \"{service}\" does not exist; services are {}",
             list_services(snapshot)
         );
         push(problems, place, message);
     }
+    check_traffic(name, &rule.traffic, problems);
     if !rule.path.starts_with('/') {
         let place = format_compact!("routes.{name}.path");
         push(
@@ -164,16 +164,37 @@
         );
         push(problems, place, message);
     }
-    if rule.max_body > MAX_BODY {
+    if rule.max_body > RouteRule::MAX_BODY {
         let place = format_compact!("routes.{name}.max_body");
         let message = format_compact!(
-            "{} bytes are more than the limit of {MAX_BODY}",
-            rule.max_body
+            "{} bytes are more than the limit of {}",
+            rule.max_body,
+            RouteRule::MAX_BODY
         );
         push(problems, place, message);
     }
 }
 
+fn check_traffic(name: &RouteName, traffic: &RouteTraffic, problems: &mut Vec<CheckProblem>) {
+    let is_weightless = traffic.split.values().all(|weight| weight.get() == 0);
+    if !traffic.split.is_empty() && is_weightless {
+        let place = format_compact!("routes.{name}.traffic.split");
+        push(
+            problems,
+            place,
+            "every weight is zero, so that no request can go anywhere; use 1 or more",
+        );
+    }
+    if traffic.attempts == Some(AttemptCount::new(0)) {
+        let place = format_compact!("routes.{name}.traffic.attempts");
+        push(
+            problems,
+            place,
+            "no attempt is allowed, so that no request can run; use 1 or more",
+        );
+    }
+}
+
 fn list_services(snapshot: &ConfigSnapshot) -> String {
     let names = snapshot.services.keys().map(ServiceName::as_str);
     let listed: Vec<_> = names.take(MAX_LISTED).collect();
@@ -185,9 +206,10 @@
 }
 
 fn check_duplicate_paths(snapshot: &ConfigSnapshot, problems: &mut Vec<CheckProblem>) {
-    let mut seen: BTreeMap<&str, Vec<(&RouteName, &RouteRule)>> = BTreeMap::new();
+    let mut seen: BTreeMap<_, Vec<(&RouteName, &RouteRule)>> = BTreeMap::new();
     for (name, rule) in &snapshot.routes {
-        let others = seen.entry(&rule.path).or_default();
+        let place = (rule.traffic.host.as_ref(), rule.path.as_str());
+        let others = seen.entry(place).or_default();
         let twin = others.iter().find(|(_, other)| shares_method(other, rule));
         if let Some((twin_name, _)) = twin {
             let place = format_compact!("routes.{name}.path");
--- a/crates/kernel/src/config/mod.rs
+++ b/crates/kernel/src/config/mod.rs
@@ -3,13 +3,17 @@
 mod config_check;
 mod config_snapshot;
 mod proxy_spec;
+mod request_priority;
 mod route_rule;
+mod route_traffic;
 mod service_spec;
 mod version_stamp;
 
 pub use config_check::{CheckProblem, MAX_DATA_CENTRES, check_snapshot};
 pub use config_snapshot::{ConfigSnapshot, ConfigVersion, MAX_SNAPSHOT_BYTES};
 pub use proxy_spec::ProxySpec;
-pub use route_rule::{HttpMethod, RequestPriority, RouteObjective, RouteRule, ShareRatio};
+pub use request_priority::RequestPriority;
+pub use route_rule::{HttpMethod, RouteObjective, RouteRule, ShareRatio};
+pub use route_traffic::RouteTraffic;
 pub use service_spec::{RolloutRule, ServiceSpec};
 pub use version_stamp::VersionStamp;
--- a/crates/kernel/src/config/route_rule.rs
+++ b/crates/kernel/src/config/route_rule.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     clock::TimeBudget,
+    config::{RequestPriority, RouteTraffic},
     error::MeshError,
     ids::{ByteCount, ServiceName},
 };
@@ -29,6 +30,27 @@
     pub max_body: ByteCount,
     /// What the route's callers are promised.
     pub objective: RouteObjective,
+    /// Which host the route matches, and how it spreads its requests.
+    #[serde(default, skip_serializing_if = "RouteTraffic::is_plain")]
+    pub traffic: RouteTraffic,
+}
+
+impl RouteRule {
+    /// Largest limit of a request's body, which nodes hold in memory.
+    pub const MAX_BODY: ByteCount = ByteCount::new(8 * 1024 * 1024);
+
+    /// Returns the service that a request goes to; `point` is uniformly random.
+    #[must_use]
+    pub fn choose_service(&self, point: u64) -> &ServiceName {
+        self.traffic.choose(point).unwrap_or(&self.service)
+    }
+
+    /// Returns every service that the route's requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let is_split = !self.traffic.split.is_empty();
+        let only = (!is_split).then_some(&self.service);
+        only.into_iter().chain(self.traffic.split.keys())
+    }
 }
 
 /// Service-level objective of a route.
@@ -41,53 +63,19 @@
     pub latency: TimeBudget,
 }
 
-/// Priority of a route's requests, most urgent first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum RequestPriority {
-    /// Served first and shed last.
-    Urgent,
-    /// Served after urgent requests.
-    Normal,
-    /// Can wait: served last and shed first.
-    Deferrable,
-}
-
-impl RequestPriority {
-    /// Every priority, most urgent first.
-    pub const ALL: [Self; 3] = [Self::Urgent, Self::Normal, Self::Deferrable];
-
-    /// Returns the name that appears in answers, logs and metrics.
+impl RouteObjective {
+    /// Builds the objective of a route whose team declared a latency and no share.
     #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Urgent => "urgent",
-            Self::Normal => "normal",
-            Self::Deferrable => "deferrable",
+    pub const fn within(latency: TimeBudget) -> Self {
+        Self {
+            success: DEFAULT_SUCCESS,
+            latency,
         }
     }
 }
 
-impl fmt::Display for RequestPriority {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.name())
-    }
-}
-
-impl FromStr for RequestPriority {
-    type Err = MeshError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        Self::ALL
-            .into_iter()
-            .find(|priority| priority.name() == text)
-            .ok_or_else(|| {
-                MeshError::invalid(format!(
-                    "priority {text:?} is not one of urgent, normal, deferrable"
-                ))
-            })
-    }
-}
+/// Share of requests that a route's callers are promised unless its team says otherwise.
+const DEFAULT_SUCCESS: ShareRatio = ShareRatio::from_ppm(999_000);
 
 /// HTTP method that a route matches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/kernel/src/error/error_kind.rs
+++ b/crates/kernel/src/error/error_kind.rs
@@ -29,6 +29,8 @@
     DeadlinePassed,
     /// Admission refused the request because of load.
     Overloaded,
+    /// The backend server refused the request for lack of room, without running it.
+    Shed,
     /// No backend server of the service can be reached.
     NoBackend,
     /// The node is shutting down.
@@ -53,7 +55,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::Invalid,
         Self::TooLarge,
         Self::SlowSender,
@@ -63,6 +65,7 @@
         Self::Conflict,
         Self::DeadlinePassed,
         Self::Overloaded,
+        Self::Shed,
         Self::NoBackend,
         Self::Draining,
         Self::Quarantined,
@@ -88,6 +91,7 @@
             Self::Conflict => "conflict",
             Self::DeadlinePassed => "deadline-passed",
             Self::Overloaded => "overloaded",
+            Self::Shed => "shed",
             Self::NoBackend => "no-backend",
             Self::Draining => "draining",
             Self::Quarantined => "quarantined",
@@ -114,7 +118,7 @@
             Self::Conflict => ErrorAnswer::new(409, 5, NotRun, false),
             Self::DeadlinePassed => ErrorAnswer::new(504, 6, NotRun, false),
             Self::Overloaded => ErrorAnswer::new(503, 6, NotRun, true),
-            Self::NoBackend | Self::Draining | Self::NotReady => {
+            Self::Shed | Self::NoBackend | Self::Draining | Self::NotReady => {
                 ErrorAnswer::new(503, 6, NotRun, true)
             }
             Self::Quarantined => ErrorAnswer::new(422, 6, NotRun, false),
--- a/crates/kernel/src/ids/counts.rs
+++ b/crates/kernel/src/ids/counts.rs
@@ -75,6 +75,14 @@
     /// Number of requests that a backend server runs at once.
     SlotCount, u32, "slot count"
 );
+number_id!(
+    /// Weight of one service in a route that splits its requests.
+    ServiceWeight, u32, "service weight"
+);
+number_id!(
+    /// Number of backend servers that one request may be sent to.
+    AttemptCount, u32, "attempt count"
+);
 number_id!(
     /// Size in bytes.
     ByteCount, u64, "byte count"
--- a/crates/kernel/src/ids/mod.rs
+++ b/crates/kernel/src/ids/mod.rs
@@ -6,9 +6,10 @@
 
 pub use content_hash::ContentHash;
 pub use counts::{
-    AttemptToken, ByteCount, IncarnationNumber, MoveNumber, RequestNumber, SlotCount, VersionNumber,
+    AttemptCount, AttemptToken, ByteCount, IncarnationNumber, MoveNumber, RequestNumber,
+    ServiceWeight, SlotCount, VersionNumber,
 };
 pub use names::{
-    BackendName, BuildVersion, CrewName, DataCentre, IdempotencyKey, MeshName, NodeName, RouteName,
-    ServiceName,
+    BackendName, BuildVersion, CrewName, DataCentre, HostName, IdempotencyKey, MeshName, NodeName,
+    RouteName, ServiceName,
 };
--- a/crates/kernel/src/ids/names.rs
+++ b/crates/kernel/src/ids/names.rs
@@ -7,6 +7,8 @@
 
 const MAX_NAME_BYTES: usize = 64;
 const MAX_KEY_BYTES: usize = 128;
+/// Longest host name that DNS allows (RFC 1035, section 2.3.4).
+const MAX_HOST_BYTES: usize = 253;
 
 macro_rules! text_id {
     ($(#[$meta:meta])* $name:ident, $what:literal, $check:path) => {
@@ -78,6 +80,10 @@
     /// Name of a route, unique in its mesh.
     RouteName, "route name", check_name
 );
+text_id!(
+    /// Name of a host that callers address, in lower case and without a port.
+    HostName, "host name", check_host
+);
 text_id!(
     /// Name of one backend server process, unique for its lifetime.
     BackendName, "backend server name", check_name
@@ -104,6 +110,17 @@
     )))
 }
 
+fn check_host(what: &str, text: &str) -> Result<(), MeshError> {
+    let is_plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '.');
+    if !text.is_empty() && text.len() <= MAX_HOST_BYTES && text.chars().all(is_plain) {
+        return Ok(());
+    }
+    Err(MeshError::invalid(format!(
+        "{what} {:?} is not 1 to {MAX_HOST_BYTES} lower-case letters, digits, dots or dashes",
+        shortened(text)
+    )))
+}
+
 fn check_key(what: &str, text: &str) -> Result<(), MeshError> {
     let is_visible = |c: char| c.is_ascii_graphic();
     if !text.is_empty() && text.len() <= MAX_KEY_BYTES && text.chars().all(is_visible) {
--- a/crates/kernel/src/member/mod.rs
+++ b/crates/kernel/src/member/mod.rs
@@ -1,5 +1,6 @@
 //! Which nodes are alive, and the backend servers beside them.
 
+mod backend_announcement;
 mod backend_row;
 mod lease_guard;
 mod lease_row;
@@ -8,6 +9,9 @@
 mod member_row;
 mod member_table;
 
+pub use backend_announcement::{
+    BackendAnnouncement, BackendHeartbeat, BackendLifetime, BackendNews,
+};
 pub use backend_row::{BackendRow, BackendState};
 pub use lease_guard::LeaseGuard;
 pub use lease_row::LeaseRow;
--- a/crates/kernel/src/plugin/mod.rs
+++ b/crates/kernel/src/plugin/mod.rs
@@ -3,8 +3,14 @@
 //! A plug-in is a plain struct with function pointers, submitted through [`inventory`]. Adding
 //! one takes one file and no change elsewhere.
 
+mod operator_document;
 mod record_kind;
 mod report_reader;
+mod wire_dialect;
 
+pub use operator_document::{DocumentContext, MoveOrder, OperatorDocument};
 pub use record_kind::{RecordKind, RecordMerge};
 pub use report_reader::{LoadReport, ReportReader};
+pub use wire_dialect::{
+    AnswerHeaders, CallerDialect, LocalCall, LocalDialect, ServerDialect, WireDialect,
+};
--- /dev/null
+++ b/crates/kernel/src/plugin/operator_document.rs
@@ -0,0 +1,44 @@
+use crate::{
+    clock::TimeBudget,
+    config::ConfigSnapshot,
+    error::MeshError,
+    ids::{BuildVersion, DataCentre, MeshName, MoveNumber, ServiceName, VersionNumber},
+};
+
+/// What a node adds to documents that do not say it themselves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentContext {
+    /// Mesh that the documents are for.
+    pub mesh: MeshName,
+    /// Every data centre of the mesh, in the order in which load spills over.
+    pub data_centres: Vec<DataCentre>,
+}
+
+/// A document that an operator has written to the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorDocument {
+    /// A whole configuration.
+    Config {
+        /// Number of the version.
+        number: VersionNumber,
+        /// Content of the version.
+        snapshot: Box<ConfigSnapshot>,
+    },
+    /// An order to move a service's traffic to a version.
+    Move(MoveOrder),
+    /// A document that could not be read; nothing that was in force changes.
+    Unreadable(MeshError),
+}
+
+/// An operator's order to move a service's traffic to another version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MoveOrder {
+    /// Service whose traffic is to move.
+    pub service: ServiceName,
+    /// Version that the traffic goes to.
+    pub target: BuildVersion,
+    /// Time within which the move must be done, counted from the order.
+    pub allowed: TimeBudget,
+    /// Number of the move; a later order of the service has a higher one.
+    pub number: MoveNumber,
+}
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -7,6 +7,7 @@
 //! running on a third.
 
 mod adaptive_limit;
+mod attempt_case;
 mod attempt_outcome;
 mod claim_row;
 mod crash_record;
@@ -16,9 +17,11 @@
 mod retry_budget;
 mod server_book;
 mod server_stat;
+mod shared_budget;
 mod slot_gate;
 
 pub use adaptive_limit::AdaptiveLimit;
+pub use attempt_case::{AttemptCase, RetryVerdict};
 pub use attempt_outcome::AttemptOutcome;
 pub use claim_row::{ClaimOutcome, ClaimRow, ClaimSight, MAX_CLAIM_BODY};
 pub use crash_record::{CRASH_KIND, CrashRecord, CrashSuspicion, ServerLife};
@@ -28,4 +31,5 @@
 pub use retry_budget::{RetryBudget, RetryCase};
 pub use server_book::{ChoiceRule, ServerBook};
 pub use server_stat::{ServerLoad, ServerPlace};
+pub use shared_budget::{BudgetRule, SharedBudget};
 pub use slot_gate::{GateChange, GateVerdict, QueuePlace, RefusedWaiter, SlotGate};
--- a/crates/kernel/src/request/slot_gate.rs
+++ b/crates/kernel/src/request/slot_gate.rs
@@ -99,8 +99,8 @@
 /// let mut gate = SlotGate::new(SlotCount::new(1), 0);
 /// let now = ClockInstant::from_millis(1);
 /// let deadline = ClockInstant::from_millis(500);
-/// let (first, _) = gate.offer(now, RequestPriority::Normal, deadline, 1, &mut rng);
-/// let (second, _) = gate.offer(now, RequestPriority::Normal, deadline, 2, &mut rng);
+/// let (first, _) = gate.offer(now, RequestPriority::NORMAL, deadline, 1, &mut rng);
+/// let (second, _) = gate.offer(now, RequestPriority::NORMAL, deadline, 2, &mut rng);
 /// assert_eq!(first, GateVerdict::Run);
 /// assert!(matches!(second, GateVerdict::Refuse { .. }));
 /// ```
--- a/crates/kernel/src/spread/node_answer.rs
+++ b/crates/kernel/src/spread/node_answer.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     clock::{ClockInstant, TimeBudget},
+    config::ConfigVersion,
     error::MeshError,
     ids::NodeName,
     member::{MemberRow, MemberState},
@@ -105,6 +106,20 @@
         self.update_gate(now);
     }
 
+    /// Takes in a version that this node has read from the platform itself, and tells its peers.
+    pub fn version_read(&mut self, version: ConfigVersion, now: ClockInstant) {
+        let stamp = version.stamp();
+        match self.holder.offer_version(version) {
+            OfferOutcome::Installed(_) => self.push_stamp(now),
+            OfferOutcome::Refused(error) | OfferOutcome::Altered(error) => {
+                self.counters.refused += 1;
+                self.report(SpreadChange::Refused { stamp, error });
+            }
+            OfferOutcome::Stale => {}
+        }
+        self.update_gate(now);
+    }
+
     /// Takes in a version's content.
     pub fn fetch_answered(
         &mut self,
--- a/crates/kernel/src/spread/version_holder.rs
+++ b/crates/kernel/src/spread/version_holder.rs
@@ -93,6 +93,18 @@
         }
     }
 
+    /// Takes in a version that has passed all checks.
+    pub fn offer_version(&mut self, version: ConfigVersion) -> OfferOutcome {
+        let stamp = version.stamp();
+        if !self.wants(stamp) {
+            return OfferOutcome::Stale;
+        }
+        match self.check_mesh(&version) {
+            Ok(()) => self.install(version),
+            Err(error) => self.refuse(stamp, error),
+        }
+    }
+
     /// Takes in a delta that was received for `stamp`.
     pub fn offer_delta(&mut self, stamp: VersionStamp, bytes: &[u8]) -> OfferOutcome {
         if !self.wants(stamp) {
@@ -132,13 +144,19 @@
 
     fn decode(&self, stamp: VersionStamp, body: Bytes) -> Result<ConfigVersion, MeshError> {
         let version = ConfigVersion::from_bytes(stamp, body)?;
+        self.check_mesh(&version)?;
+        Ok(version)
+    }
+
+    fn check_mesh(&self, version: &ConfigVersion) -> Result<(), MeshError> {
         let mesh = &version.snapshot().mesh;
         if *mesh == self.mesh {
-            return Ok(version);
+            return Ok(());
         }
         Err(MeshError::invalid(format!(
             "content of version {} belongs to mesh {mesh}, not to {}",
-            stamp.number, self.mesh
+            version.stamp().number,
+            self.mesh
         )))
     }
 
--- a/crates/kernel/tests/request_gate.rs
+++ b/crates/kernel/tests/request_gate.rs
@@ -19,17 +19,17 @@
     let mut rng = SmallRng::seed_from_u64(SEED);
     let mut gate = SlotGate::new(SlotCount::new(1), 1);
     let deadline = at(10_000);
-    gate.offer(at(0), RequestPriority::Normal, deadline, "first", &mut rng);
+    gate.offer(at(0), RequestPriority::NORMAL, deadline, "first", &mut rng);
     let (waits, _) = gate.offer(
         at(0),
-        RequestPriority::Deferrable,
+        RequestPriority::DEFERRABLE,
         deadline,
         "archive",
         &mut rng,
     );
     assert!(matches!(waits, GateVerdict::Wait { .. }));
     let (verdict, refused) =
-        gate.offer(at(0), RequestPriority::Urgent, deadline, "order", &mut rng);
+        gate.offer(at(0), RequestPriority::URGENT, deadline, "order", &mut rng);
     assert!(matches!(verdict, GateVerdict::Wait { .. }));
     assert_eq!(refused.len(), 1);
     assert_eq!(refused[0].item, "archive");
@@ -42,7 +42,7 @@
 fn request_that_cannot_make_its_deadline_is_refused_at_once() {
     let mut rng = SmallRng::seed_from_u64(SEED);
     let mut gate = SlotGate::new(SlotCount::new(1), 100);
-    let priority = RequestPriority::Normal;
+    let priority = RequestPriority::NORMAL;
     gate.offer(at(1), priority, at(1_000), 0, &mut rng);
     let (verdict, _) = gate.offer(at(1), priority, at(2), 1, &mut rng);
     let GateVerdict::Refuse { retry_at } = verdict else {
@@ -57,7 +57,7 @@
 fn slower_service_refuses_waiters_that_became_hopeless() {
     let mut rng = SmallRng::seed_from_u64(SEED);
     let mut gate = SlotGate::new(SlotCount::new(1), 10);
-    let priority = RequestPriority::Normal;
+    let priority = RequestPriority::NORMAL;
     gate.offer(at(0), priority, at(10_000), 0, &mut rng);
     let (waits, _) = gate.offer(at(0), priority, at(50), 1, &mut rng);
     assert!(matches!(waits, GateVerdict::Wait { .. }));
--- a/crates/kernel/tests/request_overload.rs
+++ b/crates/kernel/tests/request_overload.rs
@@ -62,9 +62,9 @@
     fn arrive(&mut self, micros: u64) {
         let now = ClockInstant::from_micros(micros);
         let priority = match self.rng.random_range(0..10) {
-            0 => RequestPriority::Urgent,
-            1..4 => RequestPriority::Normal,
-            _ => RequestPriority::Deferrable,
+            0 => RequestPriority::URGENT,
+            1..4 => RequestPriority::NORMAL,
+            _ => RequestPriority::DEFERRABLE,
         };
         let work = Work {
             priority,
@@ -140,9 +140,9 @@
             f64::from(useful) > 0.9 * capacity,
             "seed {seed}: {useful} of {capacity}"
         );
-        let urgent = simulation.met(RequestPriority::Urgent);
-        let normal = simulation.met(RequestPriority::Normal);
-        let deferrable = simulation.met(RequestPriority::Deferrable);
+        let urgent = simulation.met(RequestPriority::URGENT);
+        let normal = simulation.met(RequestPriority::NORMAL);
+        let deferrable = simulation.met(RequestPriority::DEFERRABLE);
         assert!(urgent > 0.99, "seed {seed}: {urgent} of the urgent");
         assert!(
             normal > 4.0 * deferrable,
--- a/crates/platform/src/client/platform_calls.rs
+++ b/crates/store/src/client/platform_calls.rs
@@ -4,7 +4,10 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
-use crate::table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow};
+use crate::{
+    client::OperatorCalls,
+    table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
+};
 
 /// Future of one call to the platform.
 pub type CallFuture<T> = Pin<Box<dyn Future<Output = Result<T, MeshError>>>>;
@@ -27,4 +30,6 @@
     pub put_object: Box<PutObject>,
     /// Reads an object.
     pub get_object: Box<GetObject>,
+    /// Calls for operators' documents, where operators write to the platform themselves.
+    pub operators: Option<OperatorCalls>,
 }
--- a/crates/platform/src/client/platform_client.rs
+++ b/crates/store/src/client/platform_client.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 
 use crate::{
-    client::{PlatformCalls, PlatformKind, PlatformTarget, token_write},
+    client::{OperatorCalls, PlatformCalls, PlatformKind, PlatformTarget, token_write},
     table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
 };
 
@@ -132,6 +132,14 @@
     }
 }
 
+impl PlatformClient {
+    /// Returns the calls for operators' documents, where operators write to the platform.
+    #[must_use]
+    pub fn operators(&self) -> Option<&OperatorCalls> {
+        self.calls.operators.as_ref()
+    }
+}
+
 impl fmt::Debug for PlatformClient {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("PlatformClient(..)")
--- a/crates/platform/src/http/http_platform.rs
+++ b/crates/store/src/http/http_platform.rs
@@ -1,13 +1,6 @@
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::rc::Rc;
 
-use awc::{
-    Client, Connector,
-    error::{PayloadError, SendRequestError},
-    http::{
-        Method, StatusCode,
-        header::{CONTENT_LENGTH, HeaderMap},
-    },
-};
+use awc::http::{Method, StatusCode};
 use bronzelb_kernel::{
     clock::ClockInstant,
     error::{ErrorKind, MeshError},
@@ -17,16 +10,13 @@
 
 use crate::{
     client::{PlatformCalls, PlatformKind, PlatformTarget},
-    http::{path_encoding::encode_segment, wall_clock},
+    http::{HttpAnswer, HttpCall, HttpExchange, encode_segment},
     table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
 };
 
 const MAX_ROW_BYTES: usize = 1024 * 1024;
 const MAX_SCAN_BYTES: usize = 8 * 1024 * 1024;
 const MAX_OBJECT_BYTES: usize = 8 * 1024 * 1024;
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-const MAX_CONNECTIONS: usize = 16;
 
 inventory::submit! {
     PlatformKind {
@@ -36,8 +26,7 @@
 }
 
 struct HttpPlatform {
-    client: Client,
-    address: SocketAddr,
+    http: HttpExchange,
 }
 
 #[derive(Deserialize)]
@@ -62,32 +51,9 @@
     revision: u64,
 }
 
-/// A whole answer of the platform.
-struct HttpAnswer {
-    status: StatusCode,
-    body: Bytes,
-}
-
 fn connect(target: &PlatformTarget) -> Result<PlatformCalls, MeshError> {
-    let address = target.address.parse().map_err(|_| {
-        MeshError::invalid(format!(
-            "platform address {:?} is not an IP address with a port, such as \"10.1.0.4:8080\"",
-            target.address
-        ))
-    })?;
-    let mut connector = Connector::new()
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(IDLE_TIMEOUT)
-        .limit(MAX_CONNECTIONS);
-    if let Some(local_address) = target.local_address {
-        connector = connector.local_address(local_address);
-    }
-    let client = Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .finish();
-    let platform = Rc::new(HttpPlatform { client, address });
+    let http = HttpExchange::new(target)?;
+    let platform = Rc::new(HttpPlatform { http });
     Ok(build_calls(&platform))
 }
 
@@ -118,6 +84,7 @@
             let platform = Rc::clone(&fetcher);
             Box::pin(async move { platform.get_object(&name, deadline).await })
         }),
+        operators: None,
     }
 }
 
@@ -226,85 +193,22 @@
         max_bytes: usize,
         deadline: ClockInstant,
     ) -> Result<HttpAnswer, MeshError> {
-        let left = deadline.left(wall_clock()).to_std();
-        let exchange = self.exchange_unbounded(method, path, body, max_bytes);
-        match tokio::time::timeout(left, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(self.away("no answer by the deadline")),
-        }
-    }
-
-    async fn exchange_unbounded(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        max_bytes: usize,
-    ) -> Result<HttpAnswer, MeshError> {
-        let url = format!("http://{}{path}", self.address);
         let content_type = if method == Method::POST {
             "application/json"
         } else {
             "application/octet-stream"
         };
-        let mut response = self
-            .client
-            .request(method, url)
-            .content_type(content_type)
-            .send_body(body)
-            .await
-            .map_err(|error| self.send_error(&error))?;
-        let status = response.status();
-        if status.is_server_error() {
-            return Err(self.away(status.as_str()));
-        }
-        let length = content_length(response.headers());
-        let body = response
-            .body()
-            .limit(max_bytes)
-            .await
-            .map_err(|error| self.body_error(&error, max_bytes))?;
-        // The client library passes a body that ends early as a whole one.
-        if length.is_some_and(|length| length != body.len()) {
-            return Err(self.away("the answer's body is cut short"));
-        }
-        Ok(HttpAnswer { status, body })
-    }
-
-    fn send_error(&self, error: &SendRequestError) -> MeshError {
-        match error {
-            SendRequestError::Url(_) | SendRequestError::Http(_) => {
-                MeshError::invalid(format!("request to platform {}: {error}", self.address))
-            }
-            _ => self.away(&error.to_string()),
-        }
-    }
-
-    fn body_error(&self, error: &PayloadError, max_bytes: usize) -> MeshError {
-        if matches!(error, PayloadError::Overflow) {
-            return MeshError::new(
-                ErrorKind::TooLarge,
-                format!(
-                    "answer of platform {} exceeds {max_bytes} bytes",
-                    self.address
-                ),
-            );
-        }
-        self.away(&error.to_string())
-    }
-
-    fn away(&self, reason: &str) -> MeshError {
-        MeshError::new(
-            ErrorKind::PlatformAway,
-            format!("platform {}: {reason}", self.address),
-        )
+        let call = HttpCall {
+            method,
+            path,
+            content_type,
+            body,
+            max_bytes,
+        };
+        self.http.call(call, deadline).await
     }
 }
 
-fn content_length(headers: &HeaderMap) -> Option<usize> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 fn expect_success(answer: HttpAnswer) -> Result<Bytes, MeshError> {
     if answer.status.is_success() {
         return Ok(answer.body);
--- /dev/null
+++ b/crates/store/src/http/mod.rs
@@ -0,0 +1,10 @@
+//! Exchanges with platforms that speak HTTP/1.1.
+
+mod http_exchange;
+mod http_platform;
+mod path_encoding;
+mod wall_clock;
+
+pub use http_exchange::{HttpAnswer, HttpCall, HttpExchange};
+pub use path_encoding::encode_segment;
+pub use wall_clock::wall_clock;
--- a/crates/platform/src/http/path_encoding.rs
+++ b/crates/store/src/http/path_encoding.rs
@@ -2,7 +2,8 @@
 
 /// Percent-encodes everything but unreserved characters, so that `text` is one path segment or
 /// query value.
-pub(crate) fn encode_segment(text: &str) -> String {
+#[must_use]
+pub fn encode_segment(text: &str) -> String {
     let mut encoded = String::with_capacity(text.len() + text.len() / 2);
     for byte in text.bytes() {
         if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'~') {
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,10 +5,11 @@
 //! is a plain struct of closures; each kind of platform registers how to build one.
 //!
 //! - [`client`]: the client and the kinds of platform
+//! - [`http`]: exchanges that kinds of platform make over HTTP/1.1
 //! - [`table`]: rows, writes and scans
 
 pub mod client;
-mod http;
+pub mod http;
 pub mod table;
 
 pub use client::{PlatformClient, PlatformKind, PlatformTarget};
--- a/crates/platform/src/table/row_key.rs
+++ b/crates/store/src/table/row_key.rs
@@ -12,7 +12,7 @@
 /// # Examples
 ///
 /// ```
-/// use bronzelb_platform::table::RowKey;
+/// use bronzelb_store::table::RowKey;
 ///
 /// let key: RowKey = "hemelval/version".parse()?;
 /// assert_eq!(key.as_str(), "hemelval/version");
--- a/crates/platform/tests/token_write.rs
+++ b/crates/store/tests/token_write.rs
@@ -7,7 +7,7 @@
     error::{ErrorKind, MeshError},
     ids::AttemptToken,
 };
-use bronzelb_platform::{
+use bronzelb_store::{
     PlatformClient,
     client::PlatformCalls,
     table::{RowExpect, RowKey, RowRevision, RowWrite, TableRow},
@@ -45,6 +45,7 @@
         }),
         put_object: Box::new(|_, _, _| unreachable!("nothing is stored")),
         get_object: Box::new(|_, _| unreachable!("no object is read")),
+        operators: None,
     })
 }
 
