Start moves that leave every other version, and scale their waits to a short span

A node that had just started beside a server of the new version knew no other one, wrote the move as one from v2 to v2, and its record won the merge. Besides, doubts of 10 s, stops of 10 s and 5 s of settling do not fit a move of 14 s. Ruled out: a lost or late order (every node logged it within 10 ms of its writing). Change: an order's move leaves every version but its target, so no node has to know the others. Doubts, quick stops and settling last at most a part of the move's span.

--- a/crates/daemon/src/rollout/move_order.rs
+++ b/crates/daemon/src/rollout/move_order.rs
@@ -1,9 +1,9 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use bronzelb_kernel::{
     clock::TimeBudget,
-    ids::{AttemptToken, BuildVersion},
-    member::MemberTable,
+    config::ServiceSpec,
+    ids::AttemptToken,
     plugin::MoveOrder,
     rollout::{MOVE_KIND, MoveRecord, MoveState},
     spread::RecordKey,
@@ -35,7 +35,7 @@
     };
     info!(state.logger, "{}", EventName::MoveChanged;
         "service" => order.service.to_string(), "move" => order.number.get(),
-        "from" => record.from.to_string(), "to" => record.to.to_string(),
+        "to" => record.to.to_string(),
         "state" => record.state.name(), "left_ms" => record.by.left(state.now()).as_millis());
     let key = RecordKey::new(MOVE_KIND, order.service.as_str());
     if let Err(error) = state.put_record(key, record.to_bytes()) {
@@ -66,13 +66,15 @@
         .as_ref()
         .and_then(|config| config.snapshot().services.get(&order.service));
     let rule = spec.map_or_else(
-        || bronzelb_kernel::config::ServiceSpec::undeclared(u32::MAX).rollout,
+        || ServiceSpec::undeclared(u32::MAX).rollout,
         |spec| spec.rollout.clone(),
     );
     MoveRecord {
         service: order.service.clone(),
         number: order.number,
-        from: present_version(&state.members(), order),
+        // The order does not say which versions run now, and a node that has just started does
+        // not know.
+        from: order.target.clone(),
         to: order.target.clone(),
         start: now,
         by: now.after(order.allowed),
@@ -83,14 +85,3 @@
         mark: None,
     }
 }
-
-/// Returns the version, other than the target, that most slots of the service run now.
-fn present_version(members: &MemberTable, order: &MoveOrder) -> BuildVersion {
-    let rows = members.live().flat_map(|member| &member.backends);
-    let mut slots: BTreeMap<&BuildVersion, u32> = BTreeMap::new();
-    for row in rows.filter(|row| row.service == order.service && row.version != order.target) {
-        *slots.entry(&row.version).or_default() += row.slots.get();
-    }
-    let most = slots.into_iter().max_by_key(|(_, count)| *count);
-    most.map_or_else(|| order.target.clone(), |(version, _)| version.clone())
-}
--- a/crates/daemon/src/rollout/move_routes.rs
+++ b/crates/daemon/src/rollout/move_routes.rs
@@ -9,7 +9,7 @@
     member::{BackendState, MemberState},
     rollout::{
         MARK_KIND, MarkCause, MoveEvent, MoveMark, MoveOutlook, MoveRecord, MoveTransition,
-        RouteTally, VersionCapacity,
+        RouteTally, VersionCapacity, VersionSide,
     },
     spread::RecordKey,
 };
@@ -127,10 +127,10 @@
         .filter(|row| row.service == record.service && row.state == BackendState::Serving);
     let mut capacity = VersionCapacity::default();
     for row in rows {
-        let slots = match &row.version {
-            version if *version == record.to => &mut capacity.new,
-            version if *version == record.from => &mut capacity.old,
-            _ => continue,
+        let slots = match record.side_of(&row.version) {
+            Some(VersionSide::New) => &mut capacity.new,
+            Some(VersionSide::Old) => &mut capacity.old,
+            None => continue,
         };
         *slots = SlotCount::new(slots.get() + row.slots.get());
     }
--- a/crates/kernel/src/rollout/doubt_watch.rs
+++ b/crates/kernel/src/rollout/doubt_watch.rs
@@ -4,6 +4,7 @@
     rollout::{
         EventCount, RouteBin,
         route_judge::{failure_count, slow_count},
+        share_curve::part_of,
     },
 };
 
@@ -11,6 +12,11 @@
 const DOUBT_LIMIT: f64 = 4.6;
 const SHORTEST_DOUBT: TimeBudget = TimeBudget::from_secs(10);
 const LONGEST_DOUBT: TimeBudget = TimeBudget::from_secs(240);
+/// Parts of a move's span that its doubts last at least and at most: a doubt that comes to nothing
+/// must not make a short move late.
+const SHORTEST_PART_OF_SPAN: u64 = 12;
+const LONGEST_PART_OF_SPAN: u64 = 4;
+const REST_PART_OF_SPAN: u64 = 12;
 /// Length of a doubt from which on the next one does not raise the share.
 const LONG_DOUBT: TimeBudget = TimeBudget::from_secs(30);
 /// Wealth of a test above which a doubt goes on.
@@ -37,8 +43,11 @@
 /// Two cumulative sums compare the new version with what is remembered of the old one. They say
 /// nothing about the cause, so a doubt only gives the old version enough traffic for a
 /// comparison within the same interval. A doubt that comes to nothing ends by itself.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct DoubtWatch {
+    shortest: TimeBudget,
+    longest: TimeBudget,
+    rest: TimeBudget,
     failures: f64,
     slow: f64,
     step: usize,
@@ -48,6 +57,22 @@
 }
 
 impl DoubtWatch {
+    /// Builds the watch of a move that lasts for `span`.
+    #[must_use]
+    pub fn for_span(span: TimeBudget) -> Self {
+        Self {
+            shortest: SHORTEST_DOUBT.min(part_of(span, SHORTEST_PART_OF_SPAN)),
+            longest: LONGEST_DOUBT.min(part_of(span, LONGEST_PART_OF_SPAN)),
+            rest: REST_TIME.min(part_of(span, REST_PART_OF_SPAN)),
+            failures: 0.0,
+            slow: 0.0,
+            step: 0,
+            requests: 0.0,
+            begun_at: None,
+            rest_until: ClockInstant::default(),
+        }
+    }
+
     /// Takes in the outcomes of one interval.
     pub fn observe(
         &mut self,
@@ -98,15 +123,15 @@
             return;
         };
         let lasts = |time| begun_at.after(time).has_passed(now);
-        let has_enough = self.requests >= DOUBT_REQUESTS && lasts(SHORTEST_DOUBT);
-        if !(lasts(LONGEST_DOUBT) || has_enough && wealth < OPEN_WEALTH) {
+        let has_enough = self.requests >= DOUBT_REQUESTS && lasts(self.shortest);
+        if !(lasts(self.longest) || has_enough && wealth < OPEN_WEALTH) {
             return;
         }
         if !lasts(LONG_DOUBT) {
             self.step += 1;
         }
         self.begun_at = None;
-        self.rest_until = now.after(REST_TIME);
+        self.rest_until = now.after(self.rest);
         self.failures = 0.0;
         self.slow = 0.0;
     }
--- a/crates/kernel/src/rollout/move_judge.rs
+++ b/crates/kernel/src/rollout/move_judge.rs
@@ -187,10 +187,10 @@
     }
 
     fn judge_of(&mut self, route: &RouteName) -> &mut RouteJudge {
-        let span = self.record.start.elapsed(self.record.by).as_secs_f64();
-        let intervals = (span / INTERVAL.as_secs_f64()).min(MAX_INTERVALS);
+        let span = self.record.start.elapsed(self.record.by);
+        let intervals = (span.as_secs_f64() / INTERVAL.as_secs_f64()).min(MAX_INTERVALS);
         self.routes
             .entry(route.clone())
-            .or_insert_with(|| RouteJudge::new(intervals))
+            .or_insert_with(|| RouteJudge::new(span, intervals))
     }
 }
--- a/crates/kernel/src/rollout/move_record.rs
+++ b/crates/kernel/src/rollout/move_record.rs
@@ -7,7 +7,7 @@
     error::MeshError,
     ids::{AttemptToken, BuildVersion, DataCentre, MoveNumber, ServiceName},
     plugin::RecordKind,
-    rollout::{MoveMark, MoveState},
+    rollout::{MoveMark, MoveState, VersionSide},
 };
 
 /// Name of the record kind that carries [`MoveRecord`]s, under the service's name.
@@ -35,7 +35,7 @@
     pub service: ServiceName,
     /// Number of the move; the next move of the service has the next number.
     pub number: MoveNumber,
-    /// Version that the traffic leaves.
+    /// Version that the traffic leaves; the same as `to` when it leaves every other one.
     pub from: BuildVersion,
     /// Version that the traffic goes to.
     pub to: BuildVersion,
@@ -65,6 +65,16 @@
         self.rank() > held.rank()
     }
 
+    /// Returns the side of the move that a version is on, if any.
+    #[must_use]
+    pub fn side_of(&self, version: &BuildVersion) -> Option<VersionSide> {
+        if *version == self.to {
+            return Some(VersionSide::New);
+        }
+        let is_left = self.from == self.to || *version == self.from;
+        is_left.then_some(VersionSide::Old)
+    }
+
     /// Encodes the record for other nodes.
     #[must_use]
     pub fn to_bytes(&self) -> Vec<u8> {
--- a/crates/kernel/src/rollout/move_table.rs
+++ b/crates/kernel/src/rollout/move_table.rs
@@ -8,7 +8,7 @@
     rollout::{
         HEARING_TIME, MarkCause, MoveJudge, MoveMark, MoveOutlook, MoveRecord, MoveState, MoveView,
         NodeEvidence, NodeSlot, OutcomeReport, QuickStop, RouteFault, SharePlan, VersionCapacity,
-        VersionSide, VersionSplit,
+        VersionSplit,
     },
 };
 
@@ -160,11 +160,7 @@
         if entry.record.state.is_final() {
             return;
         }
-        let side = if report.version == entry.record.to {
-            VersionSide::New
-        } else if report.version == entry.record.from {
-            VersionSide::Old
-        } else {
+        let Some(side) = entry.record.side_of(&report.version) else {
             return;
         };
         entry.own.record(side, report, now);
@@ -319,6 +315,7 @@
             record.number,
             now,
         );
+        let span = record.start.elapsed(record.by);
         MoveEntry {
             judge: MoveJudge::new(record.clone(), now),
             plan: SharePlan::new(record.clone()),
@@ -326,7 +323,7 @@
             views: BTreeMap::new(),
             record,
             own,
-            quick: QuickStop::default(),
+            quick: QuickStop::for_span(span),
         }
     }
 }
--- a/crates/kernel/src/rollout/quick_stop.rs
+++ b/crates/kernel/src/rollout/quick_stop.rs
@@ -3,11 +3,13 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     ids::BackendName,
-    rollout::{OutcomeReport, VersionSide},
+    rollout::{OutcomeReport, VersionSide, share_curve::part_of},
 };
 
 const STREAK_LIMIT: u32 = 4;
 const STOP_TIME: TimeBudget = TimeBudget::from_secs(10);
+/// Part of a short move's span that a stop takes at most.
+const STOP_PART_OF_SPAN: u64 = 12;
 const OLD_FADING: f64 = 0.9;
 const OLD_FAILURE_LIMIT: f64 = 0.2;
 
@@ -15,8 +17,9 @@
 /// than one of its servers where there are several, while the old version is fine.
 ///
 /// It holds for a short time and for this node only; the merged evidence decides for all.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct QuickStop {
+    stop_time: TimeBudget,
     streak: u32,
     failing: BTreeSet<BackendName>,
     servers: BTreeSet<BackendName>,
@@ -24,7 +27,29 @@
     stopped_until: ClockInstant,
 }
 
+impl Default for QuickStop {
+    fn default() -> Self {
+        Self {
+            stop_time: STOP_TIME,
+            streak: 0,
+            failing: BTreeSet::new(),
+            servers: BTreeSet::new(),
+            old_failures: 0.0,
+            stopped_until: ClockInstant::default(),
+        }
+    }
+}
+
 impl QuickStop {
+    /// Builds the stop of a move that lasts for `span`.
+    #[must_use]
+    pub fn for_span(span: TimeBudget) -> Self {
+        Self {
+            stop_time: STOP_TIME.min(part_of(span, STOP_PART_OF_SPAN)),
+            ..Self::default()
+        }
+    }
+
     /// Takes in one outcome that the node saw itself.
     pub fn observe(&mut self, side: VersionSide, report: &OutcomeReport, now: ClockInstant) {
         if !report.class.is_evidence() {
@@ -60,7 +85,7 @@
         let speaks_for_version = self.failing.len() > 1 || self.servers.len() == 1;
         let old_is_fine = self.old_failures < OLD_FAILURE_LIMIT;
         if self.streak >= STREAK_LIMIT && speaks_for_version && old_is_fine {
-            self.stopped_until = now.after(STOP_TIME);
+            self.stopped_until = now.after(self.stop_time);
             self.streak = 0;
             self.failing.clear();
         }
--- a/crates/kernel/src/rollout/route_judge.rs
+++ b/crates/kernel/src/rollout/route_judge.rs
@@ -66,9 +66,9 @@
 }
 
 impl RouteJudge {
-    /// Builds a judge for a move of about `intervals` intervals.
+    /// Builds a judge for a move that lasts for `span` and has about `intervals` intervals.
     #[must_use]
-    pub fn new(intervals: f64) -> Self {
+    pub fn new(span: TimeBudget, intervals: f64) -> Self {
         let slow = || SequentialTest::new(SLOW_ODDS, intervals);
         Self {
             requests: BTreeMap::new(),
@@ -77,7 +77,7 @@
             servers: BTreeMap::new(),
             failures: SequentialTest::new(FAILURE_ODDS, intervals),
             slow: [slow(), slow()],
-            doubt: DoubtWatch::default(),
+            doubt: DoubtWatch::for_span(span),
         }
     }
 
--- a/crates/kernel/src/rollout/share_curve.rs
+++ b/crates/kernel/src/rollout/share_curve.rs
@@ -4,9 +4,12 @@
     rollout::MoveRecord,
 };
 
-/// Time for a mark or a record to reach every node that can be reached.
+/// Longest time for a mark or a record to reach every node that can be reached.
 pub const SETTLE: TimeBudget = TimeBudget::from_secs(5);
 
+/// Part of a short move's span in which marks and records settle.
+const SETTLE_PART_OF_SPAN: u64 = 8;
+
 /// Share at which the new version counts as whole while the old one keeps a control share.
 pub const WHOLE_SHARE: ShareRatio = ShareRatio::from_ppm(980_000);
 
@@ -26,6 +29,8 @@
     pub rise_at: ClockInstant,
     /// When the share is whole.
     pub whole_at: ClockInstant,
+    /// Time that the end of the move takes to reach every node.
+    pub settle: TimeBudget,
 }
 
 impl ShareCurve {
@@ -34,10 +39,11 @@
     pub fn of(record: &MoveRecord) -> Self {
         let span = record.start.elapsed(record.by);
         let spare = TimeBudget::from_micros(span.as_micros() / SPARE_PART_OF_SPAN);
+        let settle = SETTLE.min(part_of(span, SETTLE_PART_OF_SPAN));
         let latest = record
             .by
             .before(spare)
-            .before(SETTLE)
+            .before(settle)
             .before(record.rule.hold);
         let whole_at = latest.max(record.start);
         let way = record.start.elapsed(whole_at).as_micros();
@@ -47,6 +53,7 @@
             start: record.start,
             rise_at: record.start.after(first_part),
             whole_at,
+            settle,
         }
     }
 
@@ -73,6 +80,11 @@
     }
 }
 
+/// Returns the `part`th part of a span.
+pub(crate) const fn part_of(span: TimeBudget, part: u64) -> TimeBudget {
+    TimeBudget::from_micros(span.as_micros() / part)
+}
+
 const SMALLEST_SHARE: f64 = 0.001;
 const PPM: f64 = 1_000_000.0;
 
--- a/crates/kernel/src/rollout/share_plan.rs
+++ b/crates/kernel/src/rollout/share_plan.rs
@@ -3,8 +3,8 @@
     config::ShareRatio,
     ids::RouteName,
     rollout::{
-        MoveOutlook, MoveRecord, MoveView, RouteTally, SETTLE, ShareCurve, VersionCapacity,
-        WHOLE_SHARE, share_curve::share_of,
+        MoveOutlook, MoveRecord, MoveView, RouteTally, ShareCurve, VersionCapacity, WHOLE_SHARE,
+        share_curve::share_of,
     },
 };
 
@@ -65,7 +65,7 @@
     pub fn is_done(&self, view: &MoveView, now: ClockInstant) -> bool {
         view.whole_since.is_some_and(|since| {
             let held_at = since.after(self.record.rule.hold);
-            held_at.after(SETTLE).has_passed(now)
+            held_at.after(self.curve.settle).has_passed(now)
         })
     }
 
--- a/crates/kernel/src/rollout/version_split.rs
+++ b/crates/kernel/src/rollout/version_split.rs
@@ -18,9 +18,13 @@
     candidate: Option<BuildVersion>,
     share: ShareRatio,
     barred: Option<BuildVersion>,
+    /// Whether the move leaves every other version rather than one.
+    leaves_all: bool,
 }
 
 /// Versions that one request may go to.
+///
+/// A move that leaves every other version has no stable one: the others serve alike.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VersionChoice<'a> {
     /// Version to send the request to; any version serves if there is none.
@@ -29,6 +33,10 @@
     pub fallback: Option<&'a BuildVersion>,
     /// Version that must get no request.
     pub barred: Option<&'a BuildVersion>,
+    /// Version to turn to only while no server of any other takes work.
+    pub avoided: Option<&'a BuildVersion>,
+    /// Whether every other version serves while no server of the preferred one takes work.
+    pub accepts_others: bool,
 }
 
 impl VersionSplit {
@@ -38,14 +46,16 @@
         Self::default()
     }
 
-    /// Builds the split of a running move.
+    /// Builds the split of a running move; one from a version to itself leaves all others.
     #[must_use]
     pub fn moving(stable: BuildVersion, candidate: BuildVersion, share: ShareRatio) -> Self {
+        let leaves_all = stable == candidate;
         Self {
-            stable: Some(stable),
+            stable: (!leaves_all).then_some(stable),
             candidate: Some(candidate),
             share,
             barred: None,
+            leaves_all,
         }
     }
 
@@ -60,17 +70,22 @@
     /// serves only where no server of the old one does.
     #[must_use]
     pub fn done_but_faulty(from: BuildVersion, to: BuildVersion) -> Self {
+        if from == to {
+            return Self::moving(from, to, ShareRatio::NONE);
+        }
         Self::done(to, from)
     }
 
     /// Builds the split after a move was taken back: the new version gets nothing.
     #[must_use]
     pub fn taken_back(from: BuildVersion, to: BuildVersion) -> Self {
+        let leaves_all = from == to;
         Self {
-            stable: Some(from),
+            stable: (!leaves_all).then_some(from),
             candidate: None,
             share: ShareRatio::NONE,
             barred: Some(to),
+            leaves_all,
         }
     }
 
@@ -87,15 +102,18 @@
         let takes_candidate = self.candidate.is_some() && point % ppm < self.share_ppm();
         let (preferred, fallback) = if takes_candidate {
             (self.candidate.as_ref(), self.stable.as_ref())
-        } else if self.share == ShareRatio::NONE {
+        } else if self.leaves_all || self.share == ShareRatio::NONE {
             (self.stable.as_ref(), None)
         } else {
             (self.stable.as_ref(), self.candidate.as_ref())
         };
+        let avoided = self.candidate.as_ref();
         VersionChoice {
             preferred,
             fallback,
             barred: self.barred.as_ref(),
+            avoided: avoided.filter(|_| self.leaves_all && !takes_candidate),
+            accepts_others: self.leaves_all,
         }
     }
 
@@ -112,9 +130,10 @@
             return None;
         }
         match self.preferred {
+            None if self.avoided == Some(version) => Some(1),
             None => Some(0),
             Some(preferred) if preferred == version => Some(0),
-            Some(_) if self.fallback == Some(version) => Some(1),
+            Some(_) if self.accepts_others || self.fallback == Some(version) => Some(1),
             Some(_) => None,
         }
     }
