Queue by each route's own service time, and leave out servers that answer too late

While a second move ran, the bad target of the first one counted as an old version and got traffic again.

--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -18,7 +18,7 @@
     ids::{BackendName, SlotCount},
     member::BackendState,
     plugin::ServerDialect,
-    request::{CrashSuspicion, ServerLife},
+    request::{CrashSuspicion, ServerLife, SlotOffer},
 };
 use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest, HeaderPair};
 use bytes::Bytes;
@@ -96,7 +96,10 @@
             CrashSuspicion::Suspect => Some(gate.suspects.enter(message.priority, deadline).await?),
             _ => None,
         };
-        let permit = gate.slots.enter(message.priority, deadline).await?;
+        let permit = gate
+            .slots
+            .enter_work(self.slot_offer(deadline, message))
+            .await?;
         // The server may have begun to leave while the request waited.
         let announcement = self.announcement(name)?;
         let result = self
@@ -142,6 +145,25 @@
         Err(MeshError::new(ErrorKind::Draining, message).with_retry_at(self.pause()))
     }
 
+    /// Returns what the server's gate is to know of a request.
+    fn slot_offer(&self, deadline: ClockInstant, message: &ForwardRequest) -> SlotOffer {
+        let config = self.state.config();
+        let rule = config
+            .as_ref()
+            .and_then(|config| config.snapshot().routes.get(&message.route));
+        // The deadline is the route's timeout after the request entered, or the caller's own.
+        let wanted_by = rule.map(|rule| {
+            let spare = rule.objective.latency.left_of(rule.timeout);
+            deadline.before(spare)
+        });
+        SlotOffer {
+            priority: message.priority,
+            deadline,
+            wanted_by,
+            route: Some(message.route.clone()),
+        }
+    }
+
     /// Returns the connections that the configuration grants each server of the service.
     fn declared_connections(&self, announcement: &BackendAnnouncement) -> u32 {
         let config = self.state.config();
--- a/crates/daemon/src/forward/gate_keeper.rs
+++ b/crates/daemon/src/forward/gate_keeper.rs
@@ -4,8 +4,8 @@
     clock::ClockInstant,
     config::RequestPriority,
     error::{ErrorKind, MeshError},
-    ids::SlotCount,
-    request::{GateChange, GateVerdict, QueuePlace, ServerLoad, SlotGate},
+    ids::{RouteName, SlotCount},
+    request::{GateChange, GateVerdict, QueuePlace, ServerLoad, SlotGate, SlotOffer},
 };
 use tokio::{sync::oneshot, time};
 
@@ -39,23 +39,38 @@
         self: &Arc<Self>,
         priority: RequestPriority,
         deadline: ClockInstant,
+    ) -> Result<SlotPermit, MeshError> {
+        let offer = SlotOffer {
+            priority,
+            deadline,
+            wanted_by: None,
+            route: None,
+        };
+        self.enter_work(offer).await
+    }
+
+    /// Waits for a slot by all that is known of the request; see [`GateKeeper::enter`].
+    pub(crate) async fn enter_work(
+        self: &Arc<Self>,
+        offer: SlotOffer,
     ) -> Result<SlotPermit, MeshError> {
         let now = self.clock.now();
         let (sender, receiver) = oneshot::channel();
-        let (verdict, refused) =
-            self.lock()
-                .offer(now, priority, deadline, sender, &mut rand::rng());
+        let (verdict, refused) = self
+            .lock()
+            .offer_work(now, &offer, sender, &mut rand::rng());
         for waiter in refused {
             // A waiter that has gone away needs no answer.
             let _ = waiter.item.send(Err(waiter.retry_at));
         }
         match verdict {
-            GateVerdict::Run => Ok(self.permit()),
+            GateVerdict::Run => Ok(self.permit(offer.route)),
             GateVerdict::Refuse { retry_at } => Err(overloaded(retry_at)),
             GateVerdict::Wait { place, give_up_at } => {
                 let wait = SlotWait {
                     keeper: self,
                     place,
+                    route: offer.route,
                     receiver,
                 };
                 wait.finish(give_up_at).await
@@ -83,9 +98,10 @@
         }
     }
 
-    fn permit(self: &Arc<Self>) -> SlotPermit {
+    fn permit(self: &Arc<Self>, route: Option<RouteName>) -> SlotPermit {
         SlotPermit {
             keeper: Arc::clone(self),
+            route,
             started_at: self.clock.now(),
             is_finished: false,
         }
@@ -118,6 +134,7 @@
 #[derive(Debug)]
 pub(crate) struct SlotPermit {
     keeper: Arc<GateKeeper>,
+    route: Option<RouteName>,
     started_at: ClockInstant,
     is_finished: bool,
 }
@@ -132,6 +149,9 @@
 impl Drop for SlotPermit {
     fn drop(&mut self) {
         let took = self.started_at.elapsed(self.keeper.clock.now());
+        if let Some(route) = self.route.as_ref().filter(|_| self.is_finished) {
+            self.keeper.lock().learn_route(route, took);
+        }
         self.keeper.release(self.is_finished.then_some(took));
     }
 }
@@ -140,6 +160,7 @@
 struct SlotWait<'a> {
     keeper: &'a Arc<GateKeeper>,
     place: QueuePlace,
+    route: Option<RouteName>,
     receiver: oneshot::Receiver<SlotSignal>,
 }
 
@@ -147,7 +168,7 @@
     async fn finish(mut self, give_up_at: ClockInstant) -> Result<SlotPermit, MeshError> {
         let left = give_up_at.left(self.keeper.clock.now()).to_std();
         match time::timeout(left, &mut self.receiver).await {
-            Ok(Ok(Ok(()))) => Ok(self.keeper.permit()),
+            Ok(Ok(Ok(()))) => Ok(self.keeper.permit(self.route.take())),
             Ok(Ok(Err(retry_at))) => Err(overloaded(retry_at)),
             _ => Err(overloaded(self.keeper.clock.now())),
         }
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -6,7 +6,8 @@
     error::{ErrorKind, MeshError, RunState},
     ids::BackendName,
     request::{
-        AttemptCase, AttemptOutcome, BudgetRule, ChoiceRule, RetryCase, RetryVerdict, ServerPlace,
+        AttemptCase, AttemptOutcome, BudgetRule, ChoiceRule, PaceGoal, RetryCase, RetryVerdict,
+        ServerPlace,
     },
     rollout::{OutcomeClass, OutcomeReport, VersionSplit},
 };
@@ -183,12 +184,18 @@
         let own = &self.state.settings.data_centre;
         let proxy = config.snapshot().proxies.get(own);
         let split = self.version_split(planned);
+        let route = config.snapshot().routes.get(&planned.message.route);
+        let objective = route.map(|route| &route.objective);
         let rule = ChoiceRule {
             service: &planned.service,
             versions: split.choose(rand::random()),
             data_centre: own,
             spill_order: proxy.map_or(&[], |proxy| proxy.spill_order.as_slice()),
             tried,
+            pace: objective.map(|objective| PaceGoal {
+                route: &planned.message.route,
+                latency: objective.latency,
+            }),
         };
         let mut book = self.state.requests.book();
         book.choose(now, &rule, &mut rand::rng())
@@ -340,7 +347,12 @@
         if let Ok(answer) = result {
             let mut book = self.state.requests.book();
             let service = &self.planned.service;
-            book.report_load(self.state.now(), service, &self.place.backend, answer.load);
+            let (now, backend) = (self.state.now(), &self.place.backend);
+            book.report_load(now, service, backend, answer.load);
+            if outcome == AttemptOutcome::Served {
+                let took = self.started_at.elapsed(now);
+                book.note_pace(now, service, backend, &self.planned.message.route, took);
+            }
         }
     }
 
--- a/crates/daemon/src/rollout/move_order.rs
+++ b/crates/daemon/src/rollout/move_order.rs
@@ -26,12 +26,16 @@
     order: &MoveOrder,
 ) {
     let held = state.rollout.table().record(&order.service).cloned();
-    if held.is_some_and(|held| held.number >= order.number) {
+    if held
+        .as_ref()
+        .is_some_and(|held| held.number >= order.number)
+    {
         return;
     }
-    let record = match read_record(state, platform, order).await {
-        Some(record) => record,
-        None => new_record(state, order),
+    let stored = read_record(state, platform, order).await;
+    let record = match stored {
+        Some(stored) if stored.number >= order.number => stored,
+        stored => new_record(state, order, stored.or(held).as_ref()),
     };
     info!(state.logger, "{}", EventName::MoveChanged;
         "service" => order.service.to_string(), "move" => order.number.get(),
@@ -43,7 +47,7 @@
     }
 }
 
-/// Returns the record of this order, if another run of the mesh has stored one.
+/// Returns the latest record of the service's moves that the platform holds.
 async fn read_record(
     state: &NodeState,
     platform: &PlatformClient,
@@ -55,11 +59,10 @@
     let deadline = state.now().after(READ_BUDGET);
     // Without an answer the move starts anew, and merges with the stored one when that is read.
     let row = platform.get_row(&key, deadline).await.ok()??;
-    let record = MoveRecord::from_row(&row.value).ok()?;
-    (record.number >= order.number).then_some(record)
+    MoveRecord::from_row(&row.value).ok()
 }
 
-fn new_record(state: &NodeState, order: &MoveOrder) -> MoveRecord {
+fn new_record(state: &NodeState, order: &MoveOrder, last: Option<&MoveRecord>) -> MoveRecord {
     let now = state.now();
     let config = state.config();
     let spec = config
@@ -83,5 +86,6 @@
         attempt: AttemptToken::new(rand::random()),
         statement: None,
         mark: None,
+        barred: last.map_or_else(Vec::new, |last| last.barred_after(&order.target)),
     }
 }
--- a/crates/daemon/src/source/operator_feed.rs
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -5,6 +5,7 @@
     config::ConfigVersion,
     error::{ErrorKind, MeshError},
     plugin::{DocumentContext, OperatorDocument},
+    spread::SpreadNode,
 };
 use bronzelb_store::{
     PlatformClient,
@@ -23,6 +24,8 @@
 
 /// Longest wait for changes; a connection that went silent is noticed after this time.
 const WATCH_TIME: TimeBudget = TimeBudget::from_millis(2_500);
+/// Time after which a node that was no reader looks whether it has become one.
+const READER_CHECK: Duration = Duration::from_millis(200);
 /// Time for a read of everything that operators have written.
 const READ_TIME: TimeBudget = TimeBudget::from_millis(1_000);
 /// Pauses after a call that failed, drawn at random so that nodes do not return together.
@@ -31,6 +34,8 @@
 
 /// Follows what operators write to the platform until the stop signal.
 ///
+/// A few nodes of each data centre do, and those that start or are alone.
+///
 /// Returns at once for a platform to which operators do not write documents themselves.
 pub async fn run_operator_feed(state: Arc<NodeState>, mut stop: StopSignal) {
     let Ok(platform) = connect_platform(&state) else {
@@ -47,6 +52,13 @@
         place: None,
     };
     loop {
+        // The others learn of documents from their peers, within a few rounds of pushes.
+        if !state.spread.read(SpreadNode::is_reader) {
+            if !stop.pause(READER_CHECK).await {
+                return;
+            }
+            continue;
+        }
         let pause = tokio::select! {
             pause = feed.follow() => pause,
             () = stop.stopped() => return,
--- a/crates/emulator/src/experiment/node_size/node_size_experiment.rs
+++ b/crates/emulator/src/experiment/node_size/node_size_experiment.rs
@@ -145,6 +145,7 @@
             data_centre: &home,
             spill_order: &spill,
             tried: &[],
+            pace: None,
         };
         if let Some(place) = book.choose(now, &rule, &mut rng) {
             let took = TimeBudget::from_millis(1);
--- a/crates/emulator/src/experiment/request/request_choice.rs
+++ b/crates/emulator/src/experiment/request/request_choice.rs
@@ -101,6 +101,7 @@
                 data_centre: &data_centre,
                 spill_order: &spill_order,
                 tried: &[],
+                pace: None,
             };
             let Some(place) = self.book.choose(self.now, &rule, &mut self.rng) else {
                 continue;
--- a/crates/emulator/src/experiment/rollout/move_trial.rs
+++ b/crates/emulator/src/experiment/rollout/move_trial.rs
@@ -124,6 +124,7 @@
             attempt: AttemptToken::new(1),
             statement: None,
             mark: None,
+            barred: Vec::new(),
         };
         let name = |centre, side| format!("b{centre}-{side}").parse().expect("a name");
         let mut nodes = Vec::new();
--- a/crates/kernel/src/clock/time_budget.rs
+++ b/crates/kernel/src/clock/time_budget.rs
@@ -74,6 +74,12 @@
         Duration::from_micros(self.0)
     }
 
+    /// Returns what a longer budget has beyond this one, zero if it has not.
+    #[must_use]
+    pub const fn left_of(self, longer: Self) -> Self {
+        Self(longer.0.saturating_sub(self.0))
+    }
+
     /// Returns whether no time is left.
     #[must_use]
     pub const fn is_zero(self) -> bool {
--- a/crates/kernel/src/request/server_book.rs
+++ b/crates/kernel/src/request/server_book.rs
@@ -5,13 +5,19 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
-    ids::{BackendName, DataCentre, ServiceName, SlotCount},
+    ids::{BackendName, DataCentre, RouteName, ServiceName, SlotCount},
     member::{BackendRow, BackendState, MemberRow, MemberState},
-    request::{AttemptOutcome, ServerLoad, ServerPlace, server_stat::ServerStat},
+    request::{
+        AttemptOutcome, ServerLoad, ServerPlace, route_pace::RoutePace, server_stat::ServerStat,
+    },
     rollout::VersionChoice,
 };
 
 const MAX_EJECTED_DIVISOR: usize = 2;
+/// Part of the wanted time that an average request may take: longer work needs the rest.
+const SAFE_PART_OF_GOAL: f64 = 0.6;
+/// How much longer than at the quickest server a request may take where both may be late.
+const MUCH_QUICKER: f64 = 1.4;
 const SPILL_FULLNESS: f64 = 1.0;
 const SPILL_MARGIN: f64 = 0.25;
 
@@ -28,6 +34,17 @@
     pub spill_order: &'a [DataCentre],
     /// Servers that the request has already been tried on.
     pub tried: &'a [BackendName],
+    /// Time within which the answer is wanted, if the servers' pace matters.
+    pub pace: Option<PaceGoal<'a>>,
+}
+
+/// Time within which the answers of a route are wanted.
+#[derive(Clone, Copy, Debug)]
+pub struct PaceGoal<'a> {
+    /// Route of the request.
+    pub route: &'a RouteName,
+    /// Latency that the route's callers are promised.
+    pub latency: TimeBudget,
 }
 
 /// What a node knows of every backend server in the mesh, and the choice among them.
@@ -36,6 +53,7 @@
 /// Reports from elsewhere can raise a server's load or halve its weight; they never eject it.
 #[derive(Clone, Debug, Default)]
 pub struct ServerBook {
+    pace: RoutePace,
     services: BTreeMap<ServiceName, BTreeMap<BackendName, ServerStat>>,
 }
 
@@ -74,8 +92,12 @@
         rule: &ChoiceRule<'_>,
         rng: &mut impl Rng,
     ) -> Option<ServerPlace> {
+        let goal = rule.pace.and_then(|goal| {
+            let usual = self.pace.usual_micros(goal.route)?;
+            Some(goal.latency.as_micros() as f64 / usual)
+        });
         let stats = self.services.get_mut(rule.service)?;
-        let name = pick(now, stats, rule, rng)?;
+        let name = pick(now, stats, rule, goal, rng)?;
         let stat = stats.get_mut(&name)?;
         stat.begin(now);
         Some(stat.place.clone())
@@ -102,6 +124,21 @@
         }
     }
 
+    /// Takes in the time after which a server answered a request of `route`.
+    pub fn note_pace(
+        &mut self,
+        now: ClockInstant,
+        service: &ServiceName,
+        backend: &BackendName,
+        route: &RouteName,
+        took: TimeBudget,
+    ) {
+        let slowness = self.pace.observe(route, took);
+        if let Some(stat) = self.stat_mut(service, backend) {
+            stat.note_pace(now, slowness);
+        }
+    }
+
     /// Takes in a server's load, as carried by an answer of the node beside it.
     pub fn report_load(
         &mut self,
@@ -238,6 +275,7 @@
     now: ClockInstant,
     stats: &BTreeMap<BackendName, ServerStat>,
     rule: &ChoiceRule<'_>,
+    goal: Option<f64>,
     rng: &mut impl Rng,
 ) -> Option<BackendName> {
     let all = usable(stats, rule);
@@ -246,10 +284,13 @@
         .copied()
         .filter(|stat| !stat.is_ejected(now))
         .collect();
-    let candidates = match admitted.is_empty() {
+    let mut candidates = match admitted.is_empty() {
         true => all,
         false => admitted,
     };
+    if let Some(goal) = goal {
+        leave_out_late(now, &mut candidates, goal);
+    }
     let data_centre = nearest_with_room(now, &candidates, rule)?;
     let near: Vec<&ServerStat> = candidates
         .into_iter()
@@ -258,6 +299,18 @@
     Some(better_of_two(now, &near, rng)?.place.backend.clone())
 }
 
+/// Leaves out the servers that would likely answer later than wanted, where another is quicker.
+///
+/// `goal` is the wanted time against the route's usual one.
+fn leave_out_late(now: ClockInstant, candidates: &mut Vec<&ServerStat>, goal: f64) {
+    let paces = candidates.iter().map(|stat| stat.expected_pace(now));
+    let best = paces.fold(f64::INFINITY, f64::min);
+    candidates.retain(|stat| {
+        let pace = stat.expected_pace(now);
+        pace <= goal * SAFE_PART_OF_GOAL || pace <= best * MUCH_QUICKER
+    });
+}
+
 /// Returns the untried servers that take work, of the best-ranked version that has any.
 fn usable<'a>(
     stats: &'a BTreeMap<BackendName, ServerStat>,
--- a/crates/kernel/src/request/server_stat.rs
+++ b/crates/kernel/src/request/server_stat.rs
@@ -8,6 +8,12 @@
     request::AttemptOutcome,
 };
 
+/// Weight of one request in a server's pace: about the last eight count.
+const PACE_WEIGHT: f64 = 0.12;
+/// Time after which half of what is known of a server's pace counts.
+const PACE_HALF_LIFE: TimeBudget = TimeBudget::from_secs(4);
+/// Pace of a server that has just started, against a warm one.
+const COLD_PACE: f64 = 0.5;
 const FAILURE_WEIGHT: f64 = 0.1;
 const LATENCY_WEIGHT: f64 = 0.2;
 const MAX_CONSECUTIVE_FAILURES: u32 = 5;
@@ -22,6 +28,8 @@
 const STALL_FACTOR: f64 = 8.0;
 const STALL_FLOOR_MICROS: f64 = 50_000.0;
 const STALL_PENALTY: f64 = 16.0;
+/// Most that a fast server counts for, in usual ones.
+const MAX_SPEED: f64 = 2.0;
 const FIRST_WEIGHT: f64 = 0.1;
 const MIN_WEIGHT: f64 = 0.02;
 const UNHEALTHY_WEIGHT: f64 = 0.5;
@@ -65,6 +73,8 @@
     failure_at: ClockInstant,
     samples: u32,
     latency_micros: f64,
+    slowness: f64,
+    slowness_at: ClockInstant,
     progress_at: ClockInstant,
     load: ServerLoad,
     load_until: ClockInstant,
@@ -87,6 +97,8 @@
             failure_at: ClockInstant::default(),
             samples: 0,
             latency_micros: 0.0,
+            slowness: 1.0,
+            slowness_at: ClockInstant::default(),
             progress_at: ClockInstant::default(),
             load: ServerLoad::default(),
             load_until: ClockInstant::default(),
@@ -153,6 +165,32 @@
         self.full_from = self.ejected_until.after(self.slow_start);
     }
 
+    /// Takes in the time of one request against the usual time of its route.
+    pub(crate) fn note_pace(&mut self, now: ClockInstant, slowness: f64) {
+        let held = self.slowness(now);
+        self.slowness = held + PACE_WEIGHT * (slowness - held);
+        self.slowness_at = now;
+    }
+
+    /// Returns the time that the server takes against the usual one; what is remembered fades
+    /// while it gets no work, so that it is tried again.
+    fn slowness(&self, now: ClockInstant) -> f64 {
+        let age = self.slowness_at.elapsed(now).as_secs_f64();
+        let kept = (-age / PACE_HALF_LIFE.as_secs_f64()).exp2();
+        1.0 + (self.slowness - 1.0) * kept
+    }
+
+    /// Returns the time until an answer against the usual one, with the wait for a slot.
+    pub(crate) fn expected_pace(&self, now: ClockInstant) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let queued = (f64::from(self.work(now)) + 1.0 - slots).max(0.0);
+        let pace = self.slowness(now) * (1.0 + queued / slots) / self.warmth(now).max(COLD_PACE);
+        if self.is_stalled(now) {
+            return pace * STALL_PENALTY;
+        }
+        pace
+    }
+
     /// Returns the share of a full server's work that this one should get.
     pub(crate) fn weight(&self, now: ClockInstant) -> f64 {
         let health = if self.is_healthy {
@@ -161,7 +199,8 @@
             UNHEALTHY_WEIGHT
         };
         let success = 1.0 - self.failure_share(now);
-        (self.warmth(now) * health * success * success).max(MIN_WEIGHT)
+        let pace = self.slowness(now).max(1.0 / MAX_SPEED);
+        (self.warmth(now) * health * success * success / pace).max(MIN_WEIGHT)
     }
 
     /// Returns outstanding work against the slots that the server has for its weight.
--- a/crates/kernel/src/request/shared_budget.rs
+++ b/crates/kernel/src/request/shared_budget.rs
@@ -6,7 +6,7 @@
 const SLICES: u64 = 20;
 /// Part of the mesh's budget that nodes use by themselves. The rest covers the calls that repeated
 /// runs make in turn, which count as repeats of the services called.
-const USED_PART: f64 = 0.5;
+const USED_PART: f64 = 0.4;
 
 /// Limit on repeats that all nodes of a mesh keep together, for each service.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/kernel/src/request/slot_gate.rs
+++ b/crates/kernel/src/request/slot_gate.rs
@@ -5,13 +5,17 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::RequestPriority,
-    ids::SlotCount,
+    ids::{RouteName, SlotCount},
 };
 
 const FIRST_SERVICE_TIME: TimeBudget = TimeBudget::from_millis(5);
 const SERVICE_TIME_WEIGHT: u64 = 8;
 const EXAMINE_DIVISOR: u64 = 8;
 const WAIT_DIVISOR: u64 = 4;
+/// Part of a route's usual time by which longer work exceeds it, in eighths.
+const LONG_WORK_EIGHTHS: u64 = 10;
+/// Time that even a request that is late already may wait, so that a short queue refuses nobody.
+const SHORT_WAIT: TimeBudget = TimeBudget::from_millis(100);
 const MIN_RETRY_MICROS: u64 = 5_000;
 const MAX_RETRY_MICROS: u64 = 5_000_000;
 
@@ -23,6 +27,20 @@
     sequence: u64,
 }
 
+/// What a [`SlotGate`] knows of a request that asks for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotOffer {
+    /// Rank of the request in the queue.
+    pub priority: RequestPriority,
+    /// Instant by which the request must be answered.
+    pub deadline: ClockInstant,
+    /// Instant by which the caller wants the answer; a request that cannot make it is refused, so
+    /// that another gets the slot while its answer is still worth the most.
+    pub wanted_by: Option<ClockInstant>,
+    /// Route of the request; routes of one service differ in the time that they take.
+    pub route: Option<RouteName>,
+}
+
 /// What becomes of a request that asks a [`SlotGate`] for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GateVerdict {
@@ -74,15 +92,17 @@
 struct WaitEntry<T> {
     item: T,
     give_up_at: ClockInstant,
+    /// Time that the request is expected to take.
+    expected: TimeBudget,
 }
 
 /// A limit on requests that run at once, with a bounded queue before it.
 ///
 /// The queue is ordered by priority, then by deadline. A request that cannot make its deadline,
 /// by the measured service time and the requests before it, is refused at once with the instant
-/// at which room is expected. No request waits longer than a quarter of the time that it had left
-/// on arrival, so that its caller can still turn elsewhere. When the queue is full, a more urgent arrival displaces the last
-/// one in the queue.
+/// at which room is expected. No request waits longer than its answer is wanted, or than a quarter
+/// of the time that it had left on arrival, so that its caller can still turn elsewhere. When the
+/// queue is full, a more urgent arrival displaces the last one in the queue.
 ///
 /// # Examples
 ///
@@ -111,6 +131,7 @@
     running: u32,
     queue: BTreeMap<QueuePlace, WaitEntry<T>>,
     service_time: TimeBudget,
+    route_times: BTreeMap<RouteName, TimeBudget>,
     has_learned: bool,
     /// Service time by which the queue was last examined.
     examined_for: TimeBudget,
@@ -127,6 +148,7 @@
             running: 0,
             queue: BTreeMap::new(),
             service_time: FIRST_SERVICE_TIME,
+            route_times: BTreeMap::new(),
             has_learned: false,
             examined_for: FIRST_SERVICE_TIME,
             next_sequence: 0,
@@ -144,6 +166,24 @@
         item: T,
         rng: &mut impl Rng,
     ) -> (GateVerdict, Vec<RefusedWaiter<T>>) {
+        let offer = SlotOffer {
+            priority,
+            deadline,
+            wanted_by: None,
+            route: None,
+        };
+        self.offer_work(now, &offer, item, rng)
+    }
+
+    /// Asks for a slot by all that is known of the request; see [`SlotGate::offer`].
+    pub fn offer_work(
+        &mut self,
+        now: ClockInstant,
+        offer: &SlotOffer,
+        item: T,
+        rng: &mut impl Rng,
+    ) -> (GateVerdict, Vec<RefusedWaiter<T>>) {
+        let deadline = offer.deadline;
         if deadline.has_passed(now) {
             return (self.refuse(now, rng), Vec::new());
         }
@@ -152,7 +192,7 @@
             return (GateVerdict::Run, Vec::new());
         }
         let place = QueuePlace {
-            priority,
+            priority: offer.priority,
             deadline,
             sequence: self.next_sequence,
         };
@@ -161,13 +201,20 @@
             .last_key_value()
             .is_none_or(|(last, _)| place > *last);
         let is_full = self.queue.len() >= self.queue_limit;
-        let ahead = self.queue.range(..place).count();
-        let give_up_at = self.give_up_at(now, deadline);
+        let ahead = self.queue.range(..place);
+        let ahead: u64 = ahead.map(|(_, entry)| entry.expected.as_micros()).sum();
+        let expected = self.expected(offer.route.as_ref());
+        let give_up_at = give_up_at(now, offer, expected);
         if (is_full && is_last) || self.is_hopeless(now, give_up_at, ahead) {
             return (self.refuse(now, rng), Vec::new());
         }
         self.next_sequence += 1;
-        self.queue.insert(place, WaitEntry { item, give_up_at });
+        let entry = WaitEntry {
+            item,
+            give_up_at,
+            expected,
+        };
+        self.queue.insert(place, entry);
         let refused = self.displace(now, rng);
         (GateVerdict::Wait { place, give_up_at }, refused)
     }
@@ -177,6 +224,16 @@
         self.queue.remove(&place).map(|entry| entry.item)
     }
 
+    /// Takes in the time for which a request of `route` ran.
+    pub fn learn_route(&mut self, route: &RouteName, took: TimeBudget) {
+        match self.route_times.get_mut(route) {
+            Some(held) => *held = blend(*held, took),
+            None => {
+                self.route_times.insert(route.clone(), took);
+            }
+        }
+    }
+
     /// Frees the slot of a request that ran for `took`, or that never began when `None`.
     pub fn release(
         &mut self,
@@ -262,11 +319,13 @@
         let mut doomed = Vec::new();
         self.examined_for = self.service_time;
         let mut kept = 0;
+        let mut ahead = 0;
         for (place, entry) in &self.queue {
-            if kept >= self.queue_limit || self.is_hopeless(now, entry.give_up_at, kept) {
+            if kept >= self.queue_limit || self.is_hopeless(now, entry.give_up_at, ahead) {
                 doomed.push(*place);
             } else {
                 kept += 1;
+                ahead += entry.expected.as_micros();
             }
         }
         let mut refused = Vec::with_capacity(doomed.len());
@@ -286,27 +345,28 @@
         }
     }
 
-    /// Returns whether a request behind `ahead` others would start too late.
-    fn is_hopeless(&self, now: ClockInstant, give_up_at: ClockInstant, ahead: usize) -> bool {
-        let wait = self.wait_micros(ahead as u64 + 1);
-        now.after(TimeBudget::from_micros(wait)) > give_up_at
+    /// Returns whether a request behind `ahead` microseconds of other work would start too late.
+    fn is_hopeless(&self, now: ClockInstant, give_up_at: ClockInstant, ahead: u64) -> bool {
+        now.after(TimeBudget::from_micros(self.wait_micros(ahead))) > give_up_at
     }
 
-    fn wait_micros(&self, requests: u64) -> u64 {
+    /// Returns the time until a slot is free behind `ahead` microseconds of work in the queue.
+    fn wait_micros(&self, ahead: u64) -> u64 {
         let limit = u64::from(self.limit.max(1));
-        requests.saturating_mul(self.service_time.as_micros()) / limit
+        ahead.saturating_add(self.service_time.as_micros()) / limit
     }
 
-    /// Returns when a request that arrives now has waited as long as it may.
-    fn give_up_at(&self, now: ClockInstant, deadline: ClockInstant) -> ClockInstant {
-        let longest = deadline.left(now).as_micros() / WAIT_DIVISOR;
-        let latest_start = deadline.before(self.service_time);
-        latest_start.min(now.after(TimeBudget::from_micros(longest)))
+    /// Returns the time that a request is expected to take.
+    fn expected(&self, route: Option<&RouteName>) -> TimeBudget {
+        let known = route.and_then(|route| self.route_times.get(route));
+        known.copied().unwrap_or(self.service_time)
     }
 
     /// Returns when the present queue will have drained, spread so that retries do not coincide.
     fn retry_at(&self, now: ClockInstant, rng: &mut impl Rng) -> ClockInstant {
-        let drain = self.wait_micros(self.queue.len() as u64 + u64::from(self.running));
+        let queued = self.queue.values().map(|entry| entry.expected.as_micros());
+        let running = u64::from(self.running.saturating_sub(1)) * self.service_time.as_micros();
+        let drain = self.wait_micros(queued.sum::<u64>() + running);
         let base = drain.clamp(MIN_RETRY_MICROS, MAX_RETRY_MICROS);
         let spread = rng.random_range(0..=base);
         now.after(TimeBudget::from_micros(base + spread))
@@ -318,8 +378,32 @@
             self.service_time = took;
             return;
         }
-        let held = self.service_time.as_micros() * (SERVICE_TIME_WEIGHT - 1);
-        let micros = (held + took.as_micros()) / SERVICE_TIME_WEIGHT;
-        self.service_time = TimeBudget::from_micros(micros);
+        self.service_time = blend(self.service_time, took);
     }
 }
+
+/// Returns a moving average after one more time.
+fn blend(held: TimeBudget, took: TimeBudget) -> TimeBudget {
+    let sum = held.as_micros() * (SERVICE_TIME_WEIGHT - 1) + took.as_micros();
+    TimeBudget::from_micros(sum / SERVICE_TIME_WEIGHT)
+}
+
+/// Returns when a request that arrives now has waited as long as it may.
+///
+/// That is in time for its answer to be wanted still, or for a quarter of the time that it has
+/// left where nobody says when that is.
+fn give_up_at(now: ClockInstant, offer: &SlotOffer, expected: TimeBudget) -> ClockInstant {
+    let latest_start = offer.deadline.before(expected);
+    let allowed = match offer.wanted_by {
+        Some(wanted_by) => {
+            let long_work = expected.as_micros() * LONG_WORK_EIGHTHS / 8;
+            let start = wanted_by.before(TimeBudget::from_micros(long_work));
+            start.max(now.after(SHORT_WAIT))
+        }
+        None => {
+            let longest = offer.deadline.left(now).as_micros() / WAIT_DIVISOR;
+            now.after(TimeBudget::from_micros(longest))
+        }
+    };
+    latest_start.min(allowed)
+}
--- a/crates/kernel/src/rollout/move_change.rs
+++ b/crates/kernel/src/rollout/move_change.rs
@@ -74,6 +74,7 @@
             attempt,
             statement: None,
             mark: None,
+            barred: Vec::new(),
         })
     }
 
--- a/crates/kernel/src/rollout/move_record.rs
+++ b/crates/kernel/src/rollout/move_record.rs
@@ -53,6 +53,9 @@
     pub statement: Option<MoveStatement>,
     /// Why the move was taken back, or the fault that showed after it was done.
     pub mark: Option<MoveMark>,
+    /// Targets of earlier moves that were not done; they get no traffic.
+    #[serde(default)]
+    pub barred: Vec<BuildVersion>,
 }
 
 impl MoveRecord {
@@ -71,6 +74,9 @@
         if *version == self.to {
             return Some(VersionSide::New);
         }
+        if self.barred.contains(version) {
+            return None;
+        }
         let is_left = self.from == self.to || *version == self.from;
         is_left.then_some(VersionSide::Old)
     }
@@ -107,12 +113,25 @@
             .map_err(|error| MeshError::invalid(format!("move row is malformed: {error}")))
     }
 
-    fn rank(&self) -> (MoveNumber, bool, bool, Vec<u8>) {
+    /// Returns the versions that a later move to `target` keeps traffic from.
+    #[must_use]
+    pub fn barred_after(&self, target: &BuildVersion) -> Vec<BuildVersion> {
+        let unproved = (self.state != MoveState::Done).then(|| self.to.clone());
+        let mut barred: Vec<_> = self.barred.iter().cloned().chain(unproved).collect();
+        barred.retain(|version| version != target);
+        barred.sort();
+        barred.dedup();
+        barred
+    }
+
+    /// A record of a node that knew more of the earlier moves goes before one that knew less.
+    fn rank(&self) -> (MoveNumber, bool, bool, usize, Vec<u8>) {
         let is_marked = self.mark.is_some();
         (
             self.number,
             self.state.is_final(),
             is_marked,
+            self.barred.len(),
             self.to_bytes(),
         )
     }
--- a/crates/kernel/src/rollout/move_table.rs
+++ b/crates/kernel/src/rollout/move_table.rs
@@ -137,7 +137,7 @@
         let record = &entry.record;
         let (from, to) = (record.from.clone(), record.to.clone());
         let is_marked = self.mark(service).is_some();
-        match record.state {
+        let split = match record.state {
             MoveState::TakenBack => VersionSplit::taken_back(from, to),
             MoveState::Running if is_marked => VersionSplit::taken_back(from, to),
             MoveState::Done if is_marked => VersionSplit::done_but_faulty(from, to),
@@ -149,7 +149,8 @@
                 let share = entry.plan.share(self.view_of(entry, now), route, now);
                 VersionSplit::moving(from, to, share)
             }
-        }
+        };
+        split.without(&record.barred)
     }
 
     /// Counts the outcome of one attempt towards the running move of its service, if any.
--- a/crates/kernel/src/rollout/share_curve.rs
+++ b/crates/kernel/src/rollout/share_curve.rs
@@ -8,13 +8,13 @@
 pub const SETTLE: TimeBudget = TimeBudget::from_secs(5);
 
 /// Part of a short move's span in which marks and records settle.
-const SETTLE_PART_OF_SPAN: u64 = 8;
+const SETTLE_PART_OF_SPAN: u64 = 10;
 
 /// Share at which the new version counts as whole while the old one keeps a control share.
 pub const WHOLE_SHARE: ShareRatio = ShareRatio::from_ppm(980_000);
 
 const FIRST_PART_OF_RISE: u64 = 5;
-const SPARE_PART_OF_SPAN: u64 = 20;
+const SPARE_PART_OF_SPAN: u64 = 8;
 
 /// How the wanted share of a move grows with time.
 ///
--- a/crates/kernel/src/rollout/version_split.rs
+++ b/crates/kernel/src/rollout/version_split.rs
@@ -20,6 +20,8 @@
     barred: Option<BuildVersion>,
     /// Whether the move leaves every other version rather than one.
     leaves_all: bool,
+    /// Further versions that get nothing.
+    excluded: Vec<BuildVersion>,
 }
 
 /// Versions that one request may go to.
@@ -37,6 +39,8 @@
     pub avoided: Option<&'a BuildVersion>,
     /// Whether every other version serves while no server of the preferred one takes work.
     pub accepts_others: bool,
+    /// Further versions that must get no request.
+    pub excluded: &'a [BuildVersion],
 }
 
 impl VersionSplit {
@@ -56,6 +60,7 @@
             share,
             barred: None,
             leaves_all,
+            excluded: Vec::new(),
         }
     }
 
@@ -86,9 +91,17 @@
             share: ShareRatio::NONE,
             barred: Some(to),
             leaves_all,
+            excluded: Vec::new(),
         }
     }
 
+    /// Keeps the requests from further versions.
+    #[must_use]
+    pub fn without(mut self, excluded: &[BuildVersion]) -> Self {
+        self.excluded = excluded.to_vec();
+        self
+    }
+
     /// Returns the share of the version that is moved to.
     #[must_use]
     pub const fn share(&self) -> ShareRatio {
@@ -114,6 +127,7 @@
             barred: self.barred.as_ref(),
             avoided: avoided.filter(|_| self.leaves_all && !takes_candidate),
             accepts_others: self.leaves_all,
+            excluded: &self.excluded,
         }
     }
 
@@ -126,7 +140,7 @@
     /// Returns the rank of a server that runs `version`: 0 preferred, 1 fallback, none barred.
     #[must_use]
     pub fn rank(&self, version: &BuildVersion) -> Option<u8> {
-        if self.barred == Some(version) {
+        if self.barred == Some(version) || self.excluded.contains(version) {
             return None;
         }
         match self.preferred {
--- a/crates/kernel/tests/request_chain.rs
+++ b/crates/kernel/tests/request_chain.rs
@@ -84,6 +84,7 @@
                 data_centre: &self.data_centre,
                 spill_order: &[],
                 tried: &tried,
+                pace: None,
             };
             let chosen = self.levels[level].0.choose(self.now, &rule, &mut self.rng);
             let Some(place) = chosen else {
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -52,6 +52,7 @@
             data_centre: &self.home,
             spill_order: &self.spill,
             tried,
+            pace: None,
         };
         let place = self.book.choose(self.now, &rule, &mut self.rng)?;
         Some(place.backend)
