--- a/crates/kernel/src/request/slot_gate.rs
+++ b/crates/kernel/src/request/slot_gate.rs
@@ -14,6 +14,8 @@
 const WAIT_DIVISOR: u64 = 4;
 /// Part of a route's usual time by which longer work exceeds it, in eighths.
 const LONG_WORK_EIGHTHS: u64 = 10;
+/// How much shorter than the gate's average work is when refusing it frees almost nothing.
+const SHORT_WORK_DIVISOR: u64 = 3;
 /// Time that even a request that is late already may wait, so that a short queue refuses nobody.
 const SHORT_WAIT: TimeBudget = TimeBudget::from_millis(100);
 const MIN_RETRY_MICROS: u64 = 5_000;
@@ -204,7 +206,7 @@
         let ahead = self.queue.range(..place);
         let ahead: u64 = ahead.map(|(_, entry)| entry.expected.as_micros()).sum();
         let expected = self.expected(offer.route.as_ref());
-        let give_up_at = give_up_at(now, offer, expected);
+        let give_up_at = self.give_up_at(now, offer, expected);
         if (is_full && is_last) || self.is_hopeless(now, give_up_at, ahead) {
             return (self.refuse(now, rng), Vec::new());
         }
@@ -362,6 +364,29 @@
         known.copied().unwrap_or(self.service_time)
     }
 
+    /// Returns when a request that arrives now has waited as long as it may.
+    ///
+    /// That is in time for its answer to be wanted still, or for a quarter of the time that it has
+    /// left where nobody says when that is. Work that is short beside the rest waits to the end.
+    fn give_up_at(
+        &self,
+        now: ClockInstant,
+        offer: &SlotOffer,
+        expected: TimeBudget,
+    ) -> ClockInstant {
+        let latest_start = offer.deadline.before(expected);
+        let Some(wanted_by) = offer.wanted_by else {
+            let longest = offer.deadline.left(now).as_micros() / WAIT_DIVISOR;
+            return latest_start.min(now.after(TimeBudget::from_micros(longest)));
+        };
+        if expected.as_micros() * SHORT_WORK_DIVISOR <= self.service_time.as_micros() {
+            return latest_start;
+        }
+        let long_work = expected.as_micros() * LONG_WORK_EIGHTHS / 8;
+        let wanted_start = wanted_by.before(TimeBudget::from_micros(long_work));
+        latest_start.min(wanted_start.max(now.after(SHORT_WAIT)))
+    }
+
     /// Returns when the present queue will have drained, spread so that retries do not coincide.
     fn retry_at(&self, now: ClockInstant, rng: &mut impl Rng) -> ClockInstant {
         let queued = self.queue.values().map(|entry| entry.expected.as_micros());
@@ -387,23 +412,3 @@
     let sum = held.as_micros() * (SERVICE_TIME_WEIGHT - 1) + took.as_micros();
     TimeBudget::from_micros(sum / SERVICE_TIME_WEIGHT)
 }
-
-/// Returns when a request that arrives now has waited as long as it may.
-///
-/// That is in time for its answer to be wanted still, or for a quarter of the time that it has
-/// left where nobody says when that is.
-fn give_up_at(now: ClockInstant, offer: &SlotOffer, expected: TimeBudget) -> ClockInstant {
-    let latest_start = offer.deadline.before(expected);
-    let allowed = match offer.wanted_by {
-        Some(wanted_by) => {
-            let long_work = expected.as_micros() * LONG_WORK_EIGHTHS / 8;
-            let start = wanted_by.before(TimeBudget::from_micros(long_work));
-            start.max(now.after(SHORT_WAIT))
-        }
-        None => {
-            let longest = offer.deadline.left(now).as_micros() / WAIT_DIVISOR;
-            now.after(TimeBudget::from_micros(longest))
-        }
-    };
-    latest_start.min(allowed)
-}
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -6,7 +6,7 @@
     clock::{ClockInstant, TimeBudget},
     ids::{BackendName, DataCentre, IncarnationNumber, ServiceName, SlotCount},
     member::{BackendRow, BackendState, MemberRow, MemberState},
-    request::{AttemptOutcome, ChoiceRule, ServerBook, ServerLoad},
+    request::{AttemptOutcome, ChoiceRule, PaceGoal, ServerBook, ServerLoad},
     rollout::VersionSplit,
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -249,3 +249,39 @@
     assert_eq!(shares.len(), 1, "{shares:?}");
     assert_eq!(shares["c"], 300);
 }
+
+#[test]
+fn slow_server_nearby_is_left_out_when_another_answers_in_time() {
+    let places = [("near", "leuven"), ("far", "gent")];
+    let mut bench = Bench::new(&places);
+    let (service, route) = (bench.service.clone(), name("history"));
+    for _ in 0..40 {
+        for (backend, millis) in [("near", 700), ("far", 250)] {
+            let took = TimeBudget::from_millis(millis);
+            let backend = name(backend);
+            bench
+                .book
+                .note_pace(bench.now, &service, &backend, &route, took);
+        }
+    }
+    let mut choose = |latency| {
+        let (centre, spill) = (name("leuven"), [name("gent")]);
+        let split = VersionSplit::any();
+        let rule = ChoiceRule {
+            service: &service,
+            versions: split.choose(0),
+            data_centre: &centre,
+            spill_order: &spill,
+            tried: &[],
+            pace: Some(PaceGoal {
+                route: &route,
+                latency: TimeBudget::from_millis(latency),
+            }),
+        };
+        let place = bench.book.choose(bench.now, &rule, &mut bench.rng);
+        place.expect("a server is left").backend.to_string()
+    };
+    assert_eq!(choose(800), "far");
+    // With time to spare the request stays in its data centre.
+    assert_eq!(choose(4_000), "near");
+}
--- a/crates/kernel/tests/request_gate.rs
+++ b/crates/kernel/tests/request_gate.rs
@@ -3,8 +3,8 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     config::RequestPriority,
-    ids::SlotCount,
-    request::{GateVerdict, SlotGate},
+    ids::{RouteName, SlotCount},
+    request::{GateVerdict, SlotGate, SlotOffer},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -99,3 +99,51 @@
         }
     }
 }
+
+fn route(name: &str) -> RouteName {
+    name.parse().expect("is a name")
+}
+
+fn offer(name: &str, deadline: ClockInstant, wanted_by: ClockInstant) -> SlotOffer {
+    SlotOffer {
+        priority: RequestPriority::NORMAL,
+        deadline,
+        wanted_by: Some(wanted_by),
+        route: Some(route(name)),
+    }
+}
+
+#[test]
+fn short_call_is_not_judged_by_the_time_of_long_requests() {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let mut gate = SlotGate::new(SlotCount::new(2), 10);
+    let history = offer("history", at(4_000), at(2_000));
+    for item in 0..2 {
+        gate.offer_work(at(0), &history, item, &mut rng);
+        let took = TimeBudget::from_millis(280);
+        gate.learn_route(&route("history"), took);
+        gate.release(at(1), Some(took), &mut rng);
+    }
+    gate.learn_route(&route("lookup"), TimeBudget::from_millis(22));
+    for item in 2..4 {
+        gate.offer_work(at(1), &history, item, &mut rng);
+    }
+    let call = offer("lookup", at(251), at(251));
+    let (verdict, _) = gate.offer_work(at(1), &call, 4, &mut rng);
+    assert!(matches!(verdict, GateVerdict::Wait { .. }), "{verdict:?}");
+}
+
+#[test]
+fn request_waits_no_longer_than_its_answer_is_wanted() {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let mut gate = SlotGate::new(SlotCount::new(1), 10);
+    gate.learn_route(&route("read"), TimeBudget::from_millis(80));
+    let read = offer("read", at(1_000), at(300));
+    gate.offer_work(at(0), &read, 0, &mut rng);
+    let (verdict, _) = gate.offer_work(at(0), &read, 1, &mut rng);
+    let GateVerdict::Wait { give_up_at, .. } = verdict else {
+        panic!("a short queue gave {verdict:?}");
+    };
+    assert!(give_up_at <= at(220), "{give_up_at}");
+    assert!(give_up_at >= at(100), "{give_up_at}");
+}
