--- a/crates/daemon/src/rollout/move_rows.rs
+++ b/crates/daemon/src/rollout/move_rows.rs
@@ -89,39 +89,35 @@
 
     /// Keeps the rows of the moves that operators' documents have started.
     async fn keep_known(&mut self) -> Result<(), MeshError> {
-        let table = self.state.rollout.table();
-        let records: Vec<_> = table.records().cloned().collect();
-        drop(table);
+        let records: Vec<_> = self.state.rollout.table().records().cloned().collect();
         for held in records {
-            if self.settled.get(&held.service) == Some(&held.number) {
-                continue;
-            }
-            let key: RowKey =
-                format_compact!("{}/move/{}", self.state.settings.mesh, held.service).parse()?;
-            let deadline = self.state.now().after(CALL_BUDGET);
-            let row = self.platform.get_row(&key, deadline).await?;
-            let stored = row
-                .as_ref()
-                .map(|row| MoveRecord::from_row(&row.value))
-                .transpose()?;
-            match (row, stored) {
-                (Some(row), Some(stored)) if stored.number >= held.number => {
-                    if stored.state.is_final() {
-                        self.take_in(&stored)?;
-                        self.settled.insert(held.service, stored.number);
-                    } else {
-                        self.keep(&row).await?;
-                    }
-                }
-                (row, _) => {
-                    self.write_start(key, row.map(|row| row.revision), &held)
-                        .await?
-                }
+            if self.settled.get(&held.service) != Some(&held.number) {
+                self.keep_record(&held).await?;
             }
         }
         Ok(())
     }
 
+    /// Brings the row of one move in line with what this node knows.
+    async fn keep_record(&mut self, held: &MoveRecord) -> Result<(), MeshError> {
+        let mesh = &self.state.settings.mesh;
+        let key: RowKey = format_compact!("{mesh}/move/{}", held.service).parse()?;
+        let deadline = self.state.now().after(CALL_BUDGET);
+        let Some(row) = self.platform.get_row(&key, deadline).await? else {
+            return self.write_start(key, None, held).await;
+        };
+        let stored = MoveRecord::from_row(&row.value)?;
+        if stored.number < held.number {
+            return self.write_start(key, Some(row.revision), held).await;
+        }
+        if !stored.state.is_final() {
+            return self.keep(&row).await;
+        }
+        self.take_in(&stored)?;
+        self.settled.insert(held.service.clone(), stored.number);
+        Ok(())
+    }
+
     /// Writes the row of a move that the platform does not hold yet.
     async fn write_start(
         &self,
--- a/crates/kernel/src/member/lease_schedule.rs
+++ b/crates/kernel/src/member/lease_schedule.rs
@@ -10,19 +10,17 @@
 const RENEWAL_MAX_MS: u64 = 75_000;
 const SEARCH_MIN_MS: u64 = 1_000;
 const SEARCH_MAX_MS: u64 = 2_000;
-/// Time in which every node that started together has written its row and is found.
-const START_TIME: TimeBudget = TimeBudget::from_secs(6);
 
 /// Schedule of a node's writes and scans of member rows in the platform.
 ///
 /// First writes are spread over three seconds and renewals lie about a minute apart, so that
 /// neither the fleet nor a herd that returns takes much of the platform's writes. Only a node that
-/// has just started or knows nobody scans.
+/// knows nobody scans. Every scan finds the row that was written first, so that nodes that start
+/// together end in one mesh.
 #[derive(Clone, Debug)]
 pub struct LeaseSchedule {
     next_write: ClockInstant,
     next_search: ClockInstant,
-    start_end: ClockInstant,
 }
 
 impl LeaseSchedule {
@@ -32,7 +30,6 @@
         Self {
             next_write: drawn(now, 0, FIRST_WRITE_MAX_MS, rng),
             next_search: drawn(now, 0, SEARCH_MIN_MS, rng),
-            start_end: now.after(START_TIME),
         }
     }
 
@@ -45,13 +42,7 @@
         is_due
     }
 
-    /// Returns whether the node has started lately, so that others may not have found it yet.
-    #[must_use]
-    pub const fn is_starting(&self, now: ClockInstant) -> bool {
-        !self.start_end.has_passed(now)
-    }
-
-    /// Returns whether a node that looks for others scans now, and schedules the next time.
+    /// Returns whether a node that knows nobody scans now, and schedules the next time.
     pub fn takes_search(&mut self, now: ClockInstant, rng: &mut impl Rng) -> bool {
         let is_due = self.next_search.has_passed(now);
         if is_due {
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -63,16 +63,14 @@
         }
     }
 
-    /// Keeps this node's row in the platform, and looks there for peers at first and while it
-    /// knows nobody.
+    /// Keeps this node's row in the platform, and looks there for peers while it knows nobody.
     fn keep_row(&mut self, now: ClockInstant, rng: &mut impl Rng) {
         if self.row_leases.takes_write(now, rng) {
             let row = LeaseRow::of(self.agent.own(), now, ROW_LEASE);
             self.actions.push(SpreadAction::WriteLease(row));
         }
         let is_alone = self.agent.table().live().count() <= 1;
-        let is_searching = is_alone || self.row_leases.is_starting(now);
-        if is_searching && self.row_leases.takes_search(now, rng) {
+        if is_alone && self.row_leases.takes_search(now, rng) {
             self.actions.push(SpreadAction::SearchSeeds);
         }
     }
