Tell the mesh how long each server's requests take, by route

Change: the node beside a server announces its requests' times in a slot by route, when one has changed by a third and at most every 3 s; the choice compares those with the latency that the route promises.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -5,7 +5,7 @@
     ids::BackendName,
     member::{BackendHeartbeat, BackendLifetime, BackendNews, BackendRow},
     plugin::LoadReport,
-    request::ReportFilter,
+    request::{ReportFilter, TimePublisher},
 };
 
 use crate::backends::BackendAnnouncement;
@@ -27,6 +27,8 @@
     pub filter: ReportFilter,
     /// Latest report that could be read.
     pub report: Option<LoadReport>,
+    /// What the other nodes are told of the time that its requests take.
+    pub times: TimePublisher,
     /// Run of the server, and the number of its latest heartbeat.
     order: (BackendLifetime, u64),
 }
@@ -134,6 +136,7 @@
             lease_deadline,
             filter: ReportFilter::default(),
             report: None,
+            times: TimePublisher::default(),
             order: (BackendLifetime::default(), 0),
         };
         self.entries.insert(name, entry);
@@ -150,6 +153,17 @@
         entry.filter.take(report.map(|report| report.is_healthy))
     }
 
+    /// Takes in how long a server's requests take, by `update`, and returns whether that changed
+    /// what other nodes need to know.
+    pub fn update_times(
+        &mut self,
+        name: &BackendName,
+        update: impl FnOnce(&mut TimePublisher) -> bool,
+    ) -> bool {
+        let entry = self.entries.get_mut(name);
+        entry.is_some_and(|entry| update(&mut entry.times))
+    }
+
     /// Removes a server and returns whether it was there.
     pub fn remove(&mut self, name: &BackendName) -> bool {
         self.entries.remove(name).is_some()
@@ -192,6 +206,7 @@
                 slots: entry.announcement.slots,
                 state: entry.announcement.state,
                 is_reported_healthy: entry.filter.is_healthy(),
+                times: entry.times.told().clone(),
             })
             .collect()
     }
--- a/crates/daemon/src/forward/gate_keeper.rs
+++ b/crates/daemon/src/forward/gate_keeper.rs
@@ -5,12 +5,17 @@
     config::RequestPriority,
     error::{ErrorKind, MeshError},
     ids::{RouteName, SlotCount},
-    request::{GateChange, GateVerdict, QueuePlace, ServerLoad, SlotGate, SlotOffer},
+    request::{
+        GateChange, GateVerdict, QueuePlace, ServerLoad, SlotGate, SlotOffer, TimePublisher,
+    },
 };
 use tokio::{sync::oneshot, time};
 
 use crate::node::SystemClock;
 
+/// Requests of a route after which its time says something about the server.
+const MIN_SAMPLES: u32 = 6;
+
 type SlotSignal = Result<(), ClockInstant>;
 type SlotWaiter = oneshot::Sender<SlotSignal>;
 
@@ -98,6 +103,11 @@
         }
     }
 
+    /// Tells a publisher how long requests take; returns whether the other nodes need to know.
+    pub(crate) fn publish_times(&self, now: ClockInstant, publisher: &mut TimePublisher) -> bool {
+        publisher.update(now, self.lock().route_times(MIN_SAMPLES))
+    }
+
     fn permit(self: &Arc<Self>, route: Option<RouteName>) -> SlotPermit {
         SlotPermit {
             keeper: Arc::clone(self),
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -347,12 +347,7 @@
         if let Ok(answer) = result {
             let mut book = self.state.requests.book();
             let service = &self.planned.service;
-            let (now, backend) = (self.state.now(), &self.place.backend);
-            book.report_load(now, service, backend, answer.load);
-            if outcome == AttemptOutcome::Served {
-                let took = self.started_at.elapsed(now);
-                book.note_pace(now, service, backend, &self.planned.message.route, took);
-            }
+            book.report_load(self.state.now(), service, &self.place.backend, answer.load);
         }
     }
 
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -162,6 +162,15 @@
         gate
     }
 
+    /// Returns the gates of every backend server that has had a request here.
+    pub(crate) fn host_gates(&self) -> Vec<(BackendName, Arc<HostGate>)> {
+        let hosts = lock(&self.hosts);
+        let gates = hosts.iter();
+        gates
+            .map(|(name, gate)| (name.clone(), Arc::clone(gate)))
+            .collect()
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     ///
     /// # Errors
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -13,6 +13,7 @@
     error::{ErrorKind, MeshError},
     ids::{IncarnationNumber, NodeName},
     member::{MemberRow, MemberState, MemberTable},
+    request::TimePublisher,
     rollout::NodeSlot,
     spread::{
         PlatformState, RecordEntry, RecordKey, RecordTable, RecordValue, SpreadNode, SpreadRule,
@@ -250,6 +251,20 @@
         }
     }
 
+    /// Tells the mesh how long the requests of the servers beside this node take, where that has
+    /// changed.
+    pub(crate) fn publish_times(&self) {
+        let now = self.now();
+        let mut is_changed = false;
+        for (name, gate) in self.requests.host_gates() {
+            let update = |times: &mut TimePublisher| gate.slots.publish_times(now, times);
+            is_changed |= self.backends().update_times(&name, update);
+        }
+        if is_changed {
+            self.refresh_own_row();
+        }
+    }
+
     /// Returns whether a graceful shutdown has begun.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/crates/daemon/src/report/report_task.rs
+++ b/crates/daemon/src/report/report_task.rs
@@ -20,13 +20,15 @@
     address: SocketAddr,
 }
 
-/// Reads the reports of the backend servers beside this node until the stop signal.
+/// Reads the reports of the backend servers beside this node, and tells the mesh how long their
+/// requests take, until the stop signal.
 pub async fn run_reports(state: Arc<NodeState>, mut stop: StopSignal) {
     let client = Client::builder()
         .disable_redirects()
         .timeout(READ_TIMEOUT)
         .finish();
     while stop.pause(READ_INTERVAL).await {
+        state.publish_times();
         let sources = sources(&state);
         let reads = sources
             .iter()
--- a/crates/emulator/src/experiment/node_size/member_sample.rs
+++ b/crates/emulator/src/experiment/node_size/member_sample.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeMap;
+
 use std::net::{Ipv4Addr, SocketAddr};
 
 use bronzelb_kernel::{
@@ -39,6 +41,7 @@
             slots: SlotCount::new(12),
             state: BackendState::Serving,
             is_reported_healthy: true,
+            times: BTreeMap::new(),
         }],
     })
 }
--- a/crates/emulator/src/experiment/request/request_choice.rs
+++ b/crates/emulator/src/experiment/request/request_choice.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::{collections::BTreeMap, time::Instant};
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
@@ -131,6 +131,7 @@
             slots: SlotCount::new(SLOTS),
             state: BackendState::Serving,
             is_reported_healthy: true,
+            times: BTreeMap::new(),
         }],
     })
 }
--- a/crates/kernel/src/member/backend_row.rs
+++ b/crates/kernel/src/member/backend_row.rs
@@ -1,6 +1,11 @@
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BackendName, BuildVersion, ServiceName, SlotCount};
+use crate::{
+    clock::TimeBudget,
+    ids::{BackendName, BuildVersion, RouteName, ServiceName, SlotCount},
+};
 
 /// Lifecycle of a backend server, as announced by itself or seen by the node beside it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -29,4 +34,6 @@
     pub state: BackendState,
     /// Whether it calls itself healthy.
     pub is_reported_healthy: bool,
+    /// Time that requests of its busiest routes take in a slot, roughly.
+    pub times: BTreeMap<RouteName, TimeBudget>,
 }
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -15,11 +15,11 @@
 mod report_filter;
 mod request_ticket;
 mod retry_budget;
-mod route_pace;
 mod server_book;
 mod server_stat;
 mod shared_budget;
 mod slot_gate;
+mod time_publisher;
 
 pub use adaptive_limit::AdaptiveLimit;
 pub use attempt_case::{AttemptCase, RetryVerdict};
@@ -34,3 +34,4 @@
 pub use server_stat::{ServerLoad, ServerPlace};
 pub use shared_budget::{BudgetRule, SharedBudget};
 pub use slot_gate::{GateChange, GateVerdict, QueuePlace, RefusedWaiter, SlotGate, SlotOffer};
+pub use time_publisher::TimePublisher;
--- a/crates/kernel/src/request/server_book.rs
+++ b/crates/kernel/src/request/server_book.rs
@@ -7,9 +7,7 @@
     config::ShareRatio,
     ids::{BackendName, DataCentre, RouteName, ServiceName, SlotCount},
     member::{BackendRow, BackendState, MemberRow, MemberState},
-    request::{
-        AttemptOutcome, ServerLoad, ServerPlace, route_pace::RoutePace, server_stat::ServerStat,
-    },
+    request::{AttemptOutcome, ServerLoad, ServerPlace, server_stat::ServerStat},
     rollout::VersionChoice,
 };
 
@@ -47,13 +45,19 @@
     pub latency: TimeBudget,
 }
 
+impl PaceGoal<'_> {
+    /// Returns the expected time below which an answer is likely in time.
+    fn safe_micros(&self) -> f64 {
+        self.latency.as_micros() as f64 * SAFE_PART_OF_GOAL
+    }
+}
+
 /// What a node knows of every backend server in the mesh, and the choice among them.
 ///
 /// Own observations decide: outstanding requests, outcomes and time since the last progress.
 /// Reports from elsewhere can raise a server's load or halve its weight; they never eject it.
 #[derive(Clone, Debug, Default)]
 pub struct ServerBook {
-    pace: RoutePace,
     services: BTreeMap<ServiceName, BTreeMap<BackendName, ServerStat>>,
 }
 
@@ -92,12 +96,8 @@
         rule: &ChoiceRule<'_>,
         rng: &mut impl Rng,
     ) -> Option<ServerPlace> {
-        let goal = rule.pace.and_then(|goal| {
-            let usual = self.pace.usual_micros(goal.route)?;
-            Some(goal.latency.as_micros() as f64 / usual)
-        });
         let stats = self.services.get_mut(rule.service)?;
-        let name = pick(now, stats, rule, goal, rng)?;
+        let name = pick(now, stats, rule, rng)?;
         let stat = stats.get_mut(&name)?;
         stat.begin(now);
         Some(stat.place.clone())
@@ -124,21 +124,6 @@
         }
     }
 
-    /// Takes in the time after which a server answered a request of `route`.
-    pub fn note_pace(
-        &mut self,
-        now: ClockInstant,
-        service: &ServiceName,
-        backend: &BackendName,
-        route: &RouteName,
-        took: TimeBudget,
-    ) {
-        let slowness = self.pace.observe(route, took);
-        if let Some(stat) = self.stat_mut(service, backend) {
-            stat.note_pace(now, slowness);
-        }
-    }
-
     /// Takes in a server's load, as carried by an answer of the node beside it.
     pub fn report_load(
         &mut self,
@@ -240,6 +225,7 @@
         stat.place = place;
         stat.slots = row.slots.get();
         stat.is_healthy = row.is_reported_healthy;
+        stat.times.clone_from(&row.times);
         stat.state = state;
     }
 }
@@ -275,7 +261,6 @@
     now: ClockInstant,
     stats: &BTreeMap<BackendName, ServerStat>,
     rule: &ChoiceRule<'_>,
-    goal: Option<f64>,
     rng: &mut impl Rng,
 ) -> Option<BackendName> {
     let all = usable(stats, rule);
@@ -288,10 +273,10 @@
         true => all,
         false => admitted,
     };
-    if let Some(goal) = goal {
+    if let Some(goal) = rule.pace {
         leave_out_late(now, &mut candidates, goal);
     }
-    let data_centre = nearest_with_room(now, &candidates, rule, goal)?;
+    let data_centre = nearest_with_room(now, &candidates, rule)?;
     let near: Vec<&ServerStat> = candidates
         .into_iter()
         .filter(|stat| stat.place.data_centre == data_centre)
@@ -299,16 +284,16 @@
     Some(better_of_two(now, &near, rng)?.place.backend.clone())
 }
 
-/// Leaves out the servers that would likely answer later than wanted, where another is quicker.
-///
-/// `goal` is the wanted time against the route's usual one.
-fn leave_out_late(now: ClockInstant, candidates: &mut Vec<&ServerStat>, goal: f64) {
-    let paces = candidates.iter().map(|stat| stat.expected_pace(now));
-    let best = paces.fold(f64::INFINITY, f64::min);
-    candidates.retain(|stat| {
-        let pace = stat.expected_pace(now);
-        pace <= goal * SAFE_PART_OF_GOAL || pace <= best * MUCH_QUICKER
-    });
+/// Leaves out the servers that would likely answer later than wanted, where another is much
+/// quicker; one whose time is not known yet stays.
+fn leave_out_late(now: ClockInstant, candidates: &mut Vec<&ServerStat>, goal: PaceGoal<'_>) {
+    let expected = |stat: &&ServerStat| stat.expected_micros(now, goal.route);
+    let best = candidates
+        .iter()
+        .filter_map(expected)
+        .fold(f64::INFINITY, f64::min);
+    let limit = goal.safe_micros().max(best * MUCH_QUICKER);
+    candidates.retain(|stat| expected(stat).is_none_or(|expected| expected <= limit));
 }
 
 /// Returns the untried servers that take work, of the best-ranked version that has any.
@@ -340,15 +325,16 @@
     now: ClockInstant,
     candidates: &[&ServerStat],
     rule: &ChoiceRule<'_>,
-    goal: Option<f64>,
 ) -> Option<DataCentre> {
     let ours = fullness(now, candidates, rule.data_centre);
-    let answers_in_time = goal.is_some_and(|goal| {
-        let near = candidates
+    let answers_in_time = rule.pace.is_some_and(|goal| {
+        let mut near = candidates
             .iter()
             .filter(|stat| stat.place.data_centre == *rule.data_centre);
-        let paces = near.map(|stat| stat.expected_pace(now));
-        paces.fold(f64::INFINITY, f64::min) <= goal * SAFE_PART_OF_GOAL
+        near.any(|stat| {
+            let expected = stat.expected_micros(now, goal.route);
+            expected.is_some_and(|expected| expected <= goal.safe_micros())
+        })
     });
     // A short wait costs the callers less than the way to another data centre and its bytes.
     if answers_in_time || ours.is_some_and(|ours| ours < SPILL_FULLNESS) {
--- a/crates/kernel/src/request/server_stat.rs
+++ b/crates/kernel/src/request/server_stat.rs
@@ -1,17 +1,15 @@
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
-    ids::{BackendName, BuildVersion, DataCentre, NodeName},
+    ids::{BackendName, BuildVersion, DataCentre, NodeName, RouteName},
     member::BackendState,
     request::AttemptOutcome,
 };
 
-/// Weight of one request in a server's pace: about the last eight count.
-const PACE_WEIGHT: f64 = 0.12;
-/// Time after which half of what is known of a server's pace counts.
-const PACE_HALF_LIFE: TimeBudget = TimeBudget::from_secs(4);
 /// Pace of a server that has just started, against a warm one.
 const COLD_PACE: f64 = 0.5;
 const FAILURE_WEIGHT: f64 = 0.1;
@@ -28,8 +26,6 @@
 const STALL_FACTOR: f64 = 8.0;
 const STALL_FLOOR_MICROS: f64 = 50_000.0;
 const STALL_PENALTY: f64 = 16.0;
-/// Most that a fast server counts for, in usual ones.
-const MAX_SPEED: f64 = 2.0;
 const FIRST_WEIGHT: f64 = 0.1;
 const MIN_WEIGHT: f64 = 0.02;
 const UNHEALTHY_WEIGHT: f64 = 0.5;
@@ -64,6 +60,8 @@
     pub(crate) state: BackendState,
     pub(crate) outstanding: u32,
     pub(crate) is_healthy: bool,
+    /// Time that the server's requests take in a slot, by route.
+    pub(crate) times: BTreeMap<RouteName, TimeBudget>,
     full_from: ClockInstant,
     slow_start: TimeBudget,
     ejected_until: ClockInstant,
@@ -73,8 +71,6 @@
     failure_at: ClockInstant,
     samples: u32,
     latency_micros: f64,
-    slowness: f64,
-    slowness_at: ClockInstant,
     progress_at: ClockInstant,
     load: ServerLoad,
     load_until: ClockInstant,
@@ -88,6 +84,7 @@
             state: BackendState::Starting,
             outstanding: 0,
             is_healthy: true,
+            times: BTreeMap::new(),
             full_from,
             slow_start,
             ejected_until: ClockInstant::default(),
@@ -97,8 +94,6 @@
             failure_at: ClockInstant::default(),
             samples: 0,
             latency_micros: 0.0,
-            slowness: 1.0,
-            slowness_at: ClockInstant::default(),
             progress_at: ClockInstant::default(),
             load: ServerLoad::default(),
             load_until: ClockInstant::default(),
@@ -165,30 +160,18 @@
         self.full_from = self.ejected_until.after(self.slow_start);
     }
 
-    /// Takes in the time of one request against the usual time of its route.
-    pub(crate) fn note_pace(&mut self, now: ClockInstant, slowness: f64) {
-        let held = self.slowness(now);
-        self.slowness = held + PACE_WEIGHT * (slowness - held);
-        self.slowness_at = now;
-    }
-
-    /// Returns the time that the server takes against the usual one; what is remembered fades
-    /// while it gets no work, so that it is tried again.
-    fn slowness(&self, now: ClockInstant) -> f64 {
-        let age = self.slowness_at.elapsed(now).as_secs_f64();
-        let kept = (-age / PACE_HALF_LIFE.as_secs_f64()).exp2();
-        1.0 + (self.slowness - 1.0) * kept
-    }
-
-    /// Returns the time until an answer against the usual one, with the wait for a slot.
-    pub(crate) fn expected_pace(&self, now: ClockInstant) -> f64 {
+    /// Returns the time until an answer, with the wait for a slot, where the server's own time for
+    /// the route is known.
+    pub(crate) fn expected_micros(&self, now: ClockInstant, route: &RouteName) -> Option<f64> {
+        let own = self.times.get(route)?.as_micros() as f64;
         let slots = f64::from(self.slots.max(1));
         let queued = (f64::from(self.work(now)) + 1.0 - slots).max(0.0);
-        let pace = self.slowness(now) * (1.0 + queued / slots) / self.warmth(now).max(COLD_PACE);
-        if self.is_stalled(now) {
-            return pace * STALL_PENALTY;
-        }
-        pace
+        let time = own * (1.0 + queued / slots) / self.warmth(now).max(COLD_PACE);
+        Some(if self.is_stalled(now) {
+            time * STALL_PENALTY
+        } else {
+            time
+        })
     }
 
     /// Returns the share of a full server's work that this one should get.
@@ -199,8 +182,7 @@
             UNHEALTHY_WEIGHT
         };
         let success = 1.0 - self.failure_share(now);
-        let pace = self.slowness(now).max(1.0 / MAX_SPEED);
-        (self.warmth(now) * health * success * success / pace).max(MIN_WEIGHT)
+        (self.warmth(now) * health * success * success).max(MIN_WEIGHT)
     }
 
     /// Returns outstanding work against the slots that the server has for its weight.
--- a/crates/kernel/src/request/slot_gate.rs
+++ b/crates/kernel/src/request/slot_gate.rs
@@ -98,6 +98,13 @@
     expected: TimeBudget,
 }
 
+/// Time that requests of a route take, learned from a number of them.
+#[derive(Clone, Copy, Debug)]
+struct RouteTime {
+    time: TimeBudget,
+    requests: u32,
+}
+
 /// A limit on requests that run at once, with a bounded queue before it.
 ///
 /// The queue is ordered by priority, then by deadline. A request that cannot make its deadline,
@@ -133,7 +140,7 @@
     running: u32,
     queue: BTreeMap<QueuePlace, WaitEntry<T>>,
     service_time: TimeBudget,
-    route_times: BTreeMap<RouteName, TimeBudget>,
+    route_times: BTreeMap<RouteName, RouteTime>,
     has_learned: bool,
     /// Service time by which the queue was last examined.
     examined_for: TimeBudget,
@@ -229,13 +236,28 @@
     /// Takes in the time for which a request of `route` ran.
     pub fn learn_route(&mut self, route: &RouteName, took: TimeBudget) {
         match self.route_times.get_mut(route) {
-            Some(held) => *held = blend(*held, took),
+            Some(held) => {
+                held.time = blend(held.time, took);
+                held.requests = held.requests.saturating_add(1);
+            }
             None => {
-                self.route_times.insert(route.clone(), took);
+                let first = RouteTime {
+                    time: took,
+                    requests: 1,
+                };
+                self.route_times.insert(route.clone(), first);
             }
         }
     }
 
+    /// Returns the times of the routes that have been learned from at least `requests` requests.
+    pub fn route_times(&self, requests: u32) -> impl Iterator<Item = (&RouteName, TimeBudget)> {
+        self.route_times
+            .iter()
+            .filter(move |(_, learned)| learned.requests >= requests)
+            .map(|(route, learned)| (route, learned.time))
+    }
+
     /// Frees the slot of a request that ran for `took`, or that never began when `None`.
     pub fn release(
         &mut self,
@@ -361,7 +383,7 @@
     /// Returns the time that a request is expected to take.
     fn expected(&self, route: Option<&RouteName>) -> TimeBudget {
         let known = route.and_then(|route| self.route_times.get(route));
-        known.copied().unwrap_or(self.service_time)
+        known.map_or(self.service_time, |learned| learned.time)
     }
 
     /// Returns when a request that arrives now has waited as long as it may.
--- a/crates/kernel/tests/request_chain.rs
+++ b/crates/kernel/tests/request_chain.rs
@@ -1,5 +1,7 @@
 //! Retries along chains of calls, where every level decides for itself.
 
+use std::collections::BTreeMap;
+
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     ids::{BackendName, DataCentre, IncarnationNumber, ServiceName, SlotCount},
@@ -45,6 +47,7 @@
             slots: SlotCount::new(12),
             state: BackendState::Serving,
             is_reported_healthy: true,
+            times: BTreeMap::new(),
         }],
     };
     (0..SERVERS).map(member).collect()
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -4,9 +4,9 @@
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
-    ids::{BackendName, DataCentre, IncarnationNumber, ServiceName, SlotCount},
+    ids::{BackendName, DataCentre, IncarnationNumber, RouteName, ServiceName, SlotCount},
     member::{BackendRow, BackendState, MemberRow, MemberState},
-    request::{AttemptOutcome, ChoiceRule, PaceGoal, ServerBook, ServerLoad},
+    request::{AttemptOutcome, ChoiceRule, PaceGoal, ServerBook, ServerLoad, TimePublisher},
     rollout::VersionSplit,
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -100,6 +100,7 @@
             slots: SlotCount::new(SLOTS),
             state: BackendState::Serving,
             is_reported_healthy: true,
+            times: BTreeMap::new(),
         }],
     }
 }
@@ -255,15 +256,16 @@
     let places = [("near", "leuven"), ("far", "gent")];
     let mut bench = Bench::new(&places);
     let (service, route) = (bench.service.clone(), name("history"));
-    for _ in 0..40 {
-        for (backend, millis) in [("near", 700), ("far", 250)] {
-            let took = TimeBudget::from_millis(millis);
-            let backend = name(backend);
-            bench
-                .book
-                .note_pace(bench.now, &service, &backend, &route, took);
-        }
-    }
+    let rows = places.map(|place| {
+        let mut row = member(&place);
+        let millis = if place.0 == "near" { 700 } else { 250 };
+        let time = TimeBudget::from_millis(millis);
+        row.backends[0].times = [(name("history"), time)].into();
+        row
+    });
+    bench
+        .book
+        .sync(bench.now, rows.iter(), |_| TimeBudget::ZERO);
     let mut choose = |latency| {
         let (centre, spill) = (name("leuven"), [name("gent")]);
         let split = VersionSplit::any();
@@ -285,3 +287,20 @@
     // With time to spare the request stays in its data centre.
     assert_eq!(choose(4_000), "near");
 }
+
+#[test]
+fn times_are_told_when_they_change_much_and_not_more_often() {
+    let mut publisher = TimePublisher::default();
+    let route: RouteName = name("read");
+    let mut told = Vec::new();
+    for second in 0..60_u64 {
+        // The time swings by a tenth, and doubles after half a minute.
+        let base = if second < 30 { 100 } else { 200 };
+        let time = TimeBudget::from_millis(base + second % 3 * base / 10);
+        let now = ClockInstant::from_millis(1_000 * second + 1_000);
+        if publisher.update(now, [(&route, time)].into_iter()) {
+            told.push(second);
+        }
+    }
+    assert_eq!(told, [0, 30]);
+}
--- a/crates/kernel/tests/spread/member.rs
+++ b/crates/kernel/tests/spread/member.rs
@@ -1,5 +1,7 @@
 //! Membership: who is alive, which backend servers get work, and records.
 
+use std::collections::BTreeMap;
+
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     error::MeshError,
@@ -37,6 +39,7 @@
         slots: SlotCount::new(12),
         state: BackendState::Serving,
         is_reported_healthy: true,
+        times: BTreeMap::new(),
     }
 }
 
