Log each decision about a request within a bound, serve histograms, and tell a request's story

Cause: a failed request had one line without its route, configuration or servers, one line for each refusal without a bound, and move rows that failed warned twice a second under the name of a changed move. Metrics were counters only, in a form of their own.

--- a/crates/cli/src/builder/command_list.rs
+++ b/crates/cli/src/builder/command_list.rs
@@ -1,4 +1,6 @@
-use crate::{answers, builder::CommandSpec, burn, completions, init, publish, rollout, status};
+use crate::{
+    answers, builder::CommandSpec, burn, completions, explain, init, publish, rollout, status,
+};
 
 /// Every command, in the order of the help.
 ///
@@ -12,5 +14,6 @@
     status::STATUS_COMMAND,
     rollout::MOVE_COMMAND,
     burn::REPORT_COMMAND,
+    explain::EXPLAIN_COMMAND,
     completions::COMPLETIONS_COMMAND,
 ];
--- /dev/null
+++ b/crates/cli/src/explain/explain_command.rs
@@ -0,0 +1,100 @@
+use std::{
+    fmt::Write,
+    fs::File,
+    io::{self, BufReader},
+    path::PathBuf,
+};
+
+use bronzelb_kernel::error::{ErrorKind, MeshError};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::{
+    builder::CommandSpec,
+    error::CommandError,
+    explain::request_story::{RequestStory, StoryLine},
+    output::OutputPrinter,
+};
+
+pub(crate) const EXPLAIN_COMMAND: CommandSpec = CommandSpec {
+    name: "explain",
+    build,
+    run,
+};
+
+const EXAMPLES: &str = "\
+Examples:
+  bronzelb explain 9c41d07be2a35f68 node-1.log node-2.log
+  cat *.log | bronzelb explain 9c41d07be2a35f68";
+
+fn build(command: Command) -> Command {
+    command
+        .about("Tells what nodes logged about one request, in order")
+        .after_help(EXAMPLES)
+        .arg(
+            Arg::new("request")
+                .value_name("REQUEST-ID")
+                .help("Identifier of the request, as the caller sent it or got it back")
+                .required(true),
+        )
+        .arg(
+            Arg::new("log")
+                .value_name("LOG")
+                .help("Logs of nodes, one JSON object a line; standard input if there is none")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn run(matches: &ArgMatches, printer: &mut OutputPrinter<'_>) -> Result<(), CommandError> {
+    let request: &String = matches
+        .get_one("request")
+        .expect("the request argument is required");
+    let mut story = RequestStory::default();
+    match matches.get_many::<PathBuf>("log") {
+        Some(paths) => {
+            for path in paths {
+                let place = path.display().to_string();
+                let file = File::open(path).map_err(|error| {
+                    MeshError::new(ErrorKind::LocalIo, format!("{place}: {error}"))
+                })?;
+                story.read(&place, BufReader::new(file), request);
+            }
+        }
+        None => story.read("standard input", io::stdin().lock(), request),
+    }
+    story.sort();
+    if story.lines.is_empty() {
+        let message = format!("no line of the logs names request {request}");
+        return Err(MeshError::new(ErrorKind::NotFound, message).into());
+    }
+    printer.result(tell(&story), &story);
+    for place in &story.unreadable {
+        printer.note(&format!("{place}: not a line of a node's log"));
+    }
+    Ok(())
+}
+
+fn tell(story: &RequestStory) -> String {
+    let mut text = String::new();
+    let start = story.lines.first().map_or(0, |line| line.ts);
+    for line in &story.lines {
+        tell_line(&mut text, line, start);
+    }
+    for node in &story.nodes_with_gaps {
+        writeln!(
+            text,
+            "node {node} left lines out, so its part may be incomplete"
+        )
+        .expect("writing to a string succeeds");
+    }
+    text
+}
+
+fn tell_line(text: &mut String, line: &StoryLine, start: u64) {
+    write!(text, "+{} ms {} {}", line.ts - start, line.node, line.event)
+        .expect("writing to a string succeeds");
+    for (name, value) in &line.fields {
+        write!(text, " {name}={value}").expect("writing to a string succeeds");
+    }
+    text.push('\n');
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 mod answers;
 mod burn;
 mod completions;
+mod explain;
 mod init;
 mod nodes;
 mod platform;
--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -5,6 +5,7 @@
 mod completions;
 mod definition;
 mod diff;
+mod explain;
 mod init;
 mod publish;
 mod reference;
--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -41,17 +41,27 @@
     let state = forwarder.state();
     let dialect = &state.settings.dialect.callers;
     let request_id = request_id(&request, state);
+    let started_at = state.now();
     let result = run_request(&request, payload, &forwarder, &request_id).await;
     let mut response = match result {
         Ok(answer) => answer_response(dialect, &answer),
         Err(error) => {
-            state.count(error.kind().name());
-            info!(state.logger, "{}", EventName::RequestFailed;
-                "request" => request_id.as_str(), "kind" => error.kind().name(),
-                "message" => error.message().to_owned());
+            state.count_by("request_errors", "kind", error.kind().name());
+            log_failure(state, &request, &request_id, &error, started_at);
             caller_error(dialect, &error, state.now())
         }
     };
+    let outcome = if response.status().is_success() {
+        "served"
+    } else {
+        "failed"
+    };
+    state.observe(
+        "request_ms",
+        "outcome",
+        outcome,
+        started_at.elapsed(state.now()),
+    );
     let headers = response.headers_mut();
     if let Ok(value) = request_id.parse() {
         headers.insert(HeaderName::from_static(dialect.request_header), value);
@@ -69,6 +79,30 @@
     response
 }
 
+/// Logs why a request got an answer of the node's own, with the configuration that it went by.
+fn log_failure(
+    state: &NodeState,
+    request: &HttpRequest,
+    request_id: &CompactString,
+    error: &MeshError,
+    started_at: ClockInstant,
+) {
+    if !state.takes_line(EventName::RequestFailed) {
+        return;
+    }
+    let now = state.now();
+    let config = state.config();
+    info!(state.logger, "{}", EventName::RequestFailed;
+        "request" => request_id.as_str(), "kind" => error.kind().name(),
+        "run" => error.kind().answer().run_state.name(),
+        "message" => error.message().to_owned(),
+        "host" => request_host(request).to_owned(), "path" => request.path().to_owned(),
+        "config" => config.as_ref().map(|config| config.stamp().number.get()),
+        "config_age_ms" => state.applied_at().elapsed(now).as_millis(),
+        "took_ms" => started_at.elapsed(now).as_millis(),
+        "retry_after_ms" => error.retry_at().map(|instant| instant.left(now).as_millis()));
+}
+
 async fn run_request(
     request: &HttpRequest,
     payload: web::Payload,
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -22,6 +22,7 @@
 };
 use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest, HeaderPair};
 use bytes::Bytes;
+use slog::info;
 use tokio::{io::AsyncReadExt, net::TcpStream, time};
 
 use crate::{
@@ -35,6 +36,7 @@
         is_hop_header,
         request_state::HostGate,
     },
+    log::EventName,
     node::NodeState,
     peers::PeerPool,
 };
@@ -96,15 +98,21 @@
             CrashSuspicion::Suspect => Some(gate.suspects.enter(message.priority, deadline).await?),
             _ => None,
         };
-        let permit = gate
+        let arrived_at = self.state.now();
+        let entered = gate
             .slots
             .enter_work(self.slot_offer(deadline, message))
-            .await?;
+            .await;
+        let permit = entered.inspect_err(|error| {
+            self.log_refusal(name, &gate, message, arrived_at, error);
+        })?;
+        let started_at = self.state.now();
         // The server may have begun to leave while the request waited.
         let announcement = self.announcement(name)?;
         let result = self
             .run_in_slot(name, &announcement, &gate, deadline, message)
             .await;
+        self.log_run(name, message, (arrived_at, started_at), &result);
         finish(permit, &result);
         if let Some(alone) = alone {
             finish(alone, &result);
@@ -145,6 +153,56 @@
         Err(MeshError::new(ErrorKind::Draining, message).with_retry_at(self.pause()))
     }
 
+    /// Logs that a request got no slot, with the load that decided it.
+    fn log_refusal(
+        &self,
+        name: &BackendName,
+        gate: &HostGate,
+        message: &ForwardRequest,
+        arrived_at: ClockInstant,
+        error: &MeshError,
+    ) {
+        let state = &self.state;
+        if !state.takes_line(EventName::RequestRefused) {
+            return;
+        }
+        let (now, load) = (state.now(), gate.slots.load());
+        info!(state.logger, "{}", EventName::RequestRefused;
+            "request" => message.request_id.as_str(), "route" => message.route.to_string(),
+            "backend" => name.to_string(), "priority" => message.priority.to_string(),
+            "running" => load.running, "waiting" => load.waiting,
+            "waited_ms" => arrived_at.elapsed(now).as_millis(),
+            "message" => error.message().to_owned(),
+            "retry_after_ms" => error.retry_at().map(|instant| instant.left(now).as_millis()));
+    }
+
+    /// Logs an exchange with a server, from the arrival over the start to its end.
+    fn log_run(
+        &self,
+        name: &BackendName,
+        message: &ForwardRequest,
+        (arrived_at, started_at): (ClockInstant, ClockInstant),
+        result: &Result<WholeAnswer, MeshError>,
+    ) {
+        let state = &self.state;
+        let now = state.now();
+        let outcome = result
+            .as_ref()
+            .map_or_else(|error| error.kind().name(), |_| "answered");
+        let (waited, ran) = (arrived_at.elapsed(started_at), started_at.elapsed(now));
+        state.observe("slot_wait_ms", "outcome", outcome, waited);
+        state.observe("slot_run_ms", "outcome", outcome, ran);
+        if !state.takes_line(EventName::RequestRan) {
+            return;
+        }
+        info!(state.logger, "{}", EventName::RequestRan;
+            "request" => message.request_id.as_str(), "route" => message.route.to_string(),
+            "backend" => name.to_string(), "outcome" => outcome,
+            "status" => result.as_ref().ok().map(|answer| answer.status.as_u16()),
+            "message" => result.as_ref().err().map(|error| error.message().to_owned()),
+            "waited_ms" => waited.as_millis(), "ran_ms" => ran.as_millis());
+    }
+
     /// Returns what the server's gate is to know of a request.
     fn slot_offer(&self, deadline: ClockInstant, message: &ForwardRequest) -> SlotOffer {
         let config = self.state.config();
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -13,11 +13,14 @@
 };
 use bronzelb_wire::peer::ForwardAnswer;
 
+use slog::info;
+
 use crate::{
     forward::{
         BackendClient, PlannedRequest, claim_table::ClaimTable, crash_watch::CrashWatch,
         gate_keeper::SlotPermit, request_state::EntryGate,
     },
+    log::EventName,
     node::NodeState,
     peers::PeerPool,
 };
@@ -172,12 +175,42 @@
             peers.forward(&place.node, planned.deadline, message).await
         };
         let outcome = classify(&result, planned.deadline, self.state.now());
+        self.log_attempt(planned, place, attempt, outcome, guard.started_at);
         let class = self.outcome_class(place, outcome, &result);
         guard.report(class);
         guard.settle(outcome, &result);
         (outcome, result)
     }
 
+    /// Logs where a request was sent, by which configuration, and how that ended.
+    fn log_attempt(
+        &self,
+        planned: &PlannedRequest,
+        place: &ServerPlace,
+        attempt: u32,
+        outcome: AttemptOutcome,
+        started_at: ClockInstant,
+    ) {
+        let state = &self.state;
+        let now = state.now();
+        let took = started_at.elapsed(now);
+        state.observe("attempt_ms", "outcome", outcome.name(), took);
+        if !state.takes_line(EventName::RequestAttempted) {
+            return;
+        }
+        let config = state.config();
+        info!(state.logger, "{}", EventName::RequestAttempted;
+            "request" => planned.message.request_id.as_str(),
+            "route" => planned.message.route.to_string(),
+            "service" => planned.service.to_string(), "attempt" => attempt,
+            "backend" => place.backend.to_string(), "build" => place.version.to_string(),
+            "to_node" => place.node.to_string(), "to_data_centre" => place.data_centre.to_string(),
+            "config" => config.as_ref().map(|config| config.stamp().number.get()),
+            "config_age_ms" => state.applied_at().elapsed(now).as_millis(),
+            "outcome" => outcome.name(), "took_ms" => took.as_millis(),
+            "left_ms" => planned.deadline.left(now).as_millis());
+    }
+
     fn choose(&self, planned: &PlannedRequest, tried: &[BackendName]) -> Option<ServerPlace> {
         let now = self.state.now();
         let config = self.state.config()?;
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -34,8 +34,18 @@
     SettingsReloaded,
     /// The changed settings file has mistakes; the settings of before stay in force.
     SettingsRefused,
+    /// The entry node chose a server for a request, and the attempt there ended.
+    RequestAttempted,
+    /// The node beside a server refused a request for lack of room.
+    RequestRefused,
+    /// The node beside a server passed a request to it, and the exchange ended.
+    RequestRan,
     /// A request failed or was refused.
     RequestFailed,
+    /// Lines beyond the bound were counted instead of written.
+    LinesSuppressed,
+    /// The row of a version move could not be kept.
+    MoveRowFailed,
     /// A version move changed its state.
     MoveChanged,
     /// A graceful shutdown began.
@@ -66,7 +76,12 @@
             Self::DocumentRefused => "document-refused",
             Self::SettingsReloaded => "settings-reloaded",
             Self::SettingsRefused => "settings-refused",
+            Self::RequestAttempted => "request-attempted",
+            Self::RequestRefused => "request-refused",
+            Self::RequestRan => "request-ran",
             Self::RequestFailed => "request-failed",
+            Self::LinesSuppressed => "lines-suppressed",
+            Self::MoveRowFailed => "move-row-failed",
             Self::MoveChanged => "move-changed",
             Self::Draining => "draining",
             Self::Drained => "drained",
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -19,7 +19,7 @@
         PlatformState, RecordEntry, RecordKey, RecordTable, RecordValue, SpreadNode, SpreadRule,
     },
 };
-use cadence::CountedExt;
+use cadence::{CountedExt, Timed};
 use compact_str::{CompactString, format_compact};
 use rand::{SeedableRng, rngs::StdRng};
 use slog::{Logger, info, warn};
@@ -29,7 +29,7 @@
     backends::{BackendTable, LEASE_BUDGET},
     forward::RequestState,
     gossip::SpreadState,
-    log::EventName,
+    log::{EventName, LineBudget},
     metrics::{MetricClient, MetricSink},
     node::SystemClock,
     peers::PeerTraffic,
@@ -87,6 +87,7 @@
     pub rollout: RolloutState,
     /// Requests that the node admits and runs.
     pub requests: Arc<RequestState>,
+    lines: Mutex<LineBudget>,
     is_draining: AtomicBool,
     is_platform_away: AtomicBool,
     request_count: AtomicU64,
@@ -123,6 +124,7 @@
             applied_at: AtomicU64::new(0),
             backends: Mutex::new(BackendTable::new(lease)),
             requests: Arc::new(RequestState::new(clock, budget_rule)),
+            lines: Mutex::default(),
             is_draining: AtomicBool::new(false),
             is_platform_away: AtomicBool::new(false),
             request_count: AtomicU64::new(0),
@@ -340,6 +342,38 @@
         format_compact!("{}-{}-{number}", self.settings.node, self.incarnation())
     }
 
+    /// Returns whether a line of `event` is to be written now; otherwise it is counted.
+    pub(crate) fn takes_line(&self, event: EventName) -> bool {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.takes(self.now(), event)
+    }
+
+    /// Tells how many lines were not written since the last call.
+    pub(crate) fn tell_suppressed(&self) {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        for (event, count) in lines.take_suppressed() {
+            info!(self.logger, "{}", EventName::LinesSuppressed;
+                "suppressed" => event.name(), "lines" => count);
+        }
+    }
+
+    /// Adds one to the counter `name` for `label` = `value`.
+    pub fn count_by(&self, name: &str, label: &str, value: &str) {
+        // The sink is memory and does not fail.
+        let _ = self
+            .metrics
+            .incr_with_tags(name)
+            .with_tag(label, value)
+            .try_send();
+    }
+
+    /// Adds a time to the histogram `name` for `label` = `value`.
+    pub fn observe(&self, name: &str, label: &str, value: &str, took: TimeBudget) {
+        let timer = self.metrics.time_with_tags(name, took.as_millis());
+        // The sink is memory and does not fail.
+        let _ = timer.with_tag(label, value).try_send();
+    }
+
     /// Adds one to the counter `name`.
     pub fn count(&self, name: &str) {
         // The sink is memory and does not fail.
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -15,7 +15,7 @@
     node::{
         NodeAddresses, NodeState, StopSignal, drain_node::drain_node, reload_settings::run_reload,
     },
-    operators::{start_local_server, start_operator_server},
+    operators::{start_local_server, start_metric_server, start_operator_server},
     peers::start_peer_server,
     report::run_reports,
     rollout::{run_evidence, run_move_rows, run_rollout},
@@ -42,6 +42,7 @@
     peers: TcpListener,
     operators: TcpListener,
     local: Vec<TcpListener>,
+    metrics: Option<TcpListener>,
 }
 
 impl NodeListeners {
@@ -54,6 +55,7 @@
                 Some(local) => vec![open(local.announcements)?, open(local.ready)?],
                 None => Vec::new(),
             },
+            metrics: settings.metrics.map(open).transpose()?,
         })
     }
 
@@ -90,6 +92,9 @@
         let local = start_local_server(Arc::clone(&state), dialect, listeners.local)?;
         spawn_local(local);
     }
+    if let Some(listener) = listeners.metrics {
+        spawn_local(start_metric_server(Arc::clone(&state), listener)?);
+    }
     let peers = tokio::net::TcpListener::from_std(listeners.peers).map_err(io_error)?;
     let caller_handle = callers.handle();
     let operator_handle = operators.handle();
--- /dev/null
+++ b/crates/daemon/src/operators/metric_server.rs
@@ -0,0 +1,33 @@
+use std::{net::TcpListener, sync::Arc};
+
+use actix_web::{App, HttpServer, dev::Server, web};
+use bronzelb_kernel::error::{ErrorKind, MeshError};
+
+use crate::{node::NodeState, operators::status_routes};
+
+/// Path of the metrics on their own listener.
+const METRICS_PATH: &str = "/metrics";
+/// A monitoring system reads by a connection or two.
+const MAX_CONNECTIONS: usize = 16;
+
+/// Starts the listener for metrics.
+///
+/// # Errors
+///
+/// [`ErrorKind::LocalIo`] when the socket is not usable.
+pub fn start_metric_server(
+    state: Arc<NodeState>,
+    listener: TcpListener,
+) -> Result<Server, MeshError> {
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::from(Arc::clone(&state)))
+            .route(METRICS_PATH, web::get().to(status_routes::metrics))
+    })
+    .workers(1)
+    .max_connections(MAX_CONNECTIONS)
+    .disable_signals()
+    .listen(listener)
+    .map_err(|error| MeshError::new(ErrorKind::LocalIo, format!("metrics' listener: {error}")))?;
+    Ok(server.run())
+}
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend_routes;
 mod local_server;
+mod metric_server;
 mod node_status;
 mod operator_guard;
 mod operator_server;
@@ -9,5 +10,6 @@
 mod time_limit;
 
 pub use local_server::start_local_server;
+pub use metric_server::start_metric_server;
 pub use operator_guard::is_operator_allowed;
 pub use operator_server::start_operator_server;
--- a/crates/daemon/src/operators/status_routes.rs
+++ b/crates/daemon/src/operators/status_routes.rs
@@ -37,10 +37,11 @@
     HttpResponse::Ok().json(node_status(&state))
 }
 
-async fn metrics(state: web::Data<NodeState>) -> impl Responder {
+/// Prints the metrics in the form that Prometheus reads.
+pub(crate) async fn metrics(state: web::Data<NodeState>) -> impl Responder {
     let traffic = &state.peer_traffic;
     let mut text = state.metric_sink.render();
-    text += &format!("bronzelb.peer_bytes_sent {}\n", traffic.sent());
-    text += &format!("bronzelb.peer_bytes_received {}\n", traffic.received());
+    text += &format!("bronzelb_peer_bytes_sent {}\n", traffic.sent());
+    text += &format!("bronzelb_peer_bytes_received {}\n", traffic.received());
     HttpResponse::Ok().body(text)
 }
--- a/crates/daemon/src/report/report_task.rs
+++ b/crates/daemon/src/report/report_task.rs
@@ -20,8 +20,8 @@
     address: SocketAddr,
 }
 
-/// Reads the reports of the backend servers beside this node, and tells the mesh how long their
-/// requests take, until the stop signal.
+/// Reads the reports of the backend servers beside this node, tells the mesh how long their
+/// requests take, and the log what it leaves out, until the stop signal.
 pub async fn run_reports(state: Arc<NodeState>, mut stop: StopSignal) {
     let client = Client::builder()
         .disable_redirects()
@@ -29,6 +29,7 @@
         .finish();
     while stop.pause(READ_INTERVAL).await {
         state.publish_times();
+        state.tell_suppressed();
         let sources = sources(&state);
         let reads = sources
             .iter()
--- a/crates/daemon/src/rollout/move_rows.rs
+++ b/crates/daemon/src/rollout/move_rows.rs
@@ -45,8 +45,11 @@
         if let Err(error) = keeper.poll().await
             && error.kind() != ErrorKind::PlatformAway
         {
-            warn!(keeper.state.logger, "{}", EventName::MoveChanged;
-                "message" => error.to_string());
+            keeper.state.count("move_row_failed");
+            if keeper.state.takes_line(EventName::MoveRowFailed) {
+                warn!(keeper.state.logger, "{}", EventName::MoveRowFailed;
+                    "message" => error.to_string());
+            }
         }
     }
 }
--- a/crates/daemon/src/settings/node_settings.rs
+++ b/crates/daemon/src/settings/node_settings.rs
@@ -33,6 +33,8 @@
     pub peers: PeerSettings,
     /// Listeners for the backend servers and the supervisor of the VM, in the dialect's terms.
     pub local: Option<LocalSettings>,
+    /// Listener for metrics alone, which other machines may read; the operators' has them as well.
+    pub metrics: Option<SocketAddr>,
     /// Budget of retries that all nodes share; without one, each node has a budget of its own.
     pub retries: Option<BudgetRule>,
     /// Time that a graceful shutdown may take; without it, requests in flight decide.
--- a/crates/daemon/src/settings/section_reader.rs
+++ b/crates/daemon/src/settings/section_reader.rs
@@ -53,6 +53,9 @@
     let dialect = read_dialect(&mut reader);
     let data_centres = read_list(&mut reader, "data_centres", parse_with);
     let local = read_optional_section(&mut reader, "local", read_local);
+    let metrics = read_optional_section(&mut reader, "metrics", |section| {
+        section.required("listen", ADDRESS_EXAMPLE, parse_address)
+    });
     let retries = read_optional_section(&mut reader, "retries", read_retries);
     let shutdown = reader.optional("shutdown", parse_time);
     let workers = reader.optional("workers", parse_workers);
@@ -66,6 +69,7 @@
         dialect: dialect?,
         data_centres,
         local,
+        metrics,
         retries,
         shutdown,
         callers: callers?,
--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -350,8 +350,8 @@
     second.wait_members(2, LIMIT).await;
     let both = [first.addresses.peers, second.addresses.peers];
     let intruder = LoneNode::start("leuven-3", "another key of this mesh", &both).await;
-    first.wait_metric("bronzelb.peer_refused", 2, LIMIT).await;
-    second.wait_metric("bronzelb.peer_refused", 2, LIMIT).await;
+    first.wait_metric("bronzelb_peer_refused", 2, LIMIT).await;
+    second.wait_metric("bronzelb_peer_refused", 2, LIMIT).await;
     assert_eq!(first.member_names().await, ["leuven-1", "leuven-2"]);
     assert_eq!(second.member_names().await, ["leuven-1", "leuven-2"]);
     assert_eq!(intruder.member_names().await, ["leuven-3"]);
@@ -371,7 +371,7 @@
     let answer = exchange(peers, &replayed).await;
     // The node sends its own nonce, and no proof of its key.
     assert_eq!(answer.len(), 32);
-    node.wait_metric("bronzelb.peer_refused", 2, LIMIT).await;
+    node.wait_metric("bronzelb_peer_refused", 2, LIMIT).await;
     node.assert_healthy().await;
 }
 
@@ -424,7 +424,7 @@
         stream.write_all(&message).await.expect("is taken");
         read_until_closed(&mut stream).await;
     }
-    node.wait_metric("bronzelb.peer_refused", count, LIMIT)
+    node.wait_metric("bronzelb_peer_refused", count, LIMIT)
         .await;
     node.assert_healthy().await;
     assert!(
--- a/crates/emulator/src/experiment/spread/fleet_usage.rs
+++ b/crates/emulator/src/experiment/spread/fleet_usage.rs
@@ -63,8 +63,8 @@
                 .await?;
             let text = String::from_utf8_lossy(&answer.body).into_owned();
             let usage = NodeUsage {
-                peer_bytes: metric(&text, "bronzelb.peer_bytes_sent")
-                    + metric(&text, "bronzelb.peer_bytes_received"),
+                peer_bytes: metric(&text, "bronzelb_peer_bytes_sent")
+                    + metric(&text, "bronzelb_peer_bytes_received"),
                 cpu_seconds: cpu_seconds(id)?,
                 resident_mb: resident_mb(id)?,
             };
--- a/crates/kernel/src/request/attempt_outcome.rs
+++ b/crates/kernel/src/request/attempt_outcome.rs
@@ -23,6 +23,20 @@
 }
 
 impl AttemptOutcome {
+    /// Returns the name that appears in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Failed => "failed",
+            Self::Shed => "shed",
+            Self::Unreached => "unreached",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed-out",
+            Self::Abandoned => "abandoned",
+        }
+    }
+
     /// Returns what is known about whether the request ran.
     #[must_use]
     pub const fn run_state(self) -> RunState {
