Count the time that a returning caller has waited already

Ruled out: longer waits than the latency allows (bounded since the gate knows it), slow servers. Change: the entry node takes what a caller's announced wait lacks to the longest one of its route as time already waited; the gate wants its answer sooner by that.

--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -121,7 +121,11 @@
     let method: HttpMethod = request.method().as_str().parse()?;
     let host = request_host(request);
     let (route, rule) = match_route(config.snapshot(), host, method, request.path())?;
-    let deadline = read_deadline(dialect, headers, rule, now)?;
+    let patience = read_patience(dialect, headers)?;
+    let deadline = now.after(patience.map_or(rule.timeout, |wait| wait.min(rule.timeout)));
+    let waited = patience.map_or(TimeBudget::ZERO, |wait| {
+        state.requests.note_patience(route, wait)
+    });
     let key = read_key(dialect, headers)?;
     let left = deadline.left(now).to_std();
     let body = time::timeout(left, read_body(payload, rule))
@@ -142,6 +146,7 @@
             key,
             fingerprint: fingerprint(route.as_str(), method.name(), &target, &body),
             priority: rule.priority,
+            waited,
             attempt,
             method,
             target,
@@ -171,14 +176,13 @@
     request.uri().host().or(sent).unwrap_or("")
 }
 
-fn read_deadline(
+/// Reads the time that the caller is ready to wait, if it says so.
+fn read_patience(
     dialect: &CallerDialect,
     headers: &HeaderMap,
-    rule: &RouteRule,
-    now: ClockInstant,
-) -> Result<ClockInstant, MeshError> {
+) -> Result<Option<TimeBudget>, MeshError> {
     let Some(value) = headers.get(dialect.deadline_header) else {
-        return Ok(now.after(rule.timeout));
+        return Ok(None);
     };
     let millis: i64 = value
         .to_str()
@@ -195,8 +199,7 @@
             dialect.deadline_header
         )));
     }
-    let wanted = TimeBudget::from_millis(millis);
-    Ok(now.after(wanted.min(rule.timeout)))
+    Ok(Some(TimeBudget::from_millis(millis)))
 }
 
 /// Reads the number of the attempt further up a chain of calls that the request belongs to.
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -212,7 +212,7 @@
         // The deadline is the route's timeout after the request entered, or the caller's own.
         let wanted_by = rule.map(|rule| {
             let spare = rule.objective.latency.left_of(rule.timeout);
-            deadline.before(spare)
+            deadline.before(spare).before(message.waited)
         });
         SlotOffer {
             priority: message.priority,
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -10,10 +10,11 @@
     clock::{ClockInstant, TimeBudget},
     config::ConfigSnapshot,
     error::{ErrorKind, MeshError},
-    ids::{BackendName, ServiceName, SlotCount},
+    ids::{BackendName, RouteName, ServiceName, SlotCount},
     member::MemberTable,
     request::{
-        AdaptiveLimit, AttemptOutcome, BudgetRule, KeyLedger, RetryBudget, ServerBook, SharedBudget,
+        AdaptiveLimit, AttemptOutcome, BudgetRule, CallerPatience, KeyLedger, RetryBudget,
+        ServerBook, SharedBudget,
     },
 };
 use bronzelb_wire::peer::ForwardAnswer;
@@ -40,6 +41,7 @@
     budget: Mutex<RetryBudget>,
     budget_rule: Option<BudgetRule>,
     shared_budgets: Mutex<BTreeMap<ServiceName, SharedBudget>>,
+    patience: Mutex<CallerPatience>,
     entries: Mutex<BTreeMap<ServiceName, Arc<EntryGate>>>,
     hosts: Mutex<BTreeMap<BackendName, Arc<HostGate>>>,
     ledger: Mutex<KeyLedger<ResultReceiver, SharedResult>>,
@@ -76,6 +78,7 @@
             budget: Mutex::default(),
             budget_rule,
             shared_budgets: Mutex::default(),
+            patience: Mutex::default(),
             entries: Mutex::default(),
             hosts: Mutex::default(),
             ledger: Mutex::default(),
@@ -113,6 +116,11 @@
         change(budget.or_insert_with(|| SharedBudget::new(rule)))
     }
 
+    /// Takes in how long a caller of `route` is ready to wait, and returns how long it has waited.
+    pub(crate) fn note_patience(&self, route: &RouteName, wait: TimeBudget) -> TimeBudget {
+        lock(&self.patience).note(route, wait)
+    }
+
     pub(crate) fn ledger(&self) -> MutexGuard<'_, KeyLedger<ResultReceiver, SharedResult>> {
         lock(&self.ledger)
     }
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -260,6 +260,7 @@
                 key: None,
                 fingerprint: fingerprint("all", "GET", &target, b""),
                 priority: RequestPriority::NORMAL,
+                waited: TimeBudget::ZERO,
                 attempt: 1,
                 method: HttpMethod::Get,
                 target,
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod adaptive_limit;
 mod attempt_case;
 mod attempt_outcome;
+mod caller_patience;
 mod claim_row;
 mod crash_record;
 mod key_ledger;
@@ -24,6 +25,7 @@
 pub use adaptive_limit::AdaptiveLimit;
 pub use attempt_case::{AttemptCase, RetryVerdict};
 pub use attempt_outcome::AttemptOutcome;
+pub use caller_patience::CallerPatience;
 pub use claim_row::{ClaimOutcome, ClaimRow, ClaimSight, MAX_CLAIM_BODY};
 pub use crash_record::{CRASH_KIND, CrashRecord, CrashSuspicion, ServerLife};
 pub use key_ledger::{KEY_MEMORY, KeyEnd, KeyLedger, KeyVerdict};
--- a/crates/wire/src/peer/forward_message.rs
+++ b/crates/wire/src/peer/forward_message.rs
@@ -1,4 +1,5 @@
 use bronzelb_kernel::{
+    clock::TimeBudget,
     config::{HttpMethod, RequestPriority},
     ids::{BackendName, BuildVersion, ContentHash, IdempotencyKey, RouteName},
     request::ServerLoad,
@@ -33,6 +34,8 @@
     pub fingerprint: ContentHash,
     /// Priority of the route.
     pub priority: RequestPriority,
+    /// Time that the caller has waited for earlier attempts of its own, as far as it shows.
+    pub waited: TimeBudget,
     /// Number of this attempt, 1 for the first; further up a chain of calls it counts on.
     pub attempt: u32,
     /// Method of the request.
