Keep the lines of failed attempts apart from those of served ones

Change: served attempts are an event of their own; explain names the nodes with gaps in one line. The tests of the bound are those of before.

--- a/crates/cli/src/explain/explain_command.rs
+++ b/crates/cli/src/explain/explain_command.rs
@@ -7,6 +7,7 @@
 
 use bronzelb_kernel::error::{ErrorKind, MeshError};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use compact_str::CompactString;
 
 use crate::{
     builder::CommandSpec,
@@ -80,10 +81,16 @@
     for line in &story.lines {
         tell_line(&mut text, line, start);
     }
-    for node in &story.nodes_with_gaps {
+    if !story.nodes_with_gaps.is_empty() {
+        let nodes: Vec<_> = story
+            .nodes_with_gaps
+            .iter()
+            .map(CompactString::as_str)
+            .collect();
+        let nodes = nodes.join(", ");
         writeln!(
             text,
-            "node {node} left lines out, so its part may be incomplete"
+            "lines may be missing: these nodes left some out: {nodes}"
         )
         .expect("writing to a string succeeds");
     }
--- a/crates/cli/tests/commands/explain.rs
+++ b/crates/cli/tests/commands/explain.rs
@@ -41,7 +41,7 @@
         +0 ms n2 request-refused running=12 waiting=24
         +2 ms n1 request-attempted backend="i-7" outcome="shed" route="read" took_ms=4
         +62 ms n1 request-failed kind="overloaded" retry_after_ms=45
-        node n2 left lines out, so its part may be incomplete
+        lines may be missing: these nodes left some out: n2
     "#]]
     .assert_eq(&run.stdout);
     expect![[r#"
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -195,11 +195,16 @@
         let now = state.now();
         let took = started_at.elapsed(now);
         state.observe("attempt_ms", "outcome", outcome.name(), took);
-        if !state.takes_line(EventName::RequestAttempted) {
+        // Failures keep their lines however many requests are served.
+        let event = match outcome {
+            AttemptOutcome::Served => EventName::RequestServed,
+            _ => EventName::RequestAttempted,
+        };
+        if !state.takes_line(event) {
             return;
         }
         let config = state.config();
-        info!(state.logger, "{}", EventName::RequestAttempted;
+        info!(state.logger, "{event}";
             "request" => planned.message.request_id.as_str(),
             "route" => planned.message.route.to_string(),
             "service" => planned.service.to_string(), "attempt" => attempt,
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -34,7 +34,9 @@
     SettingsReloaded,
     /// The changed settings file has mistakes; the settings of before stay in force.
     SettingsRefused,
-    /// The entry node chose a server for a request, and the attempt there ended.
+    /// The entry node chose a server for a request, which answered it.
+    RequestServed,
+    /// The entry node chose a server for a request, and the attempt there failed.
     RequestAttempted,
     /// The node beside a server refused a request for lack of room.
     RequestRefused,
@@ -76,6 +78,7 @@
             Self::DocumentRefused => "document-refused",
             Self::SettingsReloaded => "settings-reloaded",
             Self::SettingsRefused => "settings-refused",
+            Self::RequestServed => "request-served",
             Self::RequestAttempted => "request-attempted",
             Self::RequestRefused => "request-refused",
             Self::RequestRan => "request-ran",
