Draw the version of a request once, not once an attempt

In a burst at 5.15 s the servers of the old version refused, and each retry drew the version anew, so refused requests drifted to the new version: 66 requests on v2 in half a second at 5.5 s, at a split far below that.

Ruled out: a late judge. The version was marked at 7.03 s, with 31 to 35% of its requests failing against 1%; the excess was there before.

Change: the draw is part of the planned request, and every attempt asks the split with it. Test refused_request_stays_with_the_version_that_was_drawn_for_it fails with the draw per attempt put back.

--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -138,6 +138,7 @@
         deadline,
         idempotent: rule.idempotent,
         attempts: rule.traffic.attempts,
+        version_draw: rand::random(),
         is_nested_retry: attempt > 1,
         message: ForwardRequest {
             request_id: request_id.clone(),
--- a/crates/daemon/src/forward/planned_request.rs
+++ b/crates/daemon/src/forward/planned_request.rs
@@ -15,6 +15,9 @@
     pub idempotent: bool,
     /// Most backend servers that the request may be sent to; `None` leaves it to the node.
     pub attempts: Option<AttemptCount>,
+    /// Random number by which the request's version is chosen, the same for all its attempts: a
+    /// further draw for each would give an unproved version more than its share under load.
+    pub version_draw: u64,
     /// Whether the request is part of a retry further up a chain of calls.
     pub is_nested_retry: bool,
     /// Request as it travels to the node beside the backend server.
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -226,7 +226,7 @@
         let objective = route.map(|route| &route.objective);
         let rule = ChoiceRule {
             service: &planned.service,
-            versions: split.choose(rand::random()),
+            versions: split.choose(planned.version_draw),
             data_centre: own,
             spill_order: proxy.map_or(&[], |proxy| proxy.spill_order.as_slice()),
             tried,
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -135,6 +135,7 @@
             deadline,
             idempotent: rule.idempotent,
             attempts: rule.traffic.attempts,
+            version_draw: rand::random(),
             is_nested_retry: request.attempt > 1,
             message: request,
         };
--- a/crates/daemon/src/rollout/rollout_state.rs
+++ b/crates/daemon/src/rollout/rollout_state.rs
@@ -7,7 +7,7 @@
     burn::BurnTable,
     clock::{ClockInstant, TimeBudget},
     ids::{BackendName, DataCentre, RouteName, ServiceName},
-    rollout::{EvidenceReport, MoveTable, NodeSlot, OutcomeReport, VersionSplit},
+    rollout::{EvidenceReport, MoveRecord, MoveTable, NodeSlot, OutcomeReport, VersionSplit},
 };
 
 use crate::node::NodeState;
@@ -57,6 +57,11 @@
         self.table().record_outcome(&report, now);
     }
 
+    /// Takes in the record of a move and returns whether it was news.
+    pub fn merge_record(&self, record: MoveRecord, now: ClockInstant) -> bool {
+        self.table().merge_record(record, now)
+    }
+
     /// Takes in what other nodes saw.
     pub fn receive(&self, reports: &[EvidenceReport], now: ClockInstant) {
         let mut table = self.table();
--- a/crates/daemon/src/rollout/rollout_task.rs
+++ b/crates/daemon/src/rollout/rollout_task.rs
@@ -78,7 +78,7 @@
         let (service, number) = (record.service.clone(), record.number);
         let described = record.state;
         let now = self.state.now();
-        if self.state.rollout.table().merge_record(record, now) {
+        if self.state.rollout.merge_record(record, now) {
             info!(self.state.logger, "{}", EventName::MoveChanged;
                 "service" => service.to_string(), "move" => number.get(),
                 "state" => described.name());
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -18,8 +18,9 @@
         RouteObjective, RouteRule, RouteTraffic, ServiceSpec, ShareRatio,
     },
     error::{ErrorKind, MeshError, RunState},
-    ids::{ByteCount, SlotCount, VersionNumber},
+    ids::{AttemptToken, ByteCount, SlotCount, VersionNumber},
     member::BackendState,
+    rollout::{MoveRecord, MoveWish},
     spread::{FetchSource, SnapshotReply, VersionFetch},
 };
 use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest};
@@ -208,6 +209,7 @@
 struct Bench {
     forwarder: RequestForwarder,
     idempotent: bool,
+    version_draw: u64,
 }
 
 impl Bench {
@@ -232,6 +234,7 @@
         Self {
             forwarder: RequestForwarder::new(state),
             idempotent,
+            version_draw: 0,
         }
     }
 
@@ -252,6 +255,7 @@
             deadline,
             idempotent: self.idempotent,
             attempts: None,
+            version_draw: self.version_draw,
             is_nested_retry: false,
             message: ForwardRequest {
                 request_id: format_compact!("request-{number}"),
@@ -519,3 +523,48 @@
         assert_eq!(answer.body.as_ref(), expected.as_bytes());
     }
 }
+
+#[actix_web::test]
+async fn refused_request_stays_with_the_version_that_was_drawn_for_it() {
+    let shed = |_: usize, _: &str| {
+        keep("HTTP/1.1 503 Busy\r\nx-backend-run: not-run\r\ncontent-length: 0\r\n\r\n".into())
+    };
+    let old = RawServer::start(shed).await;
+    let new = RawServer::start(shed).await;
+    let mut bench = Bench::new(&[old.address, new.address], true);
+    let state = Arc::clone(bench.forwarder.state());
+    {
+        let mut backends = state.backends();
+        let name = "tracker-1".parse().expect("a valid name");
+        let entry = backends.get(&name).expect("is announced");
+        let mut announcement = entry.announcement.clone();
+        announcement.version = "v2".parse().expect("a valid version");
+        backends.announce(state.now(), name, announcement);
+    }
+    state.refresh_own_row();
+    let now = state.now();
+    let rule = RolloutRule {
+        first_share: ShareRatio::from_ppm(500_000),
+        min_requests: 1_000,
+        hold: TimeBudget::from_secs(10),
+    };
+    let wish = MoveWish {
+        service: "tracker".parse().expect("a valid name"),
+        from: "v1".parse().expect("a valid version"),
+        to: "v2".parse().expect("a valid version"),
+        by: now.after(TimeBudget::from_secs(600)),
+        rule,
+    };
+    let record = MoveRecord::start(None, wish, now, AttemptToken::new(1));
+    state
+        .rollout
+        .merge_record(record.expect("a sensible move"), now);
+    // The last part of the draws goes to the old version.
+    bench.version_draw = u64::from(ShareRatio::ALL.as_ppm()) - 1;
+    for number in 0..30 {
+        let result = bench.get(number).await;
+        assert_eq!(run_state(&result), RunState::NotRun);
+    }
+    assert_eq!(new.requests(), 0);
+    assert!(old.requests() >= 30);
+}
