Take retry allowances that are no whole numbers

Ruled out: times with fractions, which the reader takes already; the new test covers both.

Change: the allowance is a number of 0 or more; what it has beyond a whole number allows no further retry. The test limits_may_be_fractions failed before.

--- a/crates/daemon/src/settings/section_reader.rs
+++ b/crates/daemon/src/settings/section_reader.rs
@@ -149,7 +149,7 @@
 fn read_retries(section: &mut MapReader<'_>) -> Option<BudgetRule> {
     let ratio = section.required("ratio", "ratio: 0.2", parse_ratio);
     let window = section.required("window", "window: 10s", parse_time);
-    let slack = section.required("slack", "slack: 50", parse_number);
+    let slack = section.required("slack", "slack: 50", parse_allowance);
     Some(BudgetRule {
         ratio: ratio?,
         window: window?,
@@ -234,9 +234,17 @@
     port.ok_or_else(|| MeshError::invalid(format!("{text:?} is not a port between 1 and 65535")))
 }
 
-fn parse_number(text: &str) -> Result<u32, MeshError> {
-    text.parse()
-        .map_err(|_| MeshError::invalid(format!("{text:?} is not a whole number")))
+/// Parses a number of retries; what a fraction has beyond a whole number allows no further retry.
+fn parse_allowance(text: &str) -> Result<u32, MeshError> {
+    let allowance: Option<f64> = text.parse().ok();
+    allowance
+        .filter(|allowance| (0.0..=f64::from(u32::MAX)).contains(allowance))
+        .map(|allowance| allowance as u32)
+        .ok_or_else(|| {
+            MeshError::invalid(format!(
+                "{text:?} is not a number of retries of 0 or more, such as 50"
+            ))
+        })
 }
 
 fn parse_ratio(text: &str) -> Result<f64, MeshError> {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -9,6 +9,7 @@
     process::{Command, Output},
 };
 
+use bronzelb_kernel::clock::TimeBudget;
 use bronzelbd::settings::parse_settings;
 use expect_test::expect_file;
 
@@ -137,3 +138,19 @@
     let output = check_file(&path);
     assert!(output.status.success(), "{output:?}");
 }
+
+#[test]
+fn limits_may_be_fractions() {
+    let text = format!(
+        "{VALID}retries: {{ratio: 0.25, window: 12.5s, slack: 34.15384615384615}}\nshutdown: 6.5s\n"
+    );
+    let settings = parse_settings("node.yaml", &text).expect("is valid");
+    let retries = settings.retries.expect("is set");
+    assert_eq!(retries.slack, 34, "no part of a retry is allowed");
+    assert_eq!(retries.window, TimeBudget::from_millis(12_500));
+    assert_eq!(settings.shutdown, Some(TimeBudget::from_millis(6_500)));
+    for slack in ["-1", "many", "NaN", "5000000000"] {
+        let text = format!("{VALID}retries: {{ratio: 0.2, window: 10s, slack: {slack}}}\n");
+        assert!(parse_settings("node.yaml", &text).is_err(), "{slack}");
+    }
+}
