Pass on requests with the method OPTIONS

Cause: a proper request whose method was none of six got 400, which callers do not try again. OPTIONS is the one further method that browsers send by themselves; TRACE and CONNECT stay refused.

--- a/crates/kernel/src/config/route_rule.rs
+++ b/crates/kernel/src/config/route_rule.rs
@@ -93,17 +93,20 @@
     Patch,
     /// `DELETE`
     Delete,
+    /// `OPTIONS`
+    Options,
 }
 
 impl HttpMethod {
     /// Every method that a route can match.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Get,
         Self::Head,
         Self::Post,
         Self::Put,
         Self::Patch,
         Self::Delete,
+        Self::Options,
     ];
 
     /// Returns the method's name on the wire.
@@ -116,6 +119,7 @@
             Self::Put => "PUT",
             Self::Patch => "PATCH",
             Self::Delete => "DELETE",
+            Self::Options => "OPTIONS",
         }
     }
 }
@@ -135,7 +139,7 @@
             .find(|method| method.name() == text)
             .ok_or_else(|| {
                 MeshError::invalid(format!(
-                    "method {text:?} is not one of GET, HEAD, POST, PUT, PATCH, DELETE"
+                    "method {text:?} is not one of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS"
                 ))
             })
     }
