Give each local mesh loopback addresses of its own

Cause: the known red test failed when a restarted node found its port taken by another mesh of a parallel run: every mesh used 127.0.d.n, so a port that was free while the node was down could be given to a node or an outgoing connection of another mesh.

Change: a mesh claims a loopback network for as long as it runs, by a listener on a port below the range that the kernel gives out. Tests that name sources ask the mesh for them.

--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -166,10 +166,12 @@
         .process()
         .expect("runs")
         .kill();
+    let source = |node: &str| mesh.node(node).expect("is known").ip().to_string();
+    let (first, second) = (source("dc1-n1"), source("dc1-n2"));
     // The second node is cut off from every other, and stays at the first version.
     let stall = ProxyRule::new(ProxyAction::Stall);
     for rule in [
-        stall.clone().with_source("127.0.1.2"),
+        stall.clone().with_source(second.as_str()),
         stall.with_listener("dc1/dc1-n2/"),
     ] {
         mesh.add_rule(rule).await.expect("is set");
@@ -192,16 +194,16 @@
     let mut rules = vec![
         cut.clone().with_listener("platform"),
         cut.clone()
-            .with_source("127.0.1.2")
+            .with_source(second)
             .with_listener("dc1/dc1-n1/"),
         cut.clone()
-            .with_source("127.0.1.1")
+            .with_source(first)
             .with_listener("dc1/dc1-n2/"),
     ];
     for other in ["dc2/", "dc3/"] {
-        rules.push(cut.clone().with_source("127.0.1.").with_listener(other));
+        rules.push(cut.clone().with_source(mesh.source_prefix(1)).with_listener(other));
     }
-    for other in ["127.0.2.", "127.0.3."] {
+    for other in [2, 3].map(|centre| mesh.source_prefix(centre)) {
         rules.push(cut.clone().with_source(other).with_listener("dc1/"));
     }
     let rules = ProxyRules { rules };
--- a/crates/emulator/src/mesh/local_mesh.rs
+++ b/crates/emulator/src/mesh/local_mesh.rs
@@ -17,6 +17,7 @@
     mesh::{
         MeshBackend, MeshBuilder, MeshNode, PlatformStandIn, ProxyStandIn,
         mesh_names::{PLATFORM_LISTENER, node_name, peer_listener},
+        mesh_network::MeshNetwork,
     },
     process::{ChildProcess, program_path},
     proxy::ProxyRules,
@@ -35,6 +36,7 @@
     pub(super) backends: BTreeMap<String, MeshBackend>,
     pub(super) backend_count: usize,
     pub(super) programs: MeshPrograms,
+    pub(super) network: MeshNetwork,
     pub(super) client: JsonClient,
     caller: CallerClient,
     // The last field, so that the directory goes after the processes that write to it.
@@ -87,6 +89,7 @@
             backends: BTreeMap::new(),
             backend_count: 0,
             programs,
+            network: MeshNetwork::claim()?,
             client: JsonClient::new(),
             caller: CallerClient::new(),
             directory,
@@ -117,7 +120,9 @@
                 }
                 let place = (centre, number);
                 let directory = self.directory.path();
-                let mut node = MeshNode::new(place, advertised, platform, &builder.mesh, directory);
+                let ip = self.network.node_ip(centre, number);
+                let mesh = &builder.mesh;
+                let mut node = MeshNode::new(place, ip, advertised, platform, mesh, directory);
                 node.extra_settings.clone_from(&builder.extra_settings);
                 self.nodes.insert(node_name(centre, number), node);
             }
--- a/crates/emulator/src/mesh/mesh_faults.rs
+++ b/crates/emulator/src/mesh/mesh_faults.rs
@@ -3,7 +3,7 @@
 use crate::{
     mesh::{
         LocalMesh,
-        mesh_names::{PLATFORM_LISTENER, listener_prefix, source_prefix},
+        mesh_names::{PLATFORM_LISTENER, listener_prefix},
     },
     proxy::{ProxyAction, ProxyRule},
 };
@@ -25,7 +25,7 @@
     ) -> Result<(), MeshError> {
         for (from, to) in [(left, right), (right, left)] {
             let rule = ProxyRule::new(action)
-                .with_source(source_prefix(from))
+                .with_source(self.source_prefix(from))
                 .with_listener(listener_prefix(to));
             self.rules.rules.push(rule);
         }
@@ -43,7 +43,7 @@
         action: ProxyAction,
     ) -> Result<(), MeshError> {
         let rule = ProxyRule::new(action)
-            .with_source(source_prefix(centre))
+            .with_source(self.source_prefix(centre))
             .with_listener(PLATFORM_LISTENER);
         self.add_rule(rule).await
     }
@@ -58,6 +58,12 @@
         self.add_rule(rule).await
     }
 
+    /// Returns the prefix that the IP numbers of a data centre's nodes share, for proxy rules.
+    #[must_use]
+    pub fn source_prefix(&self, centre: u8) -> String {
+        self.network.source_prefix(centre)
+    }
+
     /// Adds a rule to those in force.
     ///
     /// # Errors
--- a/crates/emulator/src/mesh/mesh_names.rs
+++ b/crates/emulator/src/mesh/mesh_names.rs
@@ -1,5 +1,3 @@
-use std::net::Ipv4Addr;
-
 /// Returns the name of data centre `centre`, counted from 1.
 #[must_use]
 pub fn data_centre_name(centre: u8) -> String {
@@ -12,16 +10,6 @@
     format!("dc{centre}-n{node}")
 }
 
-/// Returns the IP number of a node.
-pub(crate) const fn node_ip(centre: u8, node: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 0, centre, node)
-}
-
-/// Returns the prefix that the IP numbers of a data centre's nodes share.
-pub(crate) fn source_prefix(centre: u8) -> String {
-    format!("127.0.{centre}.")
-}
-
 /// Returns the prefix that the names of a data centre's listeners share.
 pub(crate) fn listener_prefix(centre: u8) -> String {
     format!("dc{centre}/")
--- a/crates/emulator/src/mesh/mesh_node.rs
+++ b/crates/emulator/src/mesh/mesh_node.rs
@@ -1,7 +1,7 @@
 use std::{
     fmt::Write,
     fs,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
 };
 
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    mesh::mesh_names::{data_centre_name, node_ip, node_name, peer_listener},
+    mesh::mesh_names::{data_centre_name, node_name, peer_listener},
     process::ChildProcess,
     server::local_error,
 };
@@ -41,6 +41,7 @@
     pub(crate) mesh: String,
     pub(crate) mesh_key: String,
     pub(crate) extra_settings: String,
+    ip: Ipv4Addr,
     directory: PathBuf,
     addresses: Option<NodeAddresses>,
     process: Option<ChildProcess>,
@@ -49,6 +50,7 @@
 impl MeshNode {
     pub(crate) fn new(
         (centre, number): (u8, u8),
+        ip: Ipv4Addr,
         advertised: Option<SocketAddr>,
         platform: SocketAddr,
         mesh: &str,
@@ -63,6 +65,7 @@
             mesh: mesh.to_owned(),
             mesh_key: MESH_KEY.to_owned(),
             extra_settings: String::new(),
+            ip,
             directory: directory.to_owned(),
             addresses: None,
             process: None,
@@ -81,6 +84,12 @@
         self.centre
     }
 
+    /// Returns the IP number that the node listens on and its outgoing connections leave from.
+    #[must_use]
+    pub const fn ip(&self) -> Ipv4Addr {
+        self.ip
+    }
+
     /// Returns the name of the proxy's listener in front of the node's peers' listener.
     #[must_use]
     pub fn peer_listener(&self) -> String {
@@ -155,7 +164,7 @@
     }
 
     fn settings_text(&self) -> String {
-        let any_port = SocketAddr::new(IpAddr::V4(node_ip(self.centre, self.number)), 0);
+        let any_port = SocketAddr::new(IpAddr::V4(self.ip), 0);
         let addresses = self.addresses.unwrap_or(NodeAddresses {
             callers: any_port,
             peers: any_port,
--- a/crates/emulator/src/mesh/mod.rs
+++ b/crates/emulator/src/mesh/mod.rs
@@ -1,7 +1,7 @@
 //! A whole mesh of separate processes on loopback addresses, for tests, trials and experiments.
 //!
-//! Node `n` of data centre `d` listens on `127.0.d.n` and binds its outgoing connections to that
-//! address. Its peers' listener and the platform are reached through the fault proxy, which tells
+//! Node `n` of data centre `d` listens on `127.x.d.n`, where `x` belongs to the mesh alone, and binds
+//! its outgoing connections to that address. Its peers' listener and the platform are reached through the fault proxy, which tells
 //! the data centres apart by their source addresses.
 
 mod backend_spec;
@@ -11,6 +11,7 @@
 mod mesh_builder;
 mod mesh_faults;
 mod mesh_names;
+mod mesh_network;
 mod mesh_node;
 mod mesh_wait;
 mod stand_ins;
