Answer pipelined requests side by side, and let servers serve while their node withdraws

Cause: a caller's second request on a connection started only when the first was answered, since actix-web's connection runs one handler at a time. Change: connections of callers are served on actix's own codec; requests that may run twice run side by side and are answered in order, others wait for the answers before them, because a caller sends those behind a closing answer again. Each answer is encoded by the codec that read its request. A caller that closes cancels what it has asked.

Cause: a stopping node told the mesh at once that its servers take nothing, and then waited 2.3 s for its supervisor to notice; a server was out of work for 3.5 s although its node was up for all but 1 s. Change: the mesh is told in the last 0.6 s of that time.

Cause: the first look at a service's servers took the first one for warm and all others for new, so that a node that had just started sent nearly everything to one server of each service, and a server whose node had been away was taken for cold though it said it was warm. Change: servers that are new to a node together count alike, and a server's own word of its start goes first. Tests in request_choice.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -29,6 +29,8 @@
     pub report: Option<LoadReport>,
     /// What the other nodes are told of the time that its requests take.
     pub times: TimePublisher,
+    /// Instant until which the server is slow after its start, where it tells.
+    pub cold_until: Option<ClockInstant>,
     /// Run of the server, and the number of its latest heartbeat.
     order: (BackendLifetime, u64),
 }
@@ -96,8 +98,13 @@
             self.entries.remove(name);
         }
         let name = heartbeat.name.clone();
-        let is_changed = self.announce(now, heartbeat.name, heartbeat.announcement);
+        let mut is_changed = self.announce(now, heartbeat.name, heartbeat.announcement);
         if let Some(entry) = self.entries.get_mut(&name) {
+            // Later heartbeats of a run tell the same instant, a little off.
+            if entry.cold_until.is_none() || entry.order.0 != order.0 {
+                entry.cold_until = Some(now.after(heartbeat.warm_up));
+                is_changed = true;
+            }
             entry.order = order;
         }
         is_changed || !replaced.is_empty()
@@ -137,6 +144,7 @@
             filter: ReportFilter::default(),
             report: None,
             times: TimePublisher::default(),
+            cold_until: None,
             order: (BackendLifetime::default(), 0),
         };
         self.entries.insert(name, entry);
@@ -206,6 +214,7 @@
                 slots: entry.announcement.slots,
                 state: entry.announcement.state,
                 is_reported_healthy: entry.filter.is_healthy(),
+                cold_until: entry.cold_until,
                 times: entry.times.told().clone(),
             })
             .collect()
--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -1,27 +1,26 @@
+use actix_http::Request;
 use actix_web::{
-    HttpRequest, HttpResponse,
+    HttpResponse,
     http::{
         ConnectionType, StatusCode,
         header::{HOST, HeaderMap, HeaderName},
     },
-    web,
 };
 use bronzelb_kernel::{
-    clock::{ClockInstant, TimeBudget},
-    config::{HttpMethod, RouteRule},
     error::{ErrorKind, MeshError, RunState},
     ids::IdempotencyKey,
     plugin::CallerDialect,
 };
 use bronzelb_wire::peer::{ForwardAnswer, ForwardRequest, HeaderPair};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::CompactString;
-use futures::StreamExt;
 use slog::info;
-use tokio::time;
 
 use crate::{
-    callers::{caller_error, route_match::match_route},
+    callers::{
+        caller_error,
+        caller_request::{CallerRequest, request_host},
+    },
     forward::{PlannedRequest, RequestForwarder, fingerprint, is_hop_header},
     log::EventName,
     node::NodeState,
@@ -34,20 +33,19 @@
 
 /// Answers one request of a caller.
 pub(crate) async fn handle_caller(
-    request: HttpRequest,
-    payload: web::Payload,
-    forwarder: web::Data<RequestForwarder>,
+    request: CallerRequest,
+    forwarder: &RequestForwarder,
 ) -> HttpResponse {
     let state = forwarder.state();
     let dialect = &state.settings.dialect.callers;
-    let request_id = request_id(&request, state);
-    let started_at = state.now();
-    let result = run_request(&request, payload, &forwarder, &request_id).await;
+    let request_id = request_id(&request.head, state);
+    let started_at = request.started_at;
+    let result = run_request(&request, forwarder, &request_id).await;
     let mut response = match result {
         Ok(answer) => answer_response(dialect, &answer),
         Err(error) => {
             state.count_by("request_errors", "kind", error.kind().name());
-            log_failure(state, &request, &request_id, &error, started_at);
+            log_failure(state, &request, &request_id, &error);
             caller_error(dialect, &error, state.now())
         }
     };
@@ -82,10 +80,9 @@
 /// Logs why a request got an answer of the node's own, with the configuration that it went by.
 fn log_failure(
     state: &NodeState,
-    request: &HttpRequest,
+    request: &CallerRequest,
     request_id: &CompactString,
     error: &MeshError,
-    started_at: ClockInstant,
 ) {
     if !state.takes_line(EventName::RequestFailed) {
         return;
@@ -96,113 +93,68 @@
         "request" => request_id.as_str(), "kind" => error.kind().name(),
         "run" => error.kind().answer().run_state.name(),
         "message" => error.message().to_owned(),
-        "host" => request_host(request).to_owned(), "path" => request.path().to_owned(),
+        "host" => request_host(&request.head).to_owned(),
+        "path" => request.head.path().to_owned(),
         "config" => config.as_ref().map(|config| config.stamp().number.get()),
         "config_age_ms" => state.applied_at().elapsed(now).as_millis(),
-        "took_ms" => started_at.elapsed(now).as_millis(),
+        "took_ms" => request.started_at.elapsed(now).as_millis(),
         "retry_after_ms" => error.retry_at().map(|instant| instant.left(now).as_millis()));
 }
 
 async fn run_request(
-    request: &HttpRequest,
-    payload: web::Payload,
+    request: &CallerRequest,
     forwarder: &RequestForwarder,
     request_id: &CompactString,
 ) -> Result<ForwardAnswer, MeshError> {
     let state = forwarder.state();
-    state.check_lease()?;
-    let now = state.now();
-    let config = state.config().ok_or_else(|| {
-        MeshError::new(ErrorKind::NotReady, "the node has no configuration yet")
-            .with_retry_at(now.after(TimeBudget::from_secs(1)))
+    let routed = request.routed.as_ref().map_err(MeshError::clone)?;
+    let rule = routed.rule().ok_or_else(|| {
+        let message = format!("route {} does not exist", routed.route);
+        MeshError::new(ErrorKind::UnknownRoute, message)
     })?;
     let dialect = &state.settings.dialect.callers;
-    let headers = request.headers();
-    let method: HttpMethod = request.method().as_str().parse()?;
-    let host = request_host(request);
-    let (route, rule) = match_route(config.snapshot(), host, method, request.path())?;
-    let patience = read_patience(dialect, headers)?;
-    let deadline = now.after(patience.map_or(rule.timeout, |wait| wait.min(rule.timeout)));
-    let waited = patience.map_or(TimeBudget::ZERO, |wait| {
-        state.requests.note_patience(route, wait)
-    });
-    let key = read_key(dialect, headers)?;
-    let left = deadline.left(now).to_std();
-    let body = time::timeout(left, read_body(payload, rule))
-        .await
-        .map_err(|_| MeshError::new(ErrorKind::SlowSender, "the body did not arrive in time"))??;
+    let head = &request.head;
+    let headers = head.head().headers();
     let attempt = read_attempt(dialect, headers);
-    let target = request_target(request);
+    let target = request_target(head);
+    let method = routed.method;
     let planned = PlannedRequest {
         service: rule.choose_service(rand::random()).clone(),
-        deadline,
+        deadline: routed.deadline,
         idempotent: rule.idempotent,
         attempts: rule.traffic.attempts,
         version_draw: rand::random(),
         is_nested_retry: attempt > 1,
         message: ForwardRequest {
             request_id: request_id.clone(),
-            route: route.clone(),
+            route: routed.route.clone(),
             backend: None,
-            key,
-            fingerprint: fingerprint(route.as_str(), method.name(), &target, &body),
+            key: read_key(dialect, headers)?,
+            fingerprint: fingerprint(routed.route.as_str(), method.name(), &target, &request.body),
             priority: rule.priority,
-            waited,
+            waited: routed.waited,
             attempt,
             method,
             target,
-            headers: passed_headers(state, headers, host),
-            body,
+            headers: passed_headers(state, headers, request_host(head)),
+            body: request.body.clone(),
         },
     };
     let result = forwarder.run(planned).await;
-    record_burn(state, route, rule, now, &result);
+    record_burn(state, &routed.route, rule, request.started_at, &result);
     result
 }
 
 /// Returns the caller's identifier of the request where the dialect takes it, else a new one.
-fn request_id(request: &HttpRequest, state: &NodeState) -> CompactString {
+fn request_id(request: &Request, state: &NodeState) -> CompactString {
     let dialect = &state.settings.dialect.callers;
-    let sent = request.headers().get(dialect.request_header);
+    let sent = request.head().headers().get(dialect.request_header);
     sent.filter(|_| dialect.takes_request_id)
         .and_then(|value| value.to_str().ok())
         .filter(|text| !text.is_empty() && text.len() <= MAX_REQUEST_ID_BYTES)
         .map_or_else(|| state.next_request_id(), CompactString::from)
 }
 
-/// Returns the host that the caller addressed, with its port if it named one.
-fn request_host(request: &HttpRequest) -> &str {
-    let header = request.headers().get(HOST);
-    let sent = header.and_then(|value| value.to_str().ok());
-    request.uri().host().or(sent).unwrap_or("")
-}
-
-/// Reads the time that the caller is ready to wait, if it says so.
-fn read_patience(
-    dialect: &CallerDialect,
-    headers: &HeaderMap,
-) -> Result<Option<TimeBudget>, MeshError> {
-    let Some(value) = headers.get(dialect.deadline_header) else {
-        return Ok(None);
-    };
-    let millis: i64 = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .ok_or_else(|| {
-            let name = dialect.deadline_header;
-            MeshError::invalid(format!("{name} is not a number of milliseconds"))
-        })?;
-    let millis = u64::try_from(millis).unwrap_or(0);
-    if millis == 0 {
-        return Err(MeshError::invalid(format!(
-            "{} leaves no time; send the time that is left, in milliseconds",
-            dialect.deadline_header
-        )));
-    }
-    Ok(Some(TimeBudget::from_millis(millis)))
-}
-
 /// Reads the number of the attempt further up a chain of calls that the request belongs to.
 fn read_attempt(dialect: &CallerDialect, headers: &HeaderMap) -> u32 {
     let header = dialect.attempt_header.and_then(|name| headers.get(name));
@@ -228,23 +180,7 @@
     text.parse().map(Some)
 }
 
-async fn read_body(mut payload: web::Payload, rule: &RouteRule) -> Result<Bytes, MeshError> {
-    let limit = usize::try_from(rule.max_body.get()).unwrap_or(usize::MAX);
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| MeshError::invalid(format!("request body: {error}")))?;
-        if body.len() + chunk.len() > limit {
-            return Err(MeshError::new(
-                ErrorKind::TooLarge,
-                format!("request body exceeds the route's limit of {limit} bytes"),
-            ));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
-
-fn request_target(request: &HttpRequest) -> CompactString {
+fn request_target(request: &Request) -> CompactString {
     let uri = request.uri();
     uri.path_and_query().map_or_else(
         || CompactString::from(uri.path()),
--- /dev/null
+++ b/crates/daemon/src/callers/caller_request.rs
@@ -0,0 +1,131 @@
+use std::sync::Arc;
+
+use actix_http::Request;
+use actix_web::http::header::{HOST, HeaderMap};
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    config::{ConfigVersion, HttpMethod, RouteRule},
+    error::{ErrorKind, MeshError},
+    ids::RouteName,
+    plugin::CallerDialect,
+};
+use bytes::Bytes;
+
+use crate::node::NodeState;
+
+/// Time after which a caller of a node without a configuration may come back.
+const CONFIG_PAUSE: TimeBudget = TimeBudget::from_secs(1);
+
+/// A caller's request, read whole or refused while it was read.
+pub(crate) struct CallerRequest {
+    pub(crate) head: Request,
+    /// Where the request goes, or why it goes nowhere.
+    pub(crate) routed: Result<RoutedRequest, MeshError>,
+    pub(crate) body: Bytes,
+    /// When the head was read.
+    pub(crate) started_at: ClockInstant,
+}
+
+/// Where a request goes, by the configuration in force when its head was read.
+pub(crate) struct RoutedRequest {
+    pub(crate) config: Arc<ConfigVersion>,
+    pub(crate) route: RouteName,
+    pub(crate) method: HttpMethod,
+    pub(crate) deadline: ClockInstant,
+    /// Time for which the caller has waited already, in attempts before this one.
+    pub(crate) waited: TimeBudget,
+}
+
+impl CallerRequest {
+    /// Returns whether the request may run before earlier ones of its connection are answered.
+    ///
+    /// When an earlier answer closes the connection, the caller sends the request again, so that
+    /// only one that may run twice starts early.
+    pub(crate) fn may_start_early(&self) -> bool {
+        let routed = self.routed.as_ref().ok();
+        let rule = routed.and_then(RoutedRequest::rule);
+        rule.is_some_and(|rule| rule.idempotent)
+    }
+}
+
+impl RoutedRequest {
+    /// Finds the route of a request and the time that it has.
+    ///
+    /// # Errors
+    ///
+    /// - [`ErrorKind::NotReady`]: the node has no configuration or lost its lease.
+    /// - [`ErrorKind::UnknownRoute`]: no route matches.
+    /// - [`ErrorKind::Invalid`]: the method or the deadline cannot be read.
+    pub(crate) fn find(state: &NodeState, head: &Request) -> Result<Self, MeshError> {
+        state.check_lease()?;
+        let now = state.now();
+        let config = state.config().ok_or_else(|| {
+            MeshError::new(ErrorKind::NotReady, "the node has no configuration yet")
+                .with_retry_at(now.after(CONFIG_PAUSE))
+        })?;
+        let method: HttpMethod = head.method().as_str().parse()?;
+        let host = request_host(head);
+        let found = config.route(host, method, head.path());
+        let (route, rule) = found.ok_or_else(|| {
+            let message = format!("no route matches {method} {:?}", head.path());
+            MeshError::new(ErrorKind::UnknownRoute, message)
+        })?;
+        let patience = read_patience(&state.settings.dialect.callers, head.head().headers())?;
+        let deadline = now.after(patience.map_or(rule.timeout, |wait| wait.min(rule.timeout)));
+        let waited = patience.map_or(TimeBudget::ZERO, |wait| {
+            state.requests.note_patience(route, wait)
+        });
+        let route = route.clone();
+        Ok(Self {
+            route,
+            method,
+            deadline,
+            waited,
+            config,
+        })
+    }
+
+    /// Returns the size limit of the request's body, in bytes.
+    pub(crate) fn body_limit(&self) -> usize {
+        let limit = self.rule().map_or(0, |rule| rule.max_body.get());
+        usize::try_from(limit).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the rule of the route.
+    pub(crate) fn rule(&self) -> Option<&RouteRule> {
+        self.config.snapshot().routes.get(&self.route)
+    }
+}
+
+/// Returns the host that the caller addressed, with its port if it named one.
+pub(crate) fn request_host(head: &Request) -> &str {
+    let header = head.head().headers().get(HOST);
+    let sent = header.and_then(|value| value.to_str().ok());
+    head.uri().host().or(sent).unwrap_or("")
+}
+
+/// Reads the time that the caller is ready to wait, if it says so.
+fn read_patience(
+    dialect: &CallerDialect,
+    headers: &HeaderMap,
+) -> Result<Option<TimeBudget>, MeshError> {
+    let Some(value) = headers.get(dialect.deadline_header) else {
+        return Ok(None);
+    };
+    let millis: i64 = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| {
+            let name = dialect.deadline_header;
+            MeshError::invalid(format!("{name} is not a number of milliseconds"))
+        })?;
+    let millis = u64::try_from(millis).unwrap_or(0);
+    if millis == 0 {
+        return Err(MeshError::invalid(format!(
+            "{} leaves no time; send the time that is left, in milliseconds",
+            dialect.deadline_header
+        )));
+    }
+    Ok(Some(TimeBudget::from_millis(millis)))
+}
--- a/crates/daemon/src/callers/caller_server.rs
+++ b/crates/daemon/src/callers/caller_server.rs
@@ -1,23 +1,21 @@
-use std::{net::TcpListener, sync::Arc, time::Duration};
+use std::{net::TcpListener, sync::Arc};
 
-use actix_web::{App, HttpServer, dev::Server, web};
+use actix_http::ServiceConfig;
+use actix_server::Server;
+use actix_service::fn_service;
 use bronzelb_kernel::error::{ErrorKind, MeshError};
+use tokio::net::TcpStream;
 
 use crate::{
-    callers::{
-        caller_handler::handle_caller,
-        ticket_handler::{TICKET_PATH, issue_ticket},
-    },
+    callers::caller_connection::serve_connection,
     forward::RequestForwarder,
-    node::NodeState,
+    node::{NodeState, StopSignal},
 };
 
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
-const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 const SHUTDOWN_SECS: u64 = 30;
 const MAX_CONNECTIONS: usize = 4_096;
 
-/// Starts the listener for callers.
+/// Starts the listener for callers, which closes idle connections after the stop signal.
 ///
 /// # Errors
 ///
@@ -25,24 +23,29 @@
 pub fn start_caller_server(
     state: Arc<NodeState>,
     listener: TcpListener,
+    stop: StopSignal,
 ) -> Result<Server, MeshError> {
     let workers = state.settings.workers;
-    let server = HttpServer::new(move || {
-        let forwarder = RequestForwarder::new(Arc::clone(&state));
-        App::new()
-            .app_data(web::Data::new(forwarder))
-            .route(TICKET_PATH, web::post().to(issue_ticket))
-            .default_service(web::to(handle_caller))
-    })
-    .workers(workers)
-    .max_connections(MAX_CONNECTIONS)
-    .client_request_timeout(HEADER_TIMEOUT)
-    .keep_alive(IDLE_TIMEOUT)
-    // A caller that has gone away gets no answer, so its request ends.
-    .h1_allow_half_closed(false)
-    .shutdown_timeout(SHUTDOWN_SECS)
-    .disable_signals()
-    .listen(listener)
-    .map_err(|error| MeshError::new(ErrorKind::LocalIo, format!("callers' listener: {error}")))?;
+    let server = Server::build()
+        .workers(workers)
+        .max_concurrent_connections(MAX_CONNECTIONS)
+        .shutdown_timeout(SHUTDOWN_SECS)
+        .disable_signals()
+        .listen("callers", listener, move || {
+            let forwarder = RequestForwarder::new(Arc::clone(&state));
+            let config = ServiceConfig::default();
+            let stop = stop.clone();
+            fn_service(move |stream: TcpStream| {
+                let (forwarder, config) = (forwarder.clone(), config.clone());
+                let stop = stop.clone();
+                async move {
+                    serve_connection(forwarder, stream, config, stop).await;
+                    Ok::<_, MeshError>(())
+                }
+            })
+        })
+        .map_err(|error| {
+            MeshError::new(ErrorKind::LocalIo, format!("callers' listener: {error}"))
+        })?;
     Ok(server.run())
 }
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,10 +1,12 @@
 //! The listener for callers.
 
+mod caller_connection;
 mod caller_handler;
+mod caller_request;
 mod caller_server;
 mod error_response;
 mod own_dialect;
-mod route_match;
+mod request_reader;
 mod ticket_handler;
 
 pub use caller_server::start_caller_server;
--- a/crates/daemon/src/callers/ticket_handler.rs
+++ b/crates/daemon/src/callers/ticket_handler.rs
@@ -1,11 +1,14 @@
-use actix_web::{HttpResponse, web};
+use actix_web::{HttpResponse, http::Method};
 use bronzelb_kernel::request::KEY_MEMORY;
 use serde::Serialize;
 
-use crate::{callers::error_response, forward::RequestForwarder};
+use crate::{
+    callers::{caller_request::CallerRequest, error_response},
+    node::NodeState,
+};
 
 /// Path at which callers ask for tickets.
-pub(crate) const TICKET_PATH: &str = "/.bronzelb/ticket";
+const TICKET_PATH: &str = "/.bronzelb/ticket";
 
 #[derive(Debug, Serialize)]
 struct TicketAnswer {
@@ -13,9 +16,13 @@
     lapses_in_ms: u64,
 }
 
+/// Returns whether a caller asks for a ticket.
+pub(crate) fn is_ticket_request(request: &CallerRequest) -> bool {
+    *request.head.method() == Method::POST && request.head.path() == TICKET_PATH
+}
+
 /// Issues an idempotency key that this run of the node holds.
-pub(crate) async fn issue_ticket(forwarder: web::Data<RequestForwarder>) -> HttpResponse {
-    let state = forwarder.state();
+pub(crate) fn issue_ticket(state: &NodeState) -> HttpResponse {
     let now = state.now();
     let issued = {
         let mut ledger = state.requests.ledger();
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -273,10 +273,15 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
-    /// Begins a graceful shutdown.
-    pub fn start_draining(&self) {
+    /// Begins a graceful shutdown: the node is no longer ready, and callers are told to reconnect
+    /// elsewhere.
+    pub fn refuse_readiness(&self) {
         self.is_draining.store(true, Ordering::Relaxed);
         info!(self.logger, "{}", EventName::Draining);
+    }
+
+    /// Tells the mesh that this node and the backend servers beside it take no new work.
+    pub fn announce_drain(&self) {
         let now = self.now();
         self.spread.step(|node, _| node.drain(now));
     }
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -86,7 +86,8 @@
     path: PathBuf,
 ) -> Result<(), MeshError> {
     let (sender, stop) = StopSignal::channel();
-    let callers = start_caller_server(Arc::clone(&state), listeners.callers)?;
+    let (caller_sender, caller_stop) = StopSignal::channel();
+    let callers = start_caller_server(Arc::clone(&state), listeners.callers, caller_stop)?;
     let operators = start_operator_server(Arc::clone(&state), listeners.operators)?;
     if let Some(dialect) = state.settings.dialect.local {
         let local = start_local_server(Arc::clone(&state), dialect, listeners.local)?;
@@ -122,7 +123,7 @@
     let mut signals = StopSignals::open()?;
     signals.recv().await;
     tokio::select! {
-        () = drain_node(&state, &caller_handle) => {}
+        () = drain_node(&state, &caller_handle, caller_sender) => {}
         // A second signal ends the process at once.
         () = signals.recv() => {}
     }
--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -193,15 +193,15 @@
     let cut = ProxyRule::new(ProxyAction::Cut);
     let mut rules = vec![
         cut.clone().with_listener("platform"),
-        cut.clone()
-            .with_source(second)
-            .with_listener("dc1/dc1-n1/"),
-        cut.clone()
-            .with_source(first)
-            .with_listener("dc1/dc1-n2/"),
+        cut.clone().with_source(second).with_listener("dc1/dc1-n1/"),
+        cut.clone().with_source(first).with_listener("dc1/dc1-n2/"),
     ];
     for other in ["dc2/", "dc3/"] {
-        rules.push(cut.clone().with_source(mesh.source_prefix(1)).with_listener(other));
+        rules.push(
+            cut.clone()
+                .with_source(mesh.source_prefix(1))
+                .with_listener(other),
+        );
     }
     for other in [2, 3].map(|centre| mesh.source_prefix(centre)) {
         rules.push(cut.clone().with_source(other).with_listener("dc1/"));
--- a/crates/emulator/src/experiment/node_size/member_sample.rs
+++ b/crates/emulator/src/experiment/node_size/member_sample.rs
@@ -41,6 +41,7 @@
             slots: SlotCount::new(12),
             state: BackendState::Serving,
             is_reported_healthy: true,
+            cold_until: None,
             times: BTreeMap::new(),
         }],
     })
--- a/crates/emulator/src/experiment/request/request_choice.rs
+++ b/crates/emulator/src/experiment/request/request_choice.rs
@@ -131,6 +131,7 @@
             slots: SlotCount::new(SLOTS),
             state: BackendState::Serving,
             is_reported_healthy: true,
+            cold_until: None,
             times: BTreeMap::new(),
         }],
     })
--- a/crates/kernel/src/member/backend_row.rs
+++ b/crates/kernel/src/member/backend_row.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    clock::TimeBudget,
+    clock::{ClockInstant, TimeBudget},
     ids::{BackendName, BuildVersion, RouteName, ServiceName, SlotCount},
 };
 
@@ -34,6 +34,9 @@
     pub state: BackendState,
     /// Whether it calls itself healthy.
     pub is_reported_healthy: bool,
+    /// Instant until which it is slow after its start, where it tells; by the clock of the node
+    /// beside it.
+    pub cold_until: Option<ClockInstant>,
     /// Time that requests of its busiest routes take in a slot, roughly.
     pub times: BTreeMap<RouteName, TimeBudget>,
 }
--- a/crates/kernel/src/request/server_book.rs
+++ b/crates/kernel/src/request/server_book.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::Rng;
 
@@ -85,10 +85,13 @@
         members: impl Iterator<Item = &'a MemberRow>,
         slow_start: impl Fn(&ServiceName) -> TimeBudget,
     ) {
+        let known: BTreeSet<_> = self.services.keys().cloned().collect();
         let mut seen = BTreeMap::new();
         for member in members.filter(|member| is_reachable(member.state)) {
             for row in &member.backends {
-                self.sync_row(now, member, row, slow_start(&row.service));
+                // Where all servers of a service are new to this node, none is newer than another.
+                let is_first = !known.contains(&row.service);
+                self.sync_row(now, member, row, is_first, slow_start(&row.service));
                 seen.insert((row.service.clone(), row.name.clone()), member.node.clone());
             }
         }
@@ -215,10 +218,10 @@
         now: ClockInstant,
         member: &MemberRow,
         row: &BackendRow,
+        is_first: bool,
         slow_start: TimeBudget,
     ) {
         let stats = self.services.entry(row.service.clone()).or_default();
-        let is_first = stats.is_empty();
         let place = ServerPlace {
             node: member.node.clone(),
             backend: row.name.clone(),
@@ -233,9 +236,10 @@
             _ => BackendState::Draining,
         };
         let begins = state == BackendState::Serving && stat.state != BackendState::Serving;
-        if begins && !is_first {
+        if begins && !is_first && row.cold_until.is_none() {
             stat.begin_slow_start(now);
         }
+        stat.note_cold_until(now, row.cold_until);
         stat.place = place;
         stat.slots = row.slots.get();
         stat.is_healthy = row.is_reported_healthy;
--- a/crates/kernel/src/request/server_stat.rs
+++ b/crates/kernel/src/request/server_stat.rs
@@ -12,6 +12,8 @@
 
 /// Pace of a server that has just started, against a warm one.
 const COLD_PACE: f64 = 0.5;
+/// Longest time for which a server's word that it is slow is believed.
+const MAX_COLD_TIME: TimeBudget = TimeBudget::from_secs(30);
 const FAILURE_WEIGHT: f64 = 0.1;
 const LATENCY_WEIGHT: f64 = 0.2;
 const MAX_CONSECUTIVE_FAILURES: u32 = 5;
@@ -62,6 +64,8 @@
     pub(crate) is_healthy: bool,
     /// Time that the server's requests take in a slot, by route.
     pub(crate) times: BTreeMap<RouteName, TimeBudget>,
+    /// Instant until which the server is slow by its own word, if it tells.
+    cold_until: Option<ClockInstant>,
     full_from: ClockInstant,
     slow_start: TimeBudget,
     ejected_until: ClockInstant,
@@ -85,6 +89,7 @@
             outstanding: 0,
             is_healthy: true,
             times: BTreeMap::new(),
+            cold_until: None,
             full_from,
             slow_start,
             ejected_until: ClockInstant::default(),
@@ -104,11 +109,18 @@
         !self.ejected_until.has_passed(now)
     }
 
-    /// Restarts the slow start, for a server that has begun to serve.
+    /// Restarts the slow start, for a server that has begun to serve and does not tell how long it
+    /// stays slow.
     pub(crate) fn begin_slow_start(&mut self, now: ClockInstant) {
         self.full_from = now.after(self.slow_start);
     }
 
+    /// Takes in until when the server says that it is slow.
+    pub(crate) fn note_cold_until(&mut self, now: ClockInstant, cold_until: Option<ClockInstant>) {
+        // The clocks of two nodes may differ.
+        self.cold_until = cold_until.map(|instant| instant.min(now.after(MAX_COLD_TIME)));
+    }
+
     pub(crate) fn begin(&mut self, now: ClockInstant) {
         if self.outstanding == 0 {
             self.progress_at = now;
@@ -205,11 +217,13 @@
     }
 
     fn warmth(&self, now: ClockInstant) -> f64 {
+        let is_cold = self.cold_until.is_some_and(|end| !end.has_passed(now));
+        let pace = if is_cold { COLD_PACE } else { 1.0 };
         if self.slow_start.is_zero() {
-            return 1.0;
+            return pace;
         }
         let left = self.full_from.left(now).as_secs_f64() / self.slow_start.as_secs_f64();
-        (1.0 - left).clamp(FIRST_WEIGHT, 1.0)
+        (1.0 - left).clamp(FIRST_WEIGHT, pace)
     }
 
     fn is_stalled(&self, now: ClockInstant) -> bool {
--- a/crates/kernel/tests/request_chain.rs
+++ b/crates/kernel/tests/request_chain.rs
@@ -47,6 +47,7 @@
             slots: SlotCount::new(12),
             state: BackendState::Serving,
             is_reported_healthy: true,
+            cold_until: None,
             times: BTreeMap::new(),
         }],
     };
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -100,6 +100,7 @@
             slots: SlotCount::new(SLOTS),
             state: BackendState::Serving,
             is_reported_healthy: true,
+            cold_until: None,
             times: BTreeMap::new(),
         }],
     }
@@ -251,6 +252,43 @@
     assert_eq!(shares["c"], 300);
 }
 
+#[test]
+fn node_that_has_just_started_spreads_over_all_servers() {
+    let mut bench = Bench::new(&[]);
+    bench.sync(&THREE, TimeBudget::from_secs(2));
+    let mut shares = BTreeMap::new();
+    for _ in 0..300 {
+        let backend = bench.choose(&[]).expect("a server is left");
+        *shares.entry(backend.to_string()).or_insert(0) += 1;
+    }
+    assert!(shares.values().all(|share| *share >= 80), "{shares:?}");
+}
+
+#[test]
+fn returning_server_gets_as_much_as_its_own_word_of_its_start_allows() {
+    let mut bench = Bench::new(&THREE);
+    let rows_with = |state, cold_until| {
+        let mut rows: Vec<MemberRow> = THREE.iter().map(member).collect();
+        rows[0].state = state;
+        rows[0].backends[0].cold_until = Some(cold_until);
+        rows
+    };
+    let slow_start = |_: &ServiceName| TimeBudget::from_secs(2);
+    let mut share_after = |cold_until: ClockInstant| {
+        for state in [MemberState::Draining, MemberState::Serving] {
+            let rows = rows_with(state, cold_until);
+            bench.book.sync(bench.now, rows.iter(), slow_start);
+        }
+        let shares = bench.run(300, |_| AttemptOutcome::Served);
+        shares.get("a").copied().unwrap_or(0)
+    };
+    // Only the node beside the server was away, and the server itself is warm.
+    let warm = share_after(ClockInstant::from_millis(1));
+    assert!(warm >= 80, "{warm} of 300");
+    let cold = share_after(ClockInstant::from_millis(1_010_000));
+    assert!((30..=80).contains(&cold), "{cold} of 300");
+}
+
 #[test]
 fn slow_server_nearby_is_left_out_when_another_answers_in_time() {
     let places = [("near", "leuven"), ("far", "gent")];
--- a/crates/kernel/tests/spread/member.rs
+++ b/crates/kernel/tests/spread/member.rs
@@ -39,6 +39,7 @@
         slots: SlotCount::new(12),
         state: BackendState::Serving,
         is_reported_healthy: true,
+        cold_until: None,
         times: BTreeMap::new(),
     }
 }
