Give slots first to callers that can still be answered in time

The gate ordered by deadline: callers that had come back have the earlier one, so that slots went to those whose answer was late already, and each of the others waited its turn until it was late too.

Ruled out: placing (one server was left) and lost capacity (42 runs a second of 110 asked for, six slots of 150 ms).

Change: requests that can no longer be answered in time come behind those that can, and in a queue that has not been empty for 200 ms the last that came goes first. A place whose wait is over counts no longer as work ahead.

--- a/crates/kernel/src/request/slot_gate.rs
+++ b/crates/kernel/src/request/slot_gate.rs
@@ -18,6 +18,8 @@
 const SHORT_WORK_DIVISOR: u64 = 3;
 /// Time that even a request that is late already may wait, so that a short queue refuses nobody.
 const SHORT_WAIT: TimeBudget = TimeBudget::from_millis(100);
+/// Time after which a queue that was never empty counts as standing; shorter bursts pass.
+const STANDING_TIME: TimeBudget = TimeBudget::from_millis(200);
 const MIN_RETRY_MICROS: u64 = 5_000;
 const MAX_RETRY_MICROS: u64 = 5_000_000;
 
@@ -25,6 +27,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueuePlace {
     priority: RequestPriority,
+    /// Whether the answer is likely late already, so that a slot does more for another request.
+    is_late: bool,
     deadline: ClockInstant,
     sequence: u64,
 }
@@ -107,7 +111,9 @@
 
 /// A limit on requests that run at once, with a bounded queue before it.
 ///
-/// The queue is ordered by priority, then by deadline. A request that cannot make its deadline,
+/// The queue is ordered by priority, then those that can be answered in time before those that
+/// cannot, then by deadline; in a queue that stays, the last that came of those in time goes first.
+/// A request that cannot make its deadline,
 /// by the measured service time and the requests before it, is refused at once with the instant
 /// at which room is expected. No request waits longer than its answer is wanted, or than a quarter
 /// of the time that it had left on arrival, so that its caller can still turn elsewhere. When the
@@ -142,6 +148,8 @@
     service_time: TimeBudget,
     route_times: BTreeMap<RouteName, RouteTime>,
     has_learned: bool,
+    /// When the queue was last empty, while requests wait whose answers are wanted by an instant.
+    queued_since: Option<ClockInstant>,
     /// Service time by which the queue was last examined.
     examined_for: TimeBudget,
     next_sequence: u64,
@@ -159,6 +167,7 @@
             service_time: FIRST_SERVICE_TIME,
             route_times: BTreeMap::new(),
             has_learned: false,
+            queued_since: None,
             examined_for: FIRST_SERVICE_TIME,
             next_sequence: 0,
         }
@@ -200,8 +209,10 @@
             self.running += 1;
             return (GateVerdict::Run, Vec::new());
         }
+        let expected = self.expected(offer.route.as_ref());
         let place = QueuePlace {
             priority: offer.priority,
+            is_late: self.is_late(now, offer, expected),
             deadline,
             sequence: self.next_sequence,
         };
@@ -211,8 +222,8 @@
             .is_none_or(|(last, _)| place > *last);
         let is_full = self.queue.len() >= self.queue_limit;
         let ahead = self.queue.range(..place);
+        let ahead = ahead.filter(|(_, entry)| !entry.give_up_at.has_passed(now));
         let ahead: u64 = ahead.map(|(_, entry)| entry.expected.as_micros()).sum();
-        let expected = self.expected(offer.route.as_ref());
         let give_up_at = self.give_up_at(now, offer, expected);
         if (is_full && is_last) || self.is_hopeless(now, give_up_at, ahead) {
             return (self.refuse(now, rng), Vec::new());
@@ -224,13 +235,18 @@
             expected,
         };
         self.queue.insert(place, entry);
+        if offer.wanted_by.is_some() {
+            self.queued_since.get_or_insert(now);
+        }
         let refused = self.displace(now, rng);
         (GateVerdict::Wait { place, give_up_at }, refused)
     }
 
     /// Withdraws a waiting request; returns its item, or `None` when it no longer waits.
     pub fn withdraw(&mut self, place: QueuePlace) -> Option<T> {
-        self.queue.remove(&place).map(|entry| entry.item)
+        let item = self.queue.remove(&place).map(|entry| entry.item);
+        self.note_empty();
+        item
     }
 
     /// Takes in the time for which a request of `route` ran.
@@ -315,7 +331,8 @@
     fn start_waiting(&mut self, now: ClockInstant, rng: &mut impl Rng) -> GateChange<T> {
         let mut change = GateChange::default();
         while self.running < self.limit {
-            let Some((_, entry)) = self.queue.pop_first() else {
+            let next = self.next_place(now);
+            let Some(entry) = next.and_then(|place| self.queue.remove(&place)) else {
                 break;
             };
             let item = entry.item;
@@ -330,9 +347,41 @@
         if self.has_slowed() {
             change.refused.extend(self.displace(now, rng));
         }
+        self.note_empty();
         change
     }
 
+    /// Returns the place of the waiting request that starts next.
+    ///
+    /// In a standing queue that is the last one that came of those that can be answered in time:
+    /// if each waited for its turn, all would be answered late.
+    fn next_place(&self, now: ClockInstant) -> Option<QueuePlace> {
+        let (first, _) = self.queue.first_key_value()?;
+        if first.is_late || !self.is_standing(now) {
+            return Some(*first);
+        }
+        let first_late = QueuePlace {
+            is_late: true,
+            deadline: ClockInstant::default(),
+            sequence: 0,
+            ..*first
+        };
+        let (last, _) = self.queue.range(first..&first_late).next_back()?;
+        Some(*last)
+    }
+
+    fn note_empty(&mut self) {
+        if self.queue.is_empty() {
+            self.queued_since = None;
+        }
+    }
+
+    /// Returns whether more requests come than can run, for longer than a burst lasts.
+    fn is_standing(&self, now: ClockInstant) -> bool {
+        let since = self.queued_since;
+        since.is_some_and(|since| since.elapsed(now) > STANDING_TIME)
+    }
+
     /// Returns whether requests take so much longer that the queue needs another look.
     fn has_slowed(&self) -> bool {
         let examined = self.examined_for.as_micros();
@@ -386,6 +435,18 @@
         known.map_or(self.service_time, |learned| learned.time)
     }
 
+    /// Returns whether a request that starts now is likely answered after its answer is wanted.
+    fn is_late(&self, now: ClockInstant, offer: &SlotOffer, expected: TimeBudget) -> bool {
+        let wanted_by = offer.wanted_by;
+        let is_past = wanted_by.is_some_and(|instant| now > instant.before(long_work(expected)));
+        is_past && !self.is_short(expected)
+    }
+
+    /// Returns whether work is so short that refusing it frees almost nothing for others.
+    fn is_short(&self, expected: TimeBudget) -> bool {
+        expected.as_micros() * SHORT_WORK_DIVISOR <= self.service_time.as_micros()
+    }
+
     /// Returns when a request that arrives now has waited as long as it may.
     ///
     /// That is in time for its answer to be wanted still, or for a quarter of the time that it has
@@ -401,11 +462,10 @@
             let longest = offer.deadline.left(now).as_micros() / WAIT_DIVISOR;
             return latest_start.min(now.after(TimeBudget::from_micros(longest)));
         };
-        if expected.as_micros() * SHORT_WORK_DIVISOR <= self.service_time.as_micros() {
+        if self.is_short(expected) {
             return latest_start;
         }
-        let long_work = expected.as_micros() * LONG_WORK_EIGHTHS / 8;
-        let wanted_start = wanted_by.before(TimeBudget::from_micros(long_work));
+        let wanted_start = wanted_by.before(long_work(expected));
         latest_start.min(wanted_start.max(now.after(SHORT_WAIT)))
     }
 
@@ -432,6 +492,11 @@
     }
 }
 
+/// Returns the time that work takes when it takes longer than usual.
+fn long_work(expected: TimeBudget) -> TimeBudget {
+    TimeBudget::from_micros(expected.as_micros() * LONG_WORK_EIGHTHS / 8)
+}
+
 /// Returns a moving average after one more time.
 fn blend(held: TimeBudget, took: TimeBudget) -> TimeBudget {
     let sum = held.as_micros() * (SERVICE_TIME_WEIGHT - 1) + took.as_micros();
--- a/crates/kernel/tests/request_returns.rs
+++ b/crates/kernel/tests/request_returns.rs
@@ -1,7 +1,4 @@
 //! Callers that come back after a refusal, on a server with too many of them.
-//!
-//! Plays one server with twelve slots at 1.7 times its capacity: requests take 120 ms on average,
-//! are wanted within 400 ms of the caller's first attempt, and each refused caller comes back once.
 
 use std::{cmp::Reverse, collections::BinaryHeap};
 
@@ -13,22 +10,55 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-const SLOTS: u32 = 12;
-const QUEUE: usize = 24;
 const SECONDS: u64 = 60;
-const CALLERS_PER_SECOND: f64 = 170.0;
-const WANTED_MS: u64 = 400;
-const TIMEOUT_MS: u64 = 800;
-const PATIENCE_MS: u64 = 1_500;
+
+/// One server and the callers that want it.
+#[derive(Clone, Copy)]
+struct LoadCase {
+    slots: u32,
+    callers_per_second: f64,
+    /// Average time of a request in its slot.
+    work_ms: f64,
+    /// Time after a caller's first attempt within which it wants the answer.
+    wanted_ms: u64,
+    timeout_ms: u64,
+    patience_ms: u64,
+    /// How often a refused caller comes back.
+    returns: u32,
+}
+
+/// 1.7 times the capacity of a server with twelve slots.
+const CROWDED: LoadCase = LoadCase {
+    slots: 12,
+    callers_per_second: 170.0,
+    work_ms: 120.0,
+    wanted_ms: 400,
+    timeout_ms: 800,
+    patience_ms: 1_500,
+    returns: 1,
+};
+
+/// 2.7 times the capacity of a server with six slots, whose work takes half of the time in which it
+/// is wanted: what is left of a service when two of its three servers are taken away.
+const SWAMPED: LoadCase = LoadCase {
+    slots: 6,
+    callers_per_second: 110.0,
+    work_ms: 150.0,
+    wanted_ms: 300,
+    timeout_ms: 1_200,
+    patience_ms: 2_000,
+    returns: 2,
+};
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Caller {
     came: u64,
-    has_returned: bool,
+    returns: u32,
     work: u64,
 }
 
 struct Play {
+    case: LoadCase,
     gate: SlotGate<Caller>,
     patience: CallerPatience,
     counts_waits: bool,
@@ -49,7 +79,7 @@
 
 impl Play {
     fn arrive(&mut self, now: u64, caller: Caller) {
-        let left = TimeBudget::from_millis(PATIENCE_MS - (now - caller.came));
+        let left = TimeBudget::from_millis(self.case.patience_ms.saturating_sub(now - caller.came));
         let waited = self.patience.note(&route(), left);
         let waited = if self.counts_waits {
             waited
@@ -58,8 +88,8 @@
         };
         let offer = SlotOffer {
             priority: RequestPriority::NORMAL,
-            deadline: at(now + TIMEOUT_MS),
-            wanted_by: Some(at(now + WANTED_MS).before(waited)),
+            deadline: at(now + self.case.timeout_ms),
+            wanted_by: Some(at(now + self.case.wanted_ms).before(waited)),
             route: Some(route()),
         };
         let (verdict, refused) = self.gate.offer_work(at(now), &offer, caller, &mut self.rng);
@@ -82,9 +112,9 @@
     }
 
     fn send_back(&mut self, caller: Caller, retry_at: ClockInstant) {
-        if !caller.has_returned {
+        if caller.returns < self.case.returns {
             let back = Caller {
-                has_returned: true,
+                returns: caller.returns + 1,
                 ..caller
             };
             self.returning
@@ -93,7 +123,7 @@
     }
 
     fn end(&mut self, now: u64, caller: Caller) {
-        if now - caller.came <= WANTED_MS {
+        if now - caller.came <= self.case.wanted_ms {
             self.in_time += 1;
         } else {
             self.late += 1;
@@ -108,9 +138,10 @@
     }
 }
 
-fn play(seed: u64, counts_waits: bool) -> Play {
+fn play(case: LoadCase, seed: u64, counts_waits: bool) -> Play {
     let mut play = Play {
-        gate: SlotGate::new(SlotCount::new(SLOTS), QUEUE),
+        case,
+        gate: SlotGate::new(SlotCount::new(case.slots), 2 * case.slots as usize),
         patience: CallerPatience::default(),
         counts_waits,
         running: BinaryHeap::new(),
@@ -132,11 +163,11 @@
             play.returning.pop();
             play.arrive(now, caller);
         }
-        if play.rng.random_bool(CALLERS_PER_SECOND / 1_000.0) {
-            let work = 120.0 * play.rng.random_range(0.4..1.6);
+        if play.rng.random_bool(case.callers_per_second / 1_000.0) {
+            let work = case.work_ms * play.rng.random_range(0.4..1.6);
             let caller = Caller {
                 came: now,
-                has_returned: false,
+                returns: 0,
                 work: work as u64,
             };
             play.arrive(now, caller);
@@ -148,7 +179,7 @@
 #[test]
 fn more_callers_are_answered_in_time_when_earlier_attempts_count() {
     for seed in 0..5 {
-        let (without, with) = (play(seed, false), play(seed, true));
+        let (without, with) = (play(CROWDED, seed, false), play(CROWDED, seed, true));
         assert!(
             with.in_time > without.in_time,
             "seed {seed}: {} in time and {} late against {} and {}",
@@ -163,6 +194,22 @@
     }
 }
 
+#[test]
+fn slots_go_to_callers_that_can_be_answered_in_time_before_those_that_cannot() {
+    for seed in 0..5 {
+        let swamped = play(SWAMPED, seed, true);
+        let answered = swamped.in_time + swamped.late;
+        let share = swamped.in_time as f64 / answered as f64;
+        assert!(
+            share >= 0.9,
+            "seed {seed}: {share} of {answered} answers in time"
+        );
+        let capacity = f64::from(SWAMPED.slots) * SECONDS as f64 * 1_000.0 / SWAMPED.work_ms;
+        let used = answered as f64 / capacity;
+        assert!(used >= 0.95, "seed {seed}: {used} of the capacity was used");
+    }
+}
+
 #[test]
 fn first_caller_and_the_most_patient_have_not_waited() {
     let mut patience = CallerPatience::default();
