Soak real processes under random faults from outside

It checks from what callers, servers' journals and nodes' logs show: own whole answers, orders run once at most, not-run is true, no version goes back, nothing new for a server that leaves, no request cut off by a graceful shutdown, no request held past its timeout, recovery and the newest version everywhere.

--- a/crates/emulator/src/command/emulator_command.rs
+++ b/crates/emulator/src/command/emulator_command.rs
@@ -5,7 +5,7 @@
 
 use crate::command::{
     backend_command, capacity_command, experiment_command, load_command, platform_command,
-    proxy_command, try_command,
+    proxy_command, soak_command, try_command,
 };
 
 /// A subcommand: how its arguments look, and what it does.
@@ -14,7 +14,7 @@
     run: fn(&ArgMatches) -> Result<(), MeshError>,
 }
 
-const SUBCOMMANDS: [Subcommand; 7] = [
+const SUBCOMMANDS: [Subcommand; 8] = [
     Subcommand {
         define: backend_command::define,
         run: backend_command::run,
@@ -39,6 +39,10 @@
         define: proxy_command::define,
         run: proxy_command::run,
     },
+    Subcommand {
+        define: soak_command::define,
+        run: soak_command::run,
+    },
     Subcommand {
         define: try_command::define,
         run: try_command::run,
--- a/crates/emulator/src/command/mod.rs
+++ b/crates/emulator/src/command/mod.rs
@@ -8,6 +8,7 @@
 mod load_command;
 mod platform_command;
 mod proxy_command;
+mod soak_command;
 mod try_command;
 
 pub use emulator_command::run;
--- /dev/null
+++ b/crates/emulator/src/command/soak_command.rs
@@ -0,0 +1,68 @@
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    error::{ErrorKind, MeshError},
+};
+use clap::{Arg, ArgMatches, Command};
+
+use crate::{
+    command::arguments::{parsed_arg, value},
+    soak::{SoakPlan, SoakRun},
+};
+
+const KEEP: &str = "keep";
+
+const DETAILS: &str = "\
+Starts a mesh of real processes, sends calls, and kills, pauses, stops, separates and delays its
+parts by a plan that the seed draws. Each run ends with a line; promises that were broken are listed
+below it. The programs have to be built: cargo build --workspace.
+
+Examples:
+  bronzelb-emulator soak --seed 1 --runs 50 --length 15s --keep /tmp/soak";
+
+pub(crate) fn define() -> Command {
+    Command::new("soak")
+        .about("Runs a mesh under random faults and checks its promises")
+        .after_help(DETAILS)
+        .arg(parsed_arg("seed", "Seed of the first run", Some("1")))
+        .arg(parsed_arg(
+            "runs",
+            "Runs, each with the next seed",
+            Some("1"),
+        ))
+        .arg(parsed_arg(
+            "length",
+            "Time of load in each run",
+            Some("15s"),
+        ))
+        .arg(parsed_arg("centres", "Data centres", Some("3")))
+        .arg(parsed_arg("nodes", "Nodes in each data centre", Some("2")))
+        .arg(
+            Arg::new(KEEP)
+                .long(KEEP)
+                .value_name("FOLDER")
+                .help("Keeps the logs of runs that broke a promise"),
+        )
+}
+
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), MeshError> {
+    let (first, runs): (u64, u64) = (value(matches, "seed")?, value(matches, "runs")?);
+    let length: TimeBudget = value(matches, "length")?;
+    let (centres, nodes): (u8, u8) = (value(matches, "centres")?, value(matches, "nodes")?);
+    let mut failed = 0;
+    for seed in first..first.saturating_add(runs) {
+        let mut run = SoakRun::new(SoakPlan::draw(seed, length, centres, nodes));
+        if let Some(folder) = matches.get_one::<String>(KEEP) {
+            run = run.with_kept_logs(folder);
+        }
+        let report = actix_web::rt::System::new().block_on(run.run())?;
+        println!("{report}");
+        failed += u64::from(!report.broken.is_empty());
+    }
+    if failed == 0 {
+        return Ok(());
+    }
+    Err(MeshError::new(
+        ErrorKind::BackendFailed,
+        format!("{failed} of {runs} runs broke a promise"),
+    ))
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`process`]: processes that a test or an experiment starts
 //! - [`proxy`]: fault-injecting TCP proxy
 //! - [`server`]: what the stand-ins' HTTP listeners share
+//! - [`soak`]: a randomized soak under faults from outside
 //! - [`trial`]: a short trial of a whole mesh
 //! - [`command`]: the command line of `bronzelb-emulator`
 
@@ -25,4 +26,5 @@
 pub mod process;
 pub mod proxy;
 pub mod server;
+pub mod soak;
 pub mod trial;
--- /dev/null
+++ b/crates/emulator/src/soak/soak_run.rs
@@ -0,0 +1,270 @@
+use std::{
+    cell::RefCell,
+    fmt, fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+};
+
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    error::{ErrorKind, MeshError},
+};
+use futures::future::join_all;
+use serde_json::Value;
+use tokio::{task::spawn_local, time};
+
+use crate::{
+    mesh::LocalMesh,
+    server::{local_error, wall_clock},
+    soak::{
+        SoakCall, SoakEvidence, SoakPlan, check_promises,
+        soak_calls::{find_unserved, run_caller},
+        soak_faults::{FaultRunner, SERVICE, server_spec},
+    },
+};
+
+const START_LIMIT: TimeBudget = TimeBudget::from_secs(30);
+/// Time after the last fault in which every node serves again, and the newest version is in force.
+const RECOVERY_LIMIT: TimeBudget = TimeBudget::from_secs(15);
+const CALLERS_PER_NODE: usize = 3;
+
+/// One run of the soak.
+#[derive(Clone, Debug)]
+pub struct SoakRun {
+    plan: SoakPlan,
+    keep: Option<PathBuf>,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SoakReport {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Faults that were brought about.
+    pub faults: usize,
+    /// Calls that ended.
+    pub calls: usize,
+    /// Calls that were answered with success.
+    pub served: usize,
+    /// Promises that were broken; none in a run that passed.
+    pub broken: Vec<String>,
+}
+
+impl SoakRun {
+    /// Prepares a run of `plan`.
+    #[must_use]
+    pub const fn new(plan: SoakPlan) -> Self {
+        Self { plan, keep: None }
+    }
+
+    /// Keeps the logs and journals of a run that broke a promise in a folder below `folder`.
+    #[must_use]
+    pub fn with_kept_logs(mut self, folder: impl Into<PathBuf>) -> Self {
+        self.keep = Some(folder.into());
+        self
+    }
+
+    /// Runs the plan and checks what it showed.
+    ///
+    /// # Errors
+    ///
+    /// `LocalIo` when the mesh does not start, or a stand-in does not take a fault.
+    pub async fn run(&self) -> Result<SoakReport, MeshError> {
+        let mut faults = self.start().await?;
+        let addresses = caller_addresses(&faults.mesh)?;
+        let calls = self.play(&mut faults, &addresses).await?;
+        let mut broken = self.check_recovery(&mut faults, &addresses).await;
+        let evidence = SoakEvidence {
+            runs: faults.mesh.runs()?,
+            versions: applied_versions(faults.mesh.directory())?,
+            outages: faults.outages.clone(),
+            left: faults.left.clone(),
+            calls,
+        };
+        broken.extend(check_promises(&evidence));
+        if let Some(folder) = self.keep.as_ref().filter(|_| !broken.is_empty()) {
+            self.keep_logs(faults.mesh.directory(), folder)?;
+        }
+        let served = evidence.calls.iter().filter(|call| call.is_served());
+        Ok(SoakReport {
+            seed: self.plan.seed,
+            faults: self.plan.spans.len(),
+            served: served.count(),
+            calls: evidence.calls.len(),
+            broken,
+        })
+    }
+
+    async fn start(&self) -> Result<FaultRunner, MeshError> {
+        let centres = self.plan.centres;
+        let per_centre = self.plan.nodes / usize::from(centres);
+        let per_centre = u8::try_from(per_centre)
+            .map_err(|_| MeshError::invalid("a data centre has at most 255 nodes"))?;
+        let mesh = LocalMesh::builder()
+            .data_centres(centres)
+            .nodes(per_centre)
+            .backend(server_spec())
+            .start()
+            .await?;
+        let mut faults = FaultRunner::new(mesh, centres);
+        faults.publish().await?;
+        faults.mesh.wait_version(1, START_LIMIT).await?;
+        let servers = self.plan.nodes;
+        faults
+            .mesh
+            .wait_backends(SERVICE, servers, START_LIMIT)
+            .await?;
+        Ok(faults)
+    }
+
+    /// Sends calls while the faults of the plan come and go.
+    async fn play(
+        &self,
+        faults: &mut FaultRunner,
+        addresses: &[SocketAddr],
+    ) -> Result<Vec<SoakCall>, MeshError> {
+        let started_at = wall_clock();
+        let until = started_at.after(self.plan.length);
+        let calls = Rc::new(RefCell::new(Vec::new()));
+        let callers = (0..addresses.len() * CALLERS_PER_NODE).map(|caller| {
+            let node = caller % addresses.len();
+            let place = (node, addresses[node]);
+            let stream = (self.plan.seed, caller);
+            spawn_local(run_caller(place, stream, until, Rc::clone(&calls)))
+        });
+        let callers: Vec<_> = callers.collect();
+        for (at, number, is_start) in self.events() {
+            let left = started_at.after(at).left(wall_clock());
+            time::sleep(left.to_std()).await;
+            let fault = self.plan.spans[number].fault;
+            if is_start {
+                faults.begin(number, fault).await?;
+            } else {
+                faults.end(number, fault).await?;
+            }
+        }
+        for ended in join_all(callers).await {
+            ended.map_err(|error| local_error("a caller", &std::io::Error::other(error)))?;
+        }
+        Ok(calls.take())
+    }
+
+    /// Returns the starts and ends of all faults in order.
+    fn events(&self) -> Vec<(TimeBudget, usize, bool)> {
+        let spans = self.plan.spans.iter().enumerate();
+        let mut events: Vec<_> = spans
+            .flat_map(|(number, span)| [(span.begins, number, true), (span.ends, number, false)])
+            .collect();
+        events.sort_unstable();
+        events
+    }
+
+    async fn check_recovery(
+        &self,
+        faults: &mut FaultRunner,
+        addresses: &[SocketAddr],
+    ) -> Vec<String> {
+        let mut broken = Vec::new();
+        if let Some(node) = find_unserved(addresses, RECOVERY_LIMIT).await {
+            broken.push(format!(
+                "node {node} serves nothing {RECOVERY_LIMIT} after the last fault"
+            ));
+        }
+        if let Err(error) = check_newest(faults).await {
+            broken.push(format!(
+                "the newest version is not in force everywhere: {error}"
+            ));
+        }
+        broken
+    }
+
+    fn keep_logs(&self, from: &Path, folder: &Path) -> Result<(), MeshError> {
+        let folder = folder.join(format!("seed-{}", self.plan.seed));
+        let place = folder.display().to_string();
+        let copy = || {
+            fs::create_dir_all(&folder)?;
+            for entry in fs::read_dir(from)? {
+                let entry = entry?;
+                if entry.file_type()?.is_file() {
+                    fs::copy(entry.path(), folder.join(entry.file_name()))?;
+                }
+            }
+            Ok(())
+        };
+        copy().map_err(|error: std::io::Error| local_error(&place, &error))
+    }
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let outcome = if self.broken.is_empty() {
+            "kept"
+        } else {
+            "BROKEN"
+        };
+        write!(
+            f,
+            "seed {}: promises {outcome}, {} faults, {} of {} calls served",
+            self.seed, self.faults, self.served, self.calls
+        )?;
+        for broken in &self.broken {
+            write!(f, "\n  {broken}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Publishes once more, and waits until every node has the newest version in force.
+async fn check_newest(faults: &mut FaultRunner) -> Result<(), MeshError> {
+    faults.publish().await?;
+    let mut newest = 0;
+    for name in faults.mesh.node_names() {
+        let status = faults.mesh.status(&name).await?;
+        newest = status.version_number().max(newest);
+    }
+    faults.mesh.wait_version(newest, RECOVERY_LIMIT).await
+}
+
+fn caller_addresses(mesh: &LocalMesh) -> Result<Vec<SocketAddr>, MeshError> {
+    let names = mesh.node_names();
+    let nodes = names.iter().map(|name| mesh.node(name));
+    nodes
+        .map(|node| node.map(|node| node.addresses().callers))
+        .collect()
+}
+
+/// Reads the versions that each process of a node put into force from its log.
+fn applied_versions(directory: &Path) -> Result<Vec<(String, Vec<u64>)>, MeshError> {
+    let place = directory.display().to_string();
+    let entries = fs::read_dir(directory).map_err(|error| local_error(&place, &error))?;
+    let mut versions = Vec::new();
+    for entry in entries {
+        let path = entry.map_err(|error| local_error(&place, &error))?.path();
+        let name = path
+            .file_name()
+            .and_then(|name| name.to_str())
+            .unwrap_or("");
+        if !(name.starts_with("dc") && name.ends_with(".log")) {
+            continue;
+        }
+        let text = fs::read_to_string(&path).map_err(|error| local_error(name, &error))?;
+        let applied = text.lines().filter(|line| line.contains("config-applied"));
+        let mut numbers = Vec::new();
+        for line in applied {
+            // A process that was killed may have left half a line.
+            let Ok(line) = serde_json::from_str::<Value>(line) else {
+                continue;
+            };
+            let number = line["version"].as_u64().ok_or_else(|| {
+                MeshError::new(
+                    ErrorKind::Invalid,
+                    format!("{name}: {line} names no version"),
+                )
+            })?;
+            numbers.push(number);
+        }
+        versions.push((name.to_owned(), numbers));
+    }
+    Ok(versions)
+}
