Let readers of the operators' documents wait a little after news

Change: a data centre's first reader waits 200 ms after news, the others 700 ms, both well inside the 2 s in which a version must be in force; the others stand in where the first one hears nothing. Ruled out: fewer readers, since a third of the VMs may be cut off at once and a reader's duty moves only after 2 s.

--- a/crates/daemon/src/source/operator_feed.rs
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -28,6 +28,11 @@
 const READER_CHECK: Duration = Duration::from_millis(200);
 /// Time for a read of everything that operators have written.
 const READ_TIME: TimeBudget = TimeBudget::from_millis(1_000);
+/// Pause of a data centre's first reader after news, so that one call brings what follows closely;
+/// a tenth of the 2 s in which a version must be in force.
+const FIRST_READER_PAUSE: Duration = Duration::from_millis(200);
+/// Pause of the others, which stand in for the first one where it hears nothing.
+const OTHER_READER_PAUSE: Duration = Duration::from_millis(700);
 /// Pauses after a call that failed, drawn at random so that nodes do not return together.
 const MIN_PAUSE_MS: u64 = 100;
 const MAX_PAUSE_MS: u64 = 400;
@@ -91,8 +96,9 @@
         self.state.count("source_read");
         match result {
             Ok(news) => {
+                let pause = self.news_pause(&news);
                 self.take_news(news).await;
-                None
+                pause
             }
             Err(error) if error.kind() == ErrorKind::NotFound => {
                 self.place = None;
@@ -107,6 +113,19 @@
         }
     }
 
+    /// Returns how long to wait before the next call, so that a quick succession of versions takes
+    /// few calls; a node that has no version yet waits for nothing.
+    fn news_pause(&self, news: &OperatorNews) -> Option<Duration> {
+        if news.documents.is_empty() || self.place.is_none() {
+            return None;
+        }
+        match self.state.spread.read(SpreadNode::reader_rank) {
+            Some(0) => Some(FIRST_READER_PAUSE),
+            Some(_) => Some(OTHER_READER_PAUSE),
+            None => None,
+        }
+    }
+
     fn context(&self) -> DocumentContext {
         let settings = &self.state.settings;
         DocumentContext {
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -83,8 +83,15 @@
         if self.rule.mode == SpreadMode::Poll || !self.gate.is_open() {
             return true;
         }
+        self.reader_rank().is_some()
+    }
+
+    /// Returns this node's place among the readers of its data centre, the first being 0.
+    #[must_use]
+    pub fn reader_rank(&self) -> Option<usize> {
         let own = self.agent.own();
-        choose_readers(self.agent.table(), &own.data_centre).contains(&own.node)
+        let readers = choose_readers(self.agent.table(), &own.data_centre);
+        readers.iter().position(|reader| *reader == own.node)
     }
 
     fn exchange(&mut self, now: ClockInstant, rng: &mut impl Rng) {
--- a/crates/kernel/src/spread/reader_choice.rs
+++ b/crates/kernel/src/spread/reader_choice.rs
@@ -8,7 +8,7 @@
 /// Number of nodes in each data centre that read the platform's version row.
 pub const READERS_PER_CENTRE: usize = 2;
 
-/// Chooses which nodes of a data centre read the source, by rendezvous hashing.
+/// Chooses which nodes of a data centre read the source, by rendezvous hashing, in their order.
 ///
 /// Nodes that know the same live members choose the same readers without a word between them, and
 /// a change of members moves a reader's duty only when a reader comes or goes. Nodes that disagree
