--- a/crates/daemon/src/peers/peer_connection.rs
+++ b/crates/daemon/src/peers/peer_connection.rs
@@ -26,8 +26,10 @@
 
 /// Some hundred round trips within a region; a peer that is cut off does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which unacknowledged bytes show that the peer is cut off.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which unacknowledged bytes show that the peer is cut off: long enough for two lost
+/// packets in a row, which are sent again after 200 and 400 ms, and short enough for another server
+/// to answer while a caller still waits.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(800);
 /// The shortest time between probes of an idle connection that the system allows.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 const PROBE_COUNT: u32 = 2;
--- a/crates/kernel/src/request/adaptive_limit.rs
+++ b/crates/kernel/src/request/adaptive_limit.rs
@@ -4,9 +4,13 @@
     request::AttemptOutcome,
 };
 
+/// Limit below which recovery would not show.
 const MIN_LIMIT: f64 = 2.0;
+/// Factor of a decrease; ten of them quarter the limit within a tenth of a second.
 const DECREASE_FACTOR: f64 = 0.9;
+/// Multiple of the declared slots that may be outstanding, so that a queue keeps them busy.
 const HEADROOM: f64 = 2.0;
+/// Shortest time between two decreases, so that one burst of refusals counts once.
 const DECREASE_PAUSE: TimeBudget = TimeBudget::from_millis(10);
 
 /// Number of requests that a node keeps outstanding at one service.
--- a/crates/kernel/src/request/retry_budget.rs
+++ b/crates/kernel/src/request/retry_budget.rs
@@ -5,13 +5,21 @@
     request::AttemptOutcome,
 };
 
+/// Attempts of one request; a fourth server rarely answers what three could not.
 const MAX_ATTEMPTS: u32 = 3;
+/// Retries earned by each fresh request: retries add a tenth to the load at most.
 const RETRY_SHARE: f64 = 0.1;
+/// Price of a retry after an attempt that may have run.
 const FULL_PRICE: f64 = 1.0;
+/// Price of a retry after an attempt that took none of the server's slots.
 const NOT_RUN_PRICE: f64 = 0.25;
+/// Retries that a node may make before it has earned any.
 const FIRST_TOKENS: f64 = 3.0;
+/// Retries saved up at most, so that a fault after a calm time draws no burst.
 const MAX_TOKENS: f64 = 30.0;
+/// Share of failures above which a service fails as a whole, so that retries only add load.
 const MAX_FAILURE_SHARE: ShareRatio = ShareRatio::from_ppm(200_000);
+/// Time below which another attempt cannot end.
 const MIN_TIME_LEFT: TimeBudget = TimeBudget::from_millis(1);
 
 /// What a node knows when it decides on a retry.
--- a/crates/kernel/src/request/server_stat.rs
+++ b/crates/kernel/src/request/server_stat.rs
@@ -14,22 +14,40 @@
 const COLD_PACE: f64 = 0.5;
 /// Longest time for which a server's word that it is slow is believed.
 const MAX_COLD_TIME: TimeBudget = TimeBudget::from_secs(30);
+/// Weight of one attempt in the share of failures: ten in a row bring it past a half.
 const FAILURE_WEIGHT: f64 = 0.1;
+/// Weight of one attempt in the mean latency: it follows a change within some ten attempts.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// Failures in a row after which a server is left out; half of all requests failing gives five in
+/// a row once in 32.
 const MAX_CONSECUTIVE_FAILURES: u32 = 5;
+/// Share of failures from which a server does more harm than its absence.
 const MAX_FAILURE_SHARE: f64 = 0.5;
+/// Attempts before the share of failures is believed.
 const MIN_FAILURE_SAMPLES: u32 = 20;
+/// Time in which the share of failures halves while nothing is sent.
 const FAILURE_HALF_LIFE: TimeBudget = TimeBudget::from_secs(1);
+/// First time for which a server is left out; each further one in a row is twice as long.
 const FIRST_EJECTION: TimeBudget = TimeBudget::from_millis(500);
+/// Doublings up to 32 s, after which a server that has recovered would be missed.
 const MAX_EJECTION_DOUBLINGS: u32 = 6;
+/// Time for which a load report is believed; some requests run that long.
 const REPORT_LIFETIME: TimeBudget = TimeBudget::from_millis(500);
+/// Time for which a server that refused counts as full; a slot falls free within it.
 const SHED_LIFETIME: TimeBudget = TimeBudget::from_millis(100);
+/// Multiple of the mean latency beyond which an unanswered request speaks against the server.
 const TIMEOUT_FACTOR: f64 = 4.0;
+/// Multiple of the mean latency without any end of a request after which a server is stalled.
 const STALL_FACTOR: f64 = 8.0;
+/// Silence, in microseconds, that never counts as a stall; pauses of a busy VM last that long.
 const STALL_FLOOR_MICROS: f64 = 50_000.0;
+/// Factor on the load of a stalled server, so that it comes last and is still tried when alone.
 const STALL_PENALTY: f64 = 16.0;
+/// Weight of a server that begins its slow start.
 const FIRST_WEIGHT: f64 = 0.1;
+/// Weight that a failing server keeps, so that its recovery shows.
 const MIN_WEIGHT: f64 = 0.02;
+/// Weight of a server that calls itself unhealthy; such reports may be false.
 const UNHEALTHY_WEIGHT: f64 = 0.5;
 
 /// Where a backend server is and what it declares.
--- a/crates/kernel/src/request/slot_gate.rs
+++ b/crates/kernel/src/request/slot_gate.rs
@@ -8,9 +8,14 @@
     ids::{RouteName, SlotCount},
 };
 
+/// Service time before the first request has ended; short, so that nothing is refused by a guess.
 const FIRST_SERVICE_TIME: TimeBudget = TimeBudget::from_millis(5);
+/// Requests over which the service time is averaged.
 const SERVICE_TIME_WEIGHT: u64 = 8;
+/// Part by which the service time must grow before the whole queue is examined anew.
 const EXAMINE_DIVISOR: u64 = 8;
+/// Part of its time that a request may wait where nobody says when its answer is wanted; the rest
+/// is left for the work and another server.
 const WAIT_DIVISOR: u64 = 4;
 /// Part of a route's usual time by which longer work exceeds it, in eighths.
 const LONG_WORK_EIGHTHS: u64 = 10;
@@ -20,7 +25,9 @@
 const SHORT_WAIT: TimeBudget = TimeBudget::from_millis(100);
 /// Time after which a queue that was never empty counts as standing; shorter bursts pass.
 const STANDING_TIME: TimeBudget = TimeBudget::from_millis(200);
+/// Shortest time to come back, in microseconds: some round trips to the caller.
 const MIN_RETRY_MICROS: u64 = 5_000;
+/// Longest time to come back, in microseconds; no caller has more patience.
 const MAX_RETRY_MICROS: u64 = 5_000_000;
 
 /// Place of a waiting request in a [`SlotGate`]'s queue.
--- a/crates/store/src/http/http_exchange.rs
+++ b/crates/store/src/http/http_exchange.rs
@@ -13,6 +13,7 @@
     error::{ErrorKind, MeshError},
 };
 use bytes::Bytes;
+use serde::de::DeserializeOwned;
 
 use crate::{client::PlatformTarget, http::wall_clock};
 
@@ -40,6 +41,33 @@
     pub body: Bytes,
 }
 
+impl HttpAnswer {
+    /// Returns the body of an answer with success.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Invalid`] when the platform refused the request.
+    pub fn into_body(self) -> Result<Bytes, MeshError> {
+        if self.status.is_success() {
+            return Ok(self.body);
+        }
+        Err(MeshError::invalid(format!(
+            "platform refused the request with status {}",
+            self.status
+        )))
+    }
+}
+
+/// Decodes the JSON body of an answer.
+///
+/// # Errors
+///
+/// [`ErrorKind::Invalid`] when it is malformed.
+pub fn decode_answer<T: DeserializeOwned>(body: &[u8]) -> Result<T, MeshError> {
+    serde_json::from_slice(body)
+        .map_err(|error| MeshError::invalid(format!("answer of the platform: {error}")))
+}
+
 /// A request to the platform.
 #[derive(Debug)]
 pub struct HttpCall<'a> {
--- a/crates/store/src/http/http_platform.rs
+++ b/crates/store/src/http/http_platform.rs
@@ -6,11 +6,11 @@
     error::{ErrorKind, MeshError},
 };
 use bytes::Bytes;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     client::{PlatformCalls, PlatformKind, PlatformTarget},
-    http::{HttpAnswer, HttpCall, HttpExchange, encode_segment},
+    http::{HttpAnswer, HttpCall, HttpExchange, decode_answer, encode_segment},
     table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
 };
 
@@ -99,7 +99,7 @@
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        let body: RowBody = decode(&expect_success(answer)?)?;
+        let body: RowBody = decode_answer(&answer.into_body()?)?;
         Ok(Some(TableRow {
             key,
             value: body.value,
@@ -123,7 +123,7 @@
             path.push_str(&encode_segment(after.as_str()));
         }
         let answer = self.read(&path, MAX_SCAN_BYTES, deadline).await?;
-        decode(&expect_success(answer)?)
+        decode_answer(&answer.into_body()?)
     }
 
     async fn transact(
@@ -145,7 +145,7 @@
         if answer.status == StatusCode::CONFLICT {
             return Err(conflict(&answer.body));
         }
-        let written: WrittenBody = decode(&expect_success(answer)?)?;
+        let written: WrittenBody = decode_answer(&answer.into_body()?)?;
         Ok(written.revision)
     }
 
@@ -159,7 +159,7 @@
         let answer = self
             .exchange(Method::PUT, &path, body, MAX_ROW_BYTES, deadline)
             .await?;
-        expect_success(answer).map(|_| ())
+        answer.into_body().map(|_| ())
     }
 
     async fn get_object(
@@ -172,7 +172,7 @@
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        expect_success(answer).map(Some)
+        answer.into_body().map(Some)
     }
 
     async fn read(
@@ -209,23 +209,8 @@
     }
 }
 
-fn expect_success(answer: HttpAnswer) -> Result<Bytes, MeshError> {
-    if answer.status.is_success() {
-        return Ok(answer.body);
-    }
-    Err(MeshError::invalid(format!(
-        "platform refused the request with status {}",
-        answer.status
-    )))
-}
-
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, MeshError> {
-    serde_json::from_slice(body)
-        .map_err(|error| MeshError::invalid(format!("answer of the platform: {error}")))
-}
-
 fn conflict(body: &[u8]) -> MeshError {
-    match decode::<ConflictBody>(body) {
+    match decode_answer::<ConflictBody>(body) {
         Ok(ConflictBody { key, revision: 0 }) => {
             MeshError::new(ErrorKind::Conflict, format!("row {key} does not exist"))
         }
