Shrink the entry limit only by refusals that no other server makes good

The limit of what a node has outstanding at a service shrank by every refusal of one server, also when the next one took the request; with 28 servers of which some are full it fell to a few.

Change: an attempt's refusal counts when its request gets no further attempt. Test: request_limit (with the old rule the limit ends near its minimum).

--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -116,19 +116,23 @@
         let mut tried = Vec::new();
         let mut arrivals = 0;
         let mut end = RequestEnd::default();
+        let mut last_outcome = None;
         loop {
             let Some(place) = self.choose(planned, &tried) else {
+                if let Some(outcome) = last_outcome {
+                    pass.gate.settle(self.state.now(), outcome, true);
+                }
                 return end.with_default(|| self.no_backend(planned));
             };
             tried.push(place.backend.clone());
             let attempt = u32::try_from(tried.len()).unwrap_or(u32::MAX);
             let (outcome, result) = self.attempt(planned, &place, attempt).await;
-            pass.gate.settle(self.state.now(), outcome);
             let is_final = result.as_ref().is_err_and(is_final);
             let has_arrived = has_arrived(&result);
             arrivals += u32::from(has_arrived);
             end.take(result);
             if outcome == AttemptOutcome::Served || is_final {
+                pass.gate.settle(self.state.now(), outcome, true);
                 pass.permit.finish();
                 return end.with_default(deadline_passed);
             }
@@ -148,6 +152,8 @@
                 }
                 None => self.may_retry(planned, outcome, attempt),
             };
+            pass.gate.settle(self.state.now(), outcome, !may_retry);
+            last_outcome = Some(outcome);
             if !may_retry {
                 return end.with_default(deadline_passed);
             }
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -230,9 +230,10 @@
         }
     }
 
-    pub(crate) fn settle(&self, now: ClockInstant, outcome: AttemptOutcome) {
+    /// Takes in the end of an attempt; `is_last` tells that its request gets no further one.
+    pub(crate) fn settle(&self, now: ClockInstant, outcome: AttemptOutcome, is_last: bool) {
         let mut limit = lock(&self.limit);
-        limit.settle(now, outcome);
+        limit.settle(now, outcome, is_last);
         self.keeper.resize(limit.get(), entry_queue(limit.get()));
     }
 
--- a/crates/kernel/src/request/adaptive_limit.rs
+++ b/crates/kernel/src/request/adaptive_limit.rs
@@ -16,7 +16,7 @@
 /// Number of requests that a node keeps outstanding at one service.
 ///
 /// Grows by one per limit's worth of served requests up to twice the declared slots, and shrinks
-/// by a tenth, at most once per pause, when a server sheds.
+/// by a tenth, at most once per pause, when no server takes a request.
 #[derive(Clone, Debug)]
 pub struct AdaptiveLimit {
     declared: f64,
@@ -43,11 +43,13 @@
         self.declared = declared;
     }
 
-    /// Takes in the end of one attempt.
-    pub fn settle(&mut self, now: ClockInstant, outcome: AttemptOutcome) {
+    /// Takes in the end of one attempt; `is_last` tells that its request gets no further one.
+    ///
+    /// A refusal that another server makes good says that one server is full, not the service.
+    pub fn settle(&mut self, now: ClockInstant, outcome: AttemptOutcome, is_last: bool) {
         match outcome {
             AttemptOutcome::Served => self.grow(),
-            AttemptOutcome::Shed => self.shrink(now),
+            AttemptOutcome::Shed if is_last => self.shrink(now),
             _ => {}
         }
     }
--- /dev/null
+++ b/crates/kernel/tests/request_limit.rs
@@ -0,0 +1,39 @@
+//! The limit that a node keeps on what it has outstanding at one service.
+
+use bronzelb_kernel::{
+    clock::ClockInstant,
+    ids::SlotCount,
+    request::{AdaptiveLimit, AttemptOutcome},
+};
+
+const SLOTS: u32 = 36;
+const REQUESTS: u64 = 2_000;
+/// Time between two requests; the limit shrinks at most once in 10 ms.
+const STEP_MS: u64 = 11;
+
+fn play(outcomes: &[(AttemptOutcome, bool)]) -> u32 {
+    let mut limit = AdaptiveLimit::new(SlotCount::new(SLOTS));
+    for number in 0..REQUESTS {
+        let now = ClockInstant::from_millis(1_000 + number * STEP_MS);
+        for (outcome, is_last) in outcomes {
+            limit.settle(now, *outcome, *is_last);
+        }
+    }
+    limit.get().get()
+}
+
+#[test]
+fn refusals_that_another_server_makes_good_leave_room_for_every_slot() {
+    let limit = play(&[
+        (AttemptOutcome::Shed, false),
+        (AttemptOutcome::Shed, false),
+        (AttemptOutcome::Served, true),
+    ]);
+    assert!(limit >= SLOTS, "{limit}");
+}
+
+#[test]
+fn service_that_takes_nothing_brings_the_limit_down() {
+    let limit = play(&[(AttemptOutcome::Shed, false), (AttemptOutcome::Shed, true)]);
+    assert!(limit < SLOTS / 4, "{limit}");
+}
