Drop the order of standing queues

Callers that are passed over wait in vain before their node tries another server; a test of one server does not show that.

Change: requests that would be late still come behind those that would not; among these the earliest deadline goes first again.

--- a/crates/kernel/src/request/slot_gate.rs
+++ b/crates/kernel/src/request/slot_gate.rs
@@ -23,8 +23,6 @@
 const SHORT_WORK_DIVISOR: u64 = 3;
 /// Time that even a request that is late already may wait, so that a short queue refuses nobody.
 const SHORT_WAIT: TimeBudget = TimeBudget::from_millis(100);
-/// Time after which a queue that was never empty counts as standing; shorter bursts pass.
-const STANDING_TIME: TimeBudget = TimeBudget::from_millis(200);
 /// Shortest time to come back, in microseconds: some round trips to the caller.
 const MIN_RETRY_MICROS: u64 = 5_000;
 /// Longest time to come back, in microseconds; no caller has more patience.
@@ -119,8 +117,7 @@
 /// A limit on requests that run at once, with a bounded queue before it.
 ///
 /// The queue is ordered by priority, then those that can be answered in time before those that
-/// cannot, then by deadline; in a queue that stays, the last that came of those in time goes first.
-/// A request that cannot make its deadline,
+/// cannot, then by deadline. A request that cannot make its deadline,
 /// by the measured service time and the requests before it, is refused at once with the instant
 /// at which room is expected. No request waits longer than its answer is wanted, or than a quarter
 /// of the time that it had left on arrival, so that its caller can still turn elsewhere. When the
@@ -155,8 +152,6 @@
     service_time: TimeBudget,
     route_times: BTreeMap<RouteName, RouteTime>,
     has_learned: bool,
-    /// When the queue was last empty, while requests wait whose answers are wanted by an instant.
-    queued_since: Option<ClockInstant>,
     /// Service time by which the queue was last examined.
     examined_for: TimeBudget,
     next_sequence: u64,
@@ -174,7 +169,6 @@
             service_time: FIRST_SERVICE_TIME,
             route_times: BTreeMap::new(),
             has_learned: false,
-            queued_since: None,
             examined_for: FIRST_SERVICE_TIME,
             next_sequence: 0,
         }
@@ -242,18 +236,13 @@
             expected,
         };
         self.queue.insert(place, entry);
-        if offer.wanted_by.is_some() {
-            self.queued_since.get_or_insert(now);
-        }
         let refused = self.displace(now, rng);
         (GateVerdict::Wait { place, give_up_at }, refused)
     }
 
     /// Withdraws a waiting request; returns its item, or `None` when it no longer waits.
     pub fn withdraw(&mut self, place: QueuePlace) -> Option<T> {
-        let item = self.queue.remove(&place).map(|entry| entry.item);
-        self.note_empty();
-        item
+        self.queue.remove(&place).map(|entry| entry.item)
     }
 
     /// Takes in the time for which a request of `route` ran.
@@ -338,8 +327,7 @@
     fn start_waiting(&mut self, now: ClockInstant, rng: &mut impl Rng) -> GateChange<T> {
         let mut change = GateChange::default();
         while self.running < self.limit {
-            let next = self.next_place(now);
-            let Some(entry) = next.and_then(|place| self.queue.remove(&place)) else {
+            let Some((_, entry)) = self.queue.pop_first() else {
                 break;
             };
             let item = entry.item;
@@ -354,41 +342,9 @@
         if self.has_slowed() {
             change.refused.extend(self.displace(now, rng));
         }
-        self.note_empty();
         change
     }
 
-    /// Returns the place of the waiting request that starts next.
-    ///
-    /// In a standing queue that is the last one that came of those that can be answered in time:
-    /// if each waited for its turn, all would be answered late.
-    fn next_place(&self, now: ClockInstant) -> Option<QueuePlace> {
-        let (first, _) = self.queue.first_key_value()?;
-        if first.is_late || !self.is_standing(now) {
-            return Some(*first);
-        }
-        let first_late = QueuePlace {
-            is_late: true,
-            deadline: ClockInstant::default(),
-            sequence: 0,
-            ..*first
-        };
-        let (last, _) = self.queue.range(first..&first_late).next_back()?;
-        Some(*last)
-    }
-
-    fn note_empty(&mut self) {
-        if self.queue.is_empty() {
-            self.queued_since = None;
-        }
-    }
-
-    /// Returns whether more requests come than can run, for longer than a burst lasts.
-    fn is_standing(&self, now: ClockInstant) -> bool {
-        let since = self.queued_since;
-        since.is_some_and(|since| since.elapsed(now) > STANDING_TIME)
-    }
-
     /// Returns whether requests take so much longer that the queue needs another look.
     fn has_slowed(&self) -> bool {
         let examined = self.examined_for.as_micros();
