--- a/crates/daemon/src/callers/caller_connection.rs
+++ b/crates/daemon/src/callers/caller_connection.rs
@@ -28,18 +28,19 @@
     node::StopSignal,
 };
 
-/// Time in which the head of a request must arrive.
+/// Time in which the head of a request must arrive; operators of the users' platform allow 3 s.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time after which a connection without a request is closed.
+/// Time after which a connection without a request is closed: above the 15 s that operators name, so
+/// that callers, who know when they send again, close first.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
-/// Time in which a caller must take an answer that is written to it.
+/// Time in which a caller must take an answer of 8 MiB; a phone's link takes some 20 s.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which a closed connection still reads, since closing it with unread bytes would reset
 /// it and take the last answer with it.
 const LINGER_TIME: Duration = Duration::from_millis(500);
-/// Requests of one connection that run at once.
+/// Requests of one connection that run at once; one caller may not take all slots of a server.
 const MAX_PIPELINED: usize = 16;
-/// Bytes that are received ahead of the requests that may be read.
+/// Bytes that are received ahead of the requests that may be read: one large head and its body.
 const MAX_AHEAD_BYTES: usize = 256 * 1024;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
