--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -110,9 +110,14 @@
     }
 
     /// Updates `publisher` with the execution times of the routes and returns whether they must be
-    /// sent to other nodes.
-    pub(crate) fn publish_times(&self, now: ClockInstant, publisher: &mut TimePublisher) -> bool {
-        publisher.update(now, self.lock().route_times(MIN_SAMPLES))
+    /// sent to the other of `members` nodes.
+    pub(crate) fn publish_times(
+        &self,
+        now: ClockInstant,
+        members: usize,
+        publisher: &mut TimePublisher,
+    ) -> bool {
+        publisher.update(now, members, self.lock().route_times(MIN_SAMPLES))
     }
 
     fn permit(self: &Arc<Self>, route: Option<RouteName>) -> SlotPermit {
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -94,10 +94,9 @@
         }
         self.crashes.check(request.message.fingerprint)?;
         if let Some(config) = self.state.config() {
-            let members = self.state.members();
             self.state
                 .requests
-                .sync_members(now, &members, config.snapshot());
+                .sync_members(now, &self.state.gossip, config.snapshot());
         }
         if !self
             .state
@@ -321,7 +320,8 @@
             RetryDecision::Denied => false,
             RetryDecision::Free => true,
             RetryDecision::Budgeted => {
-                let nodes = self.state.members().live().count();
+                let gossip = &self.state.gossip;
+                let nodes = gossip.read(|node| node.members().live().count());
                 let requests = &self.state.requests;
                 requests.with_shared_budget(policy, &request.service, |budget| {
                     budget.try_take_retry(now, nodes)
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -11,7 +11,6 @@
     config::ConfigSnapshot,
     error::{ErrorKind, MeshError},
     ids::{BackendName, RouteName, ServiceName, SlotCount},
-    member::MemberTable,
     request::{
         AdaptiveLimit, AttemptOutcome, IdempotencyCache, LoadBalancer, RetryBudget, RetryPolicy,
         SharedBudget, WaitEstimator,
@@ -20,7 +19,9 @@
 use bronzelb_wire::peer::ForwardResponse;
 use tokio::sync::watch;
 
-use crate::{forward::concurrency_limiter::ConcurrencyLimiter, node::SystemClock};
+use crate::{
+    forward::concurrency_limiter::ConcurrencyLimiter, gossip::GossipState, node::SystemClock,
+};
 
 const SERVICE_QUEUE_FACTOR: usize = 4;
 const BACKEND_QUEUE_FACTOR: usize = 2;
@@ -37,7 +38,8 @@
 pub struct RequestState {
     clock: SystemClock,
     load_balancer: Mutex<LoadBalancer>,
-    members_digest: AtomicU64,
+    /// Generation of the member table that the load balancer reflects.
+    members_generation: AtomicU64,
     retry_budget: Mutex<RetryBudget>,
     retry_policy: Option<RetryPolicy>,
     shared_budgets: Mutex<BTreeMap<ServiceName, SharedBudget>>,
@@ -76,7 +78,7 @@
         Self {
             clock,
             load_balancer: Mutex::default(),
-            members_digest: AtomicU64::new(0),
+            members_generation: AtomicU64::new(0),
             retry_budget: Mutex::default(),
             retry_policy,
             shared_budgets: Mutex::default(),
@@ -134,19 +136,25 @@
     pub(crate) fn sync_members(
         &self,
         now: ClockInstant,
-        members: &MemberTable,
+        gossip: &GossipState,
         config: &ConfigSnapshot,
     ) {
-        let digest = members.iter().fold(1_u64, |digest, row| {
-            let member = row.revision ^ row.incarnation.get().rotate_left(32) ^ row.state as u64;
-            digest.wrapping_mul(31).wrapping_add(member)
-        });
-        if self.members_digest.swap(digest, Ordering::Relaxed) == digest {
-            return;
-        }
-        self.load_balancer().sync(now, members.iter(), |service| {
+        let slow_start = |service: &ServiceName| {
             let spec = config.services.get(service);
             spec.map_or(TimeBudget::ZERO, |spec| spec.slow_start)
+        };
+        gossip.read(|node| {
+            let members = node.members();
+            let generation = members.generation();
+            let synced = self.members_generation.swap(generation, Ordering::Relaxed);
+            if synced == generation {
+                return;
+            }
+            let mut load_balancer = self.load_balancer();
+            match members.changed_since(synced) {
+                Some(rows) => load_balancer.sync_changes(now, rows, slow_start),
+                None => load_balancer.sync(now, members.iter(), slow_start),
+            }
         });
     }
 
--- a/crates/daemon/src/gossip/gossip_state.rs
+++ b/crates/daemon/src/gossip/gossip_state.rs
@@ -43,13 +43,17 @@
         }
     }
 
-    /// Runs a step that may change the node, and wakes the gossip task to run its actions.
+    /// Runs a step that may change the node, and wakes the gossip task if the step has left work
+    /// for it.
     pub fn step<T>(&self, step: impl FnOnce(&mut GossipNode, &mut StdRng) -> T) -> T {
         let mut inner = self.lock();
         let LockedNode { node, rng } = &mut *inner;
         let result = step(node, rng);
+        let needs_tick = node.needs_tick();
         drop(inner);
-        self.wake.notify_one();
+        if needs_tick {
+            self.wake.notify_one();
+        }
         result
     }
 
--- a/crates/daemon/src/gossip/gossip_task.rs
+++ b/crates/daemon/src/gossip/gossip_task.rs
@@ -18,7 +18,6 @@
     source::{connect_platform, find_seeds, read_object, read_version_row, write_lease},
 };
 
-const TICK_INTERVAL: Duration = Duration::from_millis(50);
 const LEAVE_SEND_TIME: Duration = Duration::from_millis(300);
 const FETCH_TIMEOUT: TimeBudget = TimeBudget::from_secs(10);
 
@@ -34,9 +33,9 @@
         pool,
     };
     loop {
-        runner.tick();
+        runner.tick_if_due();
         tokio::select! {
-            () = time::sleep(TICK_INTERVAL) => {}
+            () = time::sleep(runner.time_until_tick()) => {}
             () = runner.state.gossip.next_step() => {}
             () = stop.stopped() => break,
         }
@@ -53,6 +52,19 @@
 }
 
 impl ActionRunner {
+    /// Runs the periodic work if some is due; a step may wake the task before.
+    fn tick_if_due(&self) {
+        if self.time_until_tick().is_zero() {
+            self.tick();
+        }
+    }
+
+    fn time_until_tick(&self) -> Duration {
+        let now = self.state.now();
+        let next_tick = self.state.gossip.read(|node| node.next_tick(now));
+        next_tick.remaining(now).to_std()
+    }
+
     fn tick(&self) {
         let now = self.state.now();
         self.state.expire_backends();
@@ -60,7 +72,7 @@
             node.tick(now, rng);
             // After a pause the node clears its backend servers from its row; those that have
             // renewed their lease since are added again.
-            node.set_backends(self.state.backends().rows(), now);
+            node.set_backends(self.state.backends().rows());
             node.take_actions()
         });
         for action in actions {
@@ -71,10 +83,7 @@
 
     /// Announces that this node leaves, and waits for the message to be sent.
     async fn leave(&self) {
-        let now = self.state.now();
-        self.state
-            .gossip
-            .step_without_wake(|node, _| node.leave(now));
+        self.state.gossip.step_without_wake(|node, _| node.leave());
         self.tick();
         time::sleep(LEAVE_SEND_TIME).await;
     }
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -203,8 +203,8 @@
         key: RecordKey,
         value: impl Into<RecordValue>,
     ) -> Result<bool, MeshError> {
-        let (now, value) = (self.now(), value.into());
-        self.gossip.step(|node, _| node.put_record(key, value, now))
+        let value = value.into();
+        self.gossip.step(|node, _| node.put_record(key, value))
     }
 
     /// Returns the record under `key`.
@@ -258,9 +258,11 @@
     /// Publishes the request times of this VM's backend servers to the mesh if they changed.
     pub(crate) fn publish_times(&self) {
         let now = self.now();
+        let members = self.gossip.read(|node| node.members().live().count());
         let mut is_changed = false;
         for (name, runtime) in self.requests.backend_runtimes() {
-            let update = |times: &mut TimePublisher| runtime.slot_limiter.publish_times(now, times);
+            let update =
+                |times: &mut TimePublisher| runtime.slot_limiter.publish_times(now, members, times);
             is_changed |= self.backends().update_times(&name, update);
         }
         if is_changed {
@@ -283,8 +285,7 @@
 
     /// Announces to the mesh that this node and its backend servers accept no new requests.
     pub fn announce_drain(&self) {
-        let now = self.now();
-        self.gossip.step(|node, _| node.drain(now));
+        self.gossip.step(|node, _| node.drain());
     }
 
     /// Returns whether this node, or another that reported it, recently reached the platform.
@@ -331,9 +332,8 @@
 
     /// Publishes this VM's backend servers to the mesh.
     pub fn publish_backends(&self) {
-        let now = self.now();
         let rows = self.backends().rows();
-        self.gossip.step(|node, _| node.set_backends(rows, now));
+        self.gossip.step(|node, _| node.set_backends(rows));
     }
 
     /// Returns the address at which other nodes reach this node.
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -1,4 +1,4 @@
-use std::{net::TcpListener, path::PathBuf, rc::Rc, sync::Arc};
+use std::{io, net::TcpListener, path::PathBuf, rc::Rc, sync::Arc};
 
 use actix::System;
 use bronzelb_kernel::error::{ErrorKind, MeshError};
@@ -11,7 +11,7 @@
 use crate::{
     callers::start_caller_server,
     gossip::{GossipPool, run_gossip},
-    log::{EventName, NodeLogger},
+    log::{EventName, LineBatch, NodeLogger},
     node::{
         NodeAddresses, NodeState, StopSignal, drain_node::drain_node,
         watch_settings::watch_settings,
@@ -30,12 +30,19 @@
 ///
 /// # Errors
 ///
-/// [`ErrorKind::LocalIo`] if a listener cannot be opened.
+/// [`ErrorKind::LocalIo`] if a listener cannot be opened or the log's thread cannot be started.
 pub fn run_node(settings: NodeSettings, path: PathBuf) -> Result<(), MeshError> {
     let listeners = NodeListeners::open(&settings)?;
-    let logger = NodeLogger::stdout(&settings.node, &settings.data_centre);
+    let log_lines = Arc::new(LineBatch::start(io::stdout()).map_err(io_error)?);
+    let logger = NodeLogger::new(
+        &settings.node,
+        &settings.data_centre,
+        Arc::clone(&log_lines),
+    );
     let state = NodeState::new(settings, listeners.addresses()?, logger);
-    System::new().block_on(serve(state, listeners, path))
+    let result = System::new().block_on(serve(state, listeners, path));
+    log_lines.flush();
+    result
 }
 
 struct NodeListeners {
--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -94,11 +94,7 @@
     }
 
     fn address(&self, node: &NodeName) -> Result<SocketAddr, MeshError> {
-        let members = self.state.members();
-        let row = members.get(node).ok_or_else(|| {
-            MeshError::new(ErrorKind::NoBackend, format!("node {node} is not known"))
-        })?;
-        Ok(row.peer_address)
+        self.state.peer_address_of(node)
     }
 
     async fn call<T, F>(
--- a/crates/daemon/src/rollout/move_reconciler.rs
+++ b/crates/daemon/src/rollout/move_reconciler.rs
@@ -5,7 +5,7 @@
     error::{ErrorKind, MeshError},
     ids::{AttemptToken, DataCentre, MoveNumber, ServiceName},
     rollout::{MOVE_KIND, MoveChange, MoveRecord, MoveState, MoveStatement, RouteTally},
-    spread::{RecordKey, select_readers},
+    spread::{GossipNode, RecordKey},
 };
 use bronzelb_store::{
     PlatformClient,
@@ -63,9 +63,7 @@
 
 impl MoveReconciler {
     fn is_reader(&self) -> bool {
-        let settings = &self.state.settings;
-        let readers = select_readers(&self.state.members(), &settings.data_centre);
-        readers.contains(&settings.node)
+        self.state.gossip.read(GossipNode::reader_rank).is_some()
     }
 
     async fn poll(&mut self) -> Result<(), MeshError> {
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -3,6 +3,7 @@
 //! The server writes raw bytes to a socket, so that each test controls its responses exactly.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Arc,
@@ -27,7 +28,7 @@
 use bronzelbd::{
     backends::BackendAnnouncement,
     forward::{RequestForwarder, RoutedRequest, fingerprint},
-    log::NodeLogger,
+    log::{LineBatch, NodeLogger},
     node::{NodeAddresses, NodeState},
     settings::parse_settings,
 };
@@ -185,7 +186,8 @@
         peers: unused_address,
         operators: unused_address,
     };
-    let logger = NodeLogger::stdout(&settings.node, &settings.data_centre);
+    let lines = LineBatch::start(io::stdout()).expect("the log's thread starts");
+    let logger = NodeLogger::new(&settings.node, &settings.data_centre, Arc::new(lines));
     NodeState::new(settings, addresses, logger)
 }
 
--- a/crates/kernel/src/member/backend_row.rs
+++ b/crates/kernel/src/member/backend_row.rs
@@ -39,3 +39,15 @@
     /// Approximate service time per request on its busiest routes.
     pub times: BTreeMap<RouteName, TimeBudget>,
 }
+
+impl BackendRow {
+    /// Returns whether this row differs from `held` at most in the reported health, the warm-up and
+    /// the service times.
+    pub(crate) fn differs_in_hints_only(&self, held: &Self) -> bool {
+        self.name == held.name
+            && self.service == held.service
+            && self.version == held.version
+            && self.slots == held.slots
+            && self.state == held.state
+    }
+}
--- a/crates/kernel/src/member/lease_schedule.rs
+++ b/crates/kernel/src/member/lease_schedule.rs
@@ -4,7 +4,9 @@
 
 /// Time after which a node's lease row in the platform expires unless it is renewed.
 pub const LEASE_ROW_TTL: TimeBudget = TimeBudget::from_secs(180);
-/// Keeps the first writes of 990 nodes below the platform's limit of 400 writes per second.
+/// Time until a starting node usually knows whether it is one of the few that write a row.
+const FIRST_WRITE_MIN_MS: u64 = 500;
+/// Spreads the first writes, in case nodes that know no peers all write.
 const FIRST_WRITE_MAX_MS: u64 = 3_000;
 const RENEWAL_INTERVAL_MIN_MS: u64 = 45_000;
 const RENEWAL_INTERVAL_MAX_MS: u64 = 75_000;
@@ -15,8 +17,8 @@
 
 /// Schedule of a node's writes and scans of the platform's lease rows.
 ///
-/// First writes are spread over three seconds and renewals are about a minute apart, so neither
-/// steady operation nor a mass restart uses much of the platform's write capacity. Only a node that
+/// First writes are spread over two and a half seconds and renewals are about a minute apart, so
+/// neither steady operation nor a mass restart uses much of the platform's write capacity. Only a node that
 /// knows no peers scans. Every scan finds the row that was written first, so nodes that start
 /// together end up in one mesh.
 #[derive(Clone, Debug)]
@@ -30,7 +32,7 @@
     #[must_use]
     pub fn new(now: ClockInstant, rng: &mut impl Rng) -> Self {
         Self {
-            next_write: random_instant(now, 0, FIRST_WRITE_MAX_MS, rng),
+            next_write: random_instant(now, FIRST_WRITE_MIN_MS, FIRST_WRITE_MAX_MS, rng),
             next_scan: random_instant(now, 0, FIRST_SCAN_MAX_MS, rng),
         }
     }
--- a/crates/kernel/src/member/member_row.rs
+++ b/crates/kernel/src/member/member_row.rs
@@ -52,4 +52,18 @@
         let newer = (self.incarnation, self.revision, self.state);
         newer > (held.incarnation, held.revision, held.state)
     }
+
+    /// Returns whether this row differs from `held` at most in hints: figures that improve the
+    /// choice of a server but do not decide whether it may be used.
+    #[must_use]
+    pub fn differs_in_hints_only(&self, held: &Self) -> bool {
+        let same_node = self.incarnation == held.incarnation
+            && self.state == held.state
+            && self.peer_address == held.peer_address
+            && self.data_centre == held.data_centre;
+        let mut pairs = self.backends.iter().zip(&held.backends);
+        same_node
+            && self.backends.len() == held.backends.len()
+            && pairs.all(|(row, held)| row.differs_in_hints_only(held))
+    }
 }
--- a/crates/kernel/src/member/member_view.rs
+++ b/crates/kernel/src/member/member_view.rs
@@ -7,11 +7,17 @@
     spread::PushQueue,
 };
 
+/// Number of rounds in which a row is pushed of which only hints have changed. A node that misses
+/// the push finds the row with its next exchange.
+const HINT_PUSH_ROUNDS: u8 = 1;
+
 /// Outcome of merging a row into the member table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MergeOutcome {
     /// The row was not newer than the known one.
     Unchanged,
+    /// The row replaced the known one and differs from it in hints only.
+    HintsChanged,
     /// The row replaced the known one.
     Changed,
     /// The row made a false claim about this node, which has replaced it with a newer row of its
@@ -35,6 +41,8 @@
     /// Last contact with each other data centre.
     last_contact: BTreeMap<DataCentre, ClockInstant>,
     push_queue: PushQueue<NodeName>,
+    /// Members of whose rows only hints have changed; their pushes can wait.
+    hint_queue: PushQueue<NodeName>,
     push_rounds: u8,
     suspicion_timeout: TimeBudget,
     tombstone_ttl: TimeBudget,
@@ -57,6 +65,7 @@
             tombstones: BTreeMap::new(),
             last_contact: BTreeMap::new(),
             push_queue: PushQueue::default(),
+            hint_queue: PushQueue::default(),
             push_rounds,
             suspicion_timeout,
             tombstone_ttl,
@@ -92,23 +101,57 @@
         &mut self.push_queue
     }
 
-    /// Merges a row that a peer sent.
+    /// Returns the queue of rows to push of which only hints have changed.
+    pub fn hint_queue(&mut self) -> &mut PushQueue<NodeName> {
+        &mut self.hint_queue
+    }
+
+    /// Returns whether a changed row waits for a push.
+    #[must_use]
+    pub fn has_pushes(&self) -> bool {
+        !self.push_queue.is_empty()
+    }
+
+    /// Returns whether a row of which only hints have changed waits for a push.
+    #[must_use]
+    pub fn has_hint_pushes(&self) -> bool {
+        !self.hint_queue.is_empty()
+    }
+
+    /// Merges a row that a peer sent, and queues it to be pushed to others if it was news.
     pub fn merge(&mut self, row: MemberRow, now: ClockInstant) -> MergeOutcome {
+        let node = row.node.clone();
+        let is_urgent = row.state >= MemberState::Draining;
+        let outcome = self.merge_quietly(row, now);
+        match outcome {
+            MergeOutcome::Changed => {
+                let rounds = self.push_rounds + u8::from(is_urgent);
+                self.push_queue.enqueue(node, rounds);
+            }
+            MergeOutcome::HintsChanged => self.hint_queue.enqueue(node, HINT_PUSH_ROUNDS),
+            MergeOutcome::Unchanged | MergeOutcome::Refuted => {}
+        }
+        outcome
+    }
+
+    /// Merges a row that others know already; it is not pushed.
+    pub fn merge_quietly(&mut self, row: MemberRow, now: ClockInstant) -> MergeOutcome {
         if row.node == self.own_name {
             return self.refute(&row);
         }
-        let is_unknown = self.table.get(&row.node).is_none();
-        if is_unknown && row.state == MemberState::Gone {
+        let held = self.table.get(&row.node);
+        if held.is_none() && row.state == MemberState::Gone {
             return MergeOutcome::Unchanged;
         }
+        let has_hints_only = held.is_some_and(|held| row.differs_in_hints_only(held));
         let (node, state) = (row.node.clone(), row.state);
         if !self.table.merge(row) {
             return MergeOutcome::Unchanged;
         }
+        if has_hints_only {
+            return MergeOutcome::HintsChanged;
+        }
         self.schedule_expiry(&node, state, now);
-        let urgent_round = u8::from(state >= MemberState::Draining);
-        self.push_queue
-            .enqueue(node, self.push_rounds + urgent_round);
         MergeOutcome::Changed
     }
 
@@ -151,13 +194,24 @@
         true
     }
 
-    /// Replaces this node's local backend servers; returns whether they changed.
-    pub fn set_backends(&mut self, backends: Vec<BackendRow>) -> bool {
-        if self.own().backends == backends {
-            return false;
+    /// Replaces this node's local backend servers.
+    pub fn set_backends(&mut self, backends: Vec<BackendRow>) -> MergeOutcome {
+        let held = self.own();
+        if held.backends == backends {
+            return MergeOutcome::Unchanged;
         }
-        self.update_own(|row| row.backends = backends);
-        true
+        let mut changed = held.clone();
+        changed.backends = backends;
+        let has_hints_only = changed.differs_in_hints_only(held);
+        let is_push_queued = self.push_queue.contains(&self.own_name);
+        self.replace_own(changed);
+        if has_hints_only && !is_push_queued {
+            let node = self.own_name.clone();
+            self.hint_queue.enqueue(node, HINT_PUSH_ROUNDS + 1);
+            return MergeOutcome::HintsChanged;
+        }
+        self.enqueue_own();
+        MergeOutcome::Changed
     }
 
     /// Starts a new incarnation of this node without backend servers, for example after a pause.
@@ -227,8 +281,16 @@
     fn update_own(&mut self, change: impl FnOnce(&mut MemberRow)) {
         let mut row = self.own().clone();
         change(&mut row);
+        self.replace_own(row);
+        self.enqueue_own();
+    }
+
+    fn replace_own(&mut self, mut row: MemberRow) {
         row.revision += 1;
         self.table.merge(row);
+    }
+
+    fn enqueue_own(&mut self) {
         self.push_queue
             .enqueue(self.own_name.clone(), self.push_rounds + 1);
     }
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
-    ids::{BackendName, DataCentre, RouteName, ServiceName, SlotCount},
+    ids::{BackendName, DataCentre, NodeName, RouteName, ServiceName, SlotCount},
     member::{BackendRow, BackendState, MemberRow, MemberState},
     request::{AttemptOutcome, ServerLoad, ServerLocation, server_stats::ServerStats},
     rollout::VersionChoice,
@@ -79,10 +79,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadBalancer {
     services: BTreeMap<ServiceName, BTreeMap<BackendName, ServerStats>>,
+    /// Servers that each node hosts.
+    hosted: BTreeMap<NodeName, Vec<(ServiceName, BackendName)>>,
 }
 
 impl LoadBalancer {
-    /// Adds, updates and removes backend servers to match the members' rows.
+    /// Adds, updates and removes backend servers to match the rows of all members.
     ///
     /// `slow_start` returns the time in which a new server of a service reaches its full weight.
     pub fn sync<'a>(
@@ -90,23 +92,70 @@
         now: ClockInstant,
         members: impl Iterator<Item = &'a MemberRow>,
         slow_start: impl Fn(&ServiceName) -> TimeBudget,
+    ) {
+        let members: Vec<_> = members.collect();
+        let known_nodes: BTreeSet<_> = members.iter().map(|member| &member.node).collect();
+        let lost_nodes: Vec<_> = self
+            .hosted
+            .keys()
+            .filter(|node| !known_nodes.contains(node))
+            .cloned()
+            .collect();
+        for node in lost_nodes {
+            self.replace_hosted(&node, Vec::new());
+        }
+        self.sync_changes(now, members.into_iter(), slow_start);
+    }
+
+    /// Does the same as [`LoadBalancer::sync`] for the members whose rows have changed.
+    pub fn sync_changes<'a>(
+        &mut self,
+        now: ClockInstant,
+        changed: impl Iterator<Item = &'a MemberRow>,
+        slow_start: impl Fn(&ServiceName) -> TimeBudget,
     ) {
         let known_services: BTreeSet<_> = self.services.keys().cloned().collect();
-        let mut seen = BTreeMap::new();
-        for member in members.filter(|member| is_reachable(member.state)) {
-            for row in &member.backends {
+        for member in changed {
+            let rows = match is_reachable(member.state) {
+                true => member.backends.as_slice(),
+                false => &[],
+            };
+            for row in rows {
                 // If the whole service is new to this node, none of its servers needs a slow start.
                 let is_new_service = !known_services.contains(&row.service);
                 self.sync_row(now, member, row, is_new_service, slow_start(&row.service));
-                seen.insert((row.service.clone(), row.name.clone()), member.node.clone());
             }
-        }
-        for (service, servers) in &mut self.services {
-            servers.retain(|name, _| seen.contains_key(&(service.clone(), name.clone())));
+            let hosted = rows
+                .iter()
+                .map(|row| (row.service.clone(), row.name.clone()));
+            self.replace_hosted(&member.node, hosted.collect());
         }
         self.services.retain(|_, servers| !servers.is_empty());
     }
 
+    /// Records which servers a node hosts, and removes those that it no longer hosts.
+    fn replace_hosted(&mut self, node: &NodeName, hosted: Vec<(ServiceName, BackendName)>) {
+        let before = match hosted.is_empty() {
+            true => self.hosted.remove(node),
+            false => self.hosted.insert(node.clone(), hosted.clone()),
+        };
+        for (service, name) in before.into_iter().flatten() {
+            if hosted.contains(&(service.clone(), name.clone())) {
+                continue;
+            }
+            let Some(servers) = self.services.get_mut(&service) else {
+                continue;
+            };
+            // A server may already be known at another node.
+            if servers
+                .get(&name)
+                .is_some_and(|server| server.location.node == *node)
+            {
+                servers.remove(&name);
+            }
+        }
+    }
+
     /// Selects a server and counts the request as outstanding there until
     /// [`LoadBalancer::record_outcome`].
     ///
--- a/crates/kernel/src/spread/fetch_scheduler.rs
+++ b/crates/kernel/src/spread/fetch_scheduler.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Returns whether any version has been announced that may still have to be fetched.
+    #[must_use]
+    pub fn has_candidates(&self) -> bool {
+        !self.candidates.is_empty()
+    }
+
     /// Returns the newest announced version that is still wanted.
     #[must_use]
     pub fn newest_wanted(&self, versions: &VersionStore) -> Option<VersionStamp> {
--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -9,11 +9,12 @@
     ids::{DataCentre, MeshName, NodeName},
     member::{
         BackendRow, LeaseGuard, LeaseSchedule, MemberRow, MemberState, MemberTable, MemberView,
+        MergeOutcome,
     },
     spread::{
-        FetchScheduler, GossipAction, GossipEvent, GossipOptions, PeerHeader, PeerSelector,
-        PlatformPoll, PlatformState, ReadinessGate, RecordEntry, RecordKey, RecordReplica,
-        RecordTable, RecordValue, RootDigest, TransferLimiter, VersionStore,
+        FetchScheduler, GossipAction, GossipEvent, GossipOptions, JoinPacer, PeerHeader,
+        PeerSelector, PlatformPoll, PlatformState, ReadinessGate, RecordEntry, RecordKey,
+        RecordReplica, RecordTable, RecordValue, RootDigest, TransferLimiter, VersionStore,
     },
 };
 
@@ -54,6 +55,10 @@
     pub(crate) fetches: FetchScheduler,
     pub(crate) transfer_limiter: TransferLimiter,
     pub(crate) readiness: ReadinessGate,
+    /// When the node started, or rejoined after a pause.
+    pub(crate) started_at: ClockInstant,
+    /// Whether a node that knows no peer has waited long enough for one.
+    pub(crate) has_waited_for_peers: bool,
     pub(crate) platform_poll: PlatformPoll,
     /// When the platform last answered any node, as far as this node knows.
     pub(crate) platform_seen_at: Option<ClockInstant>,
@@ -63,9 +68,12 @@
     pub(crate) pending_probes: BTreeMap<NodeName, usize>,
     pub(crate) stamp_push_rounds: u8,
     pub(crate) next_push: ClockInstant,
+    /// When rows of which only hints have changed may be pushed again.
+    pub(crate) next_hint_push: ClockInstant,
     pub(crate) next_exchange: ClockInstant,
     /// End of the period of frequent exchanges after a start, which speeds up mutual discovery.
     pub(crate) join_deadline: ClockInstant,
+    pub(crate) join_pacer: JoinPacer,
     pub(crate) exchange_count: u32,
     pub(crate) counters: GossipCounters,
     pub(crate) actions: Vec<GossipAction>,
@@ -103,6 +111,8 @@
                 now.after(options.platform_wait),
                 now.after(options.startup_timeout),
             ),
+            started_at: now,
+            has_waited_for_peers: false,
             platform_poll: PlatformPoll::new(now, rng),
             platform_seen_at: None,
             lease_schedule: LeaseSchedule::new(now, rng),
@@ -110,7 +120,9 @@
             pending_probes: BTreeMap::new(),
             stamp_push_rounds: 0,
             next_push: now,
+            next_hint_push: now,
             next_exchange: now,
+            join_pacer: JoinPacer::default(),
             join_deadline: now.after(options.join_period),
             exchange_count: 0,
             counters: GossipCounters::default(),
@@ -232,21 +244,20 @@
     }
 
     /// Replaces this node's local backend servers and pushes the change, if any.
-    pub fn set_backends(&mut self, backends: Vec<BackendRow>, now: ClockInstant) {
-        if self.view.set_backends(backends) {
-            self.schedule_push(now);
+    pub fn set_backends(&mut self, backends: Vec<BackendRow>) {
+        if self.view.set_backends(backends) == MergeOutcome::Changed {
             self.notify(GossipEvent::MembersChanged);
         }
     }
 
     /// Stops accepting new requests and pushes that state to the mesh.
-    pub fn drain(&mut self, now: ClockInstant) {
-        self.change_state(MemberState::Draining, now);
+    pub fn drain(&mut self) {
+        self.change_state(MemberState::Draining);
     }
 
     /// Pushes to the mesh that this node leaves.
-    pub fn leave(&mut self, now: ClockInstant) {
-        self.change_state(MemberState::Gone, now);
+    pub fn leave(&mut self) {
+        self.change_state(MemberState::Gone);
     }
 
     /// Merges a record, pushes it if it changed, and returns whether it changed.
@@ -254,23 +265,13 @@
     /// # Errors
     ///
     /// Those of [`RecordTable::merge`].
-    pub fn put_record(
-        &mut self,
-        key: RecordKey,
-        value: RecordValue,
-        now: ClockInstant,
-    ) -> Result<bool, MeshError> {
-        self.merge_record(RecordEntry { key, value }, now)
+    pub fn put_record(&mut self, key: RecordKey, value: RecordValue) -> Result<bool, MeshError> {
+        self.merge_record(RecordEntry { key, value })
     }
 
-    pub(crate) fn merge_record(
-        &mut self,
-        entry: RecordEntry,
-        now: ClockInstant,
-    ) -> Result<bool, MeshError> {
+    pub(crate) fn merge_record(&mut self, entry: RecordEntry) -> Result<bool, MeshError> {
         let has_changed = self.records.merge(&entry, self.options.push_rounds)?;
         if has_changed {
-            self.schedule_push(now);
             let value = self.records.table().get(&entry.key);
             let value = value.cloned().unwrap_or(entry.value);
             let merged = RecordEntry {
@@ -282,9 +283,8 @@
         Ok(has_changed)
     }
 
-    pub(crate) fn change_state(&mut self, state: MemberState, now: ClockInstant) {
+    pub(crate) fn change_state(&mut self, state: MemberState) {
         if self.view.set_state(state) {
-            self.schedule_push(now);
             self.notify(GossipEvent::MembersChanged);
         }
     }
@@ -293,9 +293,9 @@
         self.actions.push(GossipAction::Notify(event));
     }
 
-    /// Makes the next tick push instead of waiting for the next round.
-    pub(crate) fn schedule_push(&mut self, now: ClockInstant) {
-        self.next_push = self.next_push.min(now);
+    /// Returns whether a change waits for the next round of pushes; hints alone do not count.
+    pub(crate) fn has_pushes(&self) -> bool {
+        self.view.has_pushes() || !self.records.is_push_queue_empty() || self.stamp_push_rounds > 0
     }
 
     /// Returns the header for this node's messages.
--- a/crates/kernel/src/spread/gossip_options.rs
+++ b/crates/kernel/src/spread/gossip_options.rs
@@ -74,8 +74,11 @@
     pub tombstone_ttl: TimeBudget,
     /// Time for which a peer that did not reply is not selected.
     pub peer_backoff: TimeBudget,
-    /// Time between two rounds of pushes, unless a change triggers one earlier.
+    /// Minimum time between two rounds of pushes; a change that follows a pause is pushed at once.
     pub push_interval: TimeBudget,
+    /// The same for member rows of which only hints have changed. It exceeds `push_interval`, so
+    /// that a fleet whose servers' times fluctuate collects many rows into one message.
+    pub hint_push_interval: TimeBudget,
     /// Number of rounds in which a change is pushed.
     pub push_rounds: u8,
     /// Number of rounds in which a member's row is pushed; one more when it drains, is
@@ -118,6 +121,7 @@
             tombstone_ttl: TimeBudget::from_secs(3_600),
             peer_backoff: TimeBudget::from_millis(2_000),
             push_interval: TimeBudget::from_millis(100),
+            hint_push_interval: TimeBudget::from_millis(1_000),
             push_rounds: 3,
             member_push_rounds: 2,
             local_fan_out: 3,
--- a/crates/kernel/src/spread/mod.rs
+++ b/crates/kernel/src/spread/mod.rs
@@ -12,6 +12,7 @@
 mod gossip_message;
 mod gossip_node;
 mod gossip_options;
+mod join_pacer;
 mod node_replies;
 mod node_requests;
 mod node_tick;
@@ -38,12 +39,14 @@
 };
 pub use gossip_node::{GossipCounters, GossipNode};
 pub use gossip_options::{GossipOptions, SpreadMode};
+pub use join_pacer::JoinPacer;
 pub use peer_selector::{PeerSelector, PeerTarget};
 pub use platform_poll::{PlatformPoll, PlatformState};
 pub use publish_plan::{
     CurrentRow, PublishAttempt, PublishOutcome, PublishPlan, PublishStep, WriteOutcome,
 };
 pub use push_queue::PushQueue;
+pub(crate) use reader_selection::rank_nodes;
 pub use reader_selection::{READERS_PER_DATA_CENTRE, select_readers};
 pub use readiness_gate::ReadinessGate;
 pub use record_replica::RecordReplica;
--- a/crates/kernel/src/spread/node_replies.rs
+++ b/crates/kernel/src/spread/node_replies.rs
@@ -54,7 +54,7 @@
         };
         self.record_contact(&reply.from, true, now);
         self.merge_members(reply.members.clone(), now);
-        self.merge_records(reply.records.clone(), now);
+        self.merge_records(reply.records.clone());
         let members = self.rows_to_return(&reply);
         let records = self.records_to_return(&reply);
         if !members.is_empty() || !records.is_empty() {
@@ -114,7 +114,7 @@
     pub fn install_version(&mut self, version: ConfigVersion, now: ClockInstant) {
         let stamp = version.stamp();
         match self.versions.offer_version(version) {
-            InstallOutcome::Installed(_) => self.push_stamp(now),
+            InstallOutcome::Installed(_) => self.push_stamp(),
             InstallOutcome::Refused(error) | InstallOutcome::Altered(error) => {
                 self.counters.refused += 1;
                 self.notify(GossipEvent::Refused { stamp, error });
@@ -264,7 +264,6 @@
             .get(node)
             .is_some_and(|row| row.state < MemberState::Suspect);
         if is_live && self.view.suspect(node, now) {
-            self.schedule_push(now);
             self.notify(GossipEvent::MembersChanged);
         }
     }
@@ -278,7 +277,7 @@
         match outcome {
             InstallOutcome::Installed(_) => {
                 self.fetches.record_completion();
-                self.push_stamp(now);
+                self.push_stamp();
             }
             InstallOutcome::Stale => self.fetches.record_completion(),
             InstallOutcome::Altered(error) => {
@@ -297,10 +296,9 @@
         }
     }
 
-    fn push_stamp(&mut self, now: ClockInstant) {
+    fn push_stamp(&mut self) {
         if matches!(self.options.mode, SpreadMode::Mixed | SpreadMode::Push) {
             self.stamp_push_rounds = self.options.push_rounds;
-            self.schedule_push(now);
         }
     }
 
--- a/crates/kernel/src/spread/node_requests.rs
+++ b/crates/kernel/src/spread/node_requests.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::ClockInstant,
     ids::ByteCount,
-    member::{MemberRow, MemberState, MergeOutcome},
+    member::{MemberRow, MemberState, MemberTable, MergeOutcome},
     spread::{
         BucketIndex, FetchSource, GossipEvent, GossipNode, GossipReply, GossipRequest, PeerHeader,
         ReconcileReply, ReconcileRequest, RecordEntry, SnapshotReply, SnapshotRequest, SpreadMode,
@@ -15,22 +15,32 @@
 /// Largest transfer that needs no slot; it takes less than 10 ms on a link of 10 Mbit/s.
 const SMALL_TRANSFER_BYTES: usize = 8 * 1024;
 
+/// Largest number of member rows in one reply to a reconciliation, unless one bucket holds more.
+/// At 250 bytes a row, a link of 20 Mbit/s carries the reply in 6 ms.
+const MAX_RECONCILED_ROWS: usize = 64;
+
 impl GossipNode {
     /// Handles a push or an exchange.
     pub fn handle_gossip(&mut self, request: GossipRequest, now: ClockInstant) -> GossipReply {
         let is_exchange = request.digest.is_some();
         self.record_contact(&request.from, is_exchange, now);
-        let nodes: Vec<_> = request.members.iter().map(|row| row.node.clone()).collect();
-        let received = request.members.clone();
-        self.merge_members(request.members, now);
-        self.merge_records(request.records, now);
         let table = self.view.table();
-        let mut members: Vec<_> = nodes
+        let held_rows = request.members.iter().filter_map(|row| {
+            let held = table.get(&row.node)?;
+            held.replaces(row).then(|| held.clone())
+        });
+        let mut members: Vec<_> = held_rows.collect();
+        // A false claim about this node is answered with the row that refutes it.
+        let is_about_self = request
+            .members
             .iter()
-            .zip(&received)
-            .filter_map(|(node, row)| table.get(node).filter(|held| held.replaces(row)))
-            .cloned()
-            .collect();
+            .any(|row| row.node == self.own().node);
+        self.merge_members(request.members, now);
+        self.merge_records(request.records);
+        if is_about_self {
+            members.retain(|row| row.node != self.own().node);
+            members.push(self.own().clone());
+        }
         members.extend(self.suspicion_of_sender(&request.from));
         GossipReply {
             from: self.header(),
@@ -48,8 +58,10 @@
     ) -> ReconcileReply {
         self.record_contact(&request.from, true, now);
         let limit = usize::from(request.max_buckets);
-        let differing = self.view.table().digest().differing(&request.members);
-        let member_buckets = sample_buckets(differing, limit, rng);
+        let table = self.view.table();
+        let differing = table.digest().differing(&request.members);
+        let mut member_buckets = sample_buckets(differing, limit, rng);
+        truncate_buckets(&mut member_buckets, table);
         let differing = self.records.digest().differing(&request.records);
         let record_buckets = sample_buckets(differing, limit, rng);
         ReconcileReply {
@@ -106,6 +118,10 @@
         // The peer's clock may be ahead of this node's.
         let seen = from.platform_seen_at.map(|seen| seen.min(now));
         self.platform_seen_at = self.platform_seen_at.max(seen);
+        let has_read = from.platform_seen_at >= Some(self.started_at);
+        if has_read && from.stamp.is_some() {
+            self.readiness.record_platform_answer();
+        }
         let is_ignored = match self.options.mode {
             SpreadMode::Mixed | SpreadMode::Pull => false,
             SpreadMode::Push => is_exchange && self.readiness.is_open(),
@@ -123,18 +139,23 @@
     pub(crate) fn merge_members(&mut self, rows: Vec<MemberRow>, now: ClockInstant) {
         let mut has_changed = false;
         for row in rows {
-            let outcome = self.view.merge(row, now);
-            has_changed |= outcome != MergeOutcome::Unchanged;
+            // While a node joins, nearly every row is news to it and to nobody else.
+            let is_known_to_others = !self.has_joined(now) && row.state < MemberState::Draining;
+            let outcome = if is_known_to_others {
+                self.view.merge_quietly(row, now)
+            } else {
+                self.view.merge(row, now)
+            };
+            has_changed |= matches!(outcome, MergeOutcome::Changed | MergeOutcome::Refuted);
         }
         if has_changed {
-            self.schedule_push(now);
             self.notify(GossipEvent::MembersChanged);
         }
     }
 
-    pub(crate) fn merge_records(&mut self, entries: Vec<RecordEntry>, now: ClockInstant) {
+    pub(crate) fn merge_records(&mut self, entries: Vec<RecordEntry>) {
         for entry in entries {
-            if let Err(error) = self.merge_record(entry, now) {
+            if let Err(error) = self.merge_record(entry) {
                 self.counters.invalid_records += 1;
                 self.notify(GossipEvent::InvalidRecord(error));
             }
@@ -148,6 +169,20 @@
     }
 }
 
+/// Drops buckets until those that are left hold at most [`MAX_RECONCILED_ROWS`] rows, or one is left.
+///
+/// The peer finds the rows of the other buckets with its next exchanges, and from other nodes.
+fn truncate_buckets(buckets: &mut Vec<BucketIndex>, table: &MemberTable) {
+    let mut rows = 0;
+    let kept = buckets.iter().position(|bucket| {
+        rows += table.row_count_in(*bucket);
+        rows > MAX_RECONCILED_ROWS
+    });
+    if let Some(kept) = kept {
+        buckets.truncate(kept.max(1));
+    }
+}
+
 fn sample_buckets(
     mut buckets: Vec<BucketIndex>,
     limit: usize,
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -7,16 +7,30 @@
     ids::DataCentre,
     member::{LEASE_ROW_TTL, LeaseRow, MemberRow, MemberState, MemberTable},
     spread::{
-        GossipAction, GossipEvent, GossipNode, GossipRequest, PeerTarget, ReadinessGate,
-        RecordEntry, SpreadMode, select_readers,
+        GossipAction, GossipEvent, GossipNode, GossipRequest, JoinPacer, PeerTarget,
+        READERS_PER_DATA_CENTRE, ReadinessGate, RecordEntry, SpreadMode, rank_nodes,
     },
 };
 
 /// Largest number of member rows, and of records, in one push.
-const MAX_PUSHED_ENTRIES: usize = 8;
-const JOIN_EXCHANGE_INTERVAL: TimeBudget = TimeBudget::from_millis(100);
-const JOIN_FAN_OUT: usize = 4;
+const MAX_PUSHED_ENTRIES: usize = 32;
+/// Largest number of member rows in one push of which only hints have changed.
+const MAX_PUSHED_HINTS: usize = 64;
+/// Peers of its own data centre with which a joining node exchanges at the same time.
+const JOIN_FAN_OUT: usize = 2;
 const JOIN_SEED_COUNT: usize = 2;
+/// Number of known members from which a joining node contacts random members instead of seeds,
+/// which every node of the fleet knows.
+const MIN_KNOWN_WITHOUT_SEEDS: usize = 8;
+/// Time after which a starting node that knows no peer reads the platform itself.
+const PEER_WAIT: TimeBudget = TimeBudget::from_millis(300);
+/// Number of nodes in each data centre that have a lease row in the platform. Seeds and rows
+/// together must lead a starting node to a live one while many nodes fail.
+const ANNOUNCED_PER_DATA_CENTRE: usize = 8;
+/// Longest time between two ticks.
+const MAX_TICK_INTERVAL: TimeBudget = TimeBudget::from_millis(250);
+/// Time between two ticks while the node is starting or fetches a version.
+const BUSY_TICK_INTERVAL: TimeBudget = TimeBudget::from_millis(50);
 /// Every n-th exchange also goes to a suspected or gone member.
 const UNREACHABLE_EXCHANGE_PERIOD: u32 = 2;
 /// Every n-th exchange also goes to a seed peer.
@@ -35,6 +49,30 @@
         self.update_readiness(now);
     }
 
+    /// Returns whether a step has left work that must not wait for the next tick.
+    #[must_use]
+    pub fn needs_tick(&self) -> bool {
+        !self.actions.is_empty() || self.has_pushes()
+    }
+
+    /// Returns when periodic work is next due, at most a quarter of a second from `now`.
+    #[must_use]
+    pub fn next_tick(&self, now: ClockInstant) -> ClockInstant {
+        if !self.actions.is_empty() {
+            return now;
+        }
+        let is_busy = !self.readiness.is_open() || self.fetches.has_candidates();
+        let latest = now.after(if is_busy {
+            BUSY_TICK_INTERVAL
+        } else {
+            MAX_TICK_INTERVAL
+        });
+        let push = self.has_pushes().then_some(self.next_push);
+        let hint_push = self.view.has_hint_pushes().then_some(self.next_hint_push);
+        let pushes = push.into_iter().chain(hint_push);
+        pushes.fold(latest.min(self.next_exchange), ClockInstant::min)
+    }
+
     fn renew_lease(&mut self, now: ClockInstant) {
         if self.lease_guard.renew(now, self.options.lease_duration) {
             return;
@@ -48,19 +86,21 @@
         );
         self.next_exchange = now;
         self.join_deadline = now.after(self.options.join_period);
-        self.schedule_push(now);
+        self.join_pacer = JoinPacer::default();
+        self.started_at = now;
+        self.has_waited_for_peers = false;
         self.notify(GossipEvent::Resumed);
         self.notify(GossipEvent::MembersChanged);
     }
 
     fn expire_members(&mut self, now: ClockInstant) {
         if !self.view.expire(now).is_empty() {
-            self.schedule_push(now);
             self.notify(GossipEvent::MembersChanged);
         }
     }
 
     fn poll_platform(&mut self, now: ClockInstant, rng: &mut impl Rng) {
+        self.has_waited_for_peers |= self.started_at.after(PEER_WAIT).has_passed(now);
         if !self.platform_poll.is_due(now) {
             return;
         }
@@ -72,10 +112,10 @@
         }
     }
 
-    /// Renews this node's lease row in the platform, and requests a scan for peers while it knows
-    /// none.
+    /// Renews this node's lease row in the platform if the node is announced there, and requests a
+    /// scan for peers while it knows none.
     fn update_lease_row(&mut self, now: ClockInstant, rng: &mut impl Rng) {
-        if self.lease_schedule.take_due_write(now, rng) {
+        if self.lease_schedule.take_due_write(now, rng) && self.is_announced() {
             let row = LeaseRow::of(self.view.own(), now, LEASE_ROW_TTL);
             self.actions.push(GossipAction::WriteLeaseRow(row));
         }
@@ -86,20 +126,46 @@
     }
 
     /// Returns whether this node reads the platform's version row.
+    ///
+    /// In a starting fleet only the selected readers read, and the others rely on them. A node that
+    /// starts among nodes that hold a version also reads until the platform has answered it, so that
+    /// it does not begin with an older version than the newest one.
     #[must_use]
     pub fn is_reader(&self) -> bool {
-        if self.options.mode == SpreadMode::Poll || !self.readiness.is_open() {
+        if self.options.mode == SpreadMode::Poll {
             return true;
         }
-        self.reader_rank().is_some()
+        let is_starting = !self.readiness.is_open();
+        if is_starting && self.view.table().live().count() <= 1 {
+            return self.has_waited_for_peers;
+        }
+        let is_informed = !is_starting || self.readiness.has_platform_answer();
+        let knows_version =
+            self.versions.stamp().is_some() || self.fetches.newest_wanted(&self.versions).is_some();
+        (knows_version && !is_informed) || self.reader_rank().is_some()
     }
 
     /// Returns this node's rank among the readers of its data centre, starting at 0.
     #[must_use]
     pub fn reader_rank(&self) -> Option<usize> {
+        self.rank_among(READERS_PER_DATA_CENTRE)
+    }
+
+    /// Returns whether the platform keeps a lease row of this node, at which others can find the
+    /// mesh. A few nodes of each data centre are enough for that.
+    fn is_announced(&self) -> bool {
+        self.rank_among(ANNOUNCED_PER_DATA_CENTRE).is_some()
+    }
+
+    fn rank_among(&self, count: usize) -> Option<usize> {
         let own = self.view.own();
-        let readers = select_readers(self.view.table(), &own.data_centre);
-        readers.iter().position(|reader| *reader == own.node)
+        let ranked = rank_nodes(self.view.table(), &own.data_centre, count);
+        ranked.iter().position(|node| *node == own.node)
+    }
+
+    /// Returns whether the node has served for long enough to know the other members.
+    pub(crate) const fn has_joined(&self, now: ClockInstant) -> bool {
+        self.readiness.is_open() && self.join_deadline.has_passed(now)
     }
 
     fn exchange(&mut self, now: ClockInstant, rng: &mut impl Rng) {
@@ -107,12 +173,13 @@
             return;
         }
         self.exchange_count = self.exchange_count.wrapping_add(1);
-        let has_joined = self.readiness.is_open() && self.join_deadline.has_passed(now);
-        let targets = if has_joined {
+        let targets = if self.has_joined(now) {
             self.next_exchange = jittered(now, self.options.exchange_interval, rng);
             self.exchange_targets(now, rng)
         } else {
-            self.next_exchange = jittered(now, JOIN_EXCHANGE_INTERVAL, rng);
+            let known_members = self.view.table().len();
+            let interval = self.join_pacer.next_interval(known_members);
+            self.next_exchange = jittered(now, interval, rng);
             self.join_targets(now, rng)
         };
         for to in targets {
@@ -159,8 +226,10 @@
             .peer_selector
             .select_in(&self.view, centre, JOIN_FAN_OUT, now, rng);
         targets.extend(self.peer_selector.select_remote(&self.view, now, rng));
-        for _ in 0..JOIN_SEED_COUNT {
-            targets.extend(self.select_seed(rng));
+        if self.view.table().len() < MIN_KNOWN_WITHOUT_SEEDS {
+            for _ in 0..JOIN_SEED_COUNT {
+                targets.extend(self.select_seed(rng));
+            }
         }
         targets
     }
@@ -175,25 +244,32 @@
     }
 
     fn push(&mut self, now: ClockInstant, rng: &mut impl Rng) {
-        let has_stamp = self.stamp_push_rounds > 0;
-        let is_push_queue_empty =
-            self.view.push_queue().is_empty() && self.records.is_push_queue_empty();
-        if !self.next_push.has_passed(now) || (is_push_queue_empty && !has_stamp) {
+        let is_push_due = self.has_pushes() && self.next_push.has_passed(now);
+        let is_hint_push_due = self.view.has_hint_pushes() && self.next_hint_push.has_passed(now);
+        if !is_push_due && !is_hint_push_due {
             return;
         }
         let targets = self.push_targets(now, rng);
         if targets.is_empty() {
             return;
         }
-        self.next_push = now.after(self.options.push_interval);
-        self.stamp_push_rounds = self.stamp_push_rounds.saturating_sub(1);
-        let nodes = self.view.push_queue().take_batch(MAX_PUSHED_ENTRIES);
+        let mut nodes = Vec::new();
+        let mut records = Vec::new();
+        if is_push_due {
+            self.next_push = now.after(self.options.push_interval);
+            self.stamp_push_rounds = self.stamp_push_rounds.saturating_sub(1);
+            nodes = self.view.push_queue().take_batch(MAX_PUSHED_ENTRIES);
+            records = self.records.take_pushes(MAX_PUSHED_ENTRIES);
+        }
+        if is_hint_push_due {
+            self.next_hint_push = jittered(now, self.options.hint_push_interval, rng);
+            nodes.extend(self.view.hint_queue().take_batch(MAX_PUSHED_HINTS));
+        }
         let table = self.view.table();
         let members: Vec<_> = nodes
             .iter()
             .filter_map(|node| table.get(node).cloned())
             .collect();
-        let records = self.records.take_pushes(MAX_PUSHED_ENTRIES);
         for to in targets {
             self.send_gossip(to, false, members.clone(), records.clone(), now);
         }
@@ -255,7 +331,7 @@
         if self.readiness.try_open(self.versions.stamp(), wanted, now)
             && self.view.own().state == MemberState::Starting
         {
-            self.change_state(MemberState::Serving, now);
+            self.change_state(MemberState::Serving);
         }
         if !self.readiness.is_open() {
             return;
--- a/crates/kernel/src/spread/push_queue.rs
+++ b/crates/kernel/src/spread/push_queue.rs
@@ -25,6 +25,12 @@
         }
     }
 
+    /// Returns whether `key` is queued.
+    #[must_use]
+    pub fn contains(&self, key: &K) -> bool {
+        self.rounds.contains_key(key)
+    }
+
     /// Returns whether nothing is queued.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/kernel/src/spread/reader_selection.rs
+++ b/crates/kernel/src/spread/reader_selection.rs
@@ -16,6 +16,11 @@
 /// disagree only cause a few extra reads.
 #[must_use]
 pub fn select_readers(table: &MemberTable, centre: &DataCentre) -> Vec<NodeName> {
+    rank_nodes(table, centre, READERS_PER_DATA_CENTRE)
+}
+
+/// Returns the first `count` nodes of a data centre in the order in which readers are selected.
+pub(crate) fn rank_nodes(table: &MemberTable, centre: &DataCentre, count: usize) -> Vec<NodeName> {
     let mut ranked: Vec<_> = table
         .iter()
         .filter(|row| row.data_centre == *centre)
@@ -23,7 +28,7 @@
         .map(|row| (Reverse(weight(centre, &row.node)), &row.node))
         .collect();
     ranked.sort_unstable();
-    let chosen = ranked.into_iter().take(READERS_PER_DATA_CENTRE);
+    let chosen = ranked.into_iter().take(count);
     chosen.map(|(_, node)| node.clone()).collect()
 }
 
--- a/crates/kernel/src/spread/readiness_gate.rs
+++ b/crates/kernel/src/spread/readiness_gate.rs
@@ -2,8 +2,9 @@
 
 /// Decides when a node may serve after a start or a pause.
 ///
-/// The node first reads the stamp of the newest version from the platform. If the platform does not
-/// answer by the platform deadline, the node relies on the peers that have replied until then. It
+/// The node first learns the stamp of the newest version from the platform, by a read of its own or
+/// from a peer that has read it since the node's start. If it does not by the platform deadline, it
+/// relies on the peers that have replied until then. It
 /// does not serve a version older than the newest one it knows of, unless that one cannot be
 /// fetched by the startup deadline.
 #[derive(Clone, Debug)]
@@ -32,6 +33,12 @@
         self.is_open
     }
 
+    /// Returns whether the platform has answered this node, or a peer since this node's start.
+    #[must_use]
+    pub const fn has_platform_answer(&self) -> bool {
+        self.has_platform_answer
+    }
+
     /// Records that the platform answered.
     pub fn record_platform_answer(&mut self) {
         self.has_platform_answer = true;
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -340,7 +340,7 @@
         let base = if second < 30 { 100 } else { 200 };
         let time = TimeBudget::from_millis(base + second % 3 * base / 10);
         let now = ClockInstant::from_millis(1_000 * second + 1_000);
-        if publisher.update(now, [(&route, time)].into_iter()) {
+        if publisher.update(now, 12, [(&route, time)].into_iter()) {
             published_at.push(second);
         }
     }
--- a/crates/kernel/tests/spread/fixture.rs
+++ b/crates/kernel/tests/spread/fixture.rs
@@ -20,6 +20,7 @@
 };
 use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Serialize;
 
 const TICK: TimeBudget = TimeBudget::from_millis(50);
 const START: ClockInstant = ClockInstant::from_millis(1_000_000);
@@ -39,6 +40,21 @@
     pub(crate) object_reads: u64,
 }
 
+/// Messages between nodes and their encoded bytes, without transport and framing.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct GossipTraffic {
+    pub(crate) messages: u64,
+    pub(crate) bytes: u64,
+}
+
+impl GossipTraffic {
+    fn count(&mut self, message: &impl Serialize) {
+        let encoded = postcard::to_stdvec(message).expect("messages are serializable");
+        self.messages += 1;
+        self.bytes += encoded.len() as u64;
+    }
+}
+
 pub(crate) struct MeshFixture {
     pub(crate) now: ClockInstant,
     pub(crate) rng: StdRng,
@@ -50,9 +66,13 @@
     pub(crate) paused: BTreeSet<NodeName>,
     /// Whether nodes start with the addresses of seed peers.
     pub(crate) has_seeds: bool,
+    /// Maximum number of seed peers.
+    max_seeds: usize,
     pub(crate) loss_percent: u32,
     pub(crate) duplicate_percent: u32,
     pub(crate) alter_percent: u32,
+    /// Messages between nodes, and replies to them, that were sent.
+    pub(crate) traffic: GossipTraffic,
     /// Hash of every accepted version that passes its checks.
     pub(crate) accepted: BTreeMap<VersionNumber, ContentHash>,
     pub(crate) events: Vec<(NodeName, GossipEvent)>,
@@ -68,6 +88,11 @@
 impl MeshFixture {
     /// Creates `per_centre` nodes in each of `centres` data centres.
     pub(crate) fn new(seed: u64, centres: u8, per_centre: u8) -> Self {
+        Self::with_seeds(seed, centres, per_centre, usize::MAX)
+    }
+
+    /// Creates a mesh whose nodes know at most `max_seeds` seed peers when they start.
+    pub(crate) fn with_seeds(seed: u64, centres: u8, per_centre: u8, max_seeds: usize) -> Self {
         let mut mesh = Self {
             now: START,
             rng: StdRng::seed_from_u64(seed),
@@ -77,9 +102,11 @@
             partitioned: BTreeSet::new(),
             paused: BTreeSet::new(),
             has_seeds: true,
+            max_seeds,
             loss_percent: 0,
             duplicate_percent: 0,
             alter_percent: 0,
+            traffic: GossipTraffic::default(),
             accepted: BTreeMap::new(),
             events: Vec::new(),
             rows: BTreeMap::new(),
@@ -127,6 +154,7 @@
         let mut row = self.rows[node].clone();
         row.incarnation = IncarnationNumber::new(self.now.as_micros());
         let seeds = self.rows.values().step_by(3).map(|row| row.peer_address);
+        let seeds = seeds.take(self.max_seeds);
         let seeds = if self.has_seeds {
             seeds.collect()
         } else {
@@ -269,13 +297,9 @@
     }
 
     /// Runs a step on behalf of the test, such as an announcement.
-    pub(crate) fn apply(
-        &mut self,
-        name: &NodeName,
-        step: impl FnOnce(&mut GossipNode, ClockInstant),
-    ) {
+    pub(crate) fn apply(&mut self, name: &NodeName, step: impl FnOnce(&mut GossipNode)) {
         let run = self.runs[name];
-        self.step(name, run, |node, now, _| step(node, now));
+        self.step(name, run, |node, _, _| step(node));
     }
 
     /// Checks the invariants of a node after every step.
@@ -311,6 +335,7 @@
                 deadline,
             } => {
                 let address = to.address;
+                self.traffic.count(&request);
                 let handle = move |node: &mut GossipNode, now, _: &mut StdRng| {
                     node.handle_gossip(request.clone(), now)
                 };
@@ -325,6 +350,7 @@
                 deadline,
             } => {
                 let address = to.address;
+                self.traffic.count(&request);
                 let handle = move |node: &mut GossipNode, now, rng: &mut StdRng| {
                     node.handle_reconcile(&request, now, rng)
                 };
@@ -430,7 +456,7 @@
     }
 
     /// Delivers a call to a node and its reply, with injected network faults.
-    fn call<T: 'static>(
+    fn call<T: Serialize + 'static>(
         &mut self,
         (from, run): (NodeName, u64),
         address: SocketAddr,
@@ -465,7 +491,10 @@
         self.schedule(arrival, move |mesh| {
             let reply = mesh.step(&target, target_run, handle);
             let (at, result) = match reply {
-                Some(reply) => (mesh.now.after(TimeBudget::from_millis(wait)), Ok(reply)),
+                Some(reply) => {
+                    mesh.traffic.count(&reply);
+                    (mesh.now.after(TimeBudget::from_millis(wait)), Ok(reply))
+                }
                 None => (deadline, Err(no_reply)),
             };
             mesh.schedule(at, move |mesh| {
--- a/crates/kernel/tests/spread/main.rs
+++ b/crates/kernel/tests/spread/main.rs
@@ -3,4 +3,5 @@
 mod fixture;
 mod member;
 mod publish;
+mod size;
 mod version;
--- a/crates/kernel/tests/spread/member.rs
+++ b/crates/kernel/tests/spread/member.rs
@@ -91,11 +91,11 @@
     for seed in 0..10 {
         let mut mesh = settled_mesh(seed, 4);
         let owner = mesh.names()[5].clone();
-        mesh.apply(&owner, |node, now| {
-            node.set_backends(vec![backend("b1")], now);
+        mesh.apply(&owner, |node| {
+            node.set_backends(vec![backend("b1")]);
         });
         mesh.run_until(FEW_SECONDS_MS, |mesh| visible_everywhere(mesh, &owner));
-        mesh.apply(&owner, |node, now| node.set_backends(Vec::new(), now));
+        mesh.apply(&owner, |node| node.set_backends(Vec::new()));
         mesh.run_until(FEW_SECONDS_MS, |mesh| visible_nowhere(mesh, &owner));
     }
 }
@@ -105,8 +105,8 @@
     for seed in 0..10 {
         let mut mesh = settled_mesh(seed, 8);
         let owner = mesh.names()[5].clone();
-        mesh.apply(&owner, |node, now| {
-            node.set_backends(vec![backend("b1")], now);
+        mesh.apply(&owner, |node| {
+            node.set_backends(vec![backend("b1")]);
         });
         mesh.run_until(FEW_SECONDS_MS, |mesh| visible_everywhere(mesh, &owner));
         mesh.kill(&owner);
@@ -119,8 +119,8 @@
     for seed in 0..10 {
         let mut mesh = settled_mesh(seed, 4);
         let owner = mesh.names()[5].clone();
-        mesh.apply(&owner, |node, now| {
-            node.set_backends(vec![backend("b1")], now);
+        mesh.apply(&owner, |node| {
+            node.set_backends(vec![backend("b1")]);
         });
         mesh.run_until(FEW_SECONDS_MS, |mesh| visible_everywhere(mesh, &owner));
         let before = mesh.nodes[&owner].own().incarnation;
@@ -161,9 +161,9 @@
         let mut mesh = settled_mesh(seed, 4);
         let leaving = mesh.names()[2].clone();
         for state in [MemberState::Draining, MemberState::Gone] {
-            mesh.apply(&leaving, |node, now| match state {
-                MemberState::Draining => node.drain(now),
-                _ => node.leave(now),
+            mesh.apply(&leaving, |node| match state {
+                MemberState::Draining => node.drain(),
+                _ => node.leave(),
             });
             mesh.run_until(FEW_SECONDS_MS, |mesh| {
                 let mut nodes = mesh.nodes.values();
@@ -233,8 +233,8 @@
     for seed in 0..10 {
         let mut mesh = settled_mesh(seed, 8);
         let origin = mesh.names()[3].clone();
-        mesh.apply(&origin, |node, now| {
-            node.put_record(key.clone(), "7".into(), now).unwrap();
+        mesh.apply(&origin, |node| {
+            node.put_record(key.clone(), "7".into()).unwrap();
         });
         let holds = |mesh: &MeshFixture, node: &NodeName| {
             mesh.nodes[node]
@@ -263,8 +263,8 @@
         mesh.run_for(8_000);
         let (near, far) = (mesh.names()[0].clone(), mesh.names()[11].clone());
         for (node, value) in [(near, "3"), (far, "8")] {
-            mesh.apply(&node, |node, now| {
-                node.put_record(key.clone(), value.into(), now).unwrap();
+            mesh.apply(&node, |node| {
+                node.put_record(key.clone(), value.into()).unwrap();
             });
         }
         mesh.run_for(8_000);
@@ -332,8 +332,8 @@
         for node in &names {
             mesh.start(node);
             let server = format!("server-{node}");
-            mesh.apply(node, |gossip_node, now| {
-                gossip_node.set_backends(vec![backend(&server)], now);
+            mesh.apply(node, |gossip_node| {
+                gossip_node.set_backends(vec![backend(&server)]);
             });
         }
         mesh.run_until(3_000, |mesh| {
