--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -1,12 +1,106 @@
 //! Tests of the log rate limit and of the metrics format.
 
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, mpsc},
+    thread,
+};
+
 use bronzelb_kernel::clock::ClockInstant;
 use bronzelbd::{
-    log::{EventName, LogLimiter},
+    log::{EventName, LineBatch, LogLimiter, NodeLogger},
     metrics::MetricSink,
 };
 use cadence::{CountedExt, Timed};
 use expect_test::expect;
+use slog::info;
+
+/// Output that passes on each write, or keeps a writer waiting while it is stopped.
+struct StoppableOutput {
+    writes: mpsc::Sender<Vec<u8>>,
+    gate: Arc<Mutex<()>>,
+}
+
+impl Write for StoppableOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        drop(self.gate.lock());
+        let _ = self.writes.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn batch_to_channel() -> (Arc<LineBatch>, mpsc::Receiver<Vec<u8>>, Arc<Mutex<()>>) {
+    let (writes, received) = mpsc::channel();
+    let gate = Arc::default();
+    let output = StoppableOutput {
+        writes,
+        gate: Arc::clone(&gate),
+    };
+    let batch = LineBatch::start(output).expect("the log's thread starts");
+    (Arc::new(batch), received, gate)
+}
+
+#[test]
+fn lines_of_several_threads_are_whole_and_share_writes() {
+    const THREADS: usize = 4;
+    const LINES: usize = 200;
+    let (batch, received, _) = batch_to_channel();
+    let node = "node-1".parse().expect("the name is valid");
+    let centre = "leuven".parse().expect("the name is valid");
+    let logger = NodeLogger::new(&node, &centre, Arc::clone(&batch));
+    let threads = [(); THREADS].map(|()| {
+        let logger = logger.clone();
+        thread::spawn(move || {
+            for number in 0..LINES {
+                info!(logger, "{}", EventName::RequestRan; "number" => number);
+            }
+        })
+    });
+    for thread in threads {
+        thread.join().expect("the thread ends");
+    }
+    drop((logger, batch));
+    let writes: Vec<Vec<u8>> = received.iter().collect();
+    let text = String::from_utf8(writes.concat()).expect("lines are text");
+    let lines: Vec<serde_json::Value> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("each line is JSON"))
+        .collect();
+    assert_eq!(lines.len(), THREADS * LINES);
+    assert!(
+        lines
+            .iter()
+            .all(|line| line["event"] == "request-ran" && line["node"] == "node-1")
+    );
+    assert!(writes.len() <= lines.len() / 10, "{} writes", writes.len());
+}
+
+#[test]
+fn output_that_is_not_read_costs_bounded_memory_and_the_loss_is_told() {
+    const LINES: usize = 10_000;
+    let (batch, received, gate) = batch_to_channel();
+    let stopped = gate.lock().expect("the gate is free");
+    let line = [b'x'; 99].into_iter().chain([b'\n']).collect::<Vec<_>>();
+    for _ in 0..LINES {
+        batch.push(&line);
+    }
+    drop(stopped);
+    drop(batch);
+    let text = String::from_utf8(received.iter().flatten().collect()).expect("lines are text");
+    let kept = text.lines().filter(|line| line.starts_with('x')).count();
+    assert!(kept < LINES / 2, "{kept} lines were kept");
+    let told: usize = text
+        .lines()
+        .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+        .filter(|line| line["event"] == "lines-suppressed")
+        .map(|line| line["lines"].as_u64().expect("a number of lines") as usize)
+        .sum();
+    assert_eq!(kept + told, LINES);
+}
 
 #[test]
 fn lines_of_an_event_are_bounded_each_second_and_the_rest_is_counted() {
--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -302,11 +302,14 @@
     #[must_use]
     pub fn header(&self) -> PeerHeader {
         let own = self.view.own();
+        // A starting peer takes `platform_seen_at` as the instant at which `stamp` was the newest
+        // version, so it is left out while this node still has to fetch a newer one.
+        let is_newest = self.fetches.newest_wanted(&self.versions).is_none();
         PeerHeader {
             node: own.node.clone(),
             data_centre: own.data_centre.clone(),
             stamp: self.versions.stamp(),
-            platform_seen_at: self.platform_seen_at,
+            platform_seen_at: self.platform_seen_at.filter(|_| is_newest),
         }
     }
 
--- a/crates/kernel/src/spread/node_requests.rs
+++ b/crates/kernel/src/spread/node_requests.rs
@@ -118,7 +118,7 @@
         // The peer's clock may be ahead of this node's.
         let seen = from.platform_seen_at.map(|seen| seen.min(now));
         self.platform_seen_at = self.platform_seen_at.max(seen);
-        let has_read = from.platform_seen_at >= Some(self.started_at);
+        let has_read = from.platform_seen_at > Some(self.started_at);
         if has_read && from.stamp.is_some() {
             self.readiness.record_platform_answer();
         }
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -5,13 +5,13 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     ids::{BackendName, DataCentre, IncarnationNumber, RouteName, ServiceName, SlotCount},
-    member::{BackendRow, BackendState, MemberRow, MemberState},
+    member::{BackendRow, BackendState, MemberRow, MemberState, MemberTable},
     request::{
         AttemptOutcome, LatencyTarget, LoadBalancer, SelectionCriteria, ServerLoad, TimePublisher,
     },
     rollout::VersionSplit,
 };
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 const SEED: u64 = 7;
 const SLOTS: u32 = 12;
@@ -254,6 +254,60 @@
     assert_eq!(shares["c"], 300);
 }
 
+#[test]
+fn changed_rows_alone_give_the_same_servers_as_all_rows() {
+    const NODES: u64 = 6;
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let now = ClockInstant::from_millis(1_000_000);
+    let mut table = MemberTable::default();
+    let mut incremental = LoadBalancer::default();
+    let mut synced = 0;
+    for revision in 1..2_000_u64 {
+        let index = rng.random_range(0..NODES);
+        let node = format!("server-{index}");
+        let mut row = member(&(node.as_str(), "leuven"));
+        row.revision = revision;
+        row.state = match rng.random_range(0..10) {
+            0 => MemberState::Gone,
+            1 => MemberState::Suspect,
+            2 => MemberState::Draining,
+            _ => MemberState::Serving,
+        };
+        let server = &mut row.backends[0];
+        // A replaced server has another name and may provide another service.
+        server.name = name(&format!("server-{index}-{}", rng.random_range(0..3)));
+        server.slots = SlotCount::new(rng.random_range(1..20));
+        if rng.random_bool(0.2) {
+            server.service = name("archive");
+        }
+        if rng.random_bool(0.1) {
+            row.backends.clear();
+        }
+        table.merge(row.clone());
+        if rng.random_bool(0.02) {
+            table.remove(&row.node);
+        }
+        if rng.random_bool(0.5) {
+            continue;
+        }
+        match table.changed_since(synced) {
+            Some(rows) => incremental.sync_changes(now, rows, |_| TimeBudget::ZERO),
+            None => incremental.sync(now, table.iter(), |_| TimeBudget::ZERO),
+        }
+        synced = table.generation();
+        let mut full = LoadBalancer::default();
+        full.sync(now, table.iter(), |_| TimeBudget::ZERO);
+        for service in ["tracker", "archive"].map(name::<ServiceName>) {
+            assert_eq!(
+                incremental.slots(&service),
+                full.slots(&service),
+                "{revision}"
+            );
+            assert_eq!(incremental.has_server(&service), full.has_server(&service));
+        }
+    }
+}
+
 #[test]
 fn node_that_has_just_started_spreads_over_all_servers() {
     let mut fixture = Fixture::new(&[]);
--- a/crates/kernel/tests/spread/fixture.rs
+++ b/crates/kernel/tests/spread/fixture.rs
@@ -71,6 +71,8 @@
     pub(crate) loss_percent: u32,
     pub(crate) duplicate_percent: u32,
     pub(crate) alter_percent: u32,
+    /// Replies with content that the fixture has altered.
+    pub(crate) altered_replies: u64,
     /// Messages between nodes, and replies to them, that were sent.
     pub(crate) traffic: GossipTraffic,
     /// Hash of every accepted version that passes its checks.
@@ -106,6 +108,7 @@
             loss_percent: 0,
             duplicate_percent: 0,
             alter_percent: 0,
+            altered_replies: 0,
             traffic: GossipTraffic::default(),
             accepted: BTreeMap::new(),
             events: Vec::new(),
@@ -393,6 +396,7 @@
 
     fn fetch(&mut self, sender: (NodeName, u64), fetch: VersionFetch) {
         let is_altered = self.rng.random_range(0..100) < self.alter_percent;
+        self.altered_replies += u64::from(is_altered);
         match fetch.source.clone() {
             FetchSource::Peer(peer) => {
                 let request = SnapshotRequest {
--- a/crates/kernel/tests/spread/size.rs
+++ b/crates/kernel/tests/spread/size.rs
@@ -7,6 +7,7 @@
     ids::{NodeName, RouteName, SlotCount},
     member::{BackendRow, BackendState, MemberState},
     request::TimePublisher,
+    spread::READERS_PER_DATA_CENTRE,
 };
 
 use crate::fixture::MeshFixture;
@@ -27,7 +28,9 @@
 const JOIN_MS: u64 = 5_000;
 /// Time within which a leaving server must be known everywhere.
 const LEAVE_MS: u64 = 2_000;
-const MEASURED_MS: u64 = 20_000;
+/// Nodes of a data centre that have a lease row in the platform.
+const ANNOUNCED_PER_DATA_CENTRE: u64 = 8;
+const MEASURED_MS: u64 = 8_000;
 
 /// Messages and bytes that one node sends in a second.
 #[derive(Clone, Copy, Debug)]
@@ -95,7 +98,7 @@
         mesh.apply(&node, |gossip| gossip.set_backends(vec![backend(&node)]));
     }
     mesh.run_until(LEAD_MS, |mesh| mesh.all_have(number) && knows_all(mesh));
-    mesh.run_for(LEAD_MS);
+    mesh.run_for(JOIN_MS);
     mesh
 }
 
@@ -151,6 +154,48 @@
     assert_independent_of_size(&rates);
 }
 
+#[test]
+fn starting_fleet_calls_the_platform_no_more_often_than_its_readers_need() {
+    for per_centre in FLEETS {
+        let mut mesh = MeshFixture::with_seeds(5, CENTRES, per_centre, SEEDS);
+        mesh.run_for(LEAD_MS);
+        let nodes = mesh.nodes.len() as u64;
+        let announced = nodes.min(u64::from(CENTRES) * ANNOUNCED_PER_DATA_CENTRE);
+        println!(
+            "{nodes} nodes: {} lease rows",
+            mesh.platform.lease_row_writes
+        );
+        assert!(
+            mesh.platform.lease_row_writes <= announced * 2,
+            "{nodes} nodes wrote {} lease rows",
+            mesh.platform.lease_row_writes
+        );
+        let readers = mesh.nodes.values().filter(|node| node.is_reader()).count();
+        assert_eq!(
+            readers,
+            usize::from(CENTRES) * READERS_PER_DATA_CENTRE,
+            "{nodes} nodes"
+        );
+    }
+}
+
+#[test]
+fn node_that_restarts_in_a_running_mesh_serves_no_older_version_than_the_platforms() {
+    for seed in 0..10 {
+        let mut mesh = MeshFixture::with_seeds(seed, CENTRES, 3, SEEDS);
+        let first = mesh.publish("first");
+        mesh.run_until(LEAD_MS, |mesh| mesh.all_have(first));
+        mesh.run_for(JOIN_MS);
+        let node = mesh.names()[7].clone();
+        mesh.kill(&node);
+        mesh.run_for(1_000);
+        let second = mesh.publish("second");
+        mesh.start(&node);
+        mesh.run_until(LEAVE_MS, |mesh| mesh.number_of(&node).is_some());
+        assert_eq!(mesh.number_of(&node), Some(second), "seed {seed}");
+    }
+}
+
 #[test]
 fn fluctuating_service_times_cost_each_node_the_same_at_any_size() {
     let rates = FLEETS.map(|per_centre| {
@@ -166,7 +211,7 @@
     for per_centre in FLEETS {
         let mut mesh = serving_mesh(per_centre);
         let mut times = FluctuatingTimes::new(&mesh);
-        measure(&mut mesh, LEAD_MS, |mesh| times.publish(mesh));
+        measure(&mut mesh, JOIN_MS, |mesh| times.publish(mesh));
         let owner = mesh.names()[4].clone();
         mesh.apply(&owner, |gossip| {
             let mut row = backend(&owner);
--- a/crates/kernel/tests/spread/version.rs
+++ b/crates/kernel/tests/spread/version.rs
@@ -197,6 +197,7 @@
 
 #[test]
 fn altered_content_is_detected_and_fetched_again() {
+    let mut all_altered = 0;
     for seed in 0..20 {
         let mut mesh = settled_mesh(seed);
         mesh.alter_percent = 40;
@@ -207,8 +208,10 @@
             .values()
             .map(|node| node.counters().altered)
             .sum();
-        assert!(altered > 0, "seed {seed}");
+        assert_eq!(altered > 0, mesh.altered_replies > 0, "seed {seed}");
+        all_altered += altered;
     }
+    assert!(all_altered > 0);
 }
 
 #[test]
