--- a/crates/daemon/src/rollout/move_reconciler.rs
+++ b/crates/daemon/src/rollout/move_reconciler.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bronzelb_kernel::{
-    clock::TimeBudget,
+    clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
     ids::{AttemptToken, DataCentre, MoveNumber, ServiceName},
     rollout::{MOVE_KIND, MoveChange, MoveRecord, MoveState, MoveStatement, RouteTally},
@@ -22,6 +22,9 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 const CALL_TIMEOUT: TimeBudget = TimeBudget::from_secs(2);
+/// Interval at which a reader checks the row of a running move. It bounds the time until a row is
+/// written again that the platform has lost.
+const CHECK_INTERVAL: TimeBudget = TimeBudget::from_secs(4);
 const MAX_PAGE_ROWS: usize = 100;
 
 /// Reconciles the platform's rows of version moves with this node's records until the stop signal.
@@ -36,6 +39,7 @@
         state,
         platform,
         finished: BTreeMap::new(),
+        next_checks: BTreeMap::new(),
     };
     while stop.sleep(POLL_INTERVAL).await {
         if !reconciler.is_reader() {
@@ -59,6 +63,8 @@
     platform: PlatformClient,
     /// Latest move of each service whose platform row is in a final state.
     finished: BTreeMap<ServiceName, MoveNumber>,
+    /// When the row of each service's running move is read again although no change is pending.
+    next_checks: BTreeMap<ServiceName, (MoveNumber, ClockInstant)>,
 }
 
 impl MoveReconciler {
@@ -92,13 +98,29 @@
     async fn reconcile_known_moves(&mut self) -> Result<(), MeshError> {
         let records: Vec<_> = self.state.rollout.table().records().cloned().collect();
         for known in records {
-            if self.finished.get(&known.service) != Some(&known.number) {
+            let is_finished = self.finished.get(&known.service) == Some(&known.number);
+            if !is_finished && self.is_check_due(&known) {
                 self.reconcile_record(&known).await?;
+                let next_check = self.state.now().after(CHECK_INTERVAL);
+                let check = (known.number, next_check);
+                self.next_checks.insert(known.service.clone(), check);
             }
         }
         Ok(())
     }
 
+    /// Returns whether the row of a move has to be read: to write a change, or to check that it
+    /// still holds what this node knows.
+    ///
+    /// Changes that other readers write arrive by gossip.
+    fn is_check_due(&self, known: &MoveRecord) -> bool {
+        let now = self.state.now();
+        let check = self.next_checks.get(&known.service);
+        let is_current = check
+            .is_some_and(|(number, instant)| *number == known.number && !instant.has_passed(now));
+        !is_current || known.state.is_final() || self.pending_change(known).is_some()
+    }
+
     /// Reconciles the platform's row of one move with this node's record.
     async fn reconcile_record(&mut self, known: &MoveRecord) -> Result<(), MeshError> {
         let mesh = &self.state.settings.mesh;
--- a/crates/kernel/src/member/lease_schedule.rs
+++ b/crates/kernel/src/member/lease_schedule.rs
@@ -10,8 +10,11 @@
 const FIRST_WRITE_MAX_MS: u64 = 3_000;
 const RENEWAL_INTERVAL_MIN_MS: u64 = 45_000;
 const RENEWAL_INTERVAL_MAX_MS: u64 = 75_000;
+/// Time in which a starting node usually finds its first peers through seeds, which the platform may
+/// name a few hundred milliseconds late.
+const FIRST_SCAN_MIN_MS: u64 = 800;
 /// Keeps the first scans of 990 nodes below the platform's limit of 2,000 reads per second.
-const FIRST_SCAN_MAX_MS: u64 = 500;
+const FIRST_SCAN_MAX_MS: u64 = 1_500;
 const SCAN_INTERVAL_MIN_MS: u64 = 1_000;
 const SCAN_INTERVAL_MAX_MS: u64 = 2_000;
 
@@ -33,7 +36,7 @@
     pub fn new(now: ClockInstant, rng: &mut impl Rng) -> Self {
         Self {
             next_write: random_instant(now, FIRST_WRITE_MIN_MS, FIRST_WRITE_MAX_MS, rng),
-            next_scan: random_instant(now, 0, FIRST_SCAN_MAX_MS, rng),
+            next_scan: random_instant(now, FIRST_SCAN_MIN_MS, FIRST_SCAN_MAX_MS, rng),
         }
     }
 
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -381,12 +381,17 @@
         };
         Some(IN_TIME_VALUE * target.in_time_share(expected) - cost)
     };
-    let best = candidates
+    let values: Vec<_> = candidates.iter().map(value).collect();
+    let best = values
         .iter()
-        .filter_map(value)
+        .flatten()
+        .copied()
         .fold(f64::NEG_INFINITY, f64::max);
-    candidates
-        .retain(|server| value(server).is_none_or(|value| value >= best - EQUAL_VALUE_MARGIN));
+    let mut values = values.into_iter();
+    candidates.retain(|_| {
+        let value = values.next().flatten();
+        value.is_none_or(|value| value >= best - EQUAL_VALUE_MARGIN)
+    });
 }
 
 /// Returns the untried serving servers of the best-ranked version that has a serving server.
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -23,7 +23,7 @@
 /// which every node of the fleet knows.
 const MIN_KNOWN_WITHOUT_SEEDS: usize = 8;
 /// Time after which a starting node that knows no peer reads the platform itself.
-const PEER_WAIT: TimeBudget = TimeBudget::from_millis(300);
+const PEER_WAIT: TimeBudget = TimeBudget::from_millis(1_200);
 /// Number of nodes in each data centre that have a lease row in the platform. Seeds and rows
 /// together must lead a starting node to a live one while many nodes fail.
 const ANNOUNCED_PER_DATA_CENTRE: usize = 8;
