--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -22,7 +22,7 @@
         caller_request::{CallerRequest, request_host},
     },
     forward::{RequestForwarder, RoutedRequest, fingerprint, is_hop_header},
-    log::EventName,
+    log::{EventName, REQUEST_TAG},
     node::NodeState,
     rollout::record_burn,
 };
@@ -89,7 +89,7 @@
     }
     let now = state.now();
     let config = state.config();
-    info!(state.logger, "{}", EventName::RequestFailed;
+    info!(state.logger, #REQUEST_TAG, "{}", EventName::RequestFailed;
         "request" => request_id.as_str(), "kind" => error.kind().name(),
         "run" => error.kind().response().run_state.name(),
         "message" => error.message().to_owned(),
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -36,7 +36,7 @@
         is_hop_header,
         request_state::BackendRuntime,
     },
-    log::EventName,
+    log::{EventName, REQUEST_TAG},
     node::NodeState,
     peers::PeerPool,
 };
@@ -173,7 +173,7 @@
             return;
         }
         let (now, load) = (state.now(), runtime.slot_limiter.load());
-        info!(state.logger, "{}", EventName::RequestRefused;
+        info!(state.logger, #REQUEST_TAG, "{}", EventName::RequestRefused;
             "request" => message.request_id.as_str(), "route" => message.route.to_string(),
             "backend" => name.to_string(), "priority" => message.priority.to_string(),
             "running" => load.running, "waiting" => load.waiting,
@@ -201,7 +201,7 @@
         if !state.should_log(EventName::RequestRan) {
             return;
         }
-        info!(state.logger, "{}", EventName::RequestRan;
+        info!(state.logger, #REQUEST_TAG, "{}", EventName::RequestRan;
             "request" => message.request_id.as_str(), "route" => message.route.to_string(),
             "backend" => name.to_string(), "outcome" => outcome,
             "status" => result.as_ref().ok().map(|response| response.status.as_u16()),
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -20,7 +20,7 @@
         BackendClient, RoutedRequest, claim_table::ClaimTable, concurrency_limiter::SlotPermit,
         crash_registry::CrashRegistry, request_state::ServiceLimiter,
     },
-    log::EventName,
+    log::{EventName, REQUEST_TAG},
     node::NodeState,
     peers::PeerPool,
 };
@@ -226,7 +226,7 @@
             return;
         }
         let config = state.config();
-        info!(state.logger, "{event}";
+        info!(state.logger, #REQUEST_TAG, "{event}";
             "request" => request.message.request_id.as_str(),
             "route" => request.message.route.to_string(),
             "service" => request.service.to_string(), "attempt" => attempt,
--- a/crates/daemon/src/log/line_batch.rs
+++ b/crates/daemon/src/log/line_batch.rs
@@ -10,8 +10,8 @@
 
 use crate::log::EventName;
 
-/// Time for which lines are collected, so that a node under load writes a few times a second
-/// instead of once per line.
+/// Time for which frequent lines are collected, so that a node under load writes a few times a
+/// second instead of once per line.
 const COLLECT_TIME: Duration = Duration::from_millis(100);
 /// Size of the collected lines from which further lines are dropped, because the reader of the
 /// output does not keep up.
@@ -19,8 +19,9 @@
 
 /// Log lines that wait to be written in one piece by a thread of their own.
 ///
-/// A process that is killed loses the lines of the last [`COLLECT_TIME`]. Dropping the batch writes
-/// the waiting lines and ends the thread.
+/// A line that is not frequent is written at once, with the lines before it. A process that is
+/// killed loses the frequent lines of the last [`COLLECT_TIME`]. Dropping the batch writes the
+/// waiting lines and ends the thread.
 pub struct LineBatch {
     shared: Arc<SharedLines>,
 }
@@ -35,6 +36,8 @@
 struct CollectedLines {
     bytes: Vec<u8>,
     dropped: u64,
+    /// Whether a line waits that is to be written at once.
+    is_urgent: bool,
     is_closed: bool,
 }
 
@@ -55,7 +58,7 @@
             .name("log".to_owned())
             .spawn(move || {
                 while writer.wait_for_lines() {
-                    thread::sleep(COLLECT_TIME);
+                    writer.collect_lines();
                     writer.flush();
                 }
             })?;
@@ -63,16 +66,19 @@
     }
 
     /// Adds a whole line, or counts it as dropped if too many wait.
-    pub fn push(&self, line: &[u8]) {
+    ///
+    /// A frequent line is written together with those that follow it.
+    pub fn push(&self, line: &[u8], is_frequent: bool) {
         let mut lines = lock(&self.shared.lines);
         if lines.bytes.len() + line.len() > MAX_BATCH_BYTES {
             lines.dropped += 1;
             return;
         }
-        let was_empty = lines.bytes.is_empty();
+        let needs_wake = lines.bytes.is_empty() || (!is_frequent && !lines.is_urgent);
         lines.bytes.extend_from_slice(line);
+        lines.is_urgent |= !is_frequent;
         drop(lines);
-        if was_empty {
+        if needs_wake {
             self.shared.has_changed.notify_one();
         }
     }
@@ -102,11 +108,22 @@
         !waited.unwrap_or_else(PoisonError::into_inner).is_closed
     }
 
+    /// Waits until the collect time is over or a line is to be written at once.
+    fn collect_lines(&self) {
+        let lines = lock(&self.lines);
+        let may_wait = |lines: &mut CollectedLines| !lines.is_urgent && !lines.is_closed;
+        let waited = self
+            .has_changed
+            .wait_timeout_while(lines, COLLECT_TIME, may_wait);
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
+    }
+
     fn flush(&self) {
         // The lock on the output keeps batches in order.
         let mut output = lock(&self.output);
         let (mut bytes, dropped) = {
             let mut lines = lock(&self.lines);
+            lines.is_urgent = false;
             (mem::take(&mut lines.bytes), mem::take(&mut lines.dropped))
         };
         if dropped > 0 {
--- a/crates/daemon/src/log/mod.rs
+++ b/crates/daemon/src/log/mod.rs
@@ -9,3 +9,4 @@
 pub use line_batch::LineBatch;
 pub use log_limiter::LogLimiter;
 pub use node_logger::NodeLogger;
+pub(crate) use node_logger::REQUEST_TAG;
--- a/crates/daemon/src/log/node_logger.rs
+++ b/crates/daemon/src/log/node_logger.rs
@@ -10,6 +10,9 @@
 
 use crate::log::LineBatch;
 
+/// Tag of the lines about single requests, which are written in batches.
+pub(crate) const REQUEST_TAG: &str = "request";
+
 /// Builder of the node's logger.
 #[derive(Debug)]
 pub struct NodeLogger;
@@ -18,8 +21,9 @@
     /// Builds a logger that adds JSON lines to `batch`.
     ///
     /// Every line carries `ts` (milliseconds since the Unix epoch), `level`, `event`, the node and
-    /// its data centre. A line is formatted once, by the thread that logs it, and written later.
-    pub fn new(node: &NodeName, data_centre: &DataCentre, batch: Arc<LineBatch>) -> Logger {
+    /// its data centre. A line is formatted once, by the thread that logs it, and written by
+    /// another one.
+    pub fn build(node: &NodeName, data_centre: &DataCentre, batch: Arc<LineBatch>) -> Logger {
         let line = LineBuffer::default();
         let json = Json::new(line.clone())
             .add_key_value(o!(
@@ -59,7 +63,7 @@
         let result = json.log(record, values);
         let mut line = lock(&self.line.bytes);
         if result.is_ok() {
-            self.batch.push(&line);
+            self.batch.push(&line, record.tag() == REQUEST_TAG);
         }
         line.clear();
         result
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -34,7 +34,7 @@
 pub fn run_node(settings: NodeSettings, path: PathBuf) -> Result<(), MeshError> {
     let listeners = NodeListeners::open(&settings)?;
     let log_lines = Arc::new(LineBatch::start(io::stdout()).map_err(io_error)?);
-    let logger = NodeLogger::new(
+    let logger = NodeLogger::build(
         &settings.node,
         &settings.data_centre,
         Arc::clone(&log_lines),
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -51,12 +51,12 @@
     let (batch, received, _) = batch_to_channel();
     let node = "node-1".parse().expect("the name is valid");
     let centre = "leuven".parse().expect("the name is valid");
-    let logger = NodeLogger::new(&node, &centre, Arc::clone(&batch));
+    let logger = NodeLogger::build(&node, &centre, Arc::clone(&batch));
     let threads = [(); THREADS].map(|()| {
         let logger = logger.clone();
         thread::spawn(move || {
             for number in 0..LINES {
-                info!(logger, "{}", EventName::RequestRan; "number" => number);
+                info!(logger, # "request", "{}", EventName::RequestRan; "number" => number);
             }
         })
     });
@@ -79,6 +79,20 @@
     assert!(writes.len() <= lines.len() / 10, "{} writes", writes.len());
 }
 
+#[test]
+fn line_about_the_node_does_not_wait_for_others() {
+    let (batch, received, _) = batch_to_channel();
+    for number in 0..3 {
+        batch.push(b"frequent\n", true);
+        batch.push(b"rare\n", false);
+        let mut written = Vec::new();
+        while !written.ends_with(b"rare\n") {
+            written.extend(received.recv().expect("the line is written"));
+        }
+        assert_eq!(written, b"frequent\nrare\n", "{number}");
+    }
+}
+
 #[test]
 fn output_that_is_not_read_costs_bounded_memory_and_the_loss_is_told() {
     const LINES: usize = 10_000;
@@ -86,7 +100,7 @@
     let stopped = gate.lock().expect("the gate is free");
     let line = [b'x'; 99].into_iter().chain([b'\n']).collect::<Vec<_>>();
     for _ in 0..LINES {
-        batch.push(&line);
+        batch.push(&line, true);
     }
     drop(stopped);
     drop(batch);
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -187,7 +187,7 @@
         operators: unused_address,
     };
     let lines = LineBatch::start(io::stdout()).expect("the log's thread starts");
-    let logger = NodeLogger::new(&settings.node, &settings.data_centre, Arc::new(lines));
+    let logger = NodeLogger::build(&settings.node, &settings.data_centre, Arc::new(lines));
     NodeState::new(settings, addresses, logger)
 }
 
--- a/crates/kernel/tests/spread/size.rs
+++ b/crates/kernel/tests/spread/size.rs
@@ -124,7 +124,7 @@
         let members = mesh.nodes.len();
         for (index, (node, times)) in self.publishers.iter_mut().enumerate() {
             // Up and down by half, at another moment at each server.
-            let is_high = (self.rounds + index as u64) / 4 % 2 == 0;
+            let is_high = ((self.rounds + index as u64) / 4).is_multiple_of(2);
             let time = TimeBudget::from_millis(if is_high { 150 } else { 100 });
             if !times.update(mesh.now, members, [(&route, time)].into_iter()) {
                 continue;
