--- a/crates/daemon/src/node/watch_settings.rs
+++ b/crates/daemon/src/node/watch_settings.rs
@@ -21,6 +21,8 @@
 
 /// Interval at which the file is checked for changes that come without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
+/// The same for a node that knows no peer, because the platform may name seeds late.
+const LONELY_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Reloads the settings file on SIGHUP or when its content changes, until the stop signal.
 ///
@@ -35,9 +37,15 @@
     };
     let mut last_hash = content_hash(&path);
     loop {
+        let is_lonely = state.gossip.read(|node| node.members().len() <= 1);
+        let interval = if is_lonely {
+            LONELY_POLL_INTERVAL
+        } else {
+            POLL_INTERVAL
+        };
         let is_signalled = tokio::select! {
             () = wait_for_signal(&mut hangups) => true,
-            () = time::sleep(POLL_INTERVAL) => false,
+            () = time::sleep(interval) => false,
             () = stop.stopped() => return,
         };
         let hash = content_hash(&path);
--- a/crates/daemon/src/report/report_task.rs
+++ b/crates/daemon/src/report/report_task.rs
@@ -29,7 +29,7 @@
         .disable_redirects()
         .timeout(READ_TIMEOUT)
         .finish();
-    while stop.sleep(POLL_INTERVAL).await {
+    while stop.tick(POLL_INTERVAL).await {
         state.publish_times();
         state.log_suppressed();
         let backends = polled_backends(&state);
--- a/crates/daemon/src/rollout/evidence_sender.rs
+++ b/crates/daemon/src/rollout/evidence_sender.rs
@@ -42,7 +42,7 @@
 /// Sends evidence to the judges of running moves until the stop signal.
 pub async fn run_evidence(state: Arc<NodeState>, pool: Rc<GossipPool>, mut stop: StopSignal) {
     let mut sender = EvidenceSender::new(Arc::clone(&state), pool);
-    while stop.sleep(COMPARISON_INTERVAL.to_std()).await {
+    while stop.tick(COMPARISON_INTERVAL.to_std()).await {
         let judges = running_move_judges(&state);
         sender.send(&judges, state.now()).await;
     }
--- a/crates/daemon/src/rollout/move_reconciler.rs
+++ b/crates/daemon/src/rollout/move_reconciler.rs
@@ -41,7 +41,7 @@
         finished: BTreeMap::new(),
         next_checks: BTreeMap::new(),
     };
-    while stop.sleep(POLL_INTERVAL).await {
+    while stop.tick(POLL_INTERVAL).await {
         if !reconciler.is_reader() {
             continue;
         }
--- a/crates/daemon/src/rollout/rollout_task.rs
+++ b/crates/daemon/src/rollout/rollout_task.rs
@@ -8,10 +8,7 @@
     spread::{RecordEntry, RecordKey},
 };
 use slog::{info, warn};
-use tokio::{
-    sync::broadcast::error::RecvError,
-    time::{self, MissedTickBehavior},
-};
+use tokio::sync::broadcast::error::RecvError;
 
 use crate::{
     log::EventName,
@@ -26,8 +23,6 @@
 /// Applies records of version moves and judges running moves until the stop signal.
 pub async fn run_rollout(state: Arc<NodeState>, mut stop: StopSignal) {
     let mut changes = state.record_changes();
-    let mut interval = time::interval(TICK_INTERVAL);
-    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut runner = MoveRunner {
         state: Arc::clone(&state),
         published: BTreeMap::new(),
@@ -40,8 +35,10 @@
                 Err(RecvError::Lagged(_)) => runner.apply_all_entries(),
                 Err(RecvError::Closed) => return,
             },
-            _ = interval.tick() => runner.tick(),
-            () = stop.stopped() => return,
+            is_running = stop.tick(TICK_INTERVAL) => match is_running {
+                true => runner.tick(),
+                false => return,
+            },
         }
     }
 }
--- a/crates/daemon/src/source/operator_feed.rs
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -25,7 +25,9 @@
 /// Longest wait for changes; also bounds the time until a dead connection is noticed.
 const WATCH_TIMEOUT: TimeBudget = TimeBudget::from_millis(2_500);
 /// Interval at which a node checks whether it has become a reader.
-const READER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The same for a node that is not ready, which may depend on a read of its own.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a full read of operators' documents.
 const FULL_READ_TIMEOUT: TimeBudget = TimeBudget::from_millis(1_000);
 /// Pause of a data centre's first reader after an update, so that the next call batches updates in
@@ -59,7 +61,11 @@
     loop {
         // Other nodes receive documents by gossip, within a few push rounds.
         if !state.gossip.read(GossipNode::is_reader) {
-            if !stop.sleep(READER_CHECK_INTERVAL).await {
+            let interval = match state.is_ready() {
+                true => READER_CHECK_INTERVAL,
+                false => START_CHECK_INTERVAL,
+            };
+            if !stop.tick(interval).await {
                 return;
             }
             continue;
