--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -413,6 +413,7 @@
     };
     let options = GossipOptions {
         mode: settings.spread.mode,
+        is_first_start: settings.is_first_start,
         ..GossipOptions::default()
     };
     let seeds = settings.peers.seeds.clone();
--- a/crates/daemon/src/settings/node_settings.rs
+++ b/crates/daemon/src/settings/node_settings.rs
@@ -40,6 +40,8 @@
     pub retries: Option<RetryPolicy>,
     /// Time limit of a graceful shutdown; without it, the requests in flight determine its length.
     pub shutdown: Option<TimeBudget>,
+    /// Whether the whole mesh starts for the first time, so that no node can hold a version yet.
+    pub is_first_start: bool,
     /// Listener for operators and for the backend servers of the VM.
     pub operators: OperatorSettings,
     /// Addresses of the platform's services.
--- a/crates/daemon/src/settings/section_reader.rs
+++ b/crates/daemon/src/settings/section_reader.rs
@@ -58,6 +58,7 @@
     });
     let retries = read_optional_section(&mut reader, "retries", read_retries);
     let shutdown = reader.optional("shutdown", parse_duration);
+    let is_first_start = reader.optional("first_start", parse_switch);
     let workers = reader.optional("workers", parse_workers);
     let spread = read_spread(&mut reader);
     reader.finish();
@@ -72,6 +73,7 @@
         metrics,
         retries,
         shutdown,
+        is_first_start: is_first_start.unwrap_or(false),
         callers: callers?,
         peers: peers?,
         operators: operators?,
@@ -275,6 +277,11 @@
     Ok(TimeBudget::from_micros(whole.as_micros() + part))
 }
 
+fn parse_switch(text: &str) -> Result<bool, MeshError> {
+    text.parse()
+        .map_err(|_| MeshError::invalid(format!("{text:?} is neither true nor false")))
+}
+
 fn parse_workers(text: &str) -> Result<usize, MeshError> {
     let count = text.parse().ok();
     count
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -139,6 +139,22 @@
     assert!(output.status.success(), "{output:?}");
 }
 
+#[test]
+fn first_start_is_true_or_false() {
+    let parse =
+        |value: &str| parse_settings("node.yaml", &format!("{VALID}first_start: {value}\n"));
+    for (value, expected) in [("true", true), ("false", false)] {
+        let settings = parse(value).expect("is valid");
+        assert_eq!(settings.is_first_start, expected);
+    }
+    assert!(
+        !parse_settings("node.yaml", VALID)
+            .expect("is valid")
+            .is_first_start
+    );
+    assert!(parse("maybe").is_err());
+}
+
 #[test]
 fn limits_may_be_fractions() {
     let text = format!(
--- a/crates/kernel/src/member/lease_schedule.rs
+++ b/crates/kernel/src/member/lease_schedule.rs
@@ -10,11 +10,12 @@
 const FIRST_WRITE_MAX_MS: u64 = 3_000;
 const RENEWAL_INTERVAL_MIN_MS: u64 = 45_000;
 const RENEWAL_INTERVAL_MAX_MS: u64 = 75_000;
-/// Time in which a starting node usually finds its first peers through seeds, which the platform may
-/// name a few hundred milliseconds late.
+/// Time in which the nodes of a mesh that starts for the first time usually find each other through
+/// seeds, which the platform may name a few hundred milliseconds late. Nodes that start again scan
+/// sooner: rows from before lead them to each other.
 const FIRST_SCAN_MIN_MS: u64 = 800;
 /// Keeps the first scans of 990 nodes below the platform's limit of 2,000 reads per second.
-const FIRST_SCAN_MAX_MS: u64 = 1_500;
+const FIRST_SCAN_SPREAD_MS: u64 = 500;
 const SCAN_INTERVAL_MIN_MS: u64 = 1_000;
 const SCAN_INTERVAL_MAX_MS: u64 = 2_000;
 
@@ -31,12 +32,18 @@
 }
 
 impl LeaseSchedule {
-    /// Creates the schedule of a starting node.
+    /// Creates the schedule of a starting node; `is_first_start` tells whether the whole mesh starts
+    /// for the first time.
     #[must_use]
-    pub fn new(now: ClockInstant, rng: &mut impl Rng) -> Self {
+    pub fn new(now: ClockInstant, is_first_start: bool, rng: &mut impl Rng) -> Self {
+        let first_scan_min_ms = match is_first_start {
+            true => FIRST_SCAN_MIN_MS,
+            false => 0,
+        };
+        let first_scan_max_ms = first_scan_min_ms + FIRST_SCAN_SPREAD_MS;
         Self {
             next_write: random_instant(now, FIRST_WRITE_MIN_MS, FIRST_WRITE_MAX_MS, rng),
-            next_scan: random_instant(now, FIRST_SCAN_MIN_MS, FIRST_SCAN_MAX_MS, rng),
+            next_scan: random_instant(now, first_scan_min_ms, first_scan_max_ms, rng),
         }
     }
 
--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -115,7 +115,7 @@
             has_waited_for_peers: false,
             platform_poll: PlatformPoll::new(now, rng),
             platform_seen_at: None,
-            lease_schedule: LeaseSchedule::new(now, rng),
+            lease_schedule: LeaseSchedule::new(now, options.is_first_start, rng),
             peer_selector: PeerSelector::default(),
             pending_probes: BTreeMap::new(),
             stamp_push_rounds: 0,
--- a/crates/kernel/src/spread/gossip_options.rs
+++ b/crates/kernel/src/spread/gossip_options.rs
@@ -64,6 +64,9 @@
 pub struct GossipOptions {
     /// Strategy for distributing versions.
     pub mode: SpreadMode,
+    /// Whether the whole mesh starts for the first time. Its nodes leave the platform to the selected
+    /// readers for a while; a node that starts again reads it at once.
+    pub is_first_start: bool,
     /// Mean time between two periodic anti-entropy exchanges.
     pub exchange_interval: TimeBudget,
     /// Time within which a peer must reply to an exchange or a push.
@@ -115,6 +118,7 @@
     fn default() -> Self {
         Self {
             mode: SpreadMode::Mixed,
+            is_first_start: false,
             exchange_interval: TimeBudget::from_millis(1_000),
             reply_timeout: TimeBudget::from_millis(500),
             suspicion_timeout: TimeBudget::from_millis(2_000),
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -22,7 +22,8 @@
 /// Number of known members from which a joining node contacts random members instead of seeds,
 /// which every node of the fleet knows.
 const MIN_KNOWN_WITHOUT_SEEDS: usize = 8;
-/// Time after which a starting node that knows no peer reads the platform itself.
+/// Time after which a node that knows no peer reads the platform itself although the whole mesh
+/// starts for the first time.
 const PEER_WAIT: TimeBudget = TimeBudget::from_millis(1_200);
 /// Number of nodes in each data centre that have a lease row in the platform. Seeds and rows
 /// together must lead a starting node to a live one while many nodes fail.
@@ -127,15 +128,18 @@
 
     /// Returns whether this node reads the platform's version row.
     ///
-    /// In a starting fleet only the selected readers read, and the others rely on them. A node that
-    /// starts among nodes that hold a version also reads until the platform has answered it, so that
-    /// it does not begin with an older version than the newest one.
+    /// A node that starts again reads until it is ready, so that it does not begin with an older
+    /// version than the newest one. Where the whole mesh starts for the first time, only the selected
+    /// readers read, and nodes that know no peer or join nodes that hold a version.
     #[must_use]
     pub fn is_reader(&self) -> bool {
         if self.options.mode == SpreadMode::Poll {
             return true;
         }
         let is_starting = !self.readiness.is_open();
+        if is_starting && !self.options.is_first_start {
+            return true;
+        }
         if is_starting && self.view.table().live().count() <= 1 {
             return self.has_waited_for_peers;
         }
--- a/crates/kernel/tests/spread/fixture.rs
+++ b/crates/kernel/tests/spread/fixture.rs
@@ -90,15 +90,32 @@
 impl MeshFixture {
     /// Creates `per_centre` nodes in each of `centres` data centres.
     pub(crate) fn new(seed: u64, centres: u8, per_centre: u8) -> Self {
-        Self::with_seeds(seed, centres, per_centre, usize::MAX)
+        let options = GossipOptions::default();
+        Self::build(seed, centres, per_centre, usize::MAX, options)
     }
 
-    /// Creates a mesh whose nodes know at most `max_seeds` seed peers when they start.
-    pub(crate) fn with_seeds(seed: u64, centres: u8, per_centre: u8, max_seeds: usize) -> Self {
+    /// Creates a mesh that starts for the first time, with at most `max_seeds` seed peers.
+    pub(crate) fn first_start(seed: u64, centres: u8, per_centre: u8, max_seeds: usize) -> Self {
+        let options = GossipOptions {
+            is_first_start: true,
+            ..GossipOptions::default()
+        };
+        let mut mesh = Self::build(seed, centres, per_centre, max_seeds, options);
+        mesh.options.is_first_start = false;
+        mesh
+    }
+
+    fn build(
+        seed: u64,
+        centres: u8,
+        per_centre: u8,
+        max_seeds: usize,
+        options: GossipOptions,
+    ) -> Self {
         let mut mesh = Self {
             now: START,
             rng: StdRng::seed_from_u64(seed),
-            options: GossipOptions::default(),
+            options,
             nodes: BTreeMap::new(),
             platform: FakePlatform::default(),
             partitioned: BTreeSet::new(),
--- a/crates/kernel/tests/spread/size.rs
+++ b/crates/kernel/tests/spread/size.rs
@@ -92,7 +92,7 @@
 
 /// Starts a mesh in which every node serves and has a backend server.
 fn serving_mesh(per_centre: u8) -> MeshFixture {
-    let mut mesh = MeshFixture::with_seeds(7, CENTRES, per_centre, SEEDS);
+    let mut mesh = MeshFixture::first_start(7, CENTRES, per_centre, SEEDS);
     let number = mesh.publish("first");
     for node in mesh.names() {
         mesh.apply(&node, |gossip| gossip.set_backends(vec![backend(&node)]));
@@ -139,7 +139,7 @@
 #[test]
 fn nodes_that_start_together_know_each_other_in_time_at_any_size() {
     for per_centre in FLEETS {
-        let mut mesh = MeshFixture::with_seeds(3, CENTRES, per_centre, SEEDS);
+        let mut mesh = MeshFixture::first_start(3, CENTRES, per_centre, SEEDS);
         let millis = mesh.run_until(JOIN_MS, knows_all);
         println!("{} nodes: {millis} ms", mesh.nodes.len());
     }
@@ -148,7 +148,7 @@
 #[test]
 fn nodes_that_wait_for_a_configuration_send_little_at_any_size() {
     let rates = FLEETS.map(|per_centre| {
-        let mut mesh = MeshFixture::with_seeds(3, CENTRES, per_centre, SEEDS);
+        let mut mesh = MeshFixture::first_start(3, CENTRES, per_centre, SEEDS);
         measure(&mut mesh, LEAD_MS, |_| {})
     });
     assert_independent_of_size(&rates);
@@ -157,7 +157,7 @@
 #[test]
 fn starting_fleet_calls_the_platform_no_more_often_than_its_readers_need() {
     for per_centre in FLEETS {
-        let mut mesh = MeshFixture::with_seeds(5, CENTRES, per_centre, SEEDS);
+        let mut mesh = MeshFixture::first_start(5, CENTRES, per_centre, SEEDS);
         mesh.run_for(LEAD_MS);
         let nodes = mesh.nodes.len() as u64;
         let announced = nodes.min(u64::from(CENTRES) * ANNOUNCED_PER_DATA_CENTRE);
@@ -182,7 +182,7 @@
 #[test]
 fn node_that_restarts_in_a_running_mesh_serves_no_older_version_than_the_platforms() {
     for seed in 0..10 {
-        let mut mesh = MeshFixture::with_seeds(seed, CENTRES, 3, SEEDS);
+        let mut mesh = MeshFixture::first_start(seed, CENTRES, 3, SEEDS);
         let first = mesh.publish("first");
         mesh.run_until(LEAD_MS, |mesh| mesh.all_have(first));
         mesh.run_for(JOIN_MS);
