--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -29,7 +29,7 @@
 /// together must lead a starting node to a live one while many nodes fail.
 const ANNOUNCED_PER_DATA_CENTRE: usize = 8;
 /// Longest time between two ticks.
-const MAX_TICK_INTERVAL: TimeBudget = TimeBudget::from_millis(250);
+const MAX_TICK_INTERVAL: TimeBudget = TimeBudget::from_millis(500);
 /// Time between two ticks while the node is starting or fetches a version.
 const BUSY_TICK_INTERVAL: TimeBudget = TimeBudget::from_millis(50);
 /// Every n-th exchange also goes to a suspected or gone member.
@@ -56,7 +56,7 @@
         !self.actions.is_empty() || self.has_pushes()
     }
 
-    /// Returns when periodic work is next due, at most a quarter of a second from `now`.
+    /// Returns when periodic work is next due, at most half a second from `now`.
     #[must_use]
     pub fn next_tick(&self, now: ClockInstant) -> ClockInstant {
         if !self.actions.is_empty() {
