--- a/crates/kernel/src/spread/fetch_scheduler.rs
+++ b/crates/kernel/src/spread/fetch_scheduler.rs
@@ -74,6 +74,14 @@
         !self.candidates.is_empty()
     }
 
+    /// Returns when the next fetch may start, or `None` if no version has been announced.
+    #[must_use]
+    pub fn next_start(&self) -> Option<ClockInstant> {
+        let sources = self.candidates.values().flat_map(|it| it.sources.values());
+        let ready_at = sources.copied().min()?;
+        Some(ready_at.max(self.in_flight_until))
+    }
+
     /// Returns the newest announced version that is still wanted.
     #[must_use]
     pub fn newest_wanted(&self, versions: &VersionStore) -> Option<VersionStamp> {
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -30,8 +30,8 @@
 const ANNOUNCED_PER_DATA_CENTRE: usize = 8;
 /// Longest time between two ticks.
 const MAX_TICK_INTERVAL: TimeBudget = TimeBudget::from_millis(500);
-/// Time between two ticks while the node is starting or fetches a version.
-const BUSY_TICK_INTERVAL: TimeBudget = TimeBudget::from_millis(50);
+/// Longest time between two ticks while the node is starting.
+const START_TICK_INTERVAL: TimeBudget = TimeBudget::from_millis(50);
 /// Every n-th exchange also goes to a suspected or gone member.
 const UNREACHABLE_EXCHANGE_PERIOD: u32 = 2;
 /// Every n-th exchange also goes to a seed peer.
@@ -53,7 +53,7 @@
     /// Returns whether a step has left work that must not wait for the next tick.
     #[must_use]
     pub fn needs_tick(&self) -> bool {
-        !self.actions.is_empty() || self.has_pushes()
+        !self.actions.is_empty() || self.has_pushes() || self.fetches.has_candidates()
     }
 
     /// Returns when periodic work is next due, at most half a second from `now`.
@@ -62,16 +62,15 @@
         if !self.actions.is_empty() {
             return now;
         }
-        let is_busy = !self.readiness.is_open() || self.fetches.has_candidates();
-        let latest = now.after(if is_busy {
-            BUSY_TICK_INTERVAL
-        } else {
-            MAX_TICK_INTERVAL
+        let latest = now.after(match self.readiness.is_open() {
+            true => MAX_TICK_INTERVAL,
+            false => START_TICK_INTERVAL,
         });
         let push = self.has_pushes().then_some(self.next_push);
         let hint_push = self.view.has_hint_pushes().then_some(self.next_hint_push);
-        let pushes = push.into_iter().chain(hint_push);
-        pushes.fold(latest.min(self.next_exchange), ClockInstant::min)
+        let fetch = self.fetches.next_start();
+        let work = [push, hint_push, fetch].into_iter().flatten();
+        work.fold(latest.min(self.next_exchange), ClockInstant::min)
     }
 
     fn renew_lease(&mut self, now: ClockInstant) {
--- a/crates/kernel/tests/spread/fixture.rs
+++ b/crates/kernel/tests/spread/fixture.rs
@@ -22,7 +22,11 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::Serialize;
 
-const TICK: TimeBudget = TimeBudget::from_millis(50);
+/// Bounds of the time between two ticks; a paused node has work due all the time.
+const MIN_TICK: TimeBudget = TimeBudget::from_millis(10);
+/// Shortest time until a node acts on a message.
+const MIN_WAKE: TimeBudget = TimeBudget::from_millis(1);
+const MAX_TICK: TimeBudget = TimeBudget::from_millis(500);
 const START: ClockInstant = ClockInstant::from_millis(1_000_000);
 
 type ScheduledTask = Box<dyn FnOnce(&mut MeshFixture)>;
@@ -82,6 +86,8 @@
     /// Number of starts of each node; tasks scheduled before the latest are dropped.
     runs: BTreeMap<NodeName, u64>,
     active_version: BTreeMap<NodeName, VersionNumber>,
+    /// When each node that a step has woken ticks.
+    wakes: BTreeMap<NodeName, ClockInstant>,
     queue: BTreeMap<(ClockInstant, u64), ScheduledTask>,
     task_count: u64,
     attempts: u128,
@@ -132,6 +138,7 @@
             rows: BTreeMap::new(),
             runs: BTreeMap::new(),
             active_version: BTreeMap::new(),
+            wakes: BTreeMap::new(),
             queue: BTreeMap::new(),
             task_count: 0,
             attempts: 0,
@@ -184,6 +191,7 @@
         let options = self.options.clone();
         let started = GossipNode::new(mesh, row, seeds, options, self.now, &mut self.rng);
         self.active_version.remove(node);
+        self.wakes.remove(node);
         *self.runs.entry(node.clone()).or_default() += 1;
         self.nodes.insert(node.clone(), started);
         self.schedule_tick(node.clone(), self.now);
@@ -290,11 +298,30 @@
             if !mesh.paused.contains(&node) {
                 mesh.step(&node, run, GossipNode::tick);
             }
-            let next = mesh.now.after(TICK);
+            let now = mesh.now;
+            let next = mesh.nodes[&node].next_tick(now);
+            let next = next.clamp(now.after(MIN_TICK), now.after(MAX_TICK));
             mesh.schedule_tick(node, next);
         });
     }
 
+    /// Ticks a node as soon as work is due that a step has left, as the daemon does.
+    fn schedule_wake(&mut self, name: &NodeName, run: u64) {
+        let Some(node) = self.nodes.get(name).filter(|node| node.needs_tick()) else {
+            return;
+        };
+        let at = node.next_tick(self.now).max(self.now.after(MIN_WAKE));
+        if self.wakes.get(name).is_some_and(|pending| *pending <= at) {
+            return;
+        }
+        self.wakes.insert(name.clone(), at);
+        let name = name.clone();
+        self.schedule(at, move |mesh| {
+            mesh.wakes.remove(&name);
+            mesh.step(&name, run, GossipNode::tick);
+        });
+    }
+
     /// Runs a step of a node and the resulting actions, unless it is paused, stopped or restarted.
     fn step<T>(
         &mut self,
@@ -313,6 +340,7 @@
         for action in actions {
             self.perform(name, run, action);
         }
+        self.schedule_wake(name, run);
         Some(result)
     }
 
--- a/crates/kernel/tests/spread/size.rs
+++ b/crates/kernel/tests/spread/size.rs
@@ -28,6 +28,8 @@
 const JOIN_MS: u64 = 5_000;
 /// Time within which a leaving server must be known everywhere.
 const LEAVE_MS: u64 = 2_000;
+/// Time within which an accepted version must be in force everywhere.
+const VERSION_MS: u64 = 2_000;
 /// Nodes of a data centre that have a lease row in the platform.
 const ANNOUNCED_PER_DATA_CENTRE: u64 = 8;
 const MEASURED_MS: u64 = 8_000;
@@ -179,6 +181,18 @@
     }
 }
 
+#[test]
+fn new_version_is_in_force_everywhere_in_time_at_any_size() {
+    for per_centre in FLEETS {
+        let mut mesh = serving_mesh(per_centre);
+        let mut times = FluctuatingTimes::new(&mesh);
+        measure(&mut mesh, JOIN_MS, |mesh| times.publish(mesh));
+        let number = mesh.publish("second");
+        let millis = mesh.run_until(VERSION_MS, |mesh| mesh.all_have(number));
+        println!("{} nodes: {millis} ms", mesh.nodes.len());
+    }
+}
+
 #[test]
 fn node_that_restarts_in_a_running_mesh_serves_no_older_version_than_the_platforms() {
     for seed in 0..10 {
