--- a/crates/kernel/tests/spread/version.rs
+++ b/crates/kernel/tests/spread/version.rs
@@ -2,9 +2,11 @@
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
-    config::ConfigVersion,
+    config::{ConfigVersion, VersionStamp},
     ids::{NodeName, VersionNumber},
-    spread::{FetchScheduler, FetchSource, PlatformState, VersionStore, select_readers},
+    spread::{
+        FetchScheduler, FetchSource, GossipAction, PlatformState, VersionStore, select_readers,
+    },
 };
 use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
@@ -195,6 +197,28 @@
     }
 }
 
+#[test]
+fn announced_version_is_fetched_without_waiting_for_periodic_work() {
+    let mut mesh = settled_mesh(1);
+    let names = mesh.names();
+    let (announcer, receiver) = (&names[0], &names[1]);
+    mesh.run_for(1_000);
+    let mut header = mesh.nodes[announcer].header();
+    header.stamp = header.stamp.map(|stamp| VersionStamp {
+        number: stamp.number.next(),
+        ..stamp
+    });
+    let mut node = mesh.nodes[receiver].clone();
+    let _ = node.take_actions();
+    node.handle_contact(&header, mesh.now);
+    assert!(node.needs_tick());
+    assert!(node.next_tick(mesh.now) <= mesh.now);
+    node.tick(mesh.now, &mut mesh.rng);
+    let actions = node.take_actions();
+    let is_fetch = |action: &GossipAction| matches!(action, GossipAction::Fetch(_));
+    assert!(actions.iter().any(is_fetch), "{actions:?}");
+}
+
 #[test]
 fn altered_content_is_detected_and_fetched_again() {
     let mut all_altered = 0;
