--- a/crates/emulator/src/backend/backend_server.rs
+++ b/crates/emulator/src/backend/backend_server.rs
@@ -7,7 +7,6 @@
 use awc::Client;
 use bronzelb_kernel::{clock::TimeBudget, error::MeshError, member::BackendState};
 use serde::{Deserialize, Serialize};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     backend::{
@@ -15,7 +14,9 @@
         emulated_backend::{BackendHandle, EmulatedBackend},
         report_handler, request_handler,
     },
-    server::{ConnectionHandle, first_address, local_error, print_listening, wall_clock},
+    server::{
+        ConnectionHandle, ShutdownSignals, first_address, local_error, print_listening, wall_clock,
+    },
 };
 
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
@@ -76,11 +77,12 @@
     let request_server_handle = request_server.handle();
     actix_web::rt::spawn(request_server);
     actix_web::rt::spawn(control_server.run());
+    let mut signals = ShutdownSignals::register()?;
     print_listening(&addresses)?;
     let announce_task =
         actix_web::rt::spawn(announce_task::run(backend.clone(), addresses.address));
     actix_web::rt::spawn(begin_serving(backend.clone()));
-    wait_for_shutdown_signal().await?;
+    signals.recv().await;
     drain(&backend, addresses.address).await;
     announce_task.abort();
     announce_task::deregister(&backend).await;
@@ -120,18 +122,6 @@
     }
 }
 
-async fn wait_for_shutdown_signal() -> Result<(), MeshError> {
-    let mut terminate = signal(SignalKind::terminate())
-        .map_err(|error| local_error("register SIGTERM handler", &error))?;
-    let mut interrupt = signal(SignalKind::interrupt())
-        .map_err(|error| local_error("register SIGINT handler", &error))?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 /// Announces the draining state and waits for the requests in flight.
 async fn drain(backend: &BackendHandle, address: SocketAddr) {
     backend.lock().lifecycle = BackendState::Draining;
--- a/crates/emulator/src/platform/platform_server.rs
+++ b/crates/emulator/src/platform/platform_server.rs
@@ -5,12 +5,11 @@
     web::{self, ServiceConfig},
 };
 use bronzelb_kernel::error::MeshError;
-use futures::future::try_join;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     platform::{control_handler, object_handler, platform_state::StateHandle, table_handler},
-    server::{ConnectionHandle, first_address, local_error, print_listening},
+    server::{ConnectionHandle, ShutdownSignals, first_address, local_error, print_listening},
 };
 
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -59,6 +58,7 @@
     .workers(1)
     .keep_alive(KEEP_ALIVE)
     .shutdown_timeout(SHUTDOWN_TIMEOUT_SECS)
+    .disable_signals()
     .bind(address)
     .map_err(|error| local_error(&format!("listen on {address}"), &error))?;
     let control_data = web::Data::new(state);
@@ -69,16 +69,16 @@
     })
     .workers(1)
     .shutdown_timeout(SHUTDOWN_TIMEOUT_SECS)
+    .disable_signals()
     .bind(control)
     .map_err(|error| local_error(&format!("listen on {control}"), &error))?;
+    let signals = ShutdownSignals::register()?;
     print_listening(&PlatformAddresses {
         address: first_address(&platform_server.addrs())?,
         control: first_address(&control_server.addrs())?,
     })?;
-    try_join(platform_server.run(), control_server.run())
-        .await
-        .map_err(|error| local_error("run the HTTP servers", &error))?;
-    Ok(())
+    let servers = vec![platform_server.run(), control_server.run()];
+    signals.run_servers(servers).await
 }
 
 fn configure_platform(config: &mut ServiceConfig) {
--- a/crates/emulator/src/proxy/proxy_server.rs
+++ b/crates/emulator/src/proxy/proxy_server.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     proxy::{control_handler, proxy_state::ProxyState},
-    server::{first_address, local_error, print_listening},
+    server::{ShutdownSignals, first_address, local_error, print_listening},
 };
 
 const SHUTDOWN_TIMEOUT_SECS: u64 = 1;
@@ -39,15 +39,14 @@
     })
     .workers(1)
     .shutdown_timeout(SHUTDOWN_TIMEOUT_SECS)
+    .disable_signals()
     .bind(control)
     .map_err(|error| local_error(&format!("listen on {control}"), &error))?;
+    let signals = ShutdownSignals::register()?;
     print_listening(&ProxyAddresses {
         control: first_address(&control_server.addrs())?,
     })?;
-    control_server
-        .run()
-        .await
-        .map_err(|error| local_error("run the control server", &error))
+    signals.run_servers(vec![control_server.run()]).await
 }
 
 fn configure_control(config: &mut ServiceConfig) {
