Log and count what a server states of its limit and what it is sent

The node beside a server now reads Server-Limit and Server-Leaving (own names x-backend-limit, x-backend-leaving) through the dialect and writes server-limit lines when the stated limit changes and every 4 s while one is in force, with the requests sent since the line before. requests_sent counts them for each server. Nothing acts on the statements yet.

--- a/crates/daemon/src/callers/native_dialect.rs
+++ b/crates/daemon/src/callers/native_dialect.rs
@@ -3,7 +3,8 @@
 use bronzelb_kernel::{
     clock::TimeBudget,
     error::ErrorKind,
-    plugin::{CallerDialect, ResponseHeaders, ServerDialect, WireDialect},
+    member::StatedLimit,
+    plugin::{CallerDialect, ResponseHeaders, ServerDialect, ServerNotice, WireDialect},
 };
 use compact_str::{CompactString, format_compact};
 
@@ -16,6 +17,9 @@
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 const BACKEND_RUN_HEADER: &str = "x-backend-run";
 const NOT_RUN_VALUE: &[u8] = b"not-run";
+const BACKEND_LIMIT_HEADER: &str = "x-backend-limit";
+const BACKEND_LEAVING_HEADER: &str = "x-backend-leaving";
+const LEAVING_VALUE: &[u8] = b"1";
 const SHED_STATUS: u16 = 503;
 const MILLIS_PER_SECOND: u64 = 1_000;
 
@@ -41,6 +45,7 @@
             origin_header: None,
             accepts_unframed: false,
             is_not_run,
+            read_notice,
         },
         local: None,
     }
@@ -58,3 +63,10 @@
 fn is_not_run(status: u16, header: &ResponseHeaders<'_>) -> bool {
     status == SHED_STATUS && header(BACKEND_RUN_HEADER) == Some(NOT_RUN_VALUE)
 }
+
+fn read_notice(_: u16, header: &ResponseHeaders<'_>) -> ServerNotice {
+    ServerNotice {
+        limit: StatedLimit::from_header(header(BACKEND_LIMIT_HEADER)),
+        is_leaving: header(BACKEND_LEAVING_HEADER) == Some(LEAVING_VALUE),
+    }
+}
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -16,8 +16,8 @@
     clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
     ids::{BackendName, SlotCount},
-    member::BackendState,
-    plugin::ServerDialect,
+    member::{BackendState, StatedLimit},
+    plugin::{ServerDialect, ServerNotice},
     request::{AdmissionRequest, CrashStatus, ServerInstance},
 };
 use bronzelb_wire::peer::{ForwardRequest, ForwardResponse, HttpHeader};
@@ -331,6 +331,9 @@
             accepts_unframed: dialect.accepts_unframed,
             is_for_request: &is_for_request,
         };
+        runtime.limit_monitor().count_sent();
+        self.state
+            .count_labeled("requests_sent", "backend", name.as_str());
         let exchanged = connection
             .exchange(head, message.body.clone(), &options)
             .await;
@@ -339,6 +342,7 @@
                 runtime.echoes_request_id.store(false, Ordering::Relaxed);
             }
         })?;
+        self.record_notice(name, runtime, read_notice(dialect, &response));
         if !is_not_run(dialect, &response) {
             let has_echoed = response.headers.contains_key(dialect.request_header);
             runtime
@@ -352,6 +356,23 @@
         Ok(response)
     }
 
+    /// Records what a response states about its server.
+    fn record_notice(&self, name: &BackendName, runtime: &BackendRuntime, notice: ServerNotice) {
+        if notice.limit == StatedLimit::Unknown {
+            return;
+        }
+        let now = self.state.now();
+        let report = runtime.limit_monitor().record_limit(now, notice.limit);
+        let Some(report) = report else {
+            return;
+        };
+        let rate_text = |limit: StatedLimit| limit.rate().map(|rate| rate.to_string());
+        info!(self.state.logger, "{}", EventName::ServerLimit;
+            "backend" => name.to_string(), "limit" => rate_text(report.limit),
+            "previous_limit" => rate_text(report.previous), "sent" => report.sent,
+            "period_ms" => report.period.as_millis());
+    }
+
     /// Keeps an idle connection, up to this thread's share of the server's idle connections.
     fn keep_idle(&self, announcement: &BackendAnnouncement, connection: BackendConnection) {
         let threads = self.state.settings.workers + PEER_SERVER_THREADS;
@@ -448,6 +469,11 @@
     (dialect.is_not_run)(response.status.as_u16(), &header)
 }
 
+fn read_notice(dialect: &ServerDialect, response: &BackendResponse) -> ServerNotice {
+    let header = |name: &str| response.headers.get(name).map(HeaderValue::as_bytes);
+    (dialect.read_notice)(response.status.as_u16(), &header)
+}
+
 fn request_head(
     dialect: &ServerDialect,
     name: &BackendName,
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod crash_registry;
 mod hop_headers;
 mod keyed_request;
+mod limit_monitor;
 mod request_forwarder;
 mod request_state;
 mod routed_request;
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -20,7 +20,9 @@
 use tokio::sync::watch;
 
 use crate::{
-    forward::concurrency_limiter::ConcurrencyLimiter, gossip::GossipState, node::SystemClock,
+    forward::{concurrency_limiter::ConcurrencyLimiter, limit_monitor::LimitMonitor},
+    gossip::GossipState,
+    node::SystemClock,
 };
 
 const SERVICE_QUEUE_FACTOR: usize = 4;
@@ -71,6 +73,7 @@
     ///
     /// Reset when a response is lost.
     pub(crate) echoes_request_id: AtomicBool,
+    limit_monitor: Mutex<LimitMonitor>,
 }
 
 impl RequestState {
@@ -193,6 +196,7 @@
             ),
             crash_count: AtomicUsize::new(0),
             echoes_request_id: AtomicBool::new(false),
+            limit_monitor: Mutex::default(),
         });
         backends.insert(name.clone(), Arc::clone(&runtime));
         runtime
@@ -238,6 +242,11 @@
 }
 
 impl BackendRuntime {
+    /// Locks and returns the counts of requests sent to the server.
+    pub(crate) fn limit_monitor(&self) -> MutexGuard<'_, LimitMonitor> {
+        lock(&self.limit_monitor)
+    }
+
     /// Increments the crash count if it still equals `prior_crashes`.
     pub(crate) fn record_crash(&self, prior_crashes: u32) {
         let (prior_crashes, next) = (prior_crashes as usize, prior_crashes as usize + 1);
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -42,6 +42,9 @@
     RequestRefused,
     /// The node beside a server forwarded a request to it, and the exchange ended.
     RequestRan,
+    /// A backend server's stated rate limit changed or is in force; the fields count the requests
+    /// sent to it.
+    ServerLimit,
     /// A request failed or was rejected.
     RequestFailed,
     /// Log lines over the rate limit were counted instead of written.
@@ -82,6 +85,7 @@
             Self::RequestAttempted => "request-attempted",
             Self::RequestRefused => "request-refused",
             Self::RequestRan => "request-ran",
+            Self::ServerLimit => "server-limit",
             Self::RequestFailed => "request-failed",
             Self::LinesSuppressed => "lines-suppressed",
             Self::MoveRowFailed => "move-row-failed",
--- a/crates/kernel/src/ids/mod.rs
+++ b/crates/kernel/src/ids/mod.rs
@@ -3,6 +3,7 @@
 mod content_hash;
 mod names;
 mod numbers;
+mod request_rate;
 
 pub use content_hash::ContentHash;
 pub use names::{
@@ -13,3 +14,4 @@
     AttemptCount, AttemptToken, ByteCount, IncarnationNumber, MoveNumber, RequestNumber,
     ServiceWeight, SlotCount, VersionNumber,
 };
+pub use request_rate::RequestRate;
--- a/crates/kernel/src/member/mod.rs
+++ b/crates/kernel/src/member/mod.rs
@@ -8,6 +8,7 @@
 mod member_row;
 mod member_table;
 mod member_view;
+mod stated_limit;
 
 pub use backend_announcement::{
     BackendAnnouncement, BackendHeartbeat, BackendIncarnation, BackendMessage,
@@ -19,3 +20,4 @@
 pub use member_row::{MemberRow, MemberState};
 pub use member_table::MemberTable;
 pub use member_view::{MemberView, MergeOutcome};
+pub use stated_limit::StatedLimit;
--- a/crates/kernel/src/plugin/mod.rs
+++ b/crates/kernel/src/plugin/mod.rs
@@ -12,5 +12,6 @@
 pub use record_kind::{RecordKind, RecordMerge};
 pub use report_reader::{LoadReport, ReportReader};
 pub use wire_dialect::{
-    CallerDialect, LocalDialect, LocalRequest, ResponseHeaders, ServerDialect, WireDialect,
+    CallerDialect, LocalDialect, LocalRequest, ResponseHeaders, ServerDialect, ServerNotice,
+    WireDialect,
 };
--- a/crates/kernel/src/plugin/wire_dialect.rs
+++ b/crates/kernel/src/plugin/wire_dialect.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::TimeBudget,
     error::{ErrorKind, MeshError},
-    member::BackendMessage,
+    member::{BackendMessage, StatedLimit},
 };
 
 /// Wire conventions between a node and callers, backend servers and the VM's supervisor.
@@ -63,6 +63,17 @@
     pub accepts_unframed: bool,
     /// Returns whether a response's status and headers state that the request did not run.
     pub is_not_run: fn(u16, &ResponseHeaders<'_>) -> bool,
+    /// Reads what a response states about its server from the status and headers.
+    pub read_notice: fn(u16, &ResponseHeaders<'_>) -> ServerNotice,
+}
+
+/// What a response states about the server that sent it, besides its answer to the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotice {
+    /// Rate limit for the requests of all nodes together.
+    pub limit: StatedLimit,
+    /// Whether the server is about to shut down.
+    pub is_leaving: bool,
 }
 
 /// Looks up a response header by its name in lower case.
