Hold the rate limit that a server states, for all nodes together

What callers saw: nothing at first.

Cause: no node read the statement. The queue beside a server knew its declared slots only, and so did the choice of a server. Class: what a server says of itself in a response, rather than in a heartbeat, was dropped at the door.

Evidence: the rate at both servers does not change when the limit is stated (145 and 183 in the 4 s before, 147 and 190 in those after), with no fault around it; a text search of the sources finds no reader of the header. Ruled out: a limit counted by each node alone (the rate would fall to a multiple) and bursts (every second is above the limit).

Change: every request to a server passes the queue of the node beside it, so a RatePacer in that AdmissionQueue holds the limit for any number of entry nodes without a message between them. Requests that would start too late for the limit are refused at once with the instant at which it permits one. Entry nodes know the limit from responses and membership rows, count such a server as smaller, and send what they know with each request, so that a node that has just restarted beside the server holds the limit before its first response. A response ends a limit only if its request was sent after the last statement.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     ids::BackendName,
-    member::{BackendHeartbeat, BackendIncarnation, BackendMessage, BackendRow},
+    member::{BackendHeartbeat, BackendIncarnation, BackendMessage, BackendRow, StatedLimit},
     plugin::LoadReport,
     request::{HealthDebouncer, TimePublisher},
 };
@@ -31,6 +31,8 @@
     pub time_publisher: TimePublisher,
     /// End of the server's warm-up, if the server announces one.
     pub cold_until: Option<ClockInstant>,
+    /// Rate limit that the server states in its responses.
+    pub limit: StatedLimit,
     /// Incarnation and sequence number of the latest heartbeat.
     latest_heartbeat: (BackendIncarnation, u64),
 }
@@ -155,6 +157,7 @@
             report: None,
             time_publisher: TimePublisher::default(),
             cold_until: None,
+            limit: StatedLimit::Unknown,
             latest_heartbeat: (BackendIncarnation::default(), 0),
         };
         self.entries.insert(name, entry);
@@ -182,6 +185,13 @@
         entry.is_some_and(|entry| update(&mut entry.time_publisher))
     }
 
+    /// Records the rate limit that a server states and returns whether the data published to other
+    /// nodes changed.
+    pub fn record_limit(&mut self, name: &BackendName, limit: StatedLimit) -> bool {
+        let entry = self.entries.get_mut(name);
+        entry.is_some_and(|entry| std::mem::replace(&mut entry.limit, limit) != limit)
+    }
+
     /// Removes a server and returns whether it was present.
     pub fn remove(&mut self, name: &BackendName) -> bool {
         self.entries.remove(name).is_some()
@@ -224,6 +234,7 @@
                 slots: entry.announcement.slots,
                 state: entry.announcement.state,
                 is_reported_healthy: entry.health.is_healthy(),
+                limit: entry.limit,
                 cold_until: entry.cold_until,
                 times: entry.time_publisher.published().clone(),
             })
--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -9,6 +9,7 @@
 use bronzelb_kernel::{
     error::{ErrorKind, MeshError, RunState},
     ids::IdempotencyKey,
+    member::StatedLimit,
     plugin::CallerDialect,
 };
 use bronzelb_wire::peer::{ForwardRequest, ForwardResponse, HttpHeader};
@@ -129,6 +130,7 @@
             request_id: request_id.clone(),
             route: route_match.route.clone(),
             backend: None,
+            limit: StatedLimit::Unknown,
             key: read_idempotency_key(dialect, headers)?,
             fingerprint: fingerprint(
                 route_match.route.as_str(),
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -59,6 +59,14 @@
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<BackendConnection>>>>,
 }
 
+/// Backend server on this node that a request is sent to.
+#[derive(Clone, Copy)]
+struct LocalServer<'a> {
+    name: &'a BackendName,
+    announcement: &'a BackendAnnouncement,
+    runtime: &'a BackendRuntime,
+}
+
 impl BackendClient {
     /// Creates a client for one thread, with its own connections.
     #[must_use]
@@ -89,11 +97,12 @@
         deadline: ClockInstant,
         message: &ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
-        let announcement = self.announcement(name)?;
+        let announcement = self.serving(name)?;
         let runtime = self
             .state
             .requests
             .backend_runtime(name, usable_slots(&announcement));
+        runtime.slot_limiter.adopt_limit(message.limit);
         let crash_status = self.crashes.check(message.fingerprint)?;
         let suspect_permit = match crash_status {
             CrashStatus::Suspect => Some(
@@ -114,10 +123,13 @@
         })?;
         let started_at = self.state.now();
         // The server may have started draining while the request was queued.
-        let announcement = self.announcement(name)?;
-        let result = self
-            .run_in_slot(name, &announcement, &runtime, deadline, message)
-            .await;
+        let announcement = self.serving(name)?;
+        let server = LocalServer {
+            name,
+            announcement: &announcement,
+            runtime: &runtime,
+        };
+        let result = self.run_in_slot(&server, deadline, message).await;
         self.log_run(name, message, (queued_at, started_at), &result);
         finish_if_ok(permit, &result);
         if let Some(suspect_permit) = suspect_permit {
@@ -135,10 +147,12 @@
             backend: name.clone(),
             version: announcement.version,
             load: runtime.slot_limiter.load(),
+            limit: runtime.slot_limiter.limit(),
         })
     }
 
-    fn announcement(&self, name: &BackendName) -> Result<BackendAnnouncement, MeshError> {
+    /// Returns the announcement of a server that accepts requests.
+    fn serving(&self, name: &BackendName) -> Result<BackendAnnouncement, MeshError> {
         let backends = self.state.backends();
         let now = self.state.now();
         let entry = backends
@@ -249,12 +263,16 @@
 
     async fn run_in_slot(
         &self,
-        name: &BackendName,
-        announcement: &BackendAnnouncement,
-        runtime: &BackendRuntime,
+        server: &LocalServer<'_>,
         deadline: ClockInstant,
         message: &ForwardRequest,
     ) -> Result<BackendResponse, MeshError> {
+        let LocalServer {
+            name,
+            announcement,
+            runtime,
+            ..
+        } = *server;
         let instance = ServerInstance {
             backend: name.clone(),
             incarnation: self.state.incarnation(),
@@ -268,7 +286,7 @@
             let message = "the deadline passed before the request ran";
             return Err(MeshError::new(ErrorKind::DeadlinePassed, message));
         }
-        let exchange = self.exchange(name, announcement, runtime, time_left, message);
+        let exchange = self.exchange(server, time_left, message);
         let Ok(result) = time::timeout(time_left.to_std(), exchange).await else {
             let message = format!("backend server {name} did not respond before the deadline");
             return Err(MeshError::new(ErrorKind::OutcomeUnknown, message));
@@ -299,12 +317,16 @@
 
     async fn exchange(
         &self,
-        name: &BackendName,
-        announcement: &BackendAnnouncement,
-        runtime: &BackendRuntime,
+        server: &LocalServer<'_>,
         time_left: TimeBudget,
         message: &ForwardRequest,
     ) -> Result<BackendResponse, ExchangeError> {
+        let LocalServer {
+            name,
+            announcement,
+            runtime,
+            ..
+        } = *server;
         let address = announcement.address;
         let echoes_request_id = runtime.echoes_request_id.load(Ordering::Relaxed);
         let connection = match self.take_idle(address) {
@@ -331,6 +353,7 @@
             accepts_unframed: dialect.accepts_unframed,
             is_for_request: &is_for_request,
         };
+        let sent_at = self.state.now();
         runtime.limit_monitor().count_sent();
         self.state
             .count_labeled("requests_sent", "backend", name.as_str());
@@ -342,7 +365,7 @@
                 runtime.echoes_request_id.store(false, Ordering::Relaxed);
             }
         })?;
-        self.record_notice(name, runtime, read_notice(dialect, &response));
+        self.record_notice(server, sent_at, read_notice(dialect, &response));
         if !is_not_run(dialect, &response) {
             let has_echoed = response.headers.contains_key(dialect.request_header);
             runtime
@@ -357,13 +380,22 @@
     }
 
     /// Records what a response states about its server.
-    fn record_notice(&self, name: &BackendName, runtime: &BackendRuntime, notice: ServerNotice) {
-        if notice.limit == StatedLimit::Unknown {
-            return;
+    fn record_notice(&self, server: &LocalServer<'_>, sent_at: ClockInstant, notice: ServerNotice) {
+        let LocalServer { name, runtime, .. } = *server;
+        runtime.slot_limiter.record_statement(sent_at, notice.limit);
+        let limit = runtime.slot_limiter.limit();
+        let is_changed = self.state.backends().record_limit(name, limit);
+        if is_changed {
+            self.state.publish_backends();
         }
+        self.log_limit(name, runtime, limit);
+    }
+
+    /// Logs the requests sent to a server whose limit has changed, or regularly while one is in
+    /// force.
+    fn log_limit(&self, name: &BackendName, runtime: &BackendRuntime, limit: StatedLimit) {
         let now = self.state.now();
-        let report = runtime.limit_monitor().record_limit(now, notice.limit);
-        let Some(report) = report else {
+        let Some(report) = runtime.limit_monitor().record_limit(now, limit) else {
             return;
         };
         let rate_text = |limit: StatedLimit| limit.rate().map(|rate| rate.to_string());
--- a/crates/daemon/src/forward/claim_table.rs
+++ b/crates/daemon/src/forward/claim_table.rs
@@ -7,6 +7,7 @@
         AttemptToken, BackendName, BuildVersion, ContentHash, IdempotencyKey, IncarnationNumber,
         NodeName,
     },
+    member::StatedLimit,
     request::{ClaimOutcome, ClaimRow, ClaimStatus, MAX_CLAIM_BODY_BYTES, ServerLoad},
 };
 use bronzelb_store::{
@@ -296,6 +297,7 @@
         backend: replayed_backend(),
         version: replayed_version(),
         load: ServerLoad::default(),
+        limit: StatedLimit::Unknown,
     }))
 }
 
--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -5,12 +5,13 @@
     config::RequestPriority,
     error::{ErrorKind, MeshError},
     ids::{RouteName, SlotCount},
+    member::StatedLimit,
     request::{
         AdmissionDecision, AdmissionQueue, AdmissionRequest, AdmissionUpdate, QueueKey, ServerLoad,
         TimePublisher,
     },
 };
-use tokio::{sync::oneshot, time};
+use tokio::{runtime::Handle, sync::oneshot, time};
 
 use crate::node::SystemClock;
 
@@ -27,6 +28,9 @@
 pub(crate) struct ConcurrencyLimiter {
     clock: SystemClock,
     queue: Mutex<AdmissionQueue<SlotWaiter>>,
+    /// Instant at which a task starts the requests that wait for the rate limit;
+    /// [`ClockInstant::NEVER`] if there is none.
+    wake_at: Mutex<ClockInstant>,
 }
 
 impl ConcurrencyLimiter {
@@ -34,6 +38,7 @@
         Arc::new(Self {
             clock,
             queue: Mutex::new(AdmissionQueue::new(slots, queue_limit)),
+            wake_at: Mutex::new(ClockInstant::NEVER),
         })
     }
 
@@ -67,6 +72,7 @@
         let (decision, rejected_waiters) =
             self.lock()
                 .submit_request(now, &request, sender, &mut rand::rng());
+        self.schedule_start();
         for waiter in rejected_waiters {
             // The waiter may have been cancelled.
             let _ = waiter.item.send(Err(waiter.retry_at));
@@ -90,7 +96,7 @@
     }
 
     /// Changes the number of slots and the queue limit.
-    pub(crate) fn resize(&self, slots: SlotCount, queue_limit: usize) {
+    pub(crate) fn resize(self: &Arc<Self>, slots: SlotCount, queue_limit: usize) {
         let mut queue = self.lock();
         if queue.slots() == slots {
             return;
@@ -101,6 +107,27 @@
         self.apply(update);
     }
 
+    /// Records the rate limit that the response to a request sent at `sent_at` states.
+    pub(crate) fn record_statement(self: &Arc<Self>, sent_at: ClockInstant, limit: StatedLimit) {
+        let now = self.clock.now();
+        let update = self
+            .lock()
+            .record_statement(now, sent_at, limit, &mut rand::rng());
+        self.apply(update);
+    }
+
+    /// Adopts a rate limit that another node knows, until the server's own first response.
+    pub(crate) fn adopt_limit(self: &Arc<Self>, limit: StatedLimit) {
+        let now = self.clock.now();
+        let update = self.lock().adopt_limit(now, limit, &mut rand::rng());
+        self.apply(update);
+    }
+
+    /// Returns the rate limit in force.
+    pub(crate) fn limit(&self) -> StatedLimit {
+        self.lock().limit()
+    }
+
     pub(crate) fn load(&self) -> ServerLoad {
         let queue = self.lock();
         ServerLoad {
@@ -129,13 +156,13 @@
         }
     }
 
-    fn release(&self, took: Option<TimeBudget>) {
+    fn release(self: &Arc<Self>, took: Option<TimeBudget>) {
         let now = self.clock.now();
         let update = self.lock().release(now, took, &mut rand::rng());
         self.apply(update);
     }
 
-    fn apply(&self, update: AdmissionUpdate<SlotWaiter>) {
+    fn apply(self: &Arc<Self>, update: AdmissionUpdate<SlotWaiter>) {
         for waiter in update.refused {
             // The waiter may have been cancelled.
             let _ = waiter.item.send(Err(waiter.retry_at));
@@ -145,6 +172,45 @@
                 self.release(None);
             }
         }
+        self.schedule_start();
+    }
+
+    /// Schedules the start of the requests that wait for the rate limit, if there are any.
+    fn schedule_start(self: &Arc<Self>) {
+        let Some(start) = self.lock().next_start() else {
+            return;
+        };
+        let mut wake_at = self.wake_at.lock().unwrap_or_else(PoisonError::into_inner);
+        // Without a runtime the process is shutting down.
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        if start >= *wake_at {
+            return;
+        }
+        *wake_at = start;
+        let limiter = Arc::downgrade(self);
+        let delay = start.remaining(self.clock.now()).to_std();
+        runtime.spawn(async move {
+            time::sleep(delay).await;
+            if let Some(limiter) = limiter.upgrade() {
+                limiter.start_due(start);
+            }
+        });
+    }
+
+    /// Starts the requests that the rate limit allows by now, unless another task does at an
+    /// earlier instant than `wake_at`.
+    fn start_due(self: &Arc<Self>, wake_at: ClockInstant) {
+        {
+            let mut scheduled = self.wake_at.lock().unwrap_or_else(PoisonError::into_inner);
+            if *scheduled != wake_at {
+                return;
+            }
+            *scheduled = ClockInstant::NEVER;
+        }
+        let update = self.lock().start_due(self.clock.now(), &mut rand::rng());
+        self.apply(update);
     }
 
     fn lock(&self) -> MutexGuard<'_, AdmissionQueue<SlotWaiter>> {
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -185,6 +185,7 @@
         let guard = AttemptGuard::new(&self.state, request, server);
         let mut message = request.message.clone();
         message.backend = Some(server.backend.clone());
+        message.limit = self.state.requests.load_balancer().limit(&server.backend);
         message.attempt = message.attempt.max(1) + attempt - 1;
         let result = if server.node == self.state.settings.node {
             let backends = &self.backends;
@@ -432,12 +433,9 @@
         if let Ok(response) = result {
             let mut load_balancer = self.state.requests.load_balancer();
             let service = &self.request.service;
-            load_balancer.report_load(
-                self.state.now(),
-                service,
-                &self.server.backend,
-                response.load,
-            );
+            let (now, backend) = (self.state.now(), &self.server.backend);
+            load_balancer.report_load(now, service, backend, response.load);
+            load_balancer.record_limit(now, service, backend, response.limit);
         }
     }
 
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -20,7 +20,7 @@
     },
     error::{ErrorKind, MeshError, RunState},
     ids::{AttemptToken, ByteCount, SlotCount, VersionNumber},
-    member::BackendState,
+    member::{BackendState, StatedLimit},
     rollout::{MoveRecord, MoveRequest},
     spread::{FetchSource, SnapshotReply, VersionFetch},
 };
@@ -263,6 +263,7 @@
                 request_id: format_compact!("request-{number}"),
                 route: "all".parse().expect("a valid name"),
                 backend: None,
+                limit: StatedLimit::Unknown,
                 key: None,
                 fingerprint: fingerprint("all", "GET", &target, b""),
                 priority: RequestPriority::NORMAL,
--- a/crates/kernel/src/member/backend_row.rs
+++ b/crates/kernel/src/member/backend_row.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     ids::{BackendName, BuildVersion, RouteName, ServiceName, SlotCount},
+    member::StatedLimit,
 };
 
 /// Lifecycle state of a backend server, as announced by the server or observed by its local node.
@@ -34,6 +35,8 @@
     pub state: BackendState,
     /// Whether it reports itself healthy.
     pub is_reported_healthy: bool,
+    /// Rate limit that it states, for the requests of all nodes together.
+    pub limit: StatedLimit,
     /// End of its warm-up after a start, by the clock of its local node; absent if it reports none.
     pub cold_until: Option<ClockInstant>,
     /// Approximate service time per request on its busiest routes.
@@ -41,8 +44,8 @@
 }
 
 impl BackendRow {
-    /// Returns whether this row differs from `held` at most in the reported health, the warm-up and
-    /// the service times.
+    /// Returns whether this row differs from `held` at most in the reported health, the limit, the
+    /// warm-up and the service times.
     pub(crate) fn differs_in_hints_only(&self, held: &Self) -> bool {
         self.name == held.name
             && self.service == held.service
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -6,6 +6,8 @@
     clock::{ClockInstant, TimeBudget},
     config::RequestPriority,
     ids::{RouteName, SlotCount},
+    member::StatedLimit,
+    request::RatePacer,
 };
 
 /// Assumed service time until the first request has finished; short, so that no request is refused
@@ -115,6 +117,22 @@
     expected_time: TimeBudget,
 }
 
+/// Number and total expected service time of waiting requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueuedWork {
+    requests: usize,
+    micros: u64,
+}
+
+impl QueuedWork {
+    fn with<T>(self, entry: &WaitEntry<T>) -> Self {
+        Self {
+            requests: self.requests + 1,
+            micros: self.micros + entry.expected_time.as_micros(),
+        }
+    }
+}
+
 /// Moving average of the service time of a route's requests.
 #[derive(Clone, Copy, Debug)]
 struct RouteTime {
@@ -125,6 +143,8 @@
 
 /// Concurrency limit with a bounded priority queue for the requests that wait.
 ///
+/// A request starts when a slot is free and the rate limit, if there is one, allows it.
+///
 /// Waiting requests are ordered by priority, then by whether they can still meet their soft
 /// deadline, then by deadline. A request that cannot start in time, given the measured service
 /// times and the requests before it, is refused immediately, with the instant at which capacity is
@@ -165,6 +185,7 @@
     /// Service time at the last check of the whole queue.
     checked_service_time: TimeBudget,
     next_sequence: u64,
+    pacer: RatePacer,
 }
 
 impl<T> AdmissionQueue<T> {
@@ -181,6 +202,7 @@
             is_service_time_measured: false,
             checked_service_time: INITIAL_SERVICE_TIME,
             next_sequence: 0,
+            pacer: RatePacer::default(),
         }
     }
 
@@ -216,8 +238,8 @@
         if deadline.has_passed(now) {
             return (self.refuse(now, rng), Vec::new());
         }
-        if self.running < self.slots && self.queue.is_empty() {
-            self.running += 1;
+        if self.queue.is_empty() && self.may_start(now) {
+            self.start(now);
             return (AdmissionDecision::Run, Vec::new());
         }
         let expected_time = self.expected_time(request.route.as_ref());
@@ -234,9 +256,7 @@
         let is_full = self.queue.len() >= self.queue_limit;
         let ahead = self.queue.range(..queue_key);
         let ahead = ahead.filter(|(_, entry)| !entry.queue_deadline.has_passed(now));
-        let ahead: u64 = ahead
-            .map(|(_, entry)| entry.expected_time.as_micros())
-            .sum();
+        let ahead = ahead.fold(QueuedWork::default(), |ahead, (_, entry)| ahead.with(entry));
         let queue_deadline = self.queue_deadline(now, request, expected_time);
         if (is_full && is_least_urgent) || self.starts_too_late(now, queue_deadline, ahead) {
             return (self.refuse(now, rng), Vec::new());
@@ -315,6 +335,64 @@
         self.start_waiting(now, rng)
     }
 
+    /// Records the limit that the response to a request sent at `sent_at` states; returns the
+    /// waiting requests that start or are refused.
+    pub fn record_statement(
+        &mut self,
+        now: ClockInstant,
+        sent_at: ClockInstant,
+        limit: StatedLimit,
+        rng: &mut impl Rng,
+    ) -> AdmissionUpdate<T> {
+        let is_changed = self.pacer.record_statement(now, sent_at, limit);
+        self.update_after(now, is_changed, rng)
+    }
+
+    /// Adopts a limit that another node knows, until the server's own first response; returns the
+    /// waiting requests that start or are refused.
+    pub fn adopt_limit(
+        &mut self,
+        now: ClockInstant,
+        limit: StatedLimit,
+        rng: &mut impl Rng,
+    ) -> AdmissionUpdate<T> {
+        let is_changed = self.pacer.adopt_limit(now, limit);
+        self.update_after(now, is_changed, rng)
+    }
+
+    /// Returns the rate limit in force.
+    #[must_use]
+    pub const fn limit(&self) -> StatedLimit {
+        self.pacer.limit()
+    }
+
+    /// Starts the waiting requests that the rate limit allows by now.
+    pub fn start_due(&mut self, now: ClockInstant, rng: &mut impl Rng) -> AdmissionUpdate<T> {
+        self.start_waiting(now, rng)
+    }
+
+    /// Returns the instant at which [`AdmissionQueue::start_due`] must be called, or `None` if no
+    /// request waits for the rate limit alone.
+    #[must_use]
+    pub fn next_start(&self) -> Option<ClockInstant> {
+        let waits = !self.queue.is_empty() && self.running < self.slots;
+        waits.then(|| self.pacer.next_start())
+    }
+
+    fn update_after(
+        &mut self,
+        now: ClockInstant,
+        is_limit_changed: bool,
+        rng: &mut impl Rng,
+    ) -> AdmissionUpdate<T> {
+        if !is_limit_changed {
+            return AdmissionUpdate::default();
+        }
+        let mut update = self.start_waiting(now, rng);
+        update.refused.extend(self.evict(now, rng));
+        update
+    }
+
     /// Changes the maximum number of waiting requests, with effect from the next arrival.
     pub fn set_queue_limit(&mut self, queue_limit: usize) {
         self.queue_limit = queue_limit;
@@ -346,7 +424,7 @@
 
     fn start_waiting(&mut self, now: ClockInstant, rng: &mut impl Rng) -> AdmissionUpdate<T> {
         let mut update = AdmissionUpdate::default();
-        while self.running < self.slots {
+        while self.may_start(now) {
             let Some((_, entry)) = self.queue.pop_first() else {
                 break;
             };
@@ -356,7 +434,7 @@
                 update.refused.push(RefusedRequest { item, retry_at });
                 continue;
             }
-            self.running += 1;
+            self.start(now);
             update.started.push(item);
         }
         if self.must_recheck_queue() {
@@ -376,13 +454,13 @@
         let mut evicted = Vec::new();
         self.checked_service_time = self.service_time;
         let mut kept = 0;
-        let mut ahead = 0;
+        let mut ahead = QueuedWork::default();
         for (queue_key, entry) in &self.queue {
             if kept >= self.queue_limit || self.starts_too_late(now, entry.queue_deadline, ahead) {
                 evicted.push(*queue_key);
             } else {
                 kept += 1;
-                ahead += entry.expected_time.as_micros();
+                ahead = ahead.with(entry);
             }
         }
         let mut refused = Vec::with_capacity(evicted.len());
@@ -402,10 +480,24 @@
         }
     }
 
-    /// Returns whether a request would start too late if the requests before it take `ahead`
-    /// microseconds.
-    fn starts_too_late(&self, now: ClockInstant, queue_deadline: ClockInstant, ahead: u64) -> bool {
-        now.after(TimeBudget::from_micros(self.wait_micros(ahead))) > queue_deadline
+    /// Returns whether a request would start too late if `ahead` runs before it.
+    fn starts_too_late(
+        &self,
+        now: ClockInstant,
+        queue_deadline: ClockInstant,
+        ahead: QueuedWork,
+    ) -> bool {
+        let slot_free_at = now.after(TimeBudget::from_micros(self.wait_micros(ahead.micros)));
+        slot_free_at.max(self.pacer.start_after(now, ahead.requests)) > queue_deadline
+    }
+
+    fn may_start(&self, now: ClockInstant) -> bool {
+        self.running < self.slots && self.pacer.may_start(now)
+    }
+
+    fn start(&mut self, now: ClockInstant) {
+        self.running += 1;
+        self.pacer.count_start(now);
     }
 
     /// Returns the time until a slot is free for a request if the queued requests before it take
@@ -463,20 +555,22 @@
         latest_start.min(preferred_start.max(now.after(MIN_QUEUE_WAIT)))
     }
 
-    /// Returns the instant at which the current queue will have drained by half or more, with
-    /// random jitter so that retries do not coincide.
+    /// Returns the instant at which the current queue will have drained by half or more and the
+    /// rate limit allows another request, with random jitter so that retries do not coincide.
     ///
     /// The delay is short because a caller that retries early can still get its response in time.
     /// The running requests need not have finished by then, since slots are freed continuously.
     fn retry_at(&self, now: ClockInstant, rng: &mut impl Rng) -> ClockInstant {
-        let queued = self
-            .queue
-            .values()
-            .map(|entry| entry.expected_time.as_micros());
-        let drain_micros = self.wait_micros(queued.sum());
+        let queued = self.queue.values();
+        let queued = queued.fold(QueuedWork::default(), QueuedWork::with);
+        let next_start = self.pacer.start_after(now, queued.requests);
+        let drain_micros = self
+            .wait_micros(queued.micros)
+            .max(next_start.remaining(now).as_micros());
         let base_delay = (drain_micros / 2).clamp(MIN_BASE_DELAY_MICROS, MAX_BASE_DELAY_MICROS);
-        let jitter = rng.random_range(0..=base_delay);
-        now.after(TimeBudget::from_micros(base_delay + jitter))
+        let jitter = TimeBudget::from_micros(rng.random_range(0..=base_delay));
+        let earliest = now.after(TimeBudget::from_micros(base_delay));
+        earliest.max(next_start).after(jitter)
     }
 
     fn record_service_time(&mut self, took: TimeBudget) {
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -6,8 +6,11 @@
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
     ids::{BackendName, DataCentre, NodeName, RouteName, ServiceName, SlotCount},
-    member::{BackendRow, BackendState, MemberRow, MemberState},
-    request::{AttemptOutcome, ServerLoad, ServerLocation, server_stats::ServerStats},
+    member::{BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
+    request::{
+        AttemptOutcome, ServerLoad, ServerLocation, notice_table::NoticeTable,
+        server_stats::ServerStats,
+    },
     rollout::VersionChoice,
 };
 
@@ -81,6 +84,7 @@
     services: BTreeMap<ServiceName, BTreeMap<BackendName, ServerStats>>,
     /// Servers that each node hosts.
     hosted: BTreeMap<NodeName, Vec<(ServiceName, BackendName)>>,
+    notices: NoticeTable,
 }
 
 impl LoadBalancer {
@@ -209,6 +213,27 @@
         }
     }
 
+    /// Records the rate limit that a server states in a response.
+    pub fn record_limit(
+        &mut self,
+        now: ClockInstant,
+        service: &ServiceName,
+        backend: &BackendName,
+        limit: StatedLimit,
+    ) {
+        self.notices.record_limit(now, backend, limit);
+        let known = self.notices.limit(backend);
+        if let Some(server) = self.server_mut(service, backend) {
+            server.limit = known;
+        }
+    }
+
+    /// Returns the rate limit that the server is known to state.
+    #[must_use]
+    pub fn limit(&self, backend: &BackendName) -> StatedLimit {
+        self.notices.limit(backend)
+    }
+
     /// Returns the total declared slots of the service's serving servers.
     #[must_use]
     pub fn slots(&self, service: &ServiceName) -> SlotCount {
@@ -302,6 +327,9 @@
         server.location = location;
         server.slots = row.slots.get();
         server.is_healthy = row.is_reported_healthy;
+        // A node that has just restarted does not know the limit yet.
+        self.notices.record_limit(now, &row.name, row.limit);
+        server.limit = self.notices.limit(&row.name);
         server.service_times.clone_from(&row.times);
         server.state = state;
     }
@@ -477,7 +505,7 @@
         .iter()
         .filter(|server| server.location.data_centre == *data_centre);
     let (request_count, slots) = inside.fold((0.0, 0.0), |(request_count, slots), server| {
-        let capacity = f64::from(server.slots) * server.weight(now);
+        let capacity = server.capacity() * server.weight(now);
         (
             request_count + f64::from(server.request_count(now)),
             slots + capacity,
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -3,7 +3,7 @@
 //! The entry node selects a backend server with [`LoadBalancer`], asks [`RetryBudget`] or
 //! [`SharedBudget`] before it retries, and bounds its outstanding requests with
 //! [`AdaptiveLimit`]. The node beside a server assigns the server's slots with an
-//! [`AdmissionQueue`]. [`IdempotencyCache`], [`RequestTicket`] and [`ClaimRow`] prevent a request
+//! [`AdmissionQueue`], whose [`RatePacer`] holds the rate limit that the server states. [`IdempotencyCache`], [`RequestTicket`] and [`ClaimRow`] prevent a request
 //! with an idempotency key from running twice. [`CrashRecord`] quarantines a request after it has
 //! crashed two servers.
 
@@ -16,6 +16,8 @@
 mod health_debouncer;
 mod idempotency_cache;
 mod load_balancer;
+mod notice_table;
+mod rate_pacer;
 mod request_ticket;
 mod retry_budget;
 mod server_stats;
@@ -34,6 +36,7 @@
 pub use health_debouncer::HealthDebouncer;
 pub use idempotency_cache::{IdempotencyCache, KEY_RETENTION, KeyDecision, KeyOutcome};
 pub use load_balancer::{LatencyTarget, LoadBalancer, SelectionCriteria};
+pub use rate_pacer::RatePacer;
 pub use request_ticket::RequestTicket;
 pub use retry_budget::{RetryBudget, RetryContext};
 pub use server_stats::{ServerLoad, ServerLocation};
--- a/crates/kernel/src/request/server_stats.rs
+++ b/crates/kernel/src/request/server_stats.rs
@@ -5,8 +5,8 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
-    ids::{BackendName, BuildVersion, DataCentre, NodeName, RouteName},
-    member::BackendState,
+    ids::{BackendName, BuildVersion, DataCentre, NodeName, RequestRate, RouteName},
+    member::{BackendState, StatedLimit},
     request::AttemptOutcome,
 };
 
@@ -37,6 +37,8 @@
 const LOAD_REPORT_LIFETIME: TimeBudget = TimeBudget::from_millis(500);
 /// Time for which a server counts as full after a refusal; a slot usually becomes free within it.
 const SHED_LIFETIME: TimeBudget = TimeBudget::from_millis(100);
+/// Longest time for which a server with a rate limit counts as full after a refusal.
+const MAX_SHED_LIFETIME: TimeBudget = TimeBudget::from_secs(1);
 /// Multiple of the mean latency beyond which a timed-out request counts as a server failure.
 const TIMEOUT_FACTOR: f64 = 4.0;
 /// Multiple of the mean latency after which a server that finishes no request counts as stalled.
@@ -46,6 +48,9 @@
 const MIN_STALL_MICROS: f64 = 50_000.0;
 /// Factor on the load of a stalled server, so that it is selected last but still used if alone.
 const STALL_PENALTY: f64 = 16.0;
+const MICROS_PER_SECOND: f64 = 1_000_000.0;
+/// Minimum capacity of a server with a rate limit, so that it is still used now and then.
+const MIN_CAPACITY: f64 = 0.05;
 /// Weight of a server at the beginning of its slow start.
 const SLOW_START_WEIGHT: f64 = 0.1;
 /// Minimum weight of a failing server, so that its recovery is detected.
@@ -83,6 +88,8 @@
     pub(crate) state: BackendState,
     pub(crate) outstanding: u32,
     pub(crate) is_healthy: bool,
+    /// Rate limit that the server states, for the requests of all nodes together.
+    pub(crate) limit: StatedLimit,
     /// Published service time of the server's requests, by route.
     pub(crate) service_times: BTreeMap<RouteName, TimeBudget>,
     /// Instant until which the server reports itself cold; `None` if it does not report this.
@@ -114,6 +121,7 @@
             state: BackendState::Starting,
             outstanding: 0,
             is_healthy: true,
+            limit: StatedLimit::Unknown,
             service_times: BTreeMap::new(),
             cold_until: None,
             full_weight_from,
@@ -203,9 +211,11 @@
     /// the server's service time for `route` is unknown.
     pub(crate) fn expected_micros(&self, now: ClockInstant, route: &RouteName) -> Option<f64> {
         let service_time = self.service_times.get(route)?.as_micros() as f64;
-        let slots = f64::from(self.slots.max(1));
-        let queued = (f64::from(self.request_count(now)) + 1.0 - slots).max(0.0);
-        let time = service_time * (1.0 + queued / slots) / self.warm_up_factor(now).max(COLD_SPEED);
+        let capacity = self.capacity();
+        // An idle server starts the next request at once, even if it takes few a second.
+        let queued = (f64::from(self.request_count(now)) + 1.0 - capacity.max(1.0)).max(0.0);
+        let time =
+            service_time * (1.0 + queued / capacity) / self.warm_up_factor(now).max(COLD_SPEED);
         Some(if self.is_stalled(now) {
             time * STALL_PENALTY
         } else {
@@ -213,6 +223,31 @@
         })
     }
 
+    /// Returns the number of requests that the server processes concurrently: its slots, or fewer
+    /// if its rate limit leaves some of them idle.
+    pub(crate) fn capacity(&self) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let Some((rate, service_micros)) = self.limit.rate().zip(self.mean_service_micros()) else {
+            return slots;
+        };
+        let busy = rate.per_second() * service_micros / MICROS_PER_SECOND;
+        busy.clamp(MIN_CAPACITY, slots)
+    }
+
+    /// Returns the mean of the published service times, or of this node's own attempts if none is
+    /// published.
+    fn mean_service_micros(&self) -> Option<f64> {
+        let published = self
+            .service_times
+            .values()
+            .map(|time| time.as_micros() as f64);
+        let mean = match self.service_times.len() {
+            0 => self.latency_micros,
+            count => published.sum::<f64>() / count as f64,
+        };
+        (mean > 0.0).then_some(mean)
+    }
+
     /// Returns the share of work that this server should get, relative to a warm, healthy server.
     pub(crate) fn weight(&self, now: ClockInstant) -> f64 {
         let health = if self.is_healthy {
@@ -227,8 +262,7 @@
     /// Returns the requests per weighted slot, increased if the server is stalled; the server with
     /// the lower value is selected.
     pub(crate) fn weighted_load(&self, now: ClockInstant) -> f64 {
-        let capacity = f64::from(self.slots.max(1)) * self.weight(now);
-        let load = f64::from(self.request_count(now)) / capacity;
+        let load = f64::from(self.request_count(now)) / (self.capacity() * self.weight(now));
         if self.is_stalled(now) {
             return load * STALL_PENALTY;
         }
@@ -262,13 +296,18 @@
         self.outstanding > 0 && idle > max_idle
     }
 
-    /// Treats the server as full for [`SHED_LIFETIME`], since a refusal carries no load report.
+    /// Treats the server as full for [`SHED_LIFETIME`] or until its rate limit allows another
+    /// request, since a refusal carries no load report.
     fn mark_full(&mut self, now: ClockInstant) {
         self.load = ServerLoad {
             running: self.slots,
             waiting: self.slots,
         };
-        self.load_valid_until = now.after(SHED_LIFETIME);
+        let interval = self.limit.rate().and_then(RequestRate::interval);
+        let lifetime = interval.map_or(SHED_LIFETIME, |interval| {
+            interval.clamp(SHED_LIFETIME, MAX_SHED_LIFETIME)
+        });
+        self.load_valid_until = now.after(lifetime);
     }
 
     /// Returns whether a timed-out request waited far longer than the server's mean latency.
--- a/crates/wire/src/peer/forward_message.rs
+++ b/crates/wire/src/peer/forward_message.rs
@@ -2,6 +2,7 @@
     clock::TimeBudget,
     config::{HttpMethod, RequestPriority},
     ids::{BackendName, BuildVersion, ContentHash, IdempotencyKey, RouteName},
+    member::StatedLimit,
     request::ServerLoad,
 };
 use bytes::Bytes;
@@ -28,6 +29,8 @@
     pub route: RouteName,
     /// Backend server selected by the entry node; `None` before selection.
     pub backend: Option<BackendName>,
+    /// Rate limit of that server, as known to the entry node.
+    pub limit: StatedLimit,
     /// Idempotency key sent by the caller, if any.
     pub key: Option<IdempotencyKey>,
     /// Hash of the route, method, target and body.
@@ -63,4 +66,6 @@
     pub version: BuildVersion,
     /// Load of that backend server, as observed by its local node.
     pub load: ServerLoad,
+    /// Rate limit of that backend server, as known to its local node.
+    pub limit: StatedLimit,
 }
