Send nothing more to a server whose responses state its departure

What callers saw: a server that answers with Server-Leaving went on getting requests for as long as its heartbeats said ready, which may arrive seconds late, and after a restart of its own node; what it could not finish was cut.

Change: the node beside the server marks that incarnation as draining, whatever its later heartbeats say, and publishes it. The entry node that passed the response on remembers the incarnation apart from the membership rows, which a restarted node beside the server may publish as serving again. A new incarnation under the same name is used at once. Rows and responses between nodes carry the incarnation for that.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -3,7 +3,9 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     ids::BackendName,
-    member::{BackendHeartbeat, BackendIncarnation, BackendMessage, BackendRow, StatedLimit},
+    member::{
+        BackendHeartbeat, BackendIncarnation, BackendMessage, BackendRow, BackendState, StatedLimit,
+    },
     plugin::LoadReport,
     request::{HealthDebouncer, TimePublisher},
 };
@@ -33,10 +35,29 @@
     pub cold_until: Option<ClockInstant>,
     /// Rate limit that the server states in its responses.
     pub limit: StatedLimit,
+    /// Whether this incarnation stated its departure in a response.
+    has_departed: bool,
     /// Incarnation and sequence number of the latest heartbeat.
     latest_heartbeat: (BackendIncarnation, u64),
 }
 
+impl BackendEntry {
+    /// Returns the server's lifecycle state. A stated departure overrides later announcements.
+    #[must_use]
+    pub const fn state(&self) -> BackendState {
+        match self.has_departed {
+            true => BackendState::Draining,
+            false => self.announcement.state,
+        }
+    }
+
+    /// Returns the server's incarnation; the default if the server does not state it.
+    #[must_use]
+    pub const fn incarnation(&self) -> BackendIncarnation {
+        self.latest_heartbeat.0
+    }
+}
+
 /// Backend servers on this node, by name.
 #[derive(Clone, Debug)]
 pub struct BackendTable {
@@ -106,6 +127,10 @@
         let mut is_changed = self.announce(now, heartbeat.name, heartbeat.announcement);
         if let Some(entry) = self.entries.get_mut(&name) {
             // Later heartbeats of an incarnation repeat the same instant with a small deviation.
+            if entry.latest_heartbeat.0 != heartbeat_order.0 {
+                is_changed |= entry.has_departed;
+                entry.has_departed = false;
+            }
             if entry.cold_until.is_none() || entry.latest_heartbeat.0 != heartbeat_order.0 {
                 entry.cold_until = Some(now.after(heartbeat.warm_up));
                 is_changed = true;
@@ -158,6 +183,7 @@
             time_publisher: TimePublisher::default(),
             cold_until: None,
             limit: StatedLimit::Unknown,
+            has_departed: false,
             latest_heartbeat: (BackendIncarnation::default(), 0),
         };
         self.entries.insert(name, entry);
@@ -192,6 +218,18 @@
         entry.is_some_and(|entry| std::mem::replace(&mut entry.limit, limit) != limit)
     }
 
+    /// Records that an incarnation of a server stated its departure, and returns whether the data
+    /// published to other nodes changed.
+    pub fn record_departure(
+        &mut self,
+        name: &BackendName,
+        incarnation: BackendIncarnation,
+    ) -> bool {
+        let entry = self.entries.get_mut(name);
+        let entry = entry.filter(|entry| entry.incarnation() == incarnation);
+        entry.is_some_and(|entry| !std::mem::replace(&mut entry.has_departed, true))
+    }
+
     /// Removes a server and returns whether it was present.
     pub fn remove(&mut self, name: &BackendName) -> bool {
         self.entries.remove(name).is_some()
@@ -229,10 +267,11 @@
             .iter()
             .map(|(name, entry)| BackendRow {
                 name: name.clone(),
+                incarnation: entry.incarnation(),
                 service: entry.announcement.service.clone(),
                 version: entry.announcement.version.clone(),
                 slots: entry.announcement.slots,
-                state: entry.announcement.state,
+                state: entry.state(),
                 is_reported_healthy: entry.health.is_healthy(),
                 limit: entry.limit,
                 cold_until: entry.cold_until,
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -16,7 +16,7 @@
     clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
     ids::{BackendName, SlotCount},
-    member::{BackendState, StatedLimit},
+    member::{BackendIncarnation, BackendState, StatedLimit},
     plugin::{ServerDialect, ServerNotice},
     request::{AdmissionRequest, CrashStatus, ServerInstance},
 };
@@ -64,6 +64,8 @@
 struct LocalServer<'a> {
     name: &'a BackendName,
     announcement: &'a BackendAnnouncement,
+    /// Incarnation at the time of sending.
+    incarnation: BackendIncarnation,
     runtime: &'a BackendRuntime,
 }
 
@@ -97,7 +99,7 @@
         deadline: ClockInstant,
         message: &ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
-        let announcement = self.serving(name)?;
+        let (announcement, _) = self.serving(name)?;
         let runtime = self
             .state
             .requests
@@ -123,10 +125,11 @@
         })?;
         let started_at = self.state.now();
         // The server may have started draining while the request was queued.
-        let announcement = self.serving(name)?;
+        let (announcement, incarnation) = self.serving(name)?;
         let server = LocalServer {
             name,
             announcement: &announcement,
+            incarnation,
             runtime: &runtime,
         };
         let result = self.run_in_slot(&server, deadline, message).await;
@@ -139,6 +142,7 @@
         self.crashes
             .clear(message.fingerprint, &announcement.service)
             .await;
+        let notice = read_notice(&self.state.settings.dialect.servers, &response);
         let (status, headers, body) = (response.status, response.headers, response.body);
         Ok(ForwardResponse {
             status: status.as_u16(),
@@ -148,11 +152,15 @@
             version: announcement.version,
             load: runtime.slot_limiter.load(),
             limit: runtime.slot_limiter.limit(),
+            departed: notice.is_leaving.then_some(incarnation).filter(is_stated),
         })
     }
 
-    /// Returns the announcement of a server that accepts requests.
-    fn serving(&self, name: &BackendName) -> Result<BackendAnnouncement, MeshError> {
+    /// Returns the announcement and incarnation of a server that accepts requests.
+    fn serving(
+        &self,
+        name: &BackendName,
+    ) -> Result<(BackendAnnouncement, BackendIncarnation), MeshError> {
         let backends = self.state.backends();
         let now = self.state.now();
         let entry = backends
@@ -162,12 +170,12 @@
             let message = format!("backend server {name} is not on this node");
             MeshError::new(ErrorKind::NoBackend, message).with_retry_at(self.retry_at())
         })?;
-        if entry.announcement.state == BackendState::Serving {
+        if entry.state() == BackendState::Serving {
             let mut announcement = entry.announcement.clone();
             announcement.connections = announcement
                 .connections
                 .min(self.configured_connections(&announcement));
-            return Ok(announcement);
+            return Ok((announcement, entry.incarnation()));
         }
         let message = format!("backend server {name} accepts no new requests");
         Err(MeshError::new(ErrorKind::Draining, message).with_retry_at(self.retry_at()))
@@ -384,7 +392,12 @@
         let LocalServer { name, runtime, .. } = *server;
         runtime.slot_limiter.record_statement(sent_at, notice.limit);
         let limit = runtime.slot_limiter.limit();
-        let is_changed = self.state.backends().record_limit(name, limit);
+        let is_changed = {
+            let mut backends = self.state.backends();
+            let has_departed =
+                notice.is_leaving && backends.record_departure(name, server.incarnation);
+            backends.record_limit(name, limit) || has_departed
+        };
         if is_changed {
             self.state.publish_backends();
         }
@@ -501,6 +514,11 @@
     (dialect.is_not_run)(response.status.as_u16(), &header)
 }
 
+/// Returns whether the server states its incarnation.
+fn is_stated(incarnation: &BackendIncarnation) -> bool {
+    *incarnation != BackendIncarnation::default()
+}
+
 fn read_notice(dialect: &ServerDialect, response: &BackendResponse) -> ServerNotice {
     let header = |name: &str| response.headers.get(name).map(HeaderValue::as_bytes);
     (dialect.read_notice)(response.status.as_u16(), &header)
--- a/crates/daemon/src/forward/claim_table.rs
+++ b/crates/daemon/src/forward/claim_table.rs
@@ -298,6 +298,7 @@
         version: replayed_version(),
         load: ServerLoad::default(),
         limit: StatedLimit::Unknown,
+        departed: None,
     }))
 }
 
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -436,6 +436,9 @@
             let (now, backend) = (self.state.now(), &self.server.backend);
             load_balancer.report_load(now, service, backend, response.load);
             load_balancer.record_limit(now, service, backend, response.limit);
+            if let Some(incarnation) = response.departed {
+                load_balancer.record_departure(now, service, backend, incarnation);
+            }
         }
     }
 
--- a/crates/emulator/src/experiment/node_size/member_sample.rs
+++ b/crates/emulator/src/experiment/node_size/member_sample.rs
@@ -6,7 +6,7 @@
 use bronzelb_kernel::{
     error::MeshError,
     ids::{IncarnationNumber, SlotCount},
-    member::{BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
+    member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
 };
 
 use crate::mesh::{data_centre_name, node_name};
@@ -36,6 +36,7 @@
         data_centre: data_centre_name(centre).parse()?,
         peer_address: SocketAddr::from((address, PEER_PORT)),
         backends: vec![BackendRow {
+            incarnation: BackendIncarnation::default(),
             limit: StatedLimit::Unknown,
             name: format!("service-{service}-{member}").parse()?,
             service: format!("service-{service}").parse()?,
--- a/crates/emulator/src/experiment/request/request_choice.rs
+++ b/crates/emulator/src/experiment/request/request_choice.rs
@@ -4,7 +4,7 @@
     clock::{ClockInstant, TimeBudget},
     error::MeshError,
     ids::{DataCentre, IncarnationNumber, ServiceName, SlotCount},
-    member::{BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
+    member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     request::{AttemptOutcome, LoadBalancer, SelectionCriteria},
     rollout::VersionSplit,
 };
@@ -132,6 +132,7 @@
         data_centre: format!("dc{data_centre}").parse()?,
         peer_address: ([127, 0, 0, 1], 1).into(),
         backends: vec![BackendRow {
+            incarnation: BackendIncarnation::default(),
             limit: StatedLimit::Unknown,
             name: format!("server-{index}").parse()?,
             service: format!("service-{}", index % services).parse()?,
--- a/crates/kernel/src/member/backend_announcement.rs
+++ b/crates/kernel/src/member/backend_announcement.rs
@@ -28,7 +28,9 @@
 
 /// Incarnation of a backend server process. Incarnations at the same address are ordered by their
 /// start times.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct BackendIncarnation {
     /// When the process started, by its own clock.
     pub started_at: ClockInstant,
--- a/crates/kernel/src/member/backend_row.rs
+++ b/crates/kernel/src/member/backend_row.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     ids::{BackendName, BuildVersion, RouteName, ServiceName, SlotCount},
-    member::StatedLimit,
+    member::{BackendIncarnation, StatedLimit},
 };
 
 /// Lifecycle state of a backend server, as announced by the server or observed by its local node.
@@ -25,6 +25,8 @@
 pub struct BackendRow {
     /// Name of the backend server.
     pub name: BackendName,
+    /// Incarnation of the server process; the default if the server does not state it.
+    pub incarnation: BackendIncarnation,
     /// Service that it provides.
     pub service: ServiceName,
     /// Version of its software.
@@ -48,6 +50,7 @@
     /// warm-up and the service times.
     pub(crate) fn differs_in_hints_only(&self, held: &Self) -> bool {
         self.name == held.name
+            && self.incarnation == held.incarnation
             && self.service == held.service
             && self.version == held.version
             && self.slots == held.slots
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -6,7 +6,7 @@
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
     ids::{BackendName, DataCentre, NodeName, RouteName, ServiceName, SlotCount},
-    member::{BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
+    member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     request::{
         AttemptOutcome, ServerLoad, ServerLocation, notice_table::NoticeTable,
         server_stats::ServerStats,
@@ -234,6 +234,21 @@
         self.notices.limit(backend)
     }
 
+    /// Records that an incarnation of a server stated its departure in a response. It is not
+    /// selected again, whatever the membership rows say.
+    pub fn record_departure(
+        &mut self,
+        now: ClockInstant,
+        service: &ServiceName,
+        backend: &BackendName,
+        incarnation: BackendIncarnation,
+    ) {
+        self.notices.record_departure(now, backend, incarnation);
+        if let Some(server) = self.server_mut(service, backend) {
+            server.state = BackendState::Draining;
+        }
+    }
+
     /// Returns the total declared slots of the service's serving servers.
     #[must_use]
     pub fn slots(&self, service: &ServiceName) -> SlotCount {
@@ -315,7 +330,9 @@
             .entry(row.name.clone())
             .or_insert_with(|| ServerStats::new(location.clone(), now, slow_start));
         let state = match member.state {
-            MemberState::Serving => row.state,
+            MemberState::Serving if !self.notices.has_departed(&row.name, row.incarnation) => {
+                row.state
+            }
             _ => BackendState::Draining,
         };
         let starts_serving =
--- a/crates/kernel/src/request/notice_table.rs
+++ b/crates/kernel/src/request/notice_table.rs
@@ -1,6 +1,10 @@
 use std::collections::BTreeMap;
 
-use crate::{clock::ClockInstant, ids::BackendName, member::StatedLimit};
+use crate::{
+    clock::ClockInstant,
+    ids::BackendName,
+    member::{BackendIncarnation, StatedLimit},
+};
 
 /// Number of servers whose notices are kept; the oldest notice is dropped for a new one.
 const MAX_NOTICES: usize = 512;
@@ -17,6 +21,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct NoticeEntry {
     limit: StatedLimit,
+    /// Latest incarnation that stated its departure.
+    departed: Option<BackendIncarnation>,
     noted_at: ClockInstant,
 }
 
@@ -45,6 +51,28 @@
         }
     }
 
+    /// Records that an incarnation of a server stated its departure.
+    pub(crate) fn record_departure(
+        &mut self,
+        now: ClockInstant,
+        backend: &BackendName,
+        incarnation: BackendIncarnation,
+    ) {
+        let notice = self.entry(now, backend);
+        notice.departed = notice.departed.max(Some(incarnation));
+    }
+
+    /// Returns whether this incarnation of the server, or a later one, stated its departure.
+    pub(crate) fn has_departed(
+        &self,
+        backend: &BackendName,
+        incarnation: BackendIncarnation,
+    ) -> bool {
+        let notice = self.notices.get(backend);
+        let departed = notice.and_then(|notice| notice.departed);
+        departed.is_some_and(|departed| incarnation <= departed)
+    }
+
     fn entry(&mut self, now: ClockInstant, backend: &BackendName) -> &mut NoticeEntry {
         if !self.notices.contains_key(backend) && self.notices.len() >= MAX_NOTICES {
             let notices = self.notices.iter();
--- a/crates/kernel/tests/request_chain.rs
+++ b/crates/kernel/tests/request_chain.rs
@@ -5,7 +5,7 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     ids::{BackendName, DataCentre, IncarnationNumber, ServiceName, SlotCount},
-    member::{BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
+    member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     request::{AttemptOutcome, LoadBalancer, RetryBudget, RetryContext, SelectionCriteria},
     rollout::VersionSplit,
 };
@@ -41,6 +41,7 @@
         data_centre: name("leuven"),
         peer_address: "127.0.0.1:1".parse().expect("address is valid"),
         backends: vec![BackendRow {
+            incarnation: BackendIncarnation::default(),
             limit: StatedLimit::Unknown,
             name: name(&format!("server-{index}")),
             service: name("tracker"),
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -5,7 +5,10 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     ids::{BackendName, DataCentre, IncarnationNumber, RouteName, ServiceName, SlotCount},
-    member::{BackendRow, BackendState, MemberRow, MemberState, MemberTable, StatedLimit},
+    member::{
+        BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, MemberTable,
+        StatedLimit,
+    },
     request::{
         AttemptOutcome, LatencyTarget, LoadBalancer, SelectionCriteria, ServerLoad, TimePublisher,
     },
@@ -96,6 +99,7 @@
         data_centre: name(data_centre),
         peer_address: "127.0.0.1:1".parse().expect("address is valid"),
         backends: vec![BackendRow {
+            incarnation: BackendIncarnation::default(),
             limit: StatedLimit::Unknown,
             name: name(backend),
             service: name("tracker"),
--- a/crates/kernel/tests/spread/member.rs
+++ b/crates/kernel/tests/spread/member.rs
@@ -6,7 +6,7 @@
     clock::{ClockInstant, TimeBudget},
     error::MeshError,
     ids::{ByteCount, NodeName, SlotCount},
-    member::{BackendRow, BackendState, MemberState, MemberTable, StatedLimit},
+    member::{BackendIncarnation, BackendRow, BackendState, MemberState, MemberTable, StatedLimit},
     plugin::RecordKind,
     spread::{GossipEvent, RecordKey, TransferLimiter},
 };
@@ -33,6 +33,7 @@
 
 fn backend(name: &str) -> BackendRow {
     BackendRow {
+        incarnation: BackendIncarnation::default(),
         limit: StatedLimit::Unknown,
         name: name.parse().unwrap(),
         service: "tracker".parse().unwrap(),
--- a/crates/kernel/tests/spread/size.rs
+++ b/crates/kernel/tests/spread/size.rs
@@ -5,7 +5,7 @@
 use bronzelb_kernel::{
     clock::TimeBudget,
     ids::{NodeName, RouteName, SlotCount},
-    member::{BackendRow, BackendState, MemberState, StatedLimit},
+    member::{BackendIncarnation, BackendRow, BackendState, MemberState, StatedLimit},
     request::TimePublisher,
     spread::READERS_PER_DATA_CENTRE,
 };
@@ -81,6 +81,7 @@
 
 fn backend(node: &NodeName) -> BackendRow {
     BackendRow {
+        incarnation: BackendIncarnation::default(),
         limit: StatedLimit::Unknown,
         name: format!("server-of-{node}").parse().unwrap(),
         service: "tracker".parse().unwrap(),
--- a/crates/wire/src/peer/forward_message.rs
+++ b/crates/wire/src/peer/forward_message.rs
@@ -2,7 +2,7 @@
     clock::TimeBudget,
     config::{HttpMethod, RequestPriority},
     ids::{BackendName, BuildVersion, ContentHash, IdempotencyKey, RouteName},
-    member::StatedLimit,
+    member::{BackendIncarnation, StatedLimit},
     request::ServerLoad,
 };
 use bytes::Bytes;
@@ -68,4 +68,6 @@
     pub load: ServerLoad,
     /// Rate limit of that backend server, as known to its local node.
     pub limit: StatedLimit,
+    /// Incarnation of that backend server, if it states its departure.
+    pub departed: Option<BackendIncarnation>,
 }
