Bound what a response without end costs its node

What callers saw: a request whose server sends a chunk extension without end was answered only at its deadline, while the node read at full speed; bodies that grow to just under the limit of a response and then drip held 189 MB in a node beside a server of 24 slots, more than the smallest VM has (160 MB), so that the platform would end the process and with it every request on it.

Cause: the size of a body was bounded for each response and without its framing, not for all bytes of an exchange and not for the node.

Ruled out: a head without end, with headers, one header or no bytes of a head at all, fails at 128 KiB as before; so do plain chunks and a huge length.

Change: an exchange ends after twice the size limit of a body, whatever the bytes are.

--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -1,6 +1,7 @@
 use std::{
     io, mem,
     net::SocketAddr,
+    sync::Mutex,
     time::{Duration, Instant},
 };
 
@@ -14,6 +15,7 @@
     Method, StatusCode,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
+use bronzelb_kernel::request::ResponseBudget;
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -22,12 +24,17 @@
 };
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::forward::response_buffer::ResponseBuffer;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Responses to other requests that are skipped before the exchange fails.
 const MAX_STRAY_RESPONSES: usize = 3;
 /// Fraction of the server's stated idle timeout after which a connection is no longer reused.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
 
+/// Bytes that are read in one exchange, including heads and the overhead of chunks.
+const MAX_EXCHANGE_BYTES: usize = 2 * MAX_RESPONSE_BYTES;
+
 /// Size limit of a response body, in bytes.
 pub(crate) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -57,6 +64,8 @@
     /// Returns whether a response belongs to the request; the flag is set for the first request
     /// on a connection.
     pub(crate) is_for_request: &'a dyn Fn(&BackendResponse, bool) -> bool,
+    /// Budget of the node's responses that are being read.
+    pub(crate) budget: &'a Mutex<ResponseBudget>,
 }
 
 /// Connection to a backend server.
@@ -67,6 +76,8 @@
     stream: TcpStream,
     codec: ClientCodec,
     received: BytesMut,
+    /// Bytes received in the current exchange.
+    received_count: usize,
     is_fresh: bool,
     /// Whether writing the request failed.
     has_write_error: bool,
@@ -92,6 +103,7 @@
             stream,
             codec: ClientCodec::default(),
             received: BytesMut::new(),
+            received_count: 0,
             is_fresh: true,
             has_write_error: false,
             idle_deadline: None,
@@ -120,6 +132,7 @@
         options: &ExchangeOptions<'_>,
     ) -> Result<(BackendResponse, Option<Self>), ExchangeError> {
         let is_fresh = mem::replace(&mut self.is_fresh, false);
+        self.received_count = 0;
         let method = head.method.clone();
         let mut unsent = self
             .encode(head, body)
@@ -168,14 +181,14 @@
                 let reason = "the response body has no length, so truncation would go undetected";
                 return Err(lost_response(&reason));
             }
-            let body = self.read_to_end(unsent).await?;
+            let body = self.read_to_end(unsent, options).await?;
             return Ok((backend_response(head, body), false));
         }
         if self.codec.message_type() == MessageType::None {
             let is_kept_alive = self.codec.keep_alive();
             return Ok((backend_response(head, Bytes::new()), is_kept_alive));
         }
-        let (body, is_kept_alive) = self.read_payload(unsent).await?;
+        let (body, is_kept_alive) = self.read_payload(unsent, options).await?;
         Ok((backend_response(head, body), is_kept_alive))
     }
 
@@ -193,40 +206,47 @@
     async fn read_payload(
         &mut self,
         unsent: &mut BytesMut,
+        options: &ExchangeOptions<'_>,
     ) -> Result<(Bytes, bool), ExchangeError> {
         let mut codec = mem::take(&mut self.codec).into_payload_codec();
-        let mut body = BytesMut::new();
+        let mut body = ResponseBuffer::new(options.budget);
         loop {
             let decoded = codec.decode(&mut self.received);
             match decoded.map_err(|error| lost_response(&error))? {
-                Some(Some(chunk)) => append(&mut body, &chunk)?,
+                Some(Some(chunk)) => body.append(&chunk)?,
                 Some(None) => break,
                 None => self.fill(unsent, "closed inside the response body").await?,
             }
         }
         let is_kept_alive = codec.keep_alive();
         self.codec = codec.into_message_codec();
-        Ok((body.freeze(), is_kept_alive))
+        Ok((body.finish(), is_kept_alive))
     }
 
     /// Reads a body that ends when the connection closes; a connection reset is an error.
-    async fn read_to_end(&mut self, unsent: &mut BytesMut) -> Result<Bytes, ExchangeError> {
-        let mut body = self.received.split();
+    async fn read_to_end(
+        &mut self,
+        unsent: &mut BytesMut,
+        options: &ExchangeOptions<'_>,
+    ) -> Result<Bytes, ExchangeError> {
+        let mut body = ResponseBuffer::new(options.budget);
+        body.append(&self.received.split())?;
         while self
             .receive(unsent)
             .await
             .map_err(|error| lost_response(&error))?
             > 0
         {
-            append(&mut body, &self.received.split())?;
+            body.append(&self.received.split())?;
         }
-        Ok(body.freeze())
+        Ok(body.finish())
     }
 
     /// Receives more bytes; `reason` is the error text for a connection that the server has closed.
     async fn fill(&mut self, unsent: &mut BytesMut, reason: &str) -> Result<(), ExchangeError> {
         match self.receive(unsent).await {
             Ok(0) => Err(lost_response(&reason)),
+            Ok(_) if self.received_count > MAX_EXCHANGE_BYTES => Err(ExchangeError::TooLarge),
             Ok(_) => Ok(()),
             Err(error) => Err(lost_response(&error)),
         }
@@ -246,19 +266,17 @@
                         self.has_write_error = true;
                     }
                 },
-                count = reader.read_buf(&mut self.received) => return count,
+                count = reader.read_buf(&mut self.received) => {
+                    let count = count?;
+                    self.received_count += count;
+                    return Ok(count);
+                }
             }
         }
-        self.stream.read_buf(&mut self.received).await
-    }
-}
-
-fn append(body: &mut BytesMut, chunk: &[u8]) -> Result<(), ExchangeError> {
-    if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
-        return Err(ExchangeError::TooLarge);
+        let count = self.stream.read_buf(&mut self.received).await?;
+        self.received_count += count;
+        Ok(count)
     }
-    body.extend_from_slice(chunk);
-    Ok(())
 }
 
 /// Returns the instant after which the connection is not reused, from the `keep-alive` header.
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod limit_monitor;
 mod request_forwarder;
 mod request_state;
+mod response_buffer;
 mod routed_request;
 
 pub use backend_client::BackendClient;
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -12,8 +12,8 @@
     error::{ErrorKind, MeshError},
     ids::{BackendName, RouteName, ServiceName, SlotCount},
     request::{
-        AdaptiveLimit, AttemptOutcome, IdempotencyCache, LoadBalancer, RetryBudget, RetryPolicy,
-        SharedBudget, WaitEstimator,
+        AdaptiveLimit, AttemptOutcome, IdempotencyCache, LoadBalancer, ResponseBudget, RetryBudget,
+        RetryPolicy, SharedBudget, WaitEstimator,
     },
 };
 use bronzelb_wire::peer::ForwardResponse;
@@ -49,6 +49,7 @@
     service_limiters: Mutex<BTreeMap<ServiceName, Arc<ServiceLimiter>>>,
     backends: Mutex<BTreeMap<BackendName, Arc<BackendRuntime>>>,
     idempotency_cache: Mutex<IdempotencyCache<ResultReceiver, SharedResult>>,
+    response_budget: Mutex<ResponseBudget>,
     in_flight: AtomicUsize,
     is_closed: AtomicBool,
 }
@@ -89,6 +90,7 @@
             service_limiters: Mutex::default(),
             backends: Mutex::default(),
             idempotency_cache: Mutex::default(),
+            response_budget: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             is_closed: AtomicBool::new(false),
         }
@@ -123,6 +125,11 @@
         change(entry.or_insert_with(|| SharedBudget::new(policy)))
     }
 
+    /// Returns the budget of the responses that are being read.
+    pub(crate) const fn response_budget(&self) -> &Mutex<ResponseBudget> {
+        &self.response_budget
+    }
+
     /// Records the time that a caller of `route` will wait, and returns the estimated time that it
     /// has already waited.
     pub(crate) fn record_caller_wait(&self, route: &RouteName, wait: TimeBudget) -> TimeBudget {
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -41,6 +41,8 @@
     time,
 };
 
+/// Repetitions that are written at once.
+const REPEATED_BLOCK_LENGTH: usize = 1_000;
 const REQUEST_HEADER: &str = "x-bronzelb-request: ";
 
 /// Returns the reply to a request, given its number and identifier.
@@ -49,6 +51,8 @@
 struct Reply {
     bytes: String,
     closes: bool,
+    /// Text that is sent again and again until the node closes the connection.
+    repeated: &'static str,
 }
 
 struct RawServer {
@@ -97,6 +101,12 @@
         if stream.write_all(reply.bytes.as_bytes()).await.is_err() || reply.closes {
             return;
         }
+        let block = reply.repeated.repeat(REPEATED_BLOCK_LENGTH);
+        while !block.is_empty() {
+            if stream.write_all(block.as_bytes()).await.is_err() {
+                return;
+            }
+        }
     }
 }
 
@@ -125,6 +135,7 @@
     Reply {
         bytes,
         closes: false,
+        repeated: "",
     }
 }
 
@@ -132,6 +143,15 @@
     Reply {
         bytes,
         closes: true,
+        repeated: "",
+    }
+}
+
+fn repeat_after(bytes: String, repeated: &'static str) -> Reply {
+    Reply {
+        bytes,
+        closes: false,
+        repeated,
     }
 }
 
@@ -351,6 +371,48 @@
     assert_eq!(response.body.as_ref(), b"whole");
 }
 
+#[actix_web::test]
+async fn response_without_end_fails_long_before_the_deadline() {
+    const DEADLINE: TimeBudget = TimeBudget::from_secs(20);
+    const LIMIT: Duration = Duration::from_secs(5);
+    let scripts: [(&str, ReplyScript); 7] = [
+        ("headers", |_, _| {
+            repeat_after("HTTP/1.1 200 OK\r\n".into(), "a: b\r\n")
+        }),
+        ("one header", |_, _| {
+            repeat_after("HTTP/1.1 200 OK\r\na: ".into(), "b")
+        }),
+        ("no head at all", |_, _| repeat_after(String::new(), "\0")),
+        ("informational responses", |_, _| {
+            repeat_after(String::new(), "HTTP/1.1 100 Continue\r\n\r\n")
+        }),
+        ("chunks", |_, id| {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked";
+            repeat_after(
+                format!("{head}\r\n{REQUEST_HEADER}{id}\r\n\r\n"),
+                "5\r\nwhole\r\n",
+            )
+        }),
+        ("chunk extension", |_, id| {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked";
+            repeat_after(format!("{head}\r\n{REQUEST_HEADER}{id}\r\n\r\n5;"), "a")
+        }),
+        ("length", |_, id| {
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 99999999999";
+            repeat_after(format!("{head}\r\n{REQUEST_HEADER}{id}\r\n\r\n"), "body")
+        }),
+    ];
+    for (name, script) in scripts {
+        let server = RawServer::start(script).await;
+        let harness = ForwarderHarness::new(&[server.address], false);
+        let deadline = harness.forwarder.state().now().after(DEADLINE);
+        let result = time::timeout(LIMIT, harness.get_with_deadline(1, deadline)).await;
+        let result = result.unwrap_or_else(|_| panic!("{name}: no result within {LIMIT:?}"));
+        assert!(result.is_err(), "{name}");
+        assert_ne!(run_state(&result), RunState::NotRun, "{name}");
+    }
+}
+
 #[actix_web::test]
 async fn response_for_another_request_is_discarded() {
     let outcome =
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -19,6 +19,7 @@
 mod notice_table;
 mod rate_pacer;
 mod request_ticket;
+mod response_budget;
 mod retry_budget;
 mod server_stats;
 mod shared_budget;
@@ -38,6 +39,7 @@
 pub use load_balancer::{LatencyTarget, LoadBalancer, SelectionCriteria};
 pub use rate_pacer::RatePacer;
 pub use request_ticket::RequestTicket;
+pub use response_budget::ResponseBudget;
 pub use retry_budget::{RetryBudget, RetryContext};
 pub use server_stats::{ServerLoad, ServerLocation};
 pub use shared_budget::{RetryPolicy, SharedBudget};
