--- a/crates/kernel/tests/spread/size.rs
+++ b/crates/kernel/tests/spread/size.rs
@@ -33,6 +33,8 @@
 /// Nodes of a data centre that have a lease row in the platform.
 const ANNOUNCED_PER_DATA_CENTRE: u64 = 8;
 const MEASURED_MS: u64 = 8_000;
+/// Time after a power loss from which requests must be served again, by the users' rules.
+const RECOVER_MS: u64 = 15_000;
 
 /// Messages and bytes that one node sends in a second.
 #[derive(Clone, Copy, Debug)]
@@ -212,6 +214,34 @@
     }
 }
 
+#[test]
+fn fleet_that_loses_power_after_an_acknowledgement_serves_that_version_at_any_size() {
+    for per_centre in FLEETS {
+        let mut mesh = serving_mesh(per_centre);
+        let first = mesh.number_of(&mesh.names()[0]).expect("it serves");
+        // The platform has acknowledged the version, and hardly a node has read it.
+        let number = mesh.publish("second");
+        mesh.run_for(5);
+        let names = mesh.names();
+        for node in &names {
+            mesh.kill(node);
+        }
+        mesh.run_for(1_000);
+        for node in &names {
+            mesh.start(node);
+        }
+        let serves_first = |mesh: &MeshFixture| {
+            let mut nodes = names.iter();
+            nodes.any(|node| mesh.number_of(node) == Some(first))
+        };
+        let millis = mesh.run_until(RECOVER_MS, |mesh| {
+            assert!(!serves_first(mesh), "an older version is in force again");
+            mesh.all_have(number) && knows_all(mesh)
+        });
+        println!("{} nodes: {millis} ms", mesh.nodes.len());
+    }
+}
+
 #[test]
 fn fluctuating_service_times_cost_each_node_the_same_at_any_size() {
     let rates = FLEETS.map(|per_centre| {
