Publish and log a stated limit rarely, however often it changes

The node beside the server holds the exact limit, the others need it only to choose, so a row follows after 3 s and a quarter of difference (LimitPublisher), and a line when a limit begins or ends or after 4 s. limit_that_fluctuates_is_published_rarely counts publications.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -7,7 +7,7 @@
         BackendHeartbeat, BackendIncarnation, BackendMessage, BackendRow, BackendState, StatedLimit,
     },
     plugin::LoadReport,
-    request::{HealthDebouncer, TimePublisher},
+    request::{HealthDebouncer, LimitPublisher, TimePublisher},
 };
 
 use crate::backends::BackendAnnouncement;
@@ -33,8 +33,8 @@
     pub time_publisher: TimePublisher,
     /// End of the server's warm-up, if the server announces one.
     pub cold_until: Option<ClockInstant>,
-    /// Rate limit that the server states in its responses.
-    pub limit: StatedLimit,
+    /// Publisher of the server's rate limit to other nodes.
+    pub limit_publisher: LimitPublisher,
     /// Whether this incarnation stated its departure in a response.
     has_departed: bool,
     /// Incarnation and sequence number of the latest heartbeat.
@@ -182,7 +182,7 @@
             report: None,
             time_publisher: TimePublisher::default(),
             cold_until: None,
-            limit: StatedLimit::Unknown,
+            limit_publisher: LimitPublisher::default(),
             has_departed: false,
             latest_heartbeat: (BackendIncarnation::default(), 0),
         };
@@ -213,9 +213,14 @@
 
     /// Records the rate limit that a server states and returns whether the data published to other
     /// nodes changed.
-    pub fn record_limit(&mut self, name: &BackendName, limit: StatedLimit) -> bool {
+    pub fn record_limit(
+        &mut self,
+        now: ClockInstant,
+        name: &BackendName,
+        limit: StatedLimit,
+    ) -> bool {
         let entry = self.entries.get_mut(name);
-        entry.is_some_and(|entry| std::mem::replace(&mut entry.limit, limit) != limit)
+        entry.is_some_and(|entry| entry.limit_publisher.update(now, limit))
     }
 
     /// Records that an incarnation of a server stated its departure, and returns whether the data
@@ -273,7 +278,7 @@
                 slots: entry.announcement.slots,
                 state: entry.state(),
                 is_reported_healthy: entry.health.is_healthy(),
-                limit: entry.limit,
+                limit: entry.limit_publisher.published(),
                 cold_until: entry.cold_until,
                 times: entry.time_publisher.published().clone(),
             })
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -397,7 +397,7 @@
             let mut backends = self.state.backends();
             let has_departed =
                 notice.is_leaving && backends.record_departure(name, server.incarnation);
-            backends.record_limit(name, limit) || has_departed
+            backends.record_limit(self.state.now(), name, limit) || has_departed
         };
         if is_changed {
             self.state.publish_backends();
@@ -405,13 +405,16 @@
         self.log_limit(name, runtime, limit);
     }
 
-    /// Logs the requests sent to a server whose limit has changed, or regularly while one is in
+    /// Logs the requests sent to a server whose limit begins or ends, or regularly while one is in
     /// force.
     fn log_limit(&self, name: &BackendName, runtime: &BackendRuntime, limit: StatedLimit) {
         let now = self.state.now();
         let Some(report) = runtime.limit_monitor().record_limit(now, limit) else {
             return;
         };
+        if !self.state.should_log(EventName::ServerLimit) {
+            return;
+        }
         let rate_text = |limit: StatedLimit| limit.rate().map(|rate| rate.to_string());
         info!(self.state.logger, "{}", EventName::ServerLimit;
             "backend" => name.to_string(), "limit" => rate_text(report.limit),
--- a/crates/daemon/src/forward/limit_monitor.rs
+++ b/crates/daemon/src/forward/limit_monitor.rs
@@ -34,20 +34,21 @@
         self.sent = self.sent.saturating_add(1);
     }
 
-    /// Records the limit in force and returns a report if the limit has changed or a report is due.
+    /// Records the limit in force and returns a report if a limit begins or ends, or regularly while
+    /// one is in force.
     pub(crate) fn record_limit(
         &mut self,
         now: ClockInstant,
         limit: StatedLimit,
     ) -> Option<LimitReport> {
-        let previous = std::mem::replace(&mut self.limit, limit);
-        let is_changed = previous.rate() != limit.rate();
-        let is_due = limit.rate().is_some() && self.report_due.has_passed(now);
-        if !is_changed && !is_due {
+        let is_limited = limit.rate().is_some();
+        let was_limited = self.limit.rate().is_some();
+        let is_due = is_limited && self.report_due.has_passed(now);
+        if was_limited == is_limited && !is_due {
             return None;
         }
         let report = LimitReport {
-            previous,
+            previous: std::mem::replace(&mut self.limit, limit),
             limit,
             sent: std::mem::take(&mut self.sent),
             period: self.reported_at.elapsed(now),
--- a/crates/kernel/tests/request_pacing.rs
+++ b/crates/kernel/tests/request_pacing.rs
@@ -7,7 +7,7 @@
     config::RequestPriority,
     ids::{BackendName, RequestRate, ServiceName, SlotCount},
     member::StatedLimit,
-    request::{AdmissionDecision, AdmissionQueue, LoadBalancer, RatePacer},
+    request::{AdmissionDecision, AdmissionQueue, LimitPublisher, LoadBalancer, RatePacer},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -262,3 +262,26 @@
     }
     assert!(count <= 17, "{count} requests in 4 s at 2 a second");
 }
+
+#[test]
+fn limit_that_fluctuates_is_published_rarely() {
+    let mut publisher = LimitPublisher::default();
+    let mut rng = SmallRng::seed_from_u64(9);
+    let mut publications = 0;
+    for now in (0..30_000).step_by(20) {
+        let limit = match rng.random_bool(0.5) {
+            true => limited(rng.random_range(1.0..30.0)),
+            false => StatedLimit::Unlimited,
+        };
+        publications += usize::from(publisher.update(at(now), limit));
+    }
+    assert!(
+        (1..=10).contains(&publications),
+        "{publications} publications in 30 s"
+    );
+    assert!(publisher.update(at(40_000), limited(90.0)));
+    assert!(
+        !publisher.update(at(50_000), limited(75.0)),
+        "close to the published limit"
+    );
+}
