Let soak runs state limits and check that they hold

Backend stand-ins state a limit in every response while the fault LimitServers is active, also beside killed, paused and cut-off nodes. The check counts runs in windows of the users' rule and excuses those that entered the mesh at a node with an outage since. Seeds give other plans than before, since there is one more kind of fault.

--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -192,6 +192,8 @@
     let mut mesh = start().await;
     let servers = start_move(&mut mesh, "25s", &BackendFaults::default()).await;
     let failed = send_requests_until(&mesh, WAIT_LIMIT, async |mesh| {
+        // Printed only when the test fails.
+        println!("{}", node_moves(mesh, "dc1-n1").await);
         all_nodes_in_state(mesh, "done").await
     })
     .await;
--- a/crates/emulator/src/backend/backend_faults.rs
+++ b/crates/emulator/src/backend/backend_faults.rs
@@ -1,3 +1,4 @@
+use bronzelb_kernel::ids::RequestRate;
 use serde::{Deserialize, Serialize};
 
 /// Faults injected into a backend stand-in; none by default.
@@ -13,6 +14,8 @@
     pub seed: u64,
     /// Faults of the health and load reports.
     pub report: ReportFaults,
+    /// Rate limit that every response states.
+    pub limit: Option<RequestRate>,
     /// Whether the server stops announcing itself but continues to serve requests.
     pub is_silent: bool,
 }
--- a/crates/emulator/src/backend/request_handler.rs
+++ b/crates/emulator/src/backend/request_handler.rs
@@ -7,11 +7,17 @@
 use actix_web::{
     HttpRequest, HttpResponse, HttpResponseBuilder,
     body::SizedStream,
-    http::StatusCode,
+    http::{
+        StatusCode,
+        header::{HeaderName, HeaderValue},
+    },
     web::{self, Bytes},
 };
 use awc::Client;
-use bronzelb_kernel::clock::{ClockInstant, TimeBudget};
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    ids::RequestRate,
+};
 use futures::{StreamExt, stream};
 
 use crate::{
@@ -25,6 +31,7 @@
 
 const REQUEST_HEADER: &str = "x-bronzelb-request";
 const KEY_HEADER: &str = "idempotency-key";
+const LIMIT_HEADER: &str = "x-backend-limit";
 const RUN_HEADER: &str = "x-backend-run";
 /// Request header that sets the service time in milliseconds.
 const SERVICE_TIME_HEADER: &str = "x-emulator-work-ms";
@@ -56,7 +63,8 @@
     let arrived_at = wall_clock();
     let mut in_flight = InFlightGuard::enter(&backend);
     let fault = select_fault(&backend, &request, arrived_at);
-    let response = match fault.action {
+    let limit = backend.lock().selector.faults.limit;
+    let mut response = match fault.action {
         Some(FaultAction::FailFast) => HttpResponse::InternalServerError()
             .insert_header((REQUEST_HEADER, header(&request, REQUEST_HEADER)))
             .finish(),
@@ -75,9 +83,14 @@
             let next_status =
                 chain_call::call_next(&client, &backend.settings, &request, arrived_at).await;
             backend.lock().tally.totals.finished += 1;
-            respond(&request, &response_body, action, next_status)
+            respond(&request, &response_body, action, next_status, limit)
         }
     };
+    if let Some(limit) = limit {
+        let value = HeaderValue::try_from(limit.to_string()).expect("digits are a valid value");
+        let name = HeaderName::from_static(LIMIT_HEADER);
+        response.headers_mut().insert(name, value);
+    }
     in_flight.is_finished = true;
     response
 }
@@ -241,6 +254,7 @@
     response_body: &ResponseBody,
     action: Option<FaultAction>,
     next_status: Option<StatusCode>,
+    limit: Option<RequestRate>,
 ) -> HttpResponse {
     let mut response_body = response_body.clone();
     if action == Some(FaultAction::WrongRequestId) {
@@ -255,7 +269,9 @@
     let body = serde_json::to_vec(&response_body).expect("response body is serializable");
     match action {
         Some(FaultAction::CloseAfterRun) => return close_connection(request),
-        Some(FaultAction::DoubleAnswer) => send_extra_response(request, &response_body, &body),
+        Some(FaultAction::DoubleAnswer) => {
+            send_extra_response(request, &response_body, &body, limit);
+        }
         _ => {}
     }
     let mut response = HttpResponse::build(status);
@@ -269,12 +285,19 @@
 }
 
 /// Writes a complete response directly to the socket; the HTTP library then sends a second one.
-fn send_extra_response(request: &HttpRequest, response_body: &ResponseBody, body: &[u8]) {
+fn send_extra_response(
+    request: &HttpRequest,
+    response_body: &ResponseBody,
+    body: &[u8],
+    limit: Option<RequestRate>,
+) {
+    let limit = limit.map(|limit| format!("{LIMIT_HEADER}: {limit}\r\n"));
     let mut message = format!(
         "HTTP/1.1 200 OK\r\ncontent-length: {}\r\ncontent-type: application/json\r\n\
-         {REQUEST_HEADER}: {}\r\n\r\n",
+         {REQUEST_HEADER}: {}\r\n{}\r\n",
         body.len(),
-        response_body.request
+        response_body.request,
+        limit.unwrap_or_default()
     )
     .into_bytes();
     message.extend_from_slice(body);
--- a/crates/emulator/src/soak/mod.rs
+++ b/crates/emulator/src/soak/mod.rs
@@ -13,6 +13,6 @@
 mod soak_run;
 
 pub use soak_calls::{CallKind, SoakCall};
-pub use soak_check::{NodeOutage, SoakHistory, check_invariants};
+pub use soak_check::{NodeOutage, SoakHistory, StatedPeriod, check_invariants};
 pub use soak_plan::{ScheduledFault, SoakFault, SoakPlan};
 pub use soak_run::{SoakReport, SoakRun};
--- a/crates/emulator/src/soak/soak_check.rs
+++ b/crates/emulator/src/soak/soak_check.rs
@@ -1,6 +1,9 @@
 use std::collections::BTreeMap;
 
-use bronzelb_kernel::clock::{ClockInstant, TimeBudget};
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    ids::RequestRate,
+};
 
 use crate::{
     backend::JournalEntry,
@@ -15,6 +18,13 @@
 /// Time after the drain request by which a draining server must no longer receive new requests.
 const DRAIN_LIMIT: TimeBudget = TimeBudget::from_millis(3_000);
 
+/// Time after which a stated limit binds, and the window in which requests count.
+const LIMIT_DELAY: TimeBudget = TimeBudget::from_secs(3);
+const LIMIT_WINDOW: TimeBudget = TimeBudget::from_secs(4);
+/// Requests that are allowed in a window: this multiple of the limit, and some more.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+
 /// Period in which a node's process was stopped, paused or absent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NodeOutage {
@@ -28,6 +38,19 @@
     pub until: ClockInstant,
 }
 
+/// Period in which a backend server states a rate limit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatedPeriod {
+    /// Name of the server.
+    pub server: String,
+    /// Limit that every response states.
+    pub limit: RequestRate,
+    /// Start of the period.
+    pub from: ClockInstant,
+    /// End of the period.
+    pub until: ClockInstant,
+}
+
 /// History of a run as recorded by callers, backend servers and nodes.
 #[derive(Clone, Debug, Default)]
 pub struct SoakHistory {
@@ -41,6 +64,8 @@
     pub outages: Vec<NodeOutage>,
     /// Backend servers that were asked to drain, with the time of the request.
     pub drained: Vec<(String, ClockInstant)>,
+    /// Limits that backend servers stated.
+    pub limits: Vec<StatedPeriod>,
 }
 
 /// Checks a history against the mesh's invariants and returns every violation.
@@ -75,9 +100,54 @@
             ));
         }
     }
+    for period in &history.limits {
+        violations.extend(check_limit(period, history));
+    }
     violations
 }
 
+/// Returns a violation if a server ran more requests than its limit allows in some window.
+///
+/// Requests do not count if they entered the mesh at a node that had an outage since the server
+/// first stated the limit.
+fn check_limit(period: &StatedPeriod, history: &SoakHistory) -> Option<String> {
+    let entries: BTreeMap<_, _> = history
+        .calls
+        .iter()
+        .map(|call| (call.target.as_str(), call.node))
+        .collect();
+    let is_excused = |run: &JournalEntry| {
+        let entry = entries.get(run.target.as_str());
+        let mut outages = history.outages.iter();
+        outages.any(|outage| {
+            Some(&outage.node) == entry && outage.from <= run.at && period.from <= outage.until
+        })
+    };
+    let bound_from = period.from.after(LIMIT_DELAY);
+    let counted = history.runs.iter().filter(|run| {
+        run.backend == period.server && run.at >= bound_from && run.at <= period.until
+    });
+    let mut times: Vec<_> = counted
+        .filter(|run| !is_excused(run))
+        .map(|run| run.at)
+        .collect();
+    times.sort_unstable();
+    let allowed =
+        LIMIT_FACTOR * period.limit.per_second() * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+    let count_from = |start: &ClockInstant| {
+        let end = start.after(LIMIT_WINDOW);
+        times
+            .iter()
+            .filter(|time| (*start..end).contains(time))
+            .count()
+    };
+    let most = times.iter().map(count_from).max().unwrap_or(0);
+    (most as f64 > allowed).then(|| {
+        let StatedPeriod { server, limit, .. } = period;
+        format!("{server} stated {limit} requests a second and ran {most} in {LIMIT_WINDOW}")
+    })
+}
+
 fn check_call(
     call: &SoakCall,
     runs: &[&JournalEntry],
--- a/crates/emulator/src/soak/soak_faults.rs
+++ b/crates/emulator/src/soak/soak_faults.rs
@@ -4,6 +4,7 @@
     clock::{ClockInstant, TimeBudget},
     config::HttpMethod,
     error::MeshError,
+    ids::RequestRate,
 };
 
 use crate::{
@@ -12,7 +13,7 @@
     platform::{LostResponses, PlatformFaults},
     proxy::{ProxyAction, ProxyRule, ProxyRules},
     server::wall_clock,
-    soak::{NodeOutage, SoakFault, soak_check::ROUTE_TIMEOUT},
+    soak::{NodeOutage, SoakFault, StatedPeriod, soak_check::ROUTE_TIMEOUT},
 };
 
 /// Service of the backend servers used by the soak test.
@@ -29,6 +30,7 @@
     pub(super) mesh: LocalMesh,
     pub(super) outages: Vec<NodeOutage>,
     pub(super) drained: Vec<(String, ClockInstant)>,
+    pub(super) limits: Vec<StatedPeriod>,
     centres: u8,
     node_names: Vec<String>,
     /// Current backend server co-located with each node.
@@ -61,6 +63,7 @@
             centres,
             outages: Vec::new(),
             drained: Vec::new(),
+            limits: Vec::new(),
             paused: BTreeSet::new(),
             backend_faults: BackendFaults::default(),
             rules: BTreeMap::new(),
@@ -107,7 +110,14 @@
                 let server = self.mesh.backend_mut(&self.servers[node])?;
                 server.process().pause()?;
             }
-            SoakFault::CorruptResponses => self.apply_backend_faults(corruption_faults()).await?,
+            SoakFault::CorruptResponses => {
+                self.backend_faults.rules = corruption_rules();
+                self.apply_backend_faults().await?;
+            }
+            SoakFault::LimitServers(rate) => {
+                self.backend_faults.limit = Some(RequestRate::from_millis(rate * 1_000));
+                self.apply_backend_faults().await?;
+            }
             SoakFault::Partition(..) | SoakFault::PartitionOneWay(_) | SoakFault::Delay(_) => {
                 let rules = self.link_rules(fault);
                 self.rules.insert(index, rules);
@@ -149,18 +159,22 @@
                 let spec = server_spec();
                 let name = self.mesh.add_backend(&self.node_names[node], &spec).await?;
                 self.servers[node] = name;
-                self.apply_backend_faults(self.backend_faults.clone())
-                    .await?;
+                self.apply_backend_faults().await?;
             }
             SoakFault::PauseServer(node) => {
                 let server = self.mesh.backend_mut(&self.servers[node])?;
                 server.process().resume()?;
                 self.paused.remove(&node);
-                self.apply_backend_faults(self.backend_faults.clone())
-                    .await?;
+                self.apply_backend_faults().await?;
             }
             SoakFault::CorruptResponses => {
-                self.apply_backend_faults(BackendFaults::default()).await?;
+                self.backend_faults.rules.clear();
+                self.apply_backend_faults().await?;
+            }
+            SoakFault::LimitServers(_) => {
+                self.end_limits();
+                self.backend_faults.limit = None;
+                self.apply_backend_faults().await?;
             }
             SoakFault::Partition(..) | SoakFault::PartitionOneWay(_) | SoakFault::Delay(_) => {
                 self.rules.remove(&index);
@@ -205,21 +219,46 @@
         }
     }
 
-    /// Applies backend faults to every reachable server; the others receive them when they return.
-    async fn apply_backend_faults(&mut self, faults: BackendFaults) -> Result<(), MeshError> {
-        self.backend_faults = faults;
-        for (node, name) in self.servers.iter().enumerate() {
+    fn end_limits(&mut self) {
+        let now = wall_clock();
+        for period in &mut self.limits {
+            period.until = period.until.min(now);
+        }
+    }
+
+    /// Records that a server states the current limit, if it has not done so already.
+    fn record_limit(&mut self, server: &str) {
+        let is_recorded =
+            |period: &StatedPeriod| period.server == server && period.until == ClockInstant::NEVER;
+        let Some(limit) = self.backend_faults.limit else {
+            return;
+        };
+        if !self.limits.iter().any(is_recorded) {
+            self.limits.push(StatedPeriod {
+                server: server.to_owned(),
+                limit,
+                from: wall_clock(),
+                until: ClockInstant::NEVER,
+            });
+        }
+    }
+
+    /// Applies the backend faults to every reachable server; the others receive them when they
+    /// return.
+    async fn apply_backend_faults(&mut self) -> Result<(), MeshError> {
+        for (node, name) in self.servers.clone().iter().enumerate() {
             let is_running = self.mesh.backend_mut(name)?.process().is_running();
             if self.paused.contains(&node) || !is_running {
                 continue;
             }
             // A draining server may exit before it receives the request.
-            if let Err(error) = self
+            let result = self
                 .mesh
                 .set_backend_faults(name, &self.backend_faults)
-                .await
-            {
-                eprintln!("setting faults of backend server {name} failed: {error}");
+                .await;
+            match result {
+                Ok(()) => self.record_limit(name),
+                Err(error) => eprintln!("setting faults of backend server {name} failed: {error}"),
             }
         }
         Ok(())
@@ -279,7 +318,7 @@
         .to_string()
 }
 
-fn corruption_faults() -> BackendFaults {
+fn corruption_rules() -> Vec<FaultRule> {
     let actions = [
         FaultAction::CutBody,
         FaultAction::WrongRequestId,
@@ -290,7 +329,7 @@
         FaultAction::Shed,
     ];
     let rules = actions.map(|action| FaultRule::new(action).with_share(CORRUPTION_SHARE));
-    BackendFaults::from_rules(rules.to_vec())
+    rules.to_vec()
 }
 
 fn platform_faults(fault: SoakFault) -> PlatformFaults {
--- a/crates/emulator/src/soak/soak_plan.rs
+++ b/crates/emulator/src/soak/soak_plan.rs
@@ -5,6 +5,9 @@
 const MEAN_FAULT_INTERVAL_MS: u64 = 700;
 const MIN_FAULT_MS: u64 = 300;
 const MAX_FAULT_MS: u64 = 3_000;
+/// Minimum duration of a stated limit, which binds only after some seconds.
+const MIN_LIMIT_MS: u64 = 5_000;
+const MAX_LIMIT_MS: u64 = 9_000;
 /// Fault-free time at the start and at the end of a run.
 const FAULT_FREE_MS: u64 = 1_000;
 
@@ -39,6 +42,8 @@
     PlatformUnresponsive,
     /// Makes the platform apply writes but lose the responses.
     PlatformLosesResponses,
+    /// Makes every backend server state this limit, in requests per second.
+    LimitServers(u64),
     /// Publishes a new configuration version at the start.
     Publish,
 }
@@ -79,9 +84,14 @@
         let last_end_ms = duration.as_millis().saturating_sub(FAULT_FREE_MS);
         let mut start_ms = FAULT_FREE_MS;
         while start_ms + MIN_FAULT_MS < last_end_ms {
-            let end_ms = start_ms + rng.random_range(MIN_FAULT_MS..=MAX_FAULT_MS);
+            let fault = random_fault(&mut rng, nodes, centres);
+            let length = match fault {
+                SoakFault::LimitServers(_) => MIN_LIMIT_MS..=MAX_LIMIT_MS,
+                _ => MIN_FAULT_MS..=MAX_FAULT_MS,
+            };
+            let end_ms = start_ms + rng.random_range(length);
             let scheduled = ScheduledFault {
-                fault: random_fault(&mut rng, nodes, centres),
+                fault,
                 start: TimeBudget::from_millis(start_ms),
                 end: TimeBudget::from_millis(end_ms.min(last_end_ms)),
             };
@@ -114,6 +124,7 @@
     Node(usize),
     Server(usize),
     Responses,
+    Limits,
     Links,
     Platform,
     Versions,
@@ -129,6 +140,7 @@
                 FaultTarget::Server(node)
             }
             Self::CorruptResponses => FaultTarget::Responses,
+            Self::LimitServers(_) => FaultTarget::Limits,
             Self::Partition(..) | Self::PartitionOneWay(_) | Self::Delay(_) => FaultTarget::Links,
             Self::PlatformUnavailable
             | Self::PlatformUnresponsive
@@ -142,7 +154,7 @@
     let node = rng.random_range(0..nodes);
     let centre = rng.random_range(1..=centres);
     let other = centre % centres + 1;
-    match rng.random_range(0..14) {
+    match rng.random_range(0..15) {
         0 => SoakFault::KillNode(node),
         1 => SoakFault::StopNode(node),
         2 => SoakFault::PauseNode(node),
@@ -156,6 +168,7 @@
         10 => SoakFault::PlatformUnavailable,
         11 => SoakFault::PlatformUnresponsive,
         12 => SoakFault::PlatformLosesResponses,
+        13 => SoakFault::LimitServers(rng.random_range(1..=15)),
         _ => SoakFault::Publish,
     }
 }
--- a/crates/emulator/src/soak/soak_run.rs
+++ b/crates/emulator/src/soak/soak_run.rs
@@ -83,6 +83,7 @@
             versions: applied_versions(injector.mesh.directory())?,
             outages: injector.outages.clone(),
             drained: injector.drained.clone(),
+            limits: injector.limits.clone(),
             calls,
         };
         violations.extend(check_invariants(&history));
--- a/crates/emulator/tests/soak.rs
+++ b/crates/emulator/tests/soak.rs
@@ -3,10 +3,14 @@
 use bronzelb_emulator::{
     backend::JournalEntry,
     soak::{
-        CallKind, NodeOutage, SoakCall, SoakFault, SoakHistory, SoakPlan, SoakRun, check_invariants,
+        CallKind, NodeOutage, SoakCall, SoakFault, SoakHistory, SoakPlan, SoakRun, StatedPeriod,
+        check_invariants,
     },
 };
-use bronzelb_kernel::clock::{ClockInstant, TimeBudget};
+use bronzelb_kernel::{
+    clock::{ClockInstant, TimeBudget},
+    ids::RequestRate,
+};
 
 const DURATION: TimeBudget = TimeBudget::from_secs(8);
 const SEED: u64 = 1;
@@ -95,6 +99,7 @@
     assert!(is_kind(|fault| fault == SoakFault::PlatformUnavailable));
     assert!(is_kind(|fault| fault == SoakFault::PlatformUnresponsive));
     assert!(is_kind(|fault| fault == SoakFault::PlatformLosesResponses));
+    assert!(is_kind(|fault| matches!(fault, SoakFault::LimitServers(_))));
     assert!(is_kind(|fault| fault == SoakFault::Publish));
     let overlaps = faults.windows(2).filter(|pair| pair[1].start < pair[0].end);
     assert!(overlaps.count() > 50);
@@ -199,6 +204,42 @@
     assert_eq!(check_invariants(&history).len(), 2);
 }
 
+#[test]
+fn exceeded_limit_is_reported_unless_the_entry_node_had_an_outage() {
+    let mut history = SoakHistory {
+        limits: vec![StatedPeriod {
+            server: "a".to_owned(),
+            limit: RequestRate::from_millis(1_000),
+            from: at(0),
+            until: at(9_000),
+        }],
+        calls: vec![call(CallKind::Idempotent, Some(200), "ran")],
+        runs: (0..12).map(|number| run("a", 3_100 + number)).collect(),
+        ..SoakHistory::default()
+    };
+    assert_eq!(
+        check_invariants(&history).len(),
+        1,
+        "11 requests are allowed"
+    );
+    history.outages = vec![NodeOutage {
+        node: 0,
+        is_graceful: false,
+        from: at(1_000),
+        until: at(2_000),
+    }];
+    assert!(
+        check_invariants(&history).is_empty(),
+        "the entry node restarted"
+    );
+    history.outages.clear();
+    history.runs.pop();
+    assert!(
+        check_invariants(&history).is_empty(),
+        "as many as are allowed"
+    );
+}
+
 #[actix_web::test]
 async fn random_faults_violate_no_invariant() {
     let seeds = REGRESSIONS.iter().map(|(seed, _)| *seed);
