Start paced requests although the thread that was to wake them has ended

Found by reading: the task that starts requests waiting for a limit runs on the thread that scheduled it. If that thread ended first, as a worker does in a shutdown, its instant stayed noted as scheduled and no later task was started; waiting requests were refused at their time limit instead. An instant that has passed no longer counts as scheduled.

--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -185,12 +185,14 @@
         let Ok(runtime) = Handle::try_current() else {
             return;
         };
-        if start >= *wake_at {
+        let now = self.clock.now();
+        // A task whose instant has passed may have ended with its thread.
+        if start >= *wake_at && !wake_at.has_passed(now) {
             return;
         }
         *wake_at = start;
         let limiter = Arc::downgrade(self);
-        let delay = start.remaining(self.clock.now()).to_std();
+        let delay = start.remaining(now).to_std();
         runtime.spawn(async move {
             time::sleep(delay).await;
             if let Some(limiter) = limiter.upgrade() {
