--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -405,3 +405,51 @@
     }
     assert_eq!(published_at, [0, 30]);
 }
+
+#[test]
+fn departed_incarnation_is_never_selected_whatever_rows_follow() {
+    let (service, departed): (ServiceName, BackendName) = (name("tracker"), name("a"));
+    let row_of = |state, started_at| {
+        let mut row = member(&("a", "leuven"));
+        row.state = state;
+        row.backends[0].incarnation = BackendIncarnation {
+            started_at: ClockInstant::from_millis(started_at),
+        };
+        row
+    };
+    for entry in 0..295 {
+        let mut fixture = Fixture::new(&THREE);
+        let mut rng = SmallRng::seed_from_u64(entry);
+        let mut started_at = 1;
+        let mut departed_at = 0;
+        for _ in 0..200 {
+            fixture.now = fixture.now.after(STEP);
+            // The node beside the server restarts, is cut off or frozen, or forwards a late
+            // heartbeat; or the server starts again under its name.
+            let state = match rng.random_range(0..8) {
+                0 => MemberState::Gone,
+                1 => MemberState::Suspect,
+                2 => MemberState::Starting,
+                _ => MemberState::Serving,
+            };
+            started_at += u64::from(rng.random_bool(0.02));
+            let row = row_of(state, started_at);
+            let rows = [&row].into_iter();
+            fixture
+                .balancer
+                .sync_changes(fixture.now, rows, |_| TimeBudget::ZERO);
+            if rng.random_bool(0.05) {
+                departed_at = started_at;
+                let incarnation = row.backends[0].incarnation;
+                let balancer = &mut fixture.balancer;
+                balancer.record_departure(fixture.now, &service, &departed, incarnation);
+            }
+            let selected = fixture.choose(&[name("b"), name("c")]);
+            let may_select = state == MemberState::Serving && started_at > departed_at;
+            assert_eq!(selected.is_some(), may_select, "entry node {entry}");
+            if let Some(selected) = selected {
+                fixture.record_outcome(&selected, AttemptOutcome::Served, STEP);
+            }
+        }
+    }
+}
