Try a server that takes no requests once a second, not ten times

Found by reading: after a refusal a server counts as full until its limit permits another request, but a limit of zero has no interval, so that each entry node tried it every 100 ms. Its node refused them all, which at hundreds of nodes is thousands of refusals a second on a small VM.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -126,12 +126,13 @@
         let name = heartbeat.name.clone();
         let mut is_changed = self.announce(now, heartbeat.name, heartbeat.announcement);
         if let Some(entry) = self.entries.get_mut(&name) {
-            // Later heartbeats of an incarnation repeat the same instant with a small deviation.
-            if entry.latest_heartbeat.0 != heartbeat_order.0 {
+            let is_new_incarnation = entry.incarnation() != heartbeat_order.0;
+            if is_new_incarnation {
                 is_changed |= entry.has_departed;
                 entry.has_departed = false;
             }
-            if entry.cold_until.is_none() || entry.latest_heartbeat.0 != heartbeat_order.0 {
+            // Later heartbeats of an incarnation repeat the same instant with a small deviation.
+            if entry.cold_until.is_none() || is_new_incarnation {
                 entry.cold_until = Some(now.after(heartbeat.warm_up));
                 is_changed = true;
             }
--- a/crates/kernel/src/request/server_stats.rs
+++ b/crates/kernel/src/request/server_stats.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
-    ids::{BackendName, BuildVersion, DataCentre, NodeName, RequestRate, RouteName},
+    ids::{BackendName, BuildVersion, DataCentre, NodeName, RouteName},
     member::{BackendState, StatedLimit},
     request::AttemptOutcome,
 };
@@ -303,8 +303,8 @@
             running: self.slots,
             waiting: self.slots,
         };
-        let interval = self.limit.rate().and_then(RequestRate::interval);
-        let lifetime = interval.map_or(SHED_LIFETIME, |interval| {
+        let lifetime = self.limit.rate().map_or(SHED_LIFETIME, |rate| {
+            let interval = rate.interval().unwrap_or(MAX_SHED_LIFETIME);
             interval.clamp(SHED_LIFETIME, MAX_SHED_LIFETIME)
         });
         self.load_valid_until = now.after(lifetime);
--- a/crates/kernel/tests/request_choice.rs
+++ b/crates/kernel/tests/request_choice.rs
@@ -4,7 +4,9 @@
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
-    ids::{BackendName, DataCentre, IncarnationNumber, RouteName, ServiceName, SlotCount},
+    ids::{
+        BackendName, DataCentre, IncarnationNumber, RequestRate, RouteName, ServiceName, SlotCount,
+    },
     member::{
         BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, MemberTable,
         StatedLimit,
@@ -453,3 +455,26 @@
         }
     }
 }
+
+#[test]
+fn server_that_takes_no_requests_is_tried_once_a_second() {
+    let mut fixture = Fixture::new(&THREE);
+    let (service, limited): (ServiceName, BackendName) = (name("tracker"), name("a"));
+    let none = StatedLimit::Limited(RequestRate::default());
+    fixture
+        .balancer
+        .record_limit(fixture.now, &service, &limited, none);
+    let mut tried = 0;
+    for _ in 0..10_000 {
+        let backend = fixture.choose(&[]).expect("a server is left");
+        fixture.now = fixture.now.after(STEP);
+        let outcome = match backend == limited {
+            true => AttemptOutcome::Shed,
+            false => AttemptOutcome::Served,
+        };
+        tried += usize::from(backend == limited);
+        fixture.record_outcome(&backend, outcome, STEP);
+    }
+    // Ten seconds pass. A server that is never tried could not tell that its limit has ended.
+    assert!((5..=12).contains(&tried), "tried {tried} times");
+}
