--- a/crates/emulator/src/backend/backend_faults.rs
+++ b/crates/emulator/src/backend/backend_faults.rs
@@ -14,7 +14,7 @@
     pub seed: u64,
     /// Faults of the health and load reports.
     pub report: ReportFaults,
-    /// Rate limit that every response states.
+    /// Rate limit that every response states; in JSON, in thousandths of a request per second.
     pub limit: Option<RequestRate>,
     /// Whether the server stops announcing itself but continues to serve requests.
     pub is_silent: bool,
