--- a/crates/kernel/src/request/response_budget.rs
+++ b/crates/kernel/src/request/response_budget.rs
@@ -2,8 +2,8 @@
 
 /// Size up to which every response is accepted, whatever the other responses hold.
 const GUARANTEED_BYTES: u64 = 256 * 1024;
-/// Size that responses may hold together; a third of the memory of the smallest VM, which leaves
-/// room for buffers that grow by doubling.
+/// Size that responses may hold together. Buffers that double as they grow take up to three times
+/// that for a moment, which is less than half of the memory of the smallest VM (160 MB).
 const MAX_TOTAL_BYTES: u64 = 24 * 1024 * 1024;
 
 /// Limits the memory of responses that a node is still reading from its backend servers.
