Remember a departure of which the node did not know the server's incarnation

What callers saw: nothing yet; requests reached a server up to 2.3 s after its node had acknowledged that it leaves (bound 2 s), and would have been cut by its end.

The node listened again at 22.206 s after a planned restart, acknowledged the departure at 22.307 s, and announced the server as serving at 24.517 s, when a heartbeat arrived that had been sent before.

Cause: a departure does not state an incarnation on the users' platform. The node takes that of the entry it has, and a node that has just started has none, so it remembered nothing to compare the late heartbeat with.

Change: with no incarnation known, every one that has started by now counts as departed; one that starts later is used. The test fails before.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -92,7 +92,7 @@
         match message {
             BackendMessage::Heartbeat(heartbeat) => self.handle_heartbeat(now, heartbeat),
             BackendMessage::Leaving { name, incarnation } => {
-                self.handle_leaving(&name, incarnation)
+                self.handle_leaving(now, &name, incarnation)
             }
         }
     }
@@ -143,6 +143,7 @@
 
     fn handle_leaving(
         &mut self,
+        now: ClockInstant,
         name: &BackendName,
         incarnation: Option<BackendIncarnation>,
     ) -> bool {
@@ -153,9 +154,12 @@
         {
             return false;
         }
-        if let Some(incarnation) = incarnation.or(current_incarnation) {
-            self.departed.insert(name.clone(), incarnation);
-        }
+        // A node that has just started may not know the server. Every incarnation of it that has
+        // started by now has then departed.
+        let departed = incarnation
+            .or(current_incarnation)
+            .unwrap_or(BackendIncarnation { started_at: now });
+        self.departed.insert(name.clone(), departed);
         while self.departed.len() > MAX_DEPARTED {
             self.departed.pop_first();
         }
--- a/crates/daemon/tests/announcements.rs
+++ b/crates/daemon/tests/announcements.rs
@@ -106,3 +106,14 @@
     assert!(table.expire(NOW.after(TimeBudget::from_secs(5))).is_empty());
     assert_eq!(table.expire(NOW.after(LEASE)).len(), 1);
 }
+
+#[test]
+fn late_heartbeat_does_not_restore_a_server_that_left_a_node_that_had_just_started() {
+    let started_at = NOW.as_millis() - 30_000;
+    let late = heartbeat("a", started_at, 9, BackendState::Serving);
+    let servers = apply_messages([leaving("a", None), late.clone()]);
+    assert!(servers.is_empty(), "{servers:?}");
+    let restarted = heartbeat("a", NOW.as_millis() + 3_000, 0, BackendState::Serving);
+    let servers = apply_messages([leaving("a", None), late, restarted]);
+    assert_eq!(servers.len(), 1, "a new incarnation is used");
+}
