Add the interfaces for accounts, evacuations, warm-up limits and slowdowns

Cause: the parts of docs/design/uneven-load.md are built side by side and share types of the configuration, of requests and of operators' documents. Change: the types, without behaviour; fields that are absent are left out of a version's canonical bytes, so that the hashes of earlier configurations stay. Ruled out: a rank in place of the route's priority, which would have changed every caller of the queue.

--- a/crates/answers/src/model/service_answers.rs
+++ b/crates/answers/src/model/service_answers.rs
@@ -56,6 +56,8 @@
             slow_start: self.slow_start.unwrap_or(defaults::SLOW_START),
             drain: self.drain.unwrap_or(defaults::DRAIN),
             rollout: self.rollout.into_rule(),
+            warm_up: None,
+            health_path: None,
         }
     }
 }
--- a/crates/answers/src/reader/answers_reader.rs
+++ b/crates/answers/src/reader/answers_reader.rs
@@ -1,4 +1,4 @@
-use std::path::Path;
+use std::{collections::BTreeMap, path::Path};
 
 use bronzelb_kernel::{
     config::ConfigSnapshot,
@@ -93,6 +93,7 @@
         proxies,
         services,
         routes,
+        accounts: BTreeMap::new(),
     })
 }
 
--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -138,6 +138,7 @@
                 &target,
                 &request.body,
             ),
+            account: None,
             priority: rule.priority,
             waited: route_match.waited,
             attempt,
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -255,6 +255,7 @@
             priority: message.priority,
             deadline,
             soft_deadline,
+            account: message.account.clone(),
             route: Some(message.route.clone()),
         }
     }
--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -8,7 +8,7 @@
     member::StatedLimit,
     request::{
         AdmissionDecision, AdmissionQueue, AdmissionRequest, AdmissionUpdate, QueueKey, ServerLoad,
-        TimePublisher,
+        Slowdown, TimePublisher,
     },
 };
 use tokio::{runtime::Handle, sync::oneshot, time};
@@ -57,6 +57,7 @@
             priority,
             deadline,
             soft_deadline: None,
+            account: None,
             route: None,
         };
         self.acquire_for(request).await
@@ -133,6 +134,7 @@
         ServerLoad {
             running: queue.running(),
             waiting: u32::try_from(queue.waiting()).unwrap_or(u32::MAX),
+            slowdown: Slowdown::NONE,
         }
     }
 
--- a/crates/daemon/src/source/operator_feed.rs
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -173,6 +173,8 @@
                 }
             }
             OperatorDocument::Move(order) => apply_order(self.state, self.platform, &order).await,
+            // The platform's adapter decodes no such document yet.
+            OperatorDocument::Evacuation(_) => {}
             OperatorDocument::Unreadable(error) => self.report_refused_document(&error),
         }
     }
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -3,6 +3,7 @@
 //! The server writes raw bytes to a socket, so that each test controls its responses exactly.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::SocketAddr,
     sync::{
@@ -168,6 +169,8 @@
             min_requests: 100,
             hold: TimeBudget::from_secs(1),
         },
+        warm_up: None,
+        health_path: None,
     };
     let route = RouteRule {
         path: "/".into(),
@@ -192,6 +195,7 @@
         .into(),
         services: [("tracker".parse().expect("a valid name"), service)].into(),
         routes: [("all".parse().expect("a valid name"), route)].into(),
+        accounts: BTreeMap::new(),
     }
 }
 
@@ -286,6 +290,7 @@
                 limit: StatedLimit::Unknown,
                 key: None,
                 fingerprint: fingerprint("all", "GET", &target, b""),
+                account: None,
                 priority: RequestPriority::NORMAL,
                 waited: TimeBudget::ZERO,
                 attempt: 1,
--- a/crates/emulator/src/experiment/node_size/config_sample.rs
+++ b/crates/emulator/src/experiment/node_size/config_sample.rs
@@ -22,6 +22,7 @@
             .collect::<Result<_, _>>()?,
         services: Default::default(),
         routes: Default::default(),
+        accounts: Default::default(),
     };
     for service in 0..services {
         let name: ServiceName = format!("service-{service}").parse()?;
@@ -56,6 +57,8 @@
             min_requests: 100,
             hold: TimeBudget::from_secs(30),
         },
+        warm_up: None,
+        health_path: None,
     }
 }
 
--- a/crates/kernel/src/config/config_snapshot.rs
+++ b/crates/kernel/src/config/config_snapshot.rs
@@ -5,10 +5,11 @@
 
 use crate::{
     config::{
-        HttpMethod, ProxySpec, RouteIndex, RouteRule, ServiceSpec, VersionStamp, check_snapshot,
+        AccountSpec, HttpMethod, ProxySpec, RouteIndex, RouteRule, ServiceSpec, VersionStamp,
+        check_snapshot,
     },
     error::{ErrorKind, MeshError},
-    ids::{ContentHash, DataCentre, MeshName, RouteName, ServiceName, VersionNumber},
+    ids::{AccountName, ContentHash, DataCentre, MeshName, RouteName, ServiceName, VersionNumber},
 };
 
 /// Size limit of a configuration's canonical bytes.
@@ -29,6 +30,9 @@
     pub services: BTreeMap<ServiceName, ServiceSpec>,
     /// Routes by name.
     pub routes: BTreeMap<RouteName, RouteRule>,
+    /// Client accounts by name; requests need no key if there are none.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub accounts: BTreeMap<AccountName, AccountSpec>,
 }
 
 impl ConfigSnapshot {
--- a/crates/kernel/src/config/route_traffic.rs
+++ b/crates/kernel/src/config/route_traffic.rs
@@ -14,6 +14,9 @@
     /// Host that the route matches; `None` matches every host.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub host: Option<HostName>,
+    /// Whether requests need no key of a client account.
+    #[serde(skip_serializing_if = "is_false")]
+    pub is_public: bool,
     /// Services and their weights; empty sends every request to the route's service.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub split: BTreeMap<ServiceName, ServiceWeight>,
@@ -52,3 +55,9 @@
             .map(|(service, _)| service)
     }
 }
+
+// The signature is required by serde.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
--- a/crates/kernel/src/config/service_spec.rs
+++ b/crates/kernel/src/config/service_spec.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::TimeBudget,
     config::ShareRatio,
-    ids::{CrewName, SlotCount},
+    ids::{CrewName, RequestRate, SlotCount},
 };
 
 /// A service: the capacity of its backend servers, and how new versions are rolled out.
@@ -25,6 +25,12 @@
     pub drain: TimeBudget,
     /// Rules for the version moves of this service.
     pub rollout: RolloutRule,
+    /// Limits of a backend server that warms up; `None` if the service declares none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warm_up: Option<WarmUpRule>,
+    /// Path of the backend servers' health check, if the operators declare it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<CompactString>,
 }
 
 /// Used until a server's own announcement states its slots.
@@ -57,6 +63,8 @@
                 min_requests: DEFAULT_MIN_REQUESTS,
                 hold: DEFAULT_HOLD,
             },
+            warm_up: None,
+            health_path: None,
         }
     }
 }
@@ -72,3 +80,13 @@
     /// Time for which a version must stay healthy at full share before the move is done.
     pub hold: TimeBudget,
 }
+
+/// Limits of a backend server while it warms up after a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WarmUpRule {
+    /// Time for which a server is cold after a start.
+    pub time: TimeBudget,
+    /// Rate of requests that a cold server bears from all nodes together; never zero.
+    pub rate: RequestRate,
+}
--- a/crates/kernel/src/error/error_kind.rs
+++ b/crates/kernel/src/error/error_kind.rs
@@ -29,6 +29,8 @@
     DeadlinePassed,
     /// Admission control refused the request because of load.
     Overloaded,
+    /// The client account has used up its usage cap.
+    CapExceeded,
     /// The backend server refused the request for lack of capacity, without running it.
     Shed,
     /// No backend server of the service can be reached.
@@ -55,7 +57,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of declaration.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::Invalid,
         Self::TooLarge,
         Self::SlowSender,
@@ -65,6 +67,7 @@
         Self::Conflict,
         Self::DeadlinePassed,
         Self::Overloaded,
+        Self::CapExceeded,
         Self::Shed,
         Self::NoBackend,
         Self::Draining,
@@ -91,6 +94,7 @@
             Self::Conflict => "conflict",
             Self::DeadlinePassed => "deadline-passed",
             Self::Overloaded => "overloaded",
+            Self::CapExceeded => "cap-exceeded",
             Self::Shed => "shed",
             Self::NoBackend => "no-backend",
             Self::Draining => "draining",
@@ -118,6 +122,7 @@
             Self::Conflict => ErrorResponse::new(409, 5, NotRun, false),
             Self::DeadlinePassed => ErrorResponse::new(504, 6, NotRun, false),
             Self::Overloaded => ErrorResponse::new(503, 6, NotRun, true),
+            Self::CapExceeded => ErrorResponse::new(429, 6, NotRun, true),
             Self::Shed | Self::NoBackend | Self::Draining | Self::NotReady => {
                 ErrorResponse::new(503, 6, NotRun, true)
             }
--- a/crates/kernel/src/ids/names.rs
+++ b/crates/kernel/src/ids/names.rs
@@ -72,6 +72,10 @@
     /// Name of a node, unique in its mesh.
     NodeName, "node name", check_name
 );
+text_newtype!(
+    /// Name of a client account, unique in its mesh.
+    AccountName, "client account name", check_name
+);
 text_newtype!(
     /// Name of a service.
     ServiceName, "service name", check_name
--- a/crates/kernel/src/plugin/operator_document.rs
+++ b/crates/kernel/src/plugin/operator_document.rs
@@ -26,10 +26,23 @@
     },
     /// An order to move a service's traffic to a version.
     Move(MoveOrder),
+    /// Whether a data centre is to be evacuated.
+    Evacuation(EvacuationOrder),
     /// A document that could not be parsed; the active state stays unchanged.
     Unreadable(MeshError),
 }
 
+/// An operator's order to send nothing more to the backend servers of a data centre, or its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvacuationOrder {
+    /// Data centre that the order names.
+    pub data_centre: DataCentre,
+    /// Whether the order is in force; `false` once the operator has removed it.
+    pub is_ordered: bool,
+    /// Revision of the platform's row at which this holds; a later state has a higher one.
+    pub revision: u64,
+}
+
 /// An operator's order to move a service's traffic to another version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MoveOrder {
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -7,7 +7,7 @@
     config::RequestPriority,
     ids::{RouteName, SlotCount},
     member::StatedLimit,
-    request::RatePacer,
+    request::{AccountRank, RatePacer},
 };
 
 /// Assumed service time until the first request has finished; short, so that no request is refused
@@ -57,6 +57,9 @@
     /// A request that cannot meet it is refused, so that another request gets the slot while its
     /// response is still in time.
     pub soft_deadline: Option<ClockInstant>,
+    /// Client account of the request; `None` for requests without a key, such as the calls of a
+    /// running request.
+    pub account: Option<AccountRank>,
     /// Route of the request; routes of one service differ in their service times.
     pub route: Option<RouteName>,
 }
@@ -221,6 +224,7 @@
             priority,
             deadline,
             soft_deadline: None,
+            account: None,
             route: None,
         };
         self.submit_request(now, &request, item, rng)
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -7,6 +7,7 @@
 //! with an idempotency key from running twice. [`CrashRecord`] quarantines a request after it has
 //! crashed two servers.
 
+mod account_rank;
 mod adaptive_limit;
 mod admission_queue;
 mod attempt_context;
@@ -24,9 +25,11 @@
 mod retry_budget;
 mod server_stats;
 mod shared_budget;
+mod slowdown;
 mod time_publisher;
 mod wait_estimator;
 
+pub use account_rank::AccountRank;
 pub use adaptive_limit::AdaptiveLimit;
 pub use admission_queue::{
     AdmissionDecision, AdmissionQueue, AdmissionRequest, AdmissionUpdate, QueueKey, RefusedRequest,
@@ -45,5 +48,6 @@
 pub use retry_budget::{RetryBudget, RetryContext};
 pub use server_stats::{ServerLoad, ServerLocation};
 pub use shared_budget::{RetryPolicy, SharedBudget};
+pub use slowdown::Slowdown;
 pub use time_publisher::TimePublisher;
 pub use wait_estimator::WaitEstimator;
--- a/crates/kernel/src/request/server_stats.rs
+++ b/crates/kernel/src/request/server_stats.rs
@@ -7,7 +7,7 @@
     config::ShareRatio,
     ids::{BackendName, BuildVersion, DataCentre, NodeName, RouteName},
     member::{BackendState, StatedLimit},
-    request::AttemptOutcome,
+    request::{AttemptOutcome, Slowdown},
 };
 
 /// Speed of a server that is still warming up, relative to a warm one.
@@ -78,6 +78,8 @@
     pub running: u32,
     /// Requests waiting for one of the server's slots.
     pub waiting: u32,
+    /// Latest slowdown that the server has reported to its node.
+    pub slowdown: Slowdown,
 }
 
 /// Statistics of one backend server, mostly from this node's own attempts.
@@ -302,6 +304,7 @@
         self.load = ServerLoad {
             running: self.slots,
             waiting: self.slots,
+            slowdown: self.load.slowdown,
         };
         let lifetime = self.limit.rate().map_or(SHED_LIFETIME, |rate| {
             let interval = rate.interval().unwrap_or(MAX_SHED_LIFETIME);
--- a/crates/kernel/src/spread/config_delta.rs
+++ b/crates/kernel/src/spread/config_delta.rs
@@ -4,9 +4,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    config::{ConfigSnapshot, ConfigVersion, ProxySpec, RouteRule, ServiceSpec, VersionStamp},
+    config::{
+        AccountSpec, ConfigSnapshot, ConfigVersion, ProxySpec, RouteRule, ServiceSpec, VersionStamp,
+    },
     error::MeshError,
-    ids::{DataCentre, RouteName, ServiceName},
+    ids::{AccountName, DataCentre, RouteName, ServiceName},
 };
 
 /// Changes to one map of a configuration.
@@ -19,6 +21,21 @@
     pub removed: BTreeSet<K>,
 }
 
+impl<K: Ord, V> Default for MapDelta<K, V> {
+    fn default() -> Self {
+        Self {
+            put: BTreeMap::new(),
+            removed: BTreeSet::new(),
+        }
+    }
+}
+
+impl<K: Ord, V> MapDelta<K, V> {
+    fn is_empty(&self) -> bool {
+        self.put.is_empty() && self.removed.is_empty()
+    }
+}
+
 impl<K: Ord + Clone, V: Clone + PartialEq> MapDelta<K, V> {
     fn between(base: &BTreeMap<K, V>, target: &BTreeMap<K, V>) -> Self {
         let put = target
@@ -57,6 +74,9 @@
     pub services: MapDelta<ServiceName, ServiceSpec>,
     /// Changed routes.
     pub routes: MapDelta<RouteName, RouteRule>,
+    /// Changed client accounts.
+    #[serde(default, skip_serializing_if = "MapDelta::is_empty")]
+    pub accounts: MapDelta<AccountName, AccountSpec>,
 }
 
 impl ConfigDelta {
@@ -69,6 +89,7 @@
             proxies: MapDelta::between(&old.proxies, &new.proxies),
             services: MapDelta::between(&old.services, &new.services),
             routes: MapDelta::between(&old.routes, &new.routes),
+            accounts: MapDelta::between(&old.accounts, &new.accounts),
         }
     }
 
@@ -79,6 +100,7 @@
         self.proxies.apply_to(&mut snapshot.proxies);
         self.services.apply_to(&mut snapshot.services);
         self.routes.apply_to(&mut snapshot.routes);
+        self.accounts.apply_to(&mut snapshot.accounts);
         snapshot
     }
 
--- a/crates/kernel/tests/request_gate.rs
+++ b/crates/kernel/tests/request_gate.rs
@@ -109,6 +109,7 @@
         priority: RequestPriority::NORMAL,
         deadline,
         soft_deadline: Some(soft_deadline),
+        account: None,
         route: Some(route(name)),
     }
 }
--- a/crates/kernel/tests/request_mixed_load.rs
+++ b/crates/kernel/tests/request_mixed_load.rs
@@ -70,6 +70,7 @@
             },
             deadline: at(now + timeout),
             soft_deadline: Some(at(now + soft_deadline)),
+            account: None,
             route: Some(route(is_call)),
         };
         self.tally(is_call).arrived += 1;
--- a/crates/kernel/tests/request_returns.rs
+++ b/crates/kernel/tests/request_returns.rs
@@ -96,6 +96,7 @@
             priority: RequestPriority::NORMAL,
             deadline: at(now + self.case.timeout_ms),
             soft_deadline: Some(at(now + self.case.soft_deadline_ms).before(elapsed_wait)),
+            account: None,
             route: Some(route()),
         };
         let (decision, refused) =
--- a/crates/wire/src/peer/forward_message.rs
+++ b/crates/wire/src/peer/forward_message.rs
@@ -3,7 +3,7 @@
     config::{HttpMethod, RequestPriority},
     ids::{BackendName, BuildVersion, ContentHash, IdempotencyKey, RouteName},
     member::{BackendIncarnation, StatedLimit},
-    request::ServerLoad,
+    request::{AccountRank, ServerLoad},
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -35,6 +35,8 @@
     pub key: Option<IdempotencyKey>,
     /// Hash of the route, method, target and body.
     pub fingerprint: ContentHash,
+    /// Client account that the request's key belongs to, if it has one.
+    pub account: Option<AccountRank>,
     /// Priority of the matched route.
     pub priority: RequestPriority,
     /// Time that the caller has already spent on its own earlier attempts, if it reports this.
