Check the keys of client accounts at the entry node and at the host

Cause: configurations may contain client accounts (`Tenants`), whose callers must present a key, and a revoked key must not be served, not even from a queue. A version carries an index from key digest to account. The entry node checks the key with the route, and again before each attempt; the host checks when the request arrives and after it has a connection. The message carries the digest and the version of the check. Ruled out: a check at the host against whatever version it holds. A host that has not received the version that added a key would refuse valid requests, so a node relies on the check of a newer version.

--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -7,6 +7,7 @@
     },
 };
 use bronzelb_kernel::{
+    config::ConfigVersion,
     error::{ErrorKind, MeshError, RunState},
     ids::IdempotencyKey,
     member::StatedLimit,
@@ -22,7 +23,9 @@
         caller_error_response,
         caller_request::{CallerRequest, request_host},
     },
-    forward::{RequestForwarder, RoutedRequest, fingerprint, is_hop_header},
+    forward::{
+        RequestForwarder, RoutedRequest, account_headers, account_name, fingerprint, is_hop_header,
+    },
     log::{EventName, REQUEST_TAG},
     node::NodeState,
     rollout::record_burn,
@@ -90,7 +93,10 @@
     }
     let now = state.now();
     let config = state.config();
+    let route_match = request.route_match.as_ref().ok();
+    let account = route_match.and_then(|route_match| route_match.account.account.as_ref());
     info!(state.logger, #REQUEST_TAG, "{}", EventName::RequestFailed;
+        "account" => account_name(account),
         "request" => request_id.as_str(), "kind" => error.kind().name(),
         "run" => error.kind().response().run_state.name(),
         "message" => error.message().to_owned(),
@@ -138,13 +144,14 @@
                 &target,
                 &request.body,
             ),
-            account: None,
+            key_check: route_match.account.key_check,
+            account: route_match.account.account.clone(),
             priority: rule.priority,
             waited: route_match.waited,
             attempt,
             method,
             target,
-            headers: forwarded_headers(state, headers, request_host(head)),
+            headers: forwarded_headers(state, &route_match.config, headers, request_host(head)),
             body: request.body.clone(),
         },
     };
@@ -198,13 +205,20 @@
 }
 
 /// Returns the headers to send to the backend server, including those that the dialect adds.
-fn forwarded_headers(state: &NodeState, headers: &HeaderMap, host: &str) -> Vec<HttpHeader> {
+fn forwarded_headers(
+    state: &NodeState,
+    config: &ConfigVersion,
+    headers: &HeaderMap,
+    host: &str,
+) -> Vec<HttpHeader> {
     let dialect = state.settings.dialect;
     let origin_header = dialect.servers.origin_header;
+    let account_headers = account_headers(dialect, config);
     let mut forwarded: Vec<_> = headers
         .iter()
         .filter(|(name, _)| !is_hop_header(name.as_str()))
         .filter(|(name, _)| origin_header != Some(name.as_str()))
+        .filter(|(name, _)| !account_headers.contains(&Some(name.as_str())))
         .map(|(name, value)| http_header(name.as_str(), value.as_bytes()))
         .collect();
     if dialect.callers.preserves_host && !host.is_empty() {
--- a/crates/daemon/src/callers/caller_request.rs
+++ b/crates/daemon/src/callers/caller_request.rs
@@ -11,7 +11,7 @@
 };
 use bytes::Bytes;
 
-use crate::node::NodeState;
+use crate::{callers::account_check::AccountCheck, node::NodeState};
 
 /// Delay after which a caller may retry at a node that has no configuration.
 const CONFIG_RETRY_DELAY: TimeBudget = TimeBudget::from_secs(1);
@@ -32,6 +32,8 @@
     pub(crate) route: RouteName,
     pub(crate) method: HttpMethod,
     pub(crate) deadline: ClockInstant,
+    /// Client account of the request.
+    pub(crate) account: AccountCheck,
     /// Time that the caller has already spent on earlier attempts.
     pub(crate) waited: TimeBudget,
 }
@@ -55,6 +57,7 @@
     ///
     /// - [`ErrorKind::NotReady`]: the node has no configuration or lost its lease.
     /// - [`ErrorKind::UnknownRoute`]: no route matches.
+    /// - [`ErrorKind::Unauthorized`]: the route needs a key that the request does not present.
     /// - [`ErrorKind::Invalid`]: the method or the deadline cannot be read.
     pub(crate) fn find(state: &NodeState, head: &Request) -> Result<Self, MeshError> {
         state.check_lease()?;
@@ -70,8 +73,9 @@
             let message = format!("no route matches {method} {:?}", head.path());
             MeshError::new(ErrorKind::UnknownRoute, message)
         })?;
-        let caller_timeout =
-            read_caller_timeout(&state.settings.dialect.callers, head.head().headers())?;
+        let (dialect, headers) = (&state.settings.dialect.callers, head.head().headers());
+        let account = AccountCheck::new(dialect, headers, &config, route)?;
+        let caller_timeout = read_caller_timeout(dialect, headers)?;
         let deadline =
             now.after(caller_timeout.map_or(rule.timeout, |timeout| timeout.min(rule.timeout)));
         let waited = caller_timeout.map_or(TimeBudget::ZERO, |timeout| {
@@ -82,6 +86,7 @@
             route,
             method,
             deadline,
+            account,
             waited,
             config,
         })
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP server for callers.
 
+mod account_check;
 mod caller_connection;
 mod caller_handler;
 mod caller_request;
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -18,7 +18,7 @@
     ids::{BackendName, SlotCount},
     member::{BackendIncarnation, BackendState, StatedLimit},
     plugin::{ServerDialect, ServerNotice},
-    request::{AdmissionRequest, CrashStatus, ServerInstance},
+    request::{AccountRank, AdmissionRequest, CrashStatus, ServerInstance},
 };
 use bronzelb_wire::peer::{ForwardRequest, ForwardResponse, HttpHeader};
 use bytes::Bytes;
@@ -28,12 +28,13 @@
 use crate::{
     backends::BackendAnnouncement,
     forward::{
+        account_headers, account_name,
         backend_connection::{
             BackendConnection, BackendResponse, ExchangeError, ExchangeOptions, MAX_RESPONSE_BYTES,
         },
         concurrency_limiter::SlotPermit,
         crash_registry::CrashRegistry,
-        is_hop_header,
+        is_hop_header, recheck_account,
         request_state::BackendRuntime,
     },
     log::{EventName, REQUEST_TAG},
@@ -84,6 +85,7 @@
     ///
     /// # Errors
     ///
+    /// - [`ErrorKind::Unauthorized`]: the request's key has been revoked.
     /// - [`ErrorKind::NoBackend`]: the server is not on this node or refuses connections.
     /// - [`ErrorKind::Draining`]: the server accepts no new requests.
     /// - [`ErrorKind::Overloaded`]: no slot of the server is available before the deadline.
@@ -99,6 +101,8 @@
         deadline: ClockInstant,
         message: &ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
+        // The entry node may hold an older version.
+        recheck_account(&self.state, message)?;
         let (announcement, _) = self.serving(name)?;
         let runtime = self
             .state
@@ -156,6 +160,25 @@
         })
     }
 
+    /// Sets the header with the client account, and removes what callers or servers sent in its
+    /// place.
+    fn set_account(
+        &self,
+        head: &mut RequestHead,
+        account: Option<&AccountRank>,
+    ) -> Result<(), ExchangeError> {
+        let dialect = self.state.settings.dialect;
+        if let Some(config) = self.state.config() {
+            for name in account_headers(dialect, &config).into_iter().flatten() {
+                head.headers.remove(name);
+            }
+        }
+        match dialect.servers.account_header.zip(account) {
+            Some((name, rank)) => insert(head, name, rank.account.as_str()),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the announcement and incarnation of a server that accepts requests.
     fn serving(
         &self,
@@ -197,6 +220,7 @@
         let (now, load) = (state.now(), runtime.slot_limiter.load());
         info!(state.logger, #REQUEST_TAG, "{}", EventName::RequestRefused;
             "request" => message.request_id.as_str(), "route" => message.route.to_string(),
+            "account" => account_name(message.account.as_ref()),
             "backend" => name.to_string(), "priority" => message.priority.to_string(),
             "running" => load.running, "waiting" => load.waiting,
             "waited_ms" => queued_at.elapsed(now).as_millis(),
@@ -225,6 +249,7 @@
         }
         info!(state.logger, #REQUEST_TAG, "{}", EventName::RequestRan;
             "request" => message.request_id.as_str(), "route" => message.route.to_string(),
+            "account" => account_name(message.account.as_ref()),
             "backend" => name.to_string(), "outcome" => outcome,
             "status" => result.as_ref().ok().map(|response| response.status.as_u16()),
             "message" => result.as_ref().err().map(|error| error.message().to_owned()),
@@ -306,6 +331,7 @@
                 let message = format!("backend server {name} is not reachable: {reason}");
                 Err(MeshError::new(ErrorKind::NoBackend, message).with_retry_at(self.retry_at()))
             }
+            Err(ExchangeError::Unauthorized(error)) => Err(error),
             Err(ExchangeError::TooLarge) => {
                 let message = format!("the response exceeds {MAX_RESPONSE_BYTES} bytes");
                 Err(MeshError::new(ErrorKind::BackendFailed, message))
@@ -343,7 +369,10 @@
             None => BackendConnection::open(address).await?,
         };
         let dialect = &self.state.settings.dialect.servers;
-        let head = request_head(
+        // The key may have been revoked while the request was queued or the connection was opened.
+        let (_, account) =
+            recheck_account(&self.state, message).map_err(ExchangeError::Unauthorized)?;
+        let mut head = request_head(
             dialect,
             name,
             address,
@@ -351,6 +380,7 @@
             time_left,
             message,
         )?;
+        self.set_account(&mut head, account.as_ref())?;
         let is_for_request = |response: &BackendResponse, is_fresh: bool| {
             match response.headers.get(dialect.request_header) {
                 Some(echo) => echo.as_bytes() == message.request_id.as_bytes(),
--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -15,7 +15,7 @@
     Method, StatusCode,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
-use bronzelb_kernel::request::ResponseBudget;
+use bronzelb_kernel::{error::MeshError, request::ResponseBudget};
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -43,6 +43,8 @@
 pub(crate) enum ExchangeError {
     /// No part of the request was sent.
     Unreached(String),
+    /// No part of the request was sent, because its key has been revoked.
+    Unauthorized(MeshError),
     /// The server may have received the request, but the response was lost or truncated.
     Lost(String),
     /// The request ran, but its response exceeds the size limit.
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -1,5 +1,6 @@
 //! Forwarding of requests to backend servers on this node and on other nodes.
 
+mod account_gate;
 mod backend_client;
 mod backend_connection;
 mod claim_table;
@@ -13,6 +14,7 @@
 mod response_buffer;
 mod routed_request;
 
+pub(crate) use account_gate::{account_headers, account_name, recheck_account};
 pub use backend_client::BackendClient;
 pub use hop_headers::is_hop_header;
 pub use request_forwarder::RequestForwarder;
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -11,14 +11,14 @@
     },
     rollout::{OutcomeClass, OutcomeReport, VersionSplit},
 };
-use bronzelb_wire::peer::ForwardResponse;
-
+use bronzelb_wire::peer::{ForwardRequest, ForwardResponse};
 use slog::info;
 
 use crate::{
     forward::{
-        BackendClient, RoutedRequest, claim_table::ClaimTable, concurrency_limiter::SlotPermit,
-        crash_registry::CrashRegistry, request_state::ServiceLimiter,
+        BackendClient, RoutedRequest, account_name, claim_table::ClaimTable,
+        concurrency_limiter::SlotPermit, crash_registry::CrashRegistry, recheck_account,
+        request_state::ServiceLimiter,
     },
     log::{EventName, REQUEST_TAG},
     node::NodeState,
@@ -127,7 +127,16 @@
         let mut request_outcome = RequestOutcome::default();
         let mut last_outcome = None;
         loop {
-            let Some(server) = self.choose(request, &tried_backends) else {
+            let next = match self.rechecked_message(request) {
+                Ok(message) => self
+                    .choose(request, &tried_backends)
+                    .map(|server| (server, message)),
+                Err(error) => {
+                    request_outcome.record(Err(error));
+                    None
+                }
+            };
+            let Some((server, message)) = next else {
                 if let Some(outcome) = last_outcome {
                     permit
                         .limiter
@@ -137,7 +146,7 @@
             };
             tried_backends.push(server.backend.clone());
             let attempt = u32::try_from(tried_backends.len()).unwrap_or(u32::MAX);
-            let (outcome, result) = self.attempt(request, &server, attempt).await;
+            let (outcome, result) = self.attempt(request, &server, message, attempt).await;
             let is_final = result.as_ref().is_err_and(is_final);
             let was_delivered = was_delivered(&result);
             deliveries += u32::from(was_delivered);
@@ -176,14 +185,24 @@
         }
     }
 
+    /// Returns the message of the next attempt, after another check of the request's key.
+    fn rechecked_message(&self, request: &RoutedRequest) -> Result<ForwardRequest, MeshError> {
+        let (key_check, account) = recheck_account(&self.state, &request.message)?;
+        Ok(ForwardRequest {
+            key_check,
+            account,
+            ..request.message.clone()
+        })
+    }
+
     async fn attempt(
         &self,
         request: &RoutedRequest,
         server: &ServerLocation,
+        mut message: ForwardRequest,
         attempt: u32,
     ) -> (AttemptOutcome, Result<ForwardResponse, MeshError>) {
         let guard = AttemptGuard::new(&self.state, request, server);
-        let mut message = request.message.clone();
         message.backend = Some(server.backend.clone());
         message.limit = self.state.requests.load_balancer().limit(&server.backend);
         message.attempt = message.attempt.max(1) + attempt - 1;
@@ -229,6 +248,7 @@
         let config = state.config();
         info!(state.logger, #REQUEST_TAG, "{event}";
             "request" => request.message.request_id.as_str(),
+            "account" => account_name(request.message.account.as_ref()),
             "route" => request.message.route.to_string(),
             "service" => request.service.to_string(), "attempt" => attempt,
             "backend" => server.backend.to_string(), "build" => server.version.to_string(),
@@ -475,6 +495,8 @@
         Err(error) => error,
     };
     match error.kind().response().run_state {
+        // The key was revoked on the way, which says nothing about the server.
+        RunState::NotRun if error.kind() == ErrorKind::Unauthorized => AttemptOutcome::Abandoned,
         RunState::NotRun if error.kind() == ErrorKind::NoBackend => AttemptOutcome::Unreached,
         RunState::NotRun => AttemptOutcome::Shed,
         RunState::Ran => AttemptOutcome::Failed,
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -14,6 +14,7 @@
 };
 
 use bronzelb_kernel::{
+    account::CheckedKey,
     clock::{ClockInstant, TimeBudget},
     config::{
         ConfigSnapshot, ConfigVersion, HttpMethod, ProxySpec, RequestPriority, RolloutRule,
@@ -290,6 +291,10 @@
                 limit: StatedLimit::Unknown,
                 key: None,
                 fingerprint: fingerprint("all", "GET", &target, b""),
+                key_check: CheckedKey {
+                    digest: None,
+                    version: VersionNumber::new(1),
+                },
                 account: None,
                 priority: RequestPriority::NORMAL,
                 waited: TimeBudget::ZERO,
--- a/crates/kernel/src/config/config_check.rs
+++ b/crates/kernel/src/config/config_check.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::TimeBudget,
     config::{ConfigSnapshot, ProxySpec, RouteRule, RouteTraffic, ServiceSpec, ShareRatio},
-    ids::{AttemptCount, DataCentre, RouteName, ServiceName, SlotCount},
+    ids::{AttemptCount, DataCentre, KeyDigest, RouteName, ServiceName, SlotCount},
 };
 
 /// Largest number of data centres in a mesh.
@@ -64,6 +64,7 @@
         check_route(snapshot, name, rule, &mut problems);
     }
     check_duplicate_paths(snapshot, &mut problems);
+    check_accounts(snapshot, &mut problems);
     problems
 }
 
@@ -226,6 +227,34 @@
     }
 }
 
+/// Checks the client accounts; no message contains a key or its digest.
+fn check_accounts(snapshot: &ConfigSnapshot, problems: &mut Vec<ConfigProblem>) {
+    let empty_key = KeyDigest::of(b"");
+    let mut owners = BTreeMap::new();
+    for (name, spec) in &snapshot.accounts {
+        let path = || format_compact!("accounts.{name}.keys");
+        for key in &spec.keys {
+            if *key == empty_key {
+                add_problem(problems, path(), "a key is empty");
+            }
+            if let Some(other) = owners.insert(*key, name) {
+                let message = format_compact!(
+                    "account {other} has one of these keys too; a key belongs to one account"
+                );
+                add_problem(problems, path(), message);
+            }
+        }
+        if spec.cap.is_some_and(|cap| cap.rate.interval().is_none()) {
+            let path = format_compact!("accounts.{name}.cap.rate");
+            add_problem(
+                problems,
+                path,
+                "a rate of zero allows no request to run; leave the cap out for no limit",
+            );
+        }
+    }
+}
+
 fn methods_overlap(left: &RouteRule, right: &RouteRule) -> bool {
     left.methods.is_empty()
         || right.methods.is_empty()
--- a/crates/kernel/src/config/config_snapshot.rs
+++ b/crates/kernel/src/config/config_snapshot.rs
@@ -4,12 +4,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    account::AccountIndex,
     config::{
         AccountSpec, HttpMethod, ProxySpec, RouteIndex, RouteRule, ServiceSpec, VersionStamp,
         check_snapshot,
     },
     error::{ErrorKind, MeshError},
-    ids::{AccountName, ContentHash, DataCentre, MeshName, RouteName, ServiceName, VersionNumber},
+    ids::{
+        AccountName, ContentHash, DataCentre, KeyDigest, MeshName, RouteName, ServiceName,
+        VersionNumber,
+    },
 };
 
 /// Size limit of a configuration's canonical bytes.
@@ -54,6 +58,7 @@
     stamp: VersionStamp,
     snapshot: Arc<ConfigSnapshot>,
     index: RouteIndex,
+    account_index: AccountIndex,
     body: Bytes,
 }
 
@@ -94,6 +99,7 @@
         Self {
             stamp,
             index: RouteIndex::new(&snapshot),
+            account_index: AccountIndex::new(&snapshot),
             snapshot: Arc::new(snapshot),
             body,
         }
@@ -136,6 +142,13 @@
         self.index.find(&self.snapshot, host, method, path)
     }
 
+    /// Returns the client account that a key belongs to.
+    #[must_use]
+    pub fn account(&self, key: &KeyDigest) -> Option<(&AccountName, &AccountSpec)> {
+        let name = self.account_index.find(key)?;
+        self.snapshot.accounts.get_key_value(name)
+    }
+
     /// Returns the canonical bytes of the version's content.
     #[must_use]
     pub const fn body(&self) -> &Bytes {
--- a/crates/kernel/src/ids/names.rs
+++ b/crates/kernel/src/ids/names.rs
@@ -7,6 +7,7 @@
 
 const MAX_NAME_BYTES: usize = 64;
 const MAX_KEY_BYTES: usize = 128;
+const MAX_ACCOUNT_BYTES: usize = 128;
 /// Longest host name that DNS allows (RFC 1035, section 2.3.4).
 const MAX_HOST_BYTES: usize = 253;
 
@@ -74,7 +75,7 @@
 );
 text_newtype!(
     /// Name of a client account, unique in its mesh.
-    AccountName, "client account name", check_name
+    AccountName, "client account name", check_account
 );
 text_newtype!(
     /// Name of a service.
@@ -126,6 +127,20 @@
     )))
 }
 
+/// Accepts every text that a header can carry: operators choose the names of accounts freely.
+fn check_account(label: &str, text: &str) -> Result<(), MeshError> {
+    let is_printable = |c: char| c.is_ascii_graphic() || c == ' ';
+    let has_limits = (1..=MAX_ACCOUNT_BYTES).contains(&text.len());
+    if has_limits && text.trim() == text && text.chars().all(is_printable) {
+        return Ok(());
+    }
+    Err(MeshError::invalid(format!(
+        "{label} {:?} is not 1 to {MAX_ACCOUNT_BYTES} printable ASCII characters without spaces \
+         at the ends",
+        truncate(text)
+    )))
+}
+
 fn check_key(label: &str, text: &str) -> Result<(), MeshError> {
     let is_visible = |c: char| c.is_ascii_graphic();
     if !text.is_empty() && text.len() <= MAX_KEY_BYTES && text.chars().all(is_visible) {
--- a/crates/kernel/src/plugin/mod.rs
+++ b/crates/kernel/src/plugin/mod.rs
@@ -12,6 +12,6 @@
 pub use record_kind::{RecordKind, RecordMerge};
 pub use report_reader::{LoadReport, ReportReader};
 pub use wire_dialect::{
-    CallerDialect, LocalDialect, LocalRequest, ResponseHeaders, ServerDialect, ServerNotice,
-    WireDialect,
+    AccountKeyHeader, CallerDialect, LocalDialect, LocalRequest, ResponseHeaders, ServerDialect,
+    ServerNotice, WireDialect,
 };
--- a/crates/kernel/src/plugin/wire_dialect.rs
+++ b/crates/kernel/src/plugin/wire_dialect.rs
@@ -31,6 +31,8 @@
     pub deadline_header: &'static str,
     /// Header with the caller's idempotency key.
     pub idempotency_key_header: Option<&'static str>,
+    /// Header with the key of the caller's client account; without one, no caller has a key.
+    pub account_key: Option<AccountKeyHeader>,
     /// Header with the attempt number of the upstream request that this request belongs to.
     pub attempt_header: Option<&'static str>,
     /// Whether the caller's request identifier is used; otherwise the node generates one.
@@ -45,6 +47,16 @@
     pub retry_after: fn(TimeBudget) -> CompactString,
 }
 
+/// Header in which a caller presents the key of its client account, as `SCHEME KEY`.
+#[derive(Clone, Copy, Debug)]
+pub struct AccountKeyHeader {
+    /// Name in lower case.
+    pub name: &'static str,
+    /// Authentication scheme in front of the key; its case does not matter (RFC 9110, section
+    /// 11.1).
+    pub scheme: &'static str,
+}
+
 /// Headers and responses between a node and its local backend servers. Header names are in lower
 /// case.
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +69,8 @@
     pub attempt_header: Option<&'static str>,
     /// Header with the name of the intended server; any other server refuses the request.
     pub expected_server_header: Option<&'static str>,
+    /// Header with the name of the client account that the request belongs to.
+    pub account_header: Option<&'static str>,
     /// Header with the name of the calling service, as set in the entry node's settings.
     pub origin_header: Option<&'static str>,
     /// Whether a response without a length is complete when its connection closes cleanly.
--- a/crates/kernel/src/request/attempt_outcome.rs
+++ b/crates/kernel/src/request/attempt_outcome.rs
@@ -18,7 +18,7 @@
     Lost,
     /// The request reached a server, but its deadline passed before a response was received.
     TimedOut,
-    /// The caller disconnected while the request was running.
+    /// The caller disconnected while the request was running, or its key was revoked before it ran.
     Abandoned,
 }
 
--- a/crates/wire/src/peer/forward_message.rs
+++ b/crates/wire/src/peer/forward_message.rs
@@ -1,4 +1,5 @@
 use bronzelb_kernel::{
+    account::CheckedKey,
     clock::TimeBudget,
     config::{HttpMethod, RequestPriority},
     ids::{BackendName, BuildVersion, ContentHash, IdempotencyKey, RouteName},
@@ -35,6 +36,8 @@
     pub key: Option<IdempotencyKey>,
     /// Hash of the route, method, target and body.
     pub fingerprint: ContentHash,
+    /// Key of the request, which each node checks against the version that it holds.
+    pub key_check: CheckedKey,
     /// Client account that the request's key belongs to, if it has one.
     pub account: Option<AccountRank>,
     /// Priority of the matched route.
