Order waiting requests by account priority and fairly over accounts

Change: the queue's order is account priority (requests without an account first, as running requests may depend on them), route priority, in time before late, virtual finish time of the account, deadline. An account that holds more than half of a full queue makes room for others of its priority. The entry node's gate uses the same order; for requests of accounts it knows the route and its target as well.

--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -18,7 +18,7 @@
     ids::{BackendName, SlotCount},
     member::{BackendIncarnation, BackendState, StatedLimit},
     plugin::{ServerDialect, ServerNotice},
-    request::{AdmissionRequest, CrashStatus, ServerInstance},
+    request::{CrashStatus, ServerInstance},
 };
 use bronzelb_wire::peer::{ForwardRequest, ForwardResponse, HttpHeader};
 use bytes::Bytes;
@@ -35,6 +35,7 @@
         crash_registry::CrashRegistry,
         is_hop_header,
         request_state::BackendRuntime,
+        routed_request::admission_request,
     },
     log::{EventName, REQUEST_TAG},
     node::NodeState,
@@ -118,7 +119,11 @@
         let queued_at = self.state.now();
         let acquired = runtime
             .slot_limiter
-            .acquire_for(self.admission_request(deadline, message))
+            .acquire_for(admission_request(
+                self.state.config().as_deref(),
+                deadline,
+                message,
+            ))
             .await;
         let permit = acquired.inspect_err(|error| {
             self.log_refusal(name, &runtime, message, queued_at, error);
@@ -231,35 +236,6 @@
             "waited_ms" => waited.as_millis(), "ran_ms" => ran.as_millis());
     }
 
-    /// Returns the request for a slot of the server.
-    fn admission_request(
-        &self,
-        deadline: ClockInstant,
-        message: &ForwardRequest,
-    ) -> AdmissionRequest {
-        let config = self.state.config();
-        let route_rule = config
-            .as_ref()
-            .and_then(|config| config.snapshot().routes.get(&message.route));
-        // `deadline` is the request's arrival plus the route's timeout, or was set by the caller.
-        // Subtracting the timeout's excess over the latency objective gives the instant by which the
-        // response must be sent to meet the objective.
-        let soft_deadline = route_rule.map(|route_rule| {
-            let slack = route_rule
-                .objective
-                .latency
-                .shortfall_from(route_rule.timeout);
-            deadline.before(slack).before(message.waited)
-        });
-        AdmissionRequest {
-            priority: message.priority,
-            deadline,
-            soft_deadline,
-            account: message.account.clone(),
-            route: Some(message.route.clone()),
-        }
-    }
-
     /// Returns the number of connections that the configuration allows per server of the service.
     fn configured_connections(&self, announcement: &BackendAnnouncement) -> u32 {
         let config = self.state.config();
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -107,10 +107,9 @@
             return Err(self.no_backend(request));
         }
         let limiter = self.state.requests.service_limiter(&request.service);
-        let priority = request.message.priority;
         let slot = limiter
             .slot_limiter
-            .acquire(priority, request.deadline)
+            .acquire_for(request.gate_request(self.state.config().as_deref()))
             .await?;
         Ok(ServicePermit { limiter, slot })
     }
--- a/crates/daemon/src/forward/routed_request.rs
+++ b/crates/daemon/src/forward/routed_request.rs
@@ -1,6 +1,8 @@
 use bronzelb_kernel::{
     clock::ClockInstant,
+    config::ConfigVersion,
     ids::{AttemptCount, ContentHash, IdempotencyKey, ServiceName},
+    request::AdmissionRequest,
 };
 use bronzelb_wire::peer::ForwardRequest;
 
@@ -35,6 +37,49 @@
             false => self.message.key.as_ref(),
         }
     }
+
+    /// Returns the request for a slot of the entry node's gate to the service.
+    ///
+    /// Requests of accounts are ordered as at a server. Others are ordered by priority and deadline
+    /// and wait for a quarter of their time at most, as there are no accounts in most meshes.
+    pub(crate) fn gate_request(&self, config: Option<&ConfigVersion>) -> AdmissionRequest {
+        let request = admission_request(config, self.deadline, &self.message);
+        if request.account.is_some() {
+            return request;
+        }
+        AdmissionRequest {
+            soft_deadline: None,
+            route: None,
+            ..request
+        }
+    }
+}
+
+/// Returns the request for a slot, with the instant by which its route's latency objective wants
+/// the response.
+pub(crate) fn admission_request(
+    config: Option<&ConfigVersion>,
+    deadline: ClockInstant,
+    message: &ForwardRequest,
+) -> AdmissionRequest {
+    let route_rule = config.and_then(|config| config.snapshot().routes.get(&message.route));
+    // `deadline` is the request's arrival plus the route's timeout, or was set by the caller.
+    // Subtracting the timeout's excess over the latency objective gives the instant by which the
+    // response must be sent to meet the objective.
+    let soft_deadline = route_rule.map(|route_rule| {
+        let slack = route_rule
+            .objective
+            .latency
+            .shortfall_from(route_rule.timeout);
+        deadline.before(slack).before(message.waited)
+    });
+    AdmissionRequest {
+        priority: message.priority,
+        deadline,
+        soft_deadline,
+        account: message.account.clone(),
+        route: Some(message.route.clone()),
+    }
 }
 
 /// Returns a hash that identifies requests with the same route, method, target and body.
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -5,9 +5,12 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::RequestPriority,
-    ids::{RouteName, SlotCount},
+    ids::{AccountName, RouteName, SlotCount},
     member::StatedLimit,
-    request::{AccountRank, RatePacer},
+    request::{
+        AccountRank, RatePacer,
+        fair_order::{FairOrder, FairPlan, VirtualTime},
+    },
 };
 
 /// Assumed service time until the first request has finished; short, so that no request is refused
@@ -33,16 +36,30 @@
 const MIN_BASE_DELAY_MICROS: u64 = 5_000;
 /// Maximum retry delay before jitter, in microseconds; callers give up rather than wait longer.
 const MAX_BASE_DELAY_MICROS: u64 = 5_000_000;
+/// Divisor of the queue limit that gives the places that one account may hold of a full queue while
+/// other accounts want some. At a server, half of the places is one request for each slot.
+const ACCOUNT_SHARE_DIVISOR: usize = 2;
 
-/// Key of a waiting request in an [`AdmissionQueue`]; requests start in the order of their keys.
+/// Key of a waiting request in an [`AdmissionQueue`].
+///
+/// Requests of one account, and those without an account, start in the order of their keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueueKey {
+    class: QueueClass,
+    deadline: ClockInstant,
+    sequence: u64,
+}
+
+/// Urgency of a waiting request. Within a class, requests start in fair order over accounts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct QueueClass {
+    /// Priority of the account; requests without an account come first, because a request that is
+    /// running may depend on them.
+    account_priority: Option<RequestPriority>,
     priority: RequestPriority,
     /// Whether the request is likely to miss its soft deadline, so that a slot is better used for
     /// another request.
     is_late: bool,
-    deadline: ClockInstant,
-    sequence: u64,
 }
 
 /// Request for a slot of an [`AdmissionQueue`].
@@ -118,6 +135,20 @@
     queue_deadline: ClockInstant,
     /// Expected service time of the request.
     expected_time: TimeBudget,
+    account: Option<AccountName>,
+    /// Virtual time of the request's arrival.
+    arrival: VirtualTime,
+}
+
+impl<T> WaitEntry<T> {
+    /// Returns the request's virtual finish time; requests without an account are ordered by
+    /// deadline alone.
+    fn finish_time<'a>(&'a self, plan: &mut FairPlan<'a>) -> VirtualTime {
+        let account = self.account.as_ref();
+        account.map_or_else(VirtualTime::default, |account| {
+            plan.finish_time(account, self.arrival, self.expected_time)
+        })
+    }
 }
 
 /// Number and total expected service time of waiting requests.
@@ -148,12 +179,14 @@
 ///
 /// A request starts when a slot is free and the rate limit, if there is one, allows it.
 ///
-/// Waiting requests are ordered by priority, then by whether they can still meet their soft
-/// deadline, then by deadline. A request that cannot start in time, given the measured service
+/// Waiting requests are ordered by the priority of their account (requests without an account come
+/// first), by priority, by whether they can still meet their soft deadline, by [`FairOrder`] over
+/// accounts, and by deadline. A request that cannot start in time, given the measured service
 /// times and the requests before it, is refused immediately, with the instant at which capacity is
 /// expected. A request waits no longer than its soft deadline permits or, without one, than a
 /// quarter of the time it had left on arrival, so that its caller can still try another server. If
-/// the queue is full, a more urgent request evicts the last one.
+/// the queue is full, a more urgent request evicts the last one, or the last one of an account of
+/// the same priority that holds more than half of the queue.
 ///
 /// # Examples
 ///
@@ -189,6 +222,7 @@
     checked_service_time: TimeBudget,
     next_sequence: u64,
     pacer: RatePacer,
+    fair_order: FairOrder,
 }
 
 impl<T> AdmissionQueue<T> {
@@ -206,6 +240,7 @@
             checked_service_time: INITIAL_SERVICE_TIME,
             next_sequence: 0,
             pacer: RatePacer::default(),
+            fair_order: FairOrder::default(),
         }
     }
 
@@ -242,36 +277,37 @@
         if deadline.has_passed(now) {
             return (self.refuse(now, rng), Vec::new());
         }
+        let account = request.account.as_ref().map(|rank| &rank.account);
+        let expected_time = self.expected_time(request.route.as_ref());
+        let arrival = self.fair_order.arrival_time(self.service_time);
         if self.queue.is_empty() && self.may_start(now) {
-            self.start(now);
+            self.start(now, account, arrival, expected_time);
             return (AdmissionDecision::Run, Vec::new());
         }
-        let expected_time = self.expected_time(request.route.as_ref());
-        let queue_key = QueueKey {
+        let class = QueueClass {
+            account_priority: request.account.as_ref().map(|rank| rank.priority),
             priority: request.priority,
             is_late: self.is_late(now, request, expected_time),
+        };
+        let queue_key = QueueKey {
+            class,
             deadline,
             sequence: self.next_sequence,
         };
-        let is_least_urgent = self
-            .queue
-            .last_key_value()
-            .is_none_or(|(last, _)| queue_key > *last);
-        let is_full = self.queue.len() >= self.queue_limit;
-        let ahead = self.queue.range(..queue_key);
-        let ahead = ahead.filter(|(_, entry)| !entry.queue_deadline.has_passed(now));
-        let ahead = ahead.fold(QueuedWork::default(), |ahead, (_, entry)| ahead.with(entry));
         let queue_deadline = self.queue_deadline(now, request, expected_time);
-        if (is_full && is_least_urgent) || self.starts_too_late(now, queue_deadline, ahead) {
-            return (self.refuse(now, rng), Vec::new());
-        }
-        self.next_sequence += 1;
         let entry = WaitEntry {
             item,
             queue_deadline,
             expected_time,
+            account: account.cloned(),
+            arrival,
         };
         self.queue.insert(queue_key, entry);
+        if !self.may_wait(now, queue_key, queue_deadline) {
+            self.queue.remove(&queue_key);
+            return (self.refuse(now, rng), Vec::new());
+        }
+        self.next_sequence += 1;
         let refused = self.evict(now, rng);
         (
             AdmissionDecision::Wait {
@@ -429,7 +465,7 @@
     fn start_waiting(&mut self, now: ClockInstant, rng: &mut impl Rng) -> AdmissionUpdate<T> {
         let mut update = AdmissionUpdate::default();
         while self.may_start(now) {
-            let Some((_, entry)) = self.queue.pop_first() else {
+            let Some(entry) = self.next_key().and_then(|key| self.queue.remove(&key)) else {
                 break;
             };
             let item = entry.item;
@@ -438,7 +474,8 @@
                 update.refused.push(RefusedRequest { item, retry_at });
                 continue;
             }
-            self.start(now);
+            let account = entry.account.as_ref();
+            self.start(now, account, entry.arrival, entry.expected_time);
             update.started.push(item);
         }
         if self.must_recheck_queue() {
@@ -453,20 +490,95 @@
         self.service_time.as_micros() > checked + checked / RECHECK_DIVISOR
     }
 
+    /// Returns the key of the waiting request that starts next.
+    fn next_key(&self) -> Option<QueueKey> {
+        let (first, _) = self.queue.first_key_value()?;
+        if first.class.account_priority.is_none() {
+            return Some(*first);
+        }
+        let mut plan = self.fair_order.plan();
+        let waiting = self.queue.iter();
+        let in_class = waiting.take_while(|(key, _)| key.class == first.class);
+        let planned = in_class.map(|(key, entry)| (entry.finish_time(&mut plan), *key));
+        planned.min().map(|(_, key)| key)
+    }
+
+    /// Returns the waiting requests in the order in which they start.
+    fn start_order(&self) -> Vec<(&QueueKey, &WaitEntry<T>)> {
+        let mut plan = self.fair_order.plan();
+        let waiting = self.queue.iter();
+        let planned = waiting.map(|(key, entry)| (entry.finish_time(&mut plan), key, entry));
+        let mut planned: Vec<_> = planned.collect();
+        planned.sort_by_key(|(finish, key, _)| (key.class, *finish, **key));
+        let ordered = planned.into_iter();
+        ordered.map(|(_, key, entry)| (key, entry)).collect()
+    }
+
+    /// Returns whether a request that has just been added to the queue may stay there.
+    fn may_wait(
+        &self,
+        now: ClockInstant,
+        queue_key: QueueKey,
+        queue_deadline: ClockInstant,
+    ) -> bool {
+        let order = self.start_order();
+        if order.len() > self.queue_limit && self.overflow(&order) == Some(queue_key) {
+            return false;
+        }
+        let ahead = order.iter().take_while(|(key, _)| **key != queue_key);
+        let ahead = ahead.filter(|(_, entry)| !entry.queue_deadline.has_passed(now));
+        let ahead = ahead.fold(QueuedWork::default(), |ahead, (_, entry)| ahead.with(entry));
+        !self.starts_too_late(now, queue_deadline, ahead)
+    }
+
+    /// Returns the request to refuse when the queue is over its limit, from the requests in the
+    /// order in which they start.
+    ///
+    /// This is the last one, unless an account of the same priority holds more than its share while
+    /// the last one's account does not.
+    fn overflow(&self, order: &[(&QueueKey, &WaitEntry<T>)]) -> Option<QueueKey> {
+        let (last, last_entry) = order.last()?;
+        let share = (self.queue_limit / ACCOUNT_SHARE_DIVISOR).max(1);
+        let mut held: BTreeMap<&AccountName, usize> = BTreeMap::new();
+        for account in order.iter().filter_map(|(_, entry)| entry.account.as_ref()) {
+            *held.entry(account).or_default() += 1;
+        }
+        let is_over = |entry: &WaitEntry<T>| {
+            let account = entry.account.as_ref();
+            account.is_some_and(|account| held.get(account).is_some_and(|held| *held > share))
+        };
+        if is_over(last_entry) {
+            return Some(**last);
+        }
+        let priority = last.class.account_priority;
+        let same_priority = order
+            .iter()
+            .rev()
+            .take_while(|(key, _)| key.class.account_priority == priority);
+        let mut over = same_priority.filter(|(_, entry)| is_over(entry));
+        Some(over.next().map_or(**last, |(key, _)| **key))
+    }
+
     /// Refuses waiting requests that exceed the queue limit or would start too late.
     fn evict(&mut self, now: ClockInstant, rng: &mut impl Rng) -> Vec<RefusedRequest<T>> {
-        let mut evicted = Vec::new();
         self.checked_service_time = self.service_time;
-        let mut kept = 0;
+        let mut evicted = Vec::new();
         let mut ahead = QueuedWork::default();
-        for (queue_key, entry) in &self.queue {
-            if kept >= self.queue_limit || self.starts_too_late(now, entry.queue_deadline, ahead) {
+        let mut kept = Vec::new();
+        for (queue_key, entry) in self.start_order() {
+            if self.starts_too_late(now, entry.queue_deadline, ahead) {
                 evicted.push(*queue_key);
             } else {
-                kept += 1;
                 ahead = ahead.with(entry);
+                kept.push((queue_key, entry));
             }
         }
+        while kept.len() > self.queue_limit
+            && let Some(overflow) = self.overflow(&kept)
+        {
+            kept.retain(|(key, _)| **key != overflow);
+            evicted.push(overflow);
+        }
         let mut refused = Vec::with_capacity(evicted.len());
         for queue_key in evicted {
             let retry_at = self.retry_at(now, rng);
@@ -499,9 +611,19 @@
         self.running < self.slots && self.pacer.may_start(now)
     }
 
-    fn start(&mut self, now: ClockInstant) {
+    fn start(
+        &mut self,
+        now: ClockInstant,
+        account: Option<&AccountName>,
+        arrival: VirtualTime,
+        expected_time: TimeBudget,
+    ) {
         self.running += 1;
         self.pacer.count_start(now);
+        if let Some(account) = account {
+            self.fair_order
+                .record_start(account, arrival, expected_time);
+        }
     }
 
     /// Returns the time until a slot is free for a request if the queued requests before it take
