--- a/crates/daemon/src/callers/error_response.rs
+++ b/crates/daemon/src/callers/error_response.rs
@@ -1,5 +1,12 @@
-use actix_web::{HttpResponse, http::StatusCode};
-use bronzelb_kernel::{clock::ClockInstant, error::MeshError, plugin::CallerDialect};
+use actix_web::{
+    HttpResponse,
+    http::{StatusCode, header::WWW_AUTHENTICATE},
+};
+use bronzelb_kernel::{
+    clock::ClockInstant,
+    error::{ErrorKind, MeshError},
+    plugin::CallerDialect,
+};
 use compact_str::CompactString;
 use serde::Serialize;
 
@@ -59,5 +66,11 @@
         let wait = (dialect.retry_after)(instant.remaining(now));
         builder.insert_header(("retry-after", wait.as_str()));
     }
+    if let Some(header) = dialect.account_key.as_ref()
+        && error.kind() == ErrorKind::Unauthorized
+    {
+        // Required with this status (RFC 9110, section 15.5.2).
+        builder.insert_header((WWW_AUTHENTICATE, header.scheme));
+    }
     builder.finish()
 }
