Show client accounts in `bronzelb status`, describe them for operators

Cause: operators must see which accounts are in force and whether an account has keys left, and find out why callers get 401. Change: the status of a node lists the accounts of its version with the number of their keys; `bronzelb status` shows those of the highest version. Ruled out: a command of its own, which would query the same nodes.

--- a/crates/cli/src/status/mesh_status.rs
+++ b/crates/cli/src/status/mesh_status.rs
@@ -6,7 +6,7 @@
     ids::{DataCentre, MeshName, NodeName, VersionNumber},
     member::MemberState,
     spread::VersionRow,
-    status::{MemberStatus, NodeStatus, RefusedVersion},
+    status::{AccountStatus, MemberStatus, NodeStatus, RefusedVersion},
 };
 use compact_str::{CompactString, format_compact};
 use serde::Serialize;
@@ -20,6 +20,9 @@
     pub(crate) accepted: Option<AcceptedVersion>,
     /// Nodes that responded.
     pub(crate) nodes: Vec<NodeLine>,
+    /// Client accounts of the highest version in force among these nodes.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) accounts: Vec<AccountStatus>,
     /// Summary of each data centre.
     pub(crate) data_centres: BTreeMap<DataCentre, CentreSummary>,
     /// Messages about nodes or the platform that failed to respond, and about unresponsive members
@@ -80,6 +83,7 @@
         let mut status = Self {
             accepted: None,
             nodes: Vec::new(),
+            accounts: Vec::new(),
             data_centres: BTreeMap::new(),
             not_heard: Vec::new(),
             is_token_missing: false,
@@ -133,6 +137,10 @@
         for member in response.members {
             known.insert(member.node.clone(), (member, response.node.clone()));
         }
+        let highest = self.nodes.iter().filter_map(|line| line.version).max();
+        if line.version > highest {
+            self.accounts = response.accounts;
+        }
         let summary = self.centre(&line.data_centre);
         summary.heard += 1;
         if let Some(version) = line.version {
--- a/crates/cli/src/status/status_command.rs
+++ b/crates/cli/src/status/status_command.rs
@@ -27,7 +27,8 @@
   bronzelb status --node 10.0.1.1:9200 --node 10.0.2.1:9200 --token /etc/bronzelb/token
   bronzelb status --node 127.0.0.1:9200 --platform 10.1.0.4:8080 --output json
 
-AGE is the time since the node's version came into force. Nodes that others report and that were
+AGE is the time since the node's version came into force. Client accounts are those of the highest
+version in force, if it has any; their keys are counted, never shown. Nodes that others report and that were
 not queried, or did not respond, are counted as not heard, and listed if they are not serving. If
 no node responds, the exit code is 3 if a token is missing or wrong, and 6 otherwise.";
 
--- a/crates/cli/src/status/status_table.rs
+++ b/crates/cli/src/status/status_table.rs
@@ -1,4 +1,4 @@
-use bronzelb_kernel::ids::VersionNumber;
+use bronzelb_kernel::{ids::VersionNumber, status::AccountStatus};
 
 use crate::{
     output::{format_age, format_table},
@@ -15,6 +15,8 @@
     "BACKEND SERVERS",
 ];
 
+const ACCOUNT_HEADINGS: [&str; 5] = ["ACCOUNT", "PRIORITY", "KEYS", "RATE", "BURST"];
+
 /// Maximum number of unresponsive nodes that are listed.
 const MAX_LISTED_NODES: usize = 20;
 
@@ -23,6 +25,10 @@
     let mut lines = Vec::new();
     lines.extend(status.accepted.as_ref().map(accepted_line));
     lines.push(format_table(HEADINGS, status.nodes.iter().map(node_cells)));
+    if !status.accounts.is_empty() {
+        let cells = status.accounts.iter().map(account_cells);
+        lines.push(format_table(ACCOUNT_HEADINGS, cells));
+    }
     for (centre, summary) in &status.data_centres {
         lines.push(format!("{centre}: {}", centre_line(summary)));
     }
@@ -66,6 +72,20 @@
     ]
 }
 
+fn account_cells(account: &AccountStatus) -> [String; 5] {
+    let (rate, burst) = match account.cap {
+        Some(cap) => (format!("{}/s", cap.rate), cap.burst.to_string()),
+        None => ("-".to_owned(), "-".to_owned()),
+    };
+    [
+        account.account.to_string(),
+        account.priority.to_string(),
+        account.keys.to_string(),
+        rate,
+        burst,
+    ]
+}
+
 /// Lists the problems of a node that responded.
 fn problem_lines(line: &NodeLine) -> Vec<String> {
     let node = &line.node;
--- a/crates/cli/tests/commands/status.rs
+++ b/crates/cli/tests/commands/status.rs
@@ -32,6 +32,35 @@
     .assert_eq(&run.stdout);
 }
 
+/// Guards against accounts of an older version in the listing, which would show revoked keys as
+/// valid.
+#[test]
+fn accounts_of_the_highest_version_are_listed_with_the_number_of_their_keys() {
+    let account = |name: &str, keys: usize, cap: serde_json::Value| serde_json::json!({"account": name, "priority": "normal", "keys": keys, "cap": cap});
+    let cap = serde_json::json!({"rate": 12_500, "burst": 40});
+    let none = serde_json::Value::Null;
+    let old = serde_json::json!([account("acme", 2, none.clone())]);
+    let new = serde_json::json!([account("acme", 0, cap), account("other", 1, none)]);
+    let nodes = [
+        FakeNode::start_with_accounts("leuven-1", 2, old.clone()),
+        FakeNode::start_with_accounts("leuven-2", 3, new),
+        FakeNode::start_with_accounts("leuven-3", 2, old),
+    ];
+    let addresses: Vec<_> = nodes.iter().map(FakeNode::address).collect();
+    let args: Vec<_> = addresses
+        .iter()
+        .flat_map(|address| ["--node", address.as_str()])
+        .collect();
+    let run = status(&args);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    let lines: Vec<_> = run.stdout.lines().skip(4).take(3).collect();
+    expect![[r#"
+        ACCOUNT  PRIORITY  KEYS  RATE    BURST
+        acme     normal    0     12.5/s  40
+        other    normal    1     -       -"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
 #[test]
 fn unresponsive_node_is_listed() {
     let node = FakeNode::start("leuven-1", "leuven", 3);
--- a/crates/cli/tests/commands/support/fake_node.rs
+++ b/crates/cli/tests/commands/support/fake_node.rs
@@ -24,7 +24,18 @@
     ///
     /// It reports 99 serving nodes in `leuven`, and `ghent-2` in `ghent` as suspect.
     pub(crate) fn start(name: &str, centre: &str, number: u64) -> Self {
-        let body = status(name, centre, number).to_string();
+        Self::start_with_status(&status(name, centre, number))
+    }
+
+    /// Starts a node that also reports client accounts.
+    pub(crate) fn start_with_accounts(name: &str, number: u64, accounts: Value) -> Self {
+        let mut status = status(name, "leuven", number);
+        status["accounts"] = accounts;
+        Self::start_with_status(&status)
+    }
+
+    fn start_with_status(status: &Value) -> Self {
+        let body = status.to_string();
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
              connection: close\r\n\r\n",
--- a/crates/daemon/src/operators/node_status.rs
+++ b/crates/daemon/src/operators/node_status.rs
@@ -1,6 +1,9 @@
+use std::sync::Arc;
+
 use bronzelb_kernel::{
+    config::ConfigVersion,
     spread::GossipNode,
-    status::{MemberStatus, NodeStatus, RefusedVersion},
+    status::{AccountStatus, MemberStatus, NodeStatus, RefusedVersion},
 };
 
 use crate::node::{NodeState, PlatformHealth};
@@ -10,6 +13,7 @@
     let settings = &state.settings;
     let now = state.now();
     let gossip = &state.gossip;
+    let config = state.config();
     NodeStatus {
         mesh: settings.mesh.clone(),
         node: settings.node.clone(),
@@ -17,7 +21,7 @@
         incarnation: state.incarnation(),
         state: state.member_state(),
         callers: state.addresses.callers,
-        version: state.config().map(|config| config.stamp()),
+        version: config.as_ref().map(|config| config.stamp()),
         applied_at: state.applied_at(),
         now,
         is_platform_away: state.platform_health() == PlatformHealth::Unreachable,
@@ -26,10 +30,18 @@
         silent_data_centres: gossip.read(|node| node.silent_data_centres(now)),
         is_reader: gossip.read(GossipNode::is_reader),
         refused: gossip.read(refused_versions),
+        accounts: config.as_ref().map_or_else(Vec::new, accounts),
         members: state.members().iter().map(MemberStatus::from).collect(),
     }
 }
 
+fn accounts(config: &Arc<ConfigVersion>) -> Vec<AccountStatus> {
+    let accounts = config.snapshot().accounts.iter();
+    accounts
+        .map(|(name, spec)| AccountStatus::new(name, spec))
+        .collect()
+}
+
 fn refused_versions(node: &GossipNode) -> Vec<RefusedVersion> {
     node.refused()
         .iter()
--- a/crates/kernel/src/status/node_status.rs
+++ b/crates/kernel/src/status/node_status.rs
@@ -8,7 +8,7 @@
     config::VersionStamp,
     ids::{DataCentre, IncarnationNumber, MeshName, NodeName, ServiceName},
     member::{BackendState, MemberState},
-    status::{MemberStatus, RefusedVersion},
+    status::{AccountStatus, MemberStatus, RefusedVersion},
 };
 
 /// Status of a node and of the members that it knows.
@@ -49,6 +49,9 @@
     /// Versions that this node rejected, each with the reason.
     #[serde(default)]
     pub refused: Vec<RefusedVersion>,
+    /// Client accounts of the active version.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub accounts: Vec<AccountStatus>,
     /// Members that the node knows, including itself.
     pub members: Vec<MemberStatus>,
 }
