Evacuate a data centre by an operator's order

Cause: an operator's row op/evacuate/DATA_CENTRE was not read, so requests went on reaching the data centre.

Change: the platform's adapter decodes the rows, their removal, and their absence in a full read at that read's revision. Nodes replicate the state as the record kind evacuation, merged by revision, and write a record only where the state changes. Entry nodes select no server there; the host refuses what still arrives as not run (error kind evacuated), and the entry node then avoids the data centre for 1 s. A node is ready only once its records hold the orders of a read since its start, its own or a peer's (header orders_seen_at), or of an earlier read if the platform does not answer within 2 s. status shows each order.

Ruled out: taking a peer's platform_seen_at as proof that it has the orders; it spreads by every message, the records only by pushes and reconciliations.

Result: with selection and refusal off, 2 tests of placement and all 4 of whole_path/evacuation fail (node 0 still sends to the data centre after 5 s). As built, kernel, dialect, documents and whole_path pass.

--- a/crates/cli/src/status/mesh_status.rs
+++ b/crates/cli/src/status/mesh_status.rs
@@ -22,6 +22,8 @@
     pub(crate) nodes: Vec<NodeLine>,
     /// Summary of each data centre.
     pub(crate) data_centres: BTreeMap<DataCentre, CentreSummary>,
+    /// Evacuations that are in force by the word of any node that responded.
+    pub(crate) evacuations: BTreeMap<DataCentre, EvacuationLine>,
     /// Messages about nodes or the platform that failed to respond, and about unresponsive members
     /// that others do not report as serving.
     pub(crate) not_heard: Vec<CompactString>,
@@ -29,6 +31,19 @@
     pub(crate) is_token_missing: bool,
 }
 
+/// Evacuation of a data centre, by the word of the nodes that responded.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct EvacuationLine {
+    /// Highest revision of the platform at which a node has seen the order.
+    pub(crate) revision: u64,
+    /// Time since a node first saw the order.
+    pub(crate) age_ms: u64,
+    /// Nodes by which the order is in force.
+    pub(crate) in_force_at: Vec<NodeName>,
+    /// Nodes that do not know the order, or know that it has ended.
+    pub(crate) unknown_at: Vec<NodeName>,
+}
+
 /// Newest version that the platform has accepted.
 #[derive(Debug, Serialize)]
 pub(crate) struct AcceptedVersion {
@@ -81,6 +96,7 @@
             accepted: None,
             nodes: Vec::new(),
             data_centres: BTreeMap::new(),
+            evacuations: BTreeMap::new(),
             not_heard: Vec::new(),
             is_token_missing: false,
         };
@@ -92,6 +108,7 @@
             }
         }
         status.add_unresponsive(&known);
+        status.add_unaware();
         status
     }
 
@@ -130,6 +147,15 @@
             silent_data_centres: response.silent_data_centres,
             refused: response.refused,
         };
+        let ordered = response.evacuations.iter();
+        for evacuation in ordered.filter(|evacuation| evacuation.is_ordered) {
+            let data_centre = evacuation.data_centre.clone();
+            let entry = self.evacuations.entry(data_centre).or_default();
+            let age = evacuation.seen_at.elapsed(response.now);
+            entry.revision = entry.revision.max(evacuation.revision);
+            entry.age_ms = entry.age_ms.max(age.as_millis());
+            entry.in_force_at.push(response.node.clone());
+        }
         for member in response.members {
             known.insert(member.node.clone(), (member, response.node.clone()));
         }
@@ -167,6 +193,15 @@
         }
     }
 
+    /// Lists for each evacuation the nodes that responded and do not take it as in force.
+    fn add_unaware(&mut self) {
+        for evacuation in self.evacuations.values_mut() {
+            let nodes = self.nodes.iter().map(|line| &line.node);
+            let unaware = nodes.filter(|node| !evacuation.in_force_at.contains(node));
+            evacuation.unknown_at = unaware.cloned().collect();
+        }
+    }
+
     fn centre(&mut self, centre: &DataCentre) -> &mut CentreSummary {
         self.data_centres.entry(centre.clone()).or_default()
     }
--- a/crates/cli/src/status/status_table.rs
+++ b/crates/cli/src/status/status_table.rs
@@ -1,8 +1,10 @@
-use bronzelb_kernel::ids::VersionNumber;
+use bronzelb_kernel::ids::{DataCentre, NodeName, VersionNumber};
 
 use crate::{
     output::{format_age, format_table},
-    status::mesh_status::{AcceptedVersion, CentreSummary, MeshStatus, NodeLine, state_name},
+    status::mesh_status::{
+        AcceptedVersion, CentreSummary, EvacuationLine, MeshStatus, NodeLine, state_name,
+    },
 };
 
 const HEADINGS: [&str; 7] = [
@@ -15,7 +17,7 @@
     "BACKEND SERVERS",
 ];
 
-/// Maximum number of unresponsive nodes that are listed.
+/// Maximum number of nodes that a list names.
 const MAX_LISTED_NODES: usize = 20;
 
 /// Formats a mesh's status as plain text.
@@ -26,6 +28,8 @@
     for (centre, summary) in &status.data_centres {
         lines.push(format!("{centre}: {}", centre_line(summary)));
     }
+    let evacuations = status.evacuations.iter();
+    lines.extend(evacuations.map(|(centre, line)| evacuation_line(centre, line)));
     lines.extend(status.nodes.iter().flat_map(problem_lines));
     if !status.not_heard.is_empty() {
         lines.push("not heard:".to_owned());
@@ -110,6 +114,32 @@
     text
 }
 
+fn evacuation_line(centre: &DataCentre, line: &EvacuationLine) -> String {
+    let mut text = format!(
+        "evacuation of {centre} at revision {}, first seen {} ago: in force at {}",
+        line.revision,
+        format_age(line.age_ms),
+        node_list(&line.in_force_at)
+    );
+    if !line.unknown_at.is_empty() {
+        text.push_str(&format!(
+            ", not in force at {}",
+            node_list(&line.unknown_at)
+        ));
+    }
+    text
+}
+
+fn node_list(nodes: &[NodeName]) -> String {
+    let listed = nodes.iter().take(MAX_LISTED_NODES).map(NodeName::as_str);
+    let mut text = listed.collect::<Vec<_>>().join(" ");
+    let omitted = nodes.len().saturating_sub(MAX_LISTED_NODES);
+    if omitted > 0 {
+        text.push_str(&format!(" and {omitted} more"));
+    }
+    text
+}
+
 fn version_text(version: Option<VersionNumber>) -> String {
     version.map_or_else(|| "-".to_owned(), |number| number.to_string())
 }
--- a/crates/cli/tests/commands/status.rs
+++ b/crates/cli/tests/commands/status.rs
@@ -22,6 +22,7 @@
         ghent        ghent-1   serving  2        1m   answers   0
         ghent: 1 heard with version 2, 1 in doubt
         leuven: 1 heard with version 3, 98 serving and not heard
+        evacuation of antwerp at revision 41, first seen 30s ago: in force at leuven-1, not in force at ghent-1
         node leuven-1 does not hear data centre antwerp
         node leuven-1 refused version 9: content has another hash
         node ghent-1 does not hear data centre antwerp
--- a/crates/cli/tests/commands/support/fake_node.rs
+++ b/crates/cli/tests/commands/support/fake_node.rs
@@ -139,6 +139,10 @@
             "version": {"number": 9, "hash": "0".repeat(64)},
             "reason": "content has another hash",
         }],
+        "evacuations": [
+            {"data_centre": "antwerp", "is_ordered": name == "leuven-1", "revision": 41, "seen_at": 70_000_000},
+            {"data_centre": "ghent", "is_ordered": false, "revision": 40, "seen_at": 60_000_000},
+        ],
         "members": members,
         "objectives": {},
         "rows": [],
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -86,6 +86,7 @@
     ///
     /// - [`ErrorKind::NoBackend`]: the server is not on this node or refuses connections.
     /// - [`ErrorKind::Draining`]: the server accepts no new requests.
+    /// - [`ErrorKind::Evacuated`]: the data centre is evacuated.
     /// - [`ErrorKind::Overloaded`]: no slot of the server is available before the deadline.
     /// - [`ErrorKind::Shed`]: the server shed the request.
     /// - [`ErrorKind::Quarantined`]: the request has crashed two servers.
@@ -161,6 +162,7 @@
         &self,
         name: &BackendName,
     ) -> Result<(BackendAnnouncement, BackendIncarnation), MeshError> {
+        self.check_evacuation()?;
         let backends = self.state.backends();
         let now = self.state.now();
         let entry = backends
@@ -181,6 +183,19 @@
         Err(MeshError::new(ErrorKind::Draining, message).with_retry_at(self.retry_at()))
     }
 
+    /// Refuses requests while an operator's order to evacuate this data centre is in force.
+    ///
+    /// Entry nodes may not know the order yet.
+    fn check_evacuation(&self) -> Result<(), MeshError> {
+        let data_centre = &self.state.settings.data_centre;
+        if !self.state.placement.is_evacuated(data_centre) {
+            return Ok(());
+        }
+        self.state.count("requests_refused_evacuated");
+        let message = format!("data centre {data_centre} is evacuated");
+        Err(MeshError::new(ErrorKind::Evacuated, message).with_retry_at(self.retry_at()))
+    }
+
     /// Logs a request that got no slot, with the load of the server.
     fn log_refusal(
         &self,
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -430,6 +430,12 @@
     fn settle(mut self, outcome: AttemptOutcome, result: &Result<ForwardResponse, MeshError>) {
         self.record_outcome(outcome);
         self.is_settled = true;
+        if let Err(error) = result
+            && error.kind() == ErrorKind::Evacuated
+        {
+            let mut load_balancer = self.state.requests.load_balancer();
+            load_balancer.record_evacuation_refusal(self.state.now(), &self.server.data_centre);
+        }
         if let Ok(response) = result {
             let mut load_balancer = self.state.requests.load_balancer();
             let service = &self.request.service;
--- a/crates/daemon/src/gossip/gossip_task.rs
+++ b/crates/daemon/src/gossip/gossip_task.rs
@@ -15,6 +15,7 @@
     gossip::GossipPool,
     log::EventName,
     node::{NodeState, StopSignal},
+    placement::apply_evacuation_record,
     source::{connect_platform, find_seeds, read_object, read_version_row, write_lease},
 };
 
@@ -204,7 +205,11 @@
         match event {
             GossipEvent::Activated(version) => state.apply_config(version),
             GossipEvent::MembersChanged => {}
-            GossipEvent::RecordChanged(entry) => state.gossip.announce_record(entry),
+            GossipEvent::RecordChanged(entry) => {
+                // Applied before the node becomes ready, which later actions may cause.
+                apply_evacuation_record(state, &entry);
+                state.gossip.announce_record(entry);
+            }
             GossipEvent::Refused { stamp, error } => {
                 state.count("config_refused");
                 warn!(state.logger, "{}", EventName::ConfigRefused;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node;
 pub mod operators;
 pub mod peers;
+pub mod placement;
 pub mod report;
 pub mod rollout;
 pub mod settings;
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -53,6 +53,8 @@
     MoveRowFailed,
     /// A version move changed state.
     MoveChanged,
+    /// The evacuation of a data centre was ordered, or the order ended.
+    EvacuationChanged,
     /// A graceful shutdown began.
     Draining,
     /// A graceful shutdown ended.
@@ -90,6 +92,7 @@
             Self::LinesSuppressed => "lines-suppressed",
             Self::MoveRowFailed => "move-row-failed",
             Self::MoveChanged => "move-changed",
+            Self::EvacuationChanged => "evacuation-changed",
             Self::Draining => "draining",
             Self::Drained => "drained",
             Self::Stopped => "stopped",
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -33,6 +33,7 @@
     metrics::{MetricClient, MetricSink},
     node::SystemClock,
     peers::PeerTraffic,
+    placement::PlacementState,
     rollout::RolloutState,
     settings::NodeSettings,
 };
@@ -86,6 +87,8 @@
     backends: Mutex<BackendTable>,
     /// Version moves known to this node, their evidence and the error budget burn.
     pub rollout: RolloutState,
+    /// Evacuations of data centres known to this node.
+    pub placement: PlacementState,
     /// Admission and execution state of requests.
     pub requests: Arc<RequestState>,
     log_limiter: Mutex<LogLimiter>,
@@ -125,6 +128,7 @@
             config: ArcSwapOption::empty(),
             applied_at: AtomicU64::new(0),
             backends: Mutex::new(BackendTable::new(backend_lease)),
+            placement: PlacementState::default(),
             requests: Arc::new(RequestState::new(clock, retry_policy)),
             log_limiter: Mutex::default(),
             is_draining: AtomicBool::new(false),
--- a/crates/daemon/src/operators/node_status.rs
+++ b/crates/daemon/src/operators/node_status.rs
@@ -1,6 +1,6 @@
 use bronzelb_kernel::{
     spread::GossipNode,
-    status::{MemberStatus, NodeStatus, RefusedVersion},
+    status::{EvacuationStatus, MemberStatus, NodeStatus, RefusedVersion},
 };
 
 use crate::node::{NodeState, PlatformHealth};
@@ -26,10 +26,17 @@
         silent_data_centres: gossip.read(|node| node.silent_data_centres(now)),
         is_reader: gossip.read(GossipNode::is_reader),
         refused: gossip.read(refused_versions),
+        evacuations: evacuations(state),
         members: state.members().iter().map(MemberStatus::from).collect(),
     }
 }
 
+fn evacuations(state: &NodeState) -> Vec<EvacuationStatus> {
+    let table = state.placement.evacuations();
+    let entries = table.iter();
+    entries.map(EvacuationStatus::from).collect()
+}
+
 fn refused_versions(node: &GossipNode) -> Vec<RefusedVersion> {
     node.refused()
         .iter()
--- /dev/null
+++ b/crates/daemon/src/placement/evacuation_orders.rs
@@ -0,0 +1,70 @@
+use bronzelb_kernel::{
+    error::MeshError,
+    ids::DataCentre,
+    placement::{EVACUATION_KIND, EvacuationOrder},
+    spread::RecordEntry,
+};
+use slog::{info, warn};
+
+use crate::{log::EventName, node::NodeState};
+
+/// Applies the state of an evacuation that this node has read from the platform, and replicates it
+/// if the other nodes know another one.
+pub(crate) fn apply_evacuation(state: &NodeState, order: EvacuationOrder) {
+    let data_centre = order.data_centre.clone();
+    merge_order(state, order);
+    replicate_state(state, &data_centre);
+}
+
+/// Applies a changed record, if it is one of an evacuation.
+///
+/// A peer may replicate an older state than this node has read, which then replaces the record.
+pub(crate) fn apply_evacuation_record(state: &NodeState, entry: &RecordEntry) {
+    if entry.key.kind != EVACUATION_KIND {
+        return;
+    }
+    match EvacuationOrder::from_record(entry) {
+        Ok(order) => apply_evacuation(state, order),
+        Err(error) => report_refused_record(state, &error),
+    }
+}
+
+fn merge_order(state: &NodeState, order: EvacuationOrder) {
+    let (data_centre, revision) = (order.data_centre.clone(), order.revision);
+    let is_ordered = order.is_ordered;
+    let evacuated = {
+        let mut table = state.placement.evacuations();
+        if !table.merge(order, state.now()) {
+            return;
+        }
+        table.evacuated()
+    };
+    state.requests.load_balancer().set_evacuated(evacuated);
+    state.count("evacuation_changed");
+    info!(state.logger, "{}", EventName::EvacuationChanged;
+        "data_centre" => data_centre.to_string(), "is_ordered" => is_ordered,
+        "revision" => revision);
+}
+
+fn replicate_state(state: &NodeState, data_centre: &DataCentre) {
+    let record = state.record(&EvacuationOrder::key(data_centre));
+    let record = record.and_then(|value| {
+        let key = EvacuationOrder::key(data_centre);
+        EvacuationOrder::from_record(&RecordEntry { key, value }).ok()
+    });
+    let entry = {
+        let table = state.placement.evacuations();
+        let order = table.record_to_write(data_centre, record.as_ref());
+        order.map(EvacuationOrder::to_record)
+    };
+    if let Some(RecordEntry { key, value }) = entry
+        && let Err(error) = state.put_record(key, value)
+    {
+        report_refused_record(state, &error);
+    }
+}
+
+fn report_refused_record(state: &NodeState, error: &MeshError) {
+    state.count("record_refused");
+    warn!(state.logger, "{}", EventName::RecordRefused; "message" => error.to_string());
+}
--- /dev/null
+++ b/crates/daemon/src/placement/mod.rs
@@ -0,0 +1,7 @@
+//! Operators' orders on where requests may be placed.
+
+mod evacuation_orders;
+mod placement_state;
+
+pub(crate) use evacuation_orders::{apply_evacuation, apply_evacuation_record};
+pub use placement_state::PlacementState;
--- a/crates/daemon/src/source/operator_feed.rs
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -18,6 +18,7 @@
 use crate::{
     log::EventName,
     node::{NodeState, StopSignal},
+    placement::apply_evacuation,
     rollout::apply_order,
     source::connect_platform,
 };
@@ -52,6 +53,7 @@
     let Some(calls) = platform.operators() else {
         return;
     };
+    state.gossip.step(|node, _| node.require_orders());
     let mut feed = OperatorFeed {
         state: &state,
         platform: &platform,
@@ -173,8 +175,7 @@
                 }
             }
             OperatorDocument::Move(order) => apply_order(self.state, self.platform, &order).await,
-            // The platform's adapter decodes no such document yet.
-            OperatorDocument::Evacuation(_) => {}
+            OperatorDocument::Evacuation(order) => apply_evacuation(self.state, order),
             OperatorDocument::Unreadable(error) => self.report_refused_document(&error),
         }
     }
--- a/crates/emulator/src/experiment/node_size/gossip_driver.rs
+++ b/crates/emulator/src/experiment/node_size/gossip_driver.rs
@@ -149,5 +149,6 @@
         data_centre: row.data_centre.clone(),
         stamp,
         platform_seen_at: None,
+        orders_seen_at: None,
     }
 }
--- a/crates/kernel/src/error/error_kind.rs
+++ b/crates/kernel/src/error/error_kind.rs
@@ -37,6 +37,8 @@
     NoBackend,
     /// The node is shutting down.
     Draining,
+    /// Operators have ordered that nothing is sent to the data centre of the backend server.
+    Evacuated,
     /// The request is quarantined because it crashes backend servers.
     Quarantined,
     /// Another request with the same idempotency key is running.
@@ -57,7 +59,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of declaration.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::Invalid,
         Self::TooLarge,
         Self::SlowSender,
@@ -71,6 +73,7 @@
         Self::Shed,
         Self::NoBackend,
         Self::Draining,
+        Self::Evacuated,
         Self::Quarantined,
         Self::InProgress,
         Self::AlreadyDone,
@@ -98,6 +101,7 @@
             Self::Shed => "shed",
             Self::NoBackend => "no-backend",
             Self::Draining => "draining",
+            Self::Evacuated => "evacuated",
             Self::Quarantined => "quarantined",
             Self::InProgress => "in-progress",
             Self::AlreadyDone => "already-done",
@@ -123,7 +127,7 @@
             Self::DeadlinePassed => ErrorResponse::new(504, 6, NotRun, false),
             Self::Overloaded => ErrorResponse::new(503, 6, NotRun, true),
             Self::CapExceeded => ErrorResponse::new(429, 6, NotRun, true),
-            Self::Shed | Self::NoBackend | Self::Draining | Self::NotReady => {
+            Self::Shed | Self::NoBackend | Self::Draining | Self::Evacuated | Self::NotReady => {
                 ErrorResponse::new(503, 6, NotRun, true)
             }
             Self::Quarantined => ErrorResponse::new(422, 6, NotRun, false),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`request`]: admission control, load balancing, retries and at-most-once execution
 //! - [`rollout`]: version moves, which gradually shift a service's traffic to another version
 //! - [`status`]: status that nodes report to operators
+//! - [`placement`]: operators' orders on where requests may be placed
 //! - [`plugin`]: plug-in interfaces for formats and protocols
 
 pub mod burn;
@@ -22,6 +23,7 @@
 pub mod error;
 pub mod ids;
 pub mod member;
+pub mod placement;
 pub mod plugin;
 pub mod request;
 pub mod rollout;
--- a/crates/kernel/src/plugin/mod.rs
+++ b/crates/kernel/src/plugin/mod.rs
@@ -8,7 +8,8 @@
 mod report_reader;
 mod wire_dialect;
 
-pub use operator_document::{DocumentContext, EvacuationOrder, MoveOrder, OperatorDocument};
+pub use crate::placement::EvacuationOrder;
+pub use operator_document::{DocumentContext, MoveOrder, OperatorDocument};
 pub use record_kind::{RecordKind, RecordMerge};
 pub use report_reader::{LoadReport, ReportReader};
 pub use wire_dialect::{
--- a/crates/kernel/src/plugin/operator_document.rs
+++ b/crates/kernel/src/plugin/operator_document.rs
@@ -3,6 +3,7 @@
     config::ConfigSnapshot,
     error::MeshError,
     ids::{BuildVersion, DataCentre, MeshName, MoveNumber, ServiceName, VersionNumber},
+    placement::EvacuationOrder,
 };
 
 /// Values that operators' documents do not state; the node that reads the documents supplies them.
@@ -32,17 +33,6 @@
     Unreadable(MeshError),
 }
 
-/// An operator's order to send nothing more to the backend servers of a data centre, or its end.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EvacuationOrder {
-    /// Data centre that the order names.
-    pub data_centre: DataCentre,
-    /// Whether the order is in force; `false` once the operator has removed it.
-    pub is_ordered: bool,
-    /// Revision of the platform's row at which this holds; a later state has a higher one.
-    pub revision: u64,
-}
-
 /// An operator's order to move a service's traffic to another version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MoveOrder {
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -14,6 +14,9 @@
     rollout::VersionChoice,
 };
 
+/// Time for which a data centre is avoided after a refusal because of an evacuation; the order
+/// itself arrives by gossip within about a second.
+const EVACUATED_REFUSAL_LIFETIME: TimeBudget = TimeBudget::from_secs(1);
 /// At most one in this many of a service's servers is ejected for failures.
 const MAX_EJECTED_DIVISOR: usize = 2;
 /// Fraction of the target latency that the expected time may use; the rest covers requests that
@@ -85,6 +88,11 @@
     /// Servers that each node hosts.
     hosted: BTreeMap<NodeName, Vec<(ServiceName, BackendName)>>,
     notices: NoticeTable,
+    /// Data centres that operators have ordered to be evacuated.
+    evacuated: BTreeSet<DataCentre>,
+    /// Data centres whose nodes have refused a request because of such an order, which may not
+    /// have reached this node yet; until the instant given.
+    refusing: BTreeMap<DataCentre, ClockInstant>,
 }
 
 impl LoadBalancer {
@@ -172,8 +180,14 @@
         criteria: &SelectionCriteria<'_>,
         rng: &mut impl Rng,
     ) -> Option<ServerLocation> {
+        self.refusing.retain(|_, until| !until.has_passed(now));
         let servers = self.services.get_mut(criteria.service)?;
-        let name = select_backend(now, servers, criteria, rng)?;
+        let refusing = &self.refusing;
+        let evacuated = &self.evacuated;
+        let is_open = |data_centre: &DataCentre| {
+            !evacuated.contains(data_centre) && !refusing.contains_key(data_centre)
+        };
+        let name = select_backend(now, servers, criteria, &is_open, rng)?;
         let server = servers.get_mut(&name)?;
         server.begin_attempt(now);
         Some(server.location.clone())
@@ -249,6 +263,20 @@
         }
     }
 
+    /// Replaces the set of data centres whose servers are not selected.
+    pub fn set_evacuated(&mut self, evacuated: BTreeSet<DataCentre>) {
+        self.evacuated = evacuated;
+    }
+
+    /// Records that a node of `data_centre` refused a request because of an evacuation.
+    ///
+    /// The data centre is avoided for a short time only, since the node may not know yet that the
+    /// order has ended.
+    pub fn record_evacuation_refusal(&mut self, now: ClockInstant, data_centre: &DataCentre) {
+        let until = now.after(EVACUATED_REFUSAL_LIFETIME);
+        self.refusing.insert(data_centre.clone(), until);
+    }
+
     /// Returns the total declared slots of the service's serving servers.
     #[must_use]
     pub fn slots(&self, service: &ServiceName) -> SlotCount {
@@ -257,18 +285,16 @@
             .get(service)
             .into_iter()
             .flat_map(BTreeMap::values);
-        let serving = servers.filter(|server| server.state == BackendState::Serving);
+        let serving = servers.filter(|server| self.is_usable(server));
         SlotCount::new(serving.map(|server| server.slots).sum())
     }
 
     /// Returns whether the service has a serving server.
     #[must_use]
     pub fn has_server(&self, service: &ServiceName) -> bool {
-        self.services.get(service).is_some_and(|servers| {
-            servers
-                .values()
-                .any(|server| server.state == BackendState::Serving)
-        })
+        self.services
+            .get(service)
+            .is_some_and(|servers| servers.values().any(|server| self.is_usable(server)))
     }
 
     /// Returns the mean failure share of the service's serving servers.
@@ -303,6 +329,11 @@
             .is_some_and(|server| server.is_ejected(now))
     }
 
+    fn is_usable(&self, server: &ServerStats) -> bool {
+        server.state == BackendState::Serving
+            && !self.evacuated.contains(&server.location.data_centre)
+    }
+
     fn server_mut(
         &mut self,
         service: &ServiceName,
@@ -384,9 +415,10 @@
     now: ClockInstant,
     servers: &BTreeMap<BackendName, ServerStats>,
     criteria: &SelectionCriteria<'_>,
+    is_open: &impl Fn(&DataCentre) -> bool,
     rng: &mut impl Rng,
 ) -> Option<BackendName> {
-    let all = untried_serving(servers, criteria);
+    let all = untried_serving(servers, criteria, is_open);
     let admitted: Vec<&ServerStats> = all
         .iter()
         .copied()
@@ -439,17 +471,19 @@
     });
 }
 
-/// Returns the untried serving servers of the best-ranked version that has a serving server.
+/// Returns the untried serving servers, in data centres that accept requests, of the best-ranked
+/// version that has a serving server there.
 fn untried_serving<'a>(
     servers: &'a BTreeMap<BackendName, ServerStats>,
     criteria: &SelectionCriteria<'_>,
+    is_open: &impl Fn(&DataCentre) -> bool,
 ) -> Vec<&'a ServerStats> {
     let mut best = None;
     let mut all = Vec::with_capacity(servers.len());
-    for server in servers
-        .values()
-        .filter(|server| server.state == BackendState::Serving)
-    {
+    let is_candidate = |server: &&ServerStats| {
+        server.state == BackendState::Serving && is_open(&server.location.data_centre)
+    };
+    for server in servers.values().filter(is_candidate) {
         let Some(rank) = criteria.versions.rank(&server.location.version) else {
             continue;
         };
--- a/crates/kernel/src/spread/gossip_message.rs
+++ b/crates/kernel/src/spread/gossip_message.rs
@@ -43,6 +43,9 @@
     /// When the platform last answered any node, as far as the sender knows.
     #[serde(rename = "source_seen")]
     pub platform_seen_at: Option<ClockInstant>,
+    /// When the platform last answered with operators' orders all of which are among the sender's
+    /// records.
+    pub orders_seen_at: Option<ClockInstant>,
 }
 
 /// Push of changes to a peer, or a periodic anti-entropy exchange, which carries a digest.
--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -62,6 +62,11 @@
     pub(crate) platform_poll: PlatformPoll,
     /// When the platform last answered any node, as far as this node knows.
     pub(crate) platform_seen_at: Option<ClockInstant>,
+    /// When the platform last answered with operators' orders all of which are among this node's
+    /// records.
+    pub(crate) orders_seen_at: Option<ClockInstant>,
+    /// Whether the node must know the operators' orders before it is ready.
+    pub(crate) requires_orders: bool,
     pub(crate) lease_schedule: LeaseSchedule,
     pub(crate) peer_selector: PeerSelector,
     /// Number of outstanding indirect probes of each probed member.
@@ -115,6 +120,8 @@
             has_waited_for_peers: false,
             platform_poll: PlatformPoll::new(now, rng),
             platform_seen_at: None,
+            orders_seen_at: None,
+            requires_orders: false,
             lease_schedule: LeaseSchedule::new(now, options.is_first_start, rng),
             peer_selector: PeerSelector::default(),
             pending_probes: BTreeMap::new(),
@@ -232,6 +239,23 @@
             .is_cut_off(now.before(self.options.silence_timeout))
     }
 
+    /// Makes the node ready only once it knows the operators' orders, from its own read of the
+    /// platform or from a peer that has them.
+    ///
+    /// Platforms to which operators write no orders need not call this.
+    pub const fn require_orders(&mut self) {
+        self.requires_orders = true;
+    }
+
+    /// Returns whether this node's records hold the operators' orders as of a read of the platform
+    /// since the node's start or its latest pause, or of an earlier one if the platform has not
+    /// answered by the platform deadline.
+    pub(crate) fn knows_orders(&self, now: ClockInstant) -> bool {
+        let is_fresh = self.orders_seen_at > Some(self.started_at);
+        let may_be_older = self.readiness.is_platform_overdue(now);
+        !self.requires_orders || is_fresh || (may_be_older && self.orders_seen_at.is_some())
+    }
+
     /// Adds peer addresses that were found in the platform's lease rows.
     pub fn add_seeds(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
         for address in addresses {
@@ -310,6 +334,7 @@
             data_centre: own.data_centre.clone(),
             stamp: self.versions.stamp(),
             platform_seen_at: self.platform_seen_at.filter(|_| is_newest),
+            orders_seen_at: self.orders_seen_at,
         }
     }
 
--- a/crates/kernel/src/spread/node_replies.rs
+++ b/crates/kernel/src/spread/node_replies.rs
@@ -55,6 +55,11 @@
         self.record_contact(&reply.from, true, now);
         self.merge_members(reply.members.clone(), now);
         self.merge_records(reply.records.clone());
+        // A reply with fewer buckets than the limit holds all that differ.
+        let bucket_count = reply.record_buckets.len();
+        if (1..usize::from(MAX_BUCKETS)).contains(&bucket_count) {
+            self.adopt_orders(&reply.from, now);
+        }
         let members = self.rows_to_return(&reply);
         let records = self.records_to_return(&reply);
         if !members.is_empty() || !records.is_empty() {
@@ -100,6 +105,8 @@
             return;
         };
         self.platform_seen_at = Some(now);
+        // Callers apply the orders of a read before they report it.
+        self.orders_seen_at = Some(now);
         self.readiness.record_platform_answer();
         if let Some(row) = row.filter(|row| self.versions.is_wanted(row.stamp())) {
             let source = FetchSource::Store(row.object.clone());
@@ -179,6 +186,9 @@
             return;
         };
         let ours = self.root_digest();
+        if ours.records == theirs.records {
+            self.adopt_orders(&reply.from, now);
+        }
         if ours == theirs {
             return;
         }
--- a/crates/kernel/src/spread/node_requests.rs
+++ b/crates/kernel/src/spread/node_requests.rs
@@ -37,6 +37,13 @@
             .any(|row| row.node == self.own().node);
         self.merge_members(request.members, now);
         self.merge_records(request.records);
+        let own_digest = self.root_digest();
+        if request
+            .digest
+            .is_some_and(|digest| digest.records == own_digest.records)
+        {
+            self.adopt_orders(&request.from, now);
+        }
         if is_about_self {
             members.retain(|row| row.node != self.own().node);
             members.push(self.own().clone());
@@ -44,7 +51,7 @@
         members.extend(self.suspicion_of_sender(&request.from));
         GossipReply {
             from: self.header(),
-            digest: request.digest.map(|_| self.root_digest()),
+            digest: request.digest.map(|_| own_digest),
             members,
         }
     }
@@ -162,6 +169,13 @@
         }
     }
 
+    /// Records that this node's records hold all orders that the sender knows.
+    pub(crate) fn adopt_orders(&mut self, from: &PeerHeader, now: ClockInstant) {
+        // The peer's clock may be ahead of this node's.
+        let seen = from.orders_seen_at.map(|seen| seen.min(now));
+        self.orders_seen_at = self.orders_seen_at.max(seen);
+    }
+
     /// Returns the sender's own row if this node considers the sender suspected or gone.
     fn suspicion_of_sender(&self, from: &PeerHeader) -> Option<MemberRow> {
         let row = self.view.table().get(&from.node)?;
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -331,7 +331,8 @@
     /// version.
     pub(crate) fn update_readiness(&mut self, now: ClockInstant) {
         let wanted = self.fetches.newest_wanted(&self.versions);
-        if self.readiness.try_open(self.versions.stamp(), wanted, now)
+        if self.knows_orders(now)
+            && self.readiness.try_open(self.versions.stamp(), wanted, now)
             && self.view.own().state == MemberState::Starting
         {
             self.change_state(MemberState::Serving);
--- a/crates/kernel/src/spread/readiness_gate.rs
+++ b/crates/kernel/src/spread/readiness_gate.rs
@@ -39,6 +39,12 @@
         self.has_platform_answer
     }
 
+    /// Returns whether the platform has not answered by the platform deadline.
+    #[must_use]
+    pub const fn is_platform_overdue(&self, now: ClockInstant) -> bool {
+        !self.has_platform_answer && self.platform_deadline.has_passed(now)
+    }
+
     /// Records that the platform answered.
     pub fn record_platform_answer(&mut self) {
         self.has_platform_answer = true;
--- a/crates/kernel/src/status/node_status.rs
+++ b/crates/kernel/src/status/node_status.rs
@@ -8,7 +8,7 @@
     config::VersionStamp,
     ids::{DataCentre, IncarnationNumber, MeshName, NodeName, ServiceName},
     member::{BackendState, MemberState},
-    status::{MemberStatus, RefusedVersion},
+    status::{EvacuationStatus, MemberStatus, RefusedVersion},
 };
 
 /// Status of a node and of the members that it knows.
@@ -49,6 +49,9 @@
     /// Versions that this node rejected, each with the reason.
     #[serde(default)]
     pub refused: Vec<RefusedVersion>,
+    /// Whether each data centre is evacuated, as far as the node knows.
+    #[serde(default)]
+    pub evacuations: Vec<EvacuationStatus>,
     /// Members that the node knows, including itself.
     pub members: Vec<MemberStatus>,
 }
--- a/crates/kernel/tests/config_routes.rs
+++ b/crates/kernel/tests/config_routes.rs
@@ -132,6 +132,7 @@
         data_centre: "dc1".parse().expect("is a name"),
         stamp: None,
         platform_seen_at: None,
+        orders_seen_at: None,
     }
 }
 
--- a/crates/kernel/tests/spread/main.rs
+++ b/crates/kernel/tests/spread/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 mod member;
+mod orders;
 mod publish;
 mod size;
 mod version;
