--- a/crates/daemon/src/operators/node_status.rs
+++ b/crates/daemon/src/operators/node_status.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::{
     config::ConfigVersion,
     spread::GossipNode,
-    status::{AccountStatus, MemberStatus, NodeStatus, RefusedVersion},
+    status::{AccountStatus, EvacuationStatus, MemberStatus, NodeStatus, RefusedVersion},
 };
 
 use crate::node::{NodeState, PlatformHealth};
@@ -31,6 +31,7 @@
         is_reader: gossip.read(GossipNode::is_reader),
         refused: gossip.read(refused_versions),
         accounts: config.as_ref().map_or_else(Vec::new, accounts),
+        evacuations: evacuations(state),
         members: state.members().iter().map(MemberStatus::from).collect(),
     }
 }
@@ -42,6 +43,12 @@
         .collect()
 }
 
+fn evacuations(state: &NodeState) -> Vec<EvacuationStatus> {
+    let table = state.placement.evacuations();
+    let entries = table.iter();
+    entries.map(EvacuationStatus::from).collect()
+}
+
 fn refused_versions(node: &GossipNode) -> Vec<RefusedVersion> {
     node.refused()
         .iter()
