Report requests that reached no server as not run, and when to return

Cause: traced in the code, a request that reached no server ended as outcome-unknown (504) if its deadline passed while the connection to the server was being opened, or if an idle connection failed before anything was written. A request waited up to 500 ms for a connection to another node whatever its deadline, and each request opened its own. A wait that ran out told the caller to return at once, a shed request 100 ms later, and a request without a server 500 ms later. Change: opening a connection takes half of the time left at most, and the request then goes to another server; nothing written means not run; requests share a connection that is being opened. Times to return come from the server's queue; the entry node takes the earliest, or a few round trips if an untried server has room, and without any server the time in which news of one arrives. Ruled out: unreachable as the outcome of a connection that hangs for less than a second (would eject a server whose VM pauses); knowing whether a request was written before a connection between nodes broke (tarpc does not tell).

--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -46,7 +46,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Minimum time for which a live server keeps an idle connection open.
 const PROBE_READ_TIMEOUT: Duration = Duration::from_millis(50);
-const RETRY_DELAY: TimeBudget = TimeBudget::from_millis(100);
+/// Time in which the news that a server has left reaches the other nodes: the minimum time between
+/// two rounds of pushes ([`GossipOptions`](bronzelb_kernel::spread::GossipOptions)).
+const MEMBER_NEWS_DELAY: TimeBudget = TimeBudget::from_millis(100);
 /// Divisor of a server's connections that gives the number that may be idle.
 const IDLE_DIVISOR: usize = 3;
 /// Threads besides the workers that send requests to backend servers: one serves other nodes.
@@ -87,7 +89,8 @@
     ///
     /// - [`ErrorKind::NoBackend`]: the server is not on this node or refuses connections.
     /// - [`ErrorKind::Draining`]: the server accepts no new requests.
-    /// - [`ErrorKind::Overloaded`]: no slot of the server is available before the deadline.
+    /// - [`ErrorKind::Overloaded`]: no slot of the server is available before the deadline, or the
+    ///   server did not accept a connection in time.
     /// - [`ErrorKind::Shed`]: the server shed the request.
     /// - [`ErrorKind::Quarantined`]: the request has crashed two servers.
     /// - [`ErrorKind::DeadlinePassed`]: the deadline passed before the request was sent.
@@ -269,7 +272,8 @@
         let time_left = deadline.remaining(self.state.now());
         if time_left.is_zero() {
             let message = "the deadline passed before the request ran";
-            return Err(MeshError::new(ErrorKind::DeadlinePassed, message));
+            return Err(MeshError::new(ErrorKind::DeadlinePassed, message)
+                .with_retry_at(runtime.slot_limiter.retry_at()));
         }
         let exchange = self.exchange(server, time_left, message);
         let Ok(result) = time::timeout(time_left.to_std(), exchange).await else {
@@ -277,11 +281,16 @@
             return Err(MeshError::new(ErrorKind::OutcomeUnknown, message));
         };
         match result {
-            Ok(response) => self.check_shed(name, response),
+            Ok(response) => self.check_shed(server, response),
             Err(ExchangeError::Unreached(reason)) => {
                 let message = format!("backend server {name} is not reachable: {reason}");
                 Err(MeshError::new(ErrorKind::NoBackend, message).with_retry_at(self.retry_at()))
             }
+            Err(ExchangeError::NotAccepted) => {
+                let message = format!("backend server {name} did not accept a connection in time");
+                Err(MeshError::new(ErrorKind::Overloaded, message)
+                    .with_retry_at(runtime.slot_limiter.retry_at()))
+            }
             Err(ExchangeError::TooLarge) => {
                 let message = format!("the response exceeds {MAX_RESPONSE_BYTES} bytes");
                 Err(MeshError::new(ErrorKind::BackendFailed, message))
@@ -316,7 +325,7 @@
         let echoes_request_id = runtime.echoes_request_id.load(Ordering::Relaxed);
         let connection = match self.take_idle(address) {
             Some(connection) => connection,
-            None => BackendConnection::open(address).await?,
+            None => BackendConnection::open(address, time_left.to_std()).await?,
         };
         let dialect = &self.state.settings.dialect.servers;
         let head = request_head(
@@ -425,14 +434,15 @@
     /// Returns an error if the server shed the request.
     fn check_shed(
         &self,
-        name: &BackendName,
+        server: &LocalServer<'_>,
         response: BackendResponse,
     ) -> Result<BackendResponse, MeshError> {
         if !is_not_run(&self.state.settings.dialect.servers, &response) {
             return Ok(response);
         }
-        let message = format!("backend server {name} shed the request");
-        Err(MeshError::new(ErrorKind::Shed, message).with_retry_at(self.retry_at()))
+        let message = format!("backend server {} shed the request", server.name);
+        let retry_at = server.runtime.slot_limiter.retry_at();
+        Err(MeshError::new(ErrorKind::Shed, message).with_retry_at(retry_at))
     }
 
     /// Removes a crashed server immediately; a live server announces itself again.
@@ -448,7 +458,7 @@
     }
 
     fn retry_at(&self) -> ClockInstant {
-        self.state.now().after(RETRY_DELAY)
+        self.state.now().after(MEMBER_NEWS_DELAY)
     }
 }
 
--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -26,7 +26,11 @@
 
 use crate::forward::response_buffer::ResponseBuffer;
 
+/// Longest time to open a connection, after which the server counts as unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Divisor of the time left that gives the longest time to open a connection; the rest remains for
+/// another server.
+const CONNECT_TIME_DIVISOR: u32 = 2;
 /// Responses to other requests that are skipped before the exchange fails.
 const MAX_STRAY_RESPONSES: usize = 3;
 /// Fraction of the server's stated idle timeout after which a connection is no longer reused.
@@ -43,6 +47,9 @@
 pub(crate) enum ExchangeError {
     /// No part of the request was sent.
     Unreached(String),
+    /// The server did not accept a connection while another server could still answer in time; no
+    /// part of the request was sent.
+    NotAccepted,
     /// The server may have received the request, but the response was lost or truncated.
     Lost(String),
     /// The request ran, but its response exceeds the size limit.
@@ -81,21 +88,30 @@
     is_fresh: bool,
     /// Whether writing the request failed.
     has_write_error: bool,
+    /// Whether any part of the request of the current exchange was written.
+    has_sent: bool,
     /// Instant after which the idle connection is not reused, if the server states an idle timeout.
     idle_deadline: Option<Instant>,
 }
 
 impl BackendConnection {
-    /// Opens a connection.
-    pub(crate) async fn open(address: SocketAddr) -> Result<Self, ExchangeError> {
+    /// Opens a connection for a request that has `time_left` until its deadline.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        time_left: Duration,
+    ) -> Result<Self, ExchangeError> {
+        let connect_time = CONNECT_TIMEOUT.min(time_left / CONNECT_TIME_DIVISOR);
         let socket = match address {
             SocketAddr::V4(_) => TcpSocket::new_v4(),
             SocketAddr::V6(_) => TcpSocket::new_v6(),
         };
         let socket = socket.map_err(|error| ExchangeError::Unreached(error.to_string()))?;
-        let stream = time::timeout(CONNECT_TIMEOUT, socket.connect(address))
+        let stream = time::timeout(connect_time, socket.connect(address))
             .await
-            .map_err(|_| ExchangeError::Unreached("the connection timed out".to_owned()))?
+            .map_err(|_| match connect_time < CONNECT_TIMEOUT {
+                true => ExchangeError::NotAccepted,
+                false => ExchangeError::Unreached("the connection timed out".to_owned()),
+            })?
             .map_err(|error| ExchangeError::Unreached(error.to_string()))?;
         // Without TCP_NODELAY, small requests may wait for acknowledgements but still arrive.
         let _ = stream.set_nodelay(true);
@@ -106,6 +122,7 @@
             received_count: 0,
             is_fresh: true,
             has_write_error: false,
+            has_sent: false,
             idle_deadline: None,
         })
     }
@@ -133,13 +150,17 @@
     ) -> Result<(BackendResponse, Option<Self>), ExchangeError> {
         let is_fresh = mem::replace(&mut self.is_fresh, false);
         self.received_count = 0;
+        self.has_sent = false;
         let method = head.method.clone();
         let mut unsent = self
             .encode(head, body)
-            .map_err(|error| lost_response(&error))?;
+            .map_err(|error| ExchangeError::Unreached(error.to_string()))?;
         for stray_count in 0..=MAX_STRAY_RESPONSES {
-            let (response, is_kept_alive) =
-                self.read_response(&method, &mut unsent, options).await?;
+            let received = self.read_response(&method, &mut unsent, options).await;
+            let (response, is_kept_alive) = received.map_err(|error| match error {
+                ExchangeError::Lost(reason) if !self.has_sent => ExchangeError::Unreached(reason),
+                error => error,
+            })?;
             if (options.is_for_request)(&response, is_fresh) {
                 // A server that responded early still expects the rest of the request body.
                 let is_reusable =
@@ -259,7 +280,10 @@
             tokio::select! {
                 biased;
                 written = writer.write(unsent) => match written {
-                    Ok(count) => unsent.advance(count),
+                    Ok(count) => {
+                        self.has_sent |= count > 0;
+                        unsent.advance(count);
+                    }
                     // The server may have responded before it stopped reading.
                     Err(_) => {
                         unsent.clear();
--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -124,6 +124,11 @@
         self.apply(update);
     }
 
+    /// Returns the instant at which a request that is refused now may be sent again.
+    pub(crate) fn retry_at(&self) -> ClockInstant {
+        self.lock().retry_at(self.clock.now(), &mut rand::rng())
+    }
+
     /// Returns the rate limit in force.
     pub(crate) fn limit(&self) -> StatedLimit {
         self.lock().limit()
@@ -262,7 +267,7 @@
         match time::timeout(time_left, &mut self.receiver).await {
             Ok(Ok(Ok(()))) => Ok(self.limiter.permit(self.route.take())),
             Ok(Ok(Err(retry_at))) => Err(overloaded(retry_at)),
-            _ => Err(overloaded(self.limiter.clock.now())),
+            _ => Err(overloaded(self.limiter.retry_at())),
         }
     }
 }
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -25,7 +25,13 @@
     peers::PeerPool,
 };
 
-const NO_BACKEND_RETRY_DELAY: TimeBudget = TimeBudget::from_millis(500);
+/// Shortest and longest time, in microseconds, in which the news of a server reaches a node: the
+/// minimum time between two rounds of pushes and the mean time between two exchanges
+/// ([`GossipOptions`](bronzelb_kernel::spread::GossipOptions)).
+const NEWS_DELAY_MICROS: (u64, u64) = (100_000, 1_000_000);
+/// Divisor of the time left that gives the longest retry delay without a server, so that a caller
+/// with a short deadline can return within it.
+const RETURN_TIME_DIVISOR: u64 = 2;
 
 /// Chooses a backend server for each request and forwards the request to it.
 ///
@@ -90,7 +96,7 @@
     pub(crate) async fn admit(&self, request: &RoutedRequest) -> Result<ServicePermit, MeshError> {
         let now = self.state.now();
         if request.deadline.has_passed(now) {
-            return Err(deadline_passed());
+            return Err(self.deadline_passed());
         }
         self.crashes.check(request.message.fingerprint)?;
         if let Some(config) = self.state.config() {
@@ -132,7 +138,8 @@
                         .limiter
                         .record_outcome(self.state.now(), outcome, true);
                 }
-                return request_outcome.into_result_or_else(|| self.no_backend(request));
+                let result = request_outcome.into_result_or_else(|| self.no_backend(request));
+                return self.with_return_time(request, &tried_backends, result);
             };
             tried_backends.push(server.backend.clone());
             let attempt = u32::try_from(tried_backends.len()).unwrap_or(u32::MAX);
@@ -146,7 +153,7 @@
                     .limiter
                     .record_outcome(self.state.now(), outcome, true);
                 permit.slot.finish();
-                return request_outcome.into_result_or_else(deadline_passed);
+                return request_outcome.into_result_or_else(|| self.deadline_passed());
             }
             let may_retry = match self.state.requests.retry_policy() {
                 Some(policy) => {
@@ -169,7 +176,8 @@
                 .record_outcome(self.state.now(), outcome, !may_retry);
             last_outcome = Some(outcome);
             if !may_retry {
-                return request_outcome.into_result_or_else(deadline_passed);
+                let result = request_outcome.into_result_or_else(|| self.deadline_passed());
+                return self.with_return_time(request, &tried_backends, result);
             }
             self.state.count("retries");
         }
@@ -353,13 +361,51 @@
             .try_withdraw(now, &context)
     }
 
+    /// Adds to a refusal the instant at which the request may return: at once if a server that it
+    /// has not been sent to has room, otherwise when the first of the servers that refused it has.
+    fn with_return_time(
+        &self,
+        request: &RoutedRequest,
+        tried_backends: &[BackendName],
+        result: Result<ForwardResponse, MeshError>,
+    ) -> Result<ForwardResponse, MeshError> {
+        result.map_err(|error| {
+            let response = error.kind().response();
+            if response.run_state != RunState::NotRun || !response.has_retry_after {
+                return error;
+            }
+            let now = self.state.now();
+            let load_balancer = self.state.requests.load_balancer();
+            let return_at =
+                load_balancer.return_at(now, &request.service, tried_backends, &mut rand::rng());
+            match return_at {
+                Some(return_at) => error.with_retry_at(return_at),
+                None => error,
+            }
+        })
+    }
+
+    /// Returns the error of a request whose deadline passed before it was sent. Its caller may send
+    /// another at once, as the refusal does not depend on the load.
+    fn deadline_passed(&self) -> MeshError {
+        MeshError::new(
+            ErrorKind::DeadlinePassed,
+            "the deadline passed before the request ran",
+        )
+        .with_retry_at(self.state.now())
+    }
+
     fn no_backend(&self, request: &RoutedRequest) -> MeshError {
         let message = format!(
             "service {} has no backend server that accepts requests",
             request.service
         );
-        MeshError::new(ErrorKind::NoBackend, message)
-            .with_retry_at(self.state.now().after(NO_BACKEND_RETRY_DELAY))
+        let now = self.state.now();
+        let (shortest, longest) = NEWS_DELAY_MICROS;
+        let time_left = request.deadline.remaining(now).as_micros() / RETURN_TIME_DIVISOR;
+        let longest = longest.min(time_left).max(shortest);
+        let delay = TimeBudget::from_micros(rand::random_range(shortest..=longest));
+        MeshError::new(ErrorKind::NoBackend, message).with_retry_at(now.after(delay))
     }
 }
 
@@ -369,10 +415,19 @@
 #[derive(Default)]
 struct RequestOutcome {
     result: Option<Result<ForwardResponse, MeshError>>,
+    /// Earliest instant at which one of the servers that refused the request has room.
+    retry_at: Option<ClockInstant>,
 }
 
 impl RequestOutcome {
     fn record(&mut self, result: Result<ForwardResponse, MeshError>) {
+        let refusal = result.as_ref().err();
+        if let Some(retry_at) = refusal.and_then(MeshError::retry_at) {
+            let earliest = self
+                .retry_at
+                .map_or(retry_at, |earliest| earliest.min(retry_at));
+            self.retry_at = Some(earliest);
+        }
         let may_have_run = |result: &Result<ForwardResponse, MeshError>| match result {
             Ok(_) => true,
             Err(error) => error.kind().response().run_state != RunState::NotRun,
@@ -387,7 +442,13 @@
         self,
         default: impl FnOnce() -> MeshError,
     ) -> Result<ForwardResponse, MeshError> {
-        self.result.unwrap_or_else(|| Err(default()))
+        let result = self.result.unwrap_or_else(|| Err(default()));
+        result.map_err(|error| match self.retry_at {
+            Some(retry_at) if error.kind().response().has_retry_after => {
+                error.with_retry_at(retry_at)
+            }
+            _ => error,
+        })
     }
 }
 
@@ -505,10 +566,3 @@
         }
     }
 }
-
-fn deadline_passed() -> MeshError {
-    MeshError::new(
-        ErrorKind::DeadlinePassed,
-        "the deadline passed before the request ran",
-    )
-}
--- a/crates/daemon/src/peers/peer_connection.rs
+++ b/crates/daemon/src/peers/peer_connection.rs
@@ -95,7 +95,7 @@
     socket.set_tcp_user_timeout(Some(UNACKED_DATA_TIMEOUT))
 }
 
-fn unreachable_error(address: SocketAddr, reason: &str) -> MeshError {
+pub(crate) fn unreachable_error(address: SocketAddr, reason: &str) -> MeshError {
     MeshError::new(
         ErrorKind::NoBackend,
         format!("node at {address} is not reachable: {reason}"),
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -106,15 +106,17 @@
         context: Context,
         request: ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
-        self.state.check_lease()?;
-        let _in_flight = self.state.requests.begin_request()?;
+        let sent = |error: MeshError| error.sent_at(self.state.now());
+        self.state.check_lease().map_err(sent)?;
+        let _in_flight = self.state.requests.begin_request().map_err(sent)?;
         let deadline = self.deadline(&context);
         let backend = request
             .backend
             .clone()
             .ok_or_else(|| MeshError::invalid("a forwarded request names no backend server"))?;
         let backends = self.forwarder.backends();
-        backends.run(&backend, deadline, &request).await
+        let result = backends.run(&backend, deadline, &request).await;
+        result.map_err(|error| error.sent_at(self.state.now()))
     }
 
     async fn resume(
@@ -146,7 +148,8 @@
             is_nested_retry: request.attempt > 1,
             message: request,
         };
-        self.forwarder.resume(routed).await
+        let result = self.forwarder.resume(routed).await;
+        result.map_err(|error| error.sent_at(self.state.now()))
     }
 
     async fn push_record(self, _: Context, record: RecordEntry) -> Result<(), MeshError> {
--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -1,5 +1,10 @@
 use std::{
-    cell::RefCell, collections::BTreeMap, future::Future, net::SocketAddr, rc::Rc, sync::Arc,
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
     time::Instant,
 };
 
@@ -13,18 +18,33 @@
     peer::{ForwardRequest, ForwardResponse, RecordEntry},
 };
 use tarpc::{client::RpcError, context};
-use tokio::task::spawn_local;
+use tokio::{sync::watch, task::spawn_local, time};
 
 use crate::{
     node::NodeState,
-    peers::peer_connection::{OpenedPeer, open_connection},
+    peers::peer_connection::{OpenedPeer, open_connection, unreachable_error},
 };
 
+/// Divisor of the time left that gives the longest wait for a connection to be opened; the rest
+/// remains for another server.
+const OPENING_WAIT_DIVISOR: u32 = 2;
+
 /// Outgoing connections to other nodes, opened on demand; for one thread, shared by clones.
 #[derive(Clone)]
 pub struct PeerPool {
     state: Arc<NodeState>,
-    clients: Rc<RefCell<BTreeMap<SocketAddr, PeerServiceClient>>>,
+    links: Rc<RefCell<BTreeMap<SocketAddr, PeerLink>>>,
+    next_link: Rc<Cell<u64>>,
+}
+
+/// Result of opening a connection; `None` while it is being opened.
+type OpeningResult = Option<Result<PeerServiceClient, MeshError>>;
+
+/// Connection to a node that is open or being opened.
+struct PeerLink {
+    /// Number that tells a connection from its successors to the same address.
+    number: u64,
+    opening: watch::Receiver<OpeningResult>,
 }
 
 impl PeerPool {
@@ -33,7 +53,8 @@
     pub fn new(state: Arc<NodeState>) -> Self {
         Self {
             state,
-            clients: Rc::default(),
+            links: Rc::default(),
+            next_link: Rc::default(),
         }
     }
 
@@ -41,8 +62,8 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::NoBackend`] when the node is not reachable, [`ErrorKind::OutcomeUnknown`]
-    /// when the connection breaks or the deadline passes after the request was sent, and any error
+    /// [`ErrorKind::NoBackend`] when the node is not reachable, [`ErrorKind::Overloaded`] when it
+    /// has not accepted a connection after half of the time left, [`ErrorKind::OutcomeUnknown`] when the connection breaks or the deadline passes after the request was sent, and any error
     /// that the node returns.
     pub async fn forward(
         &self,
@@ -89,8 +110,12 @@
     /// Returns whether a connection to the node is open.
     #[must_use]
     pub fn is_connected(&self, node: &NodeName) -> bool {
-        self.address(node)
-            .is_ok_and(|address| self.clients.borrow().contains_key(&address))
+        self.address(node).is_ok_and(|address| {
+            self.links
+                .borrow()
+                .get(&address)
+                .is_some_and(PeerLink::is_open)
+        })
     }
 
     fn address(&self, node: &NodeName) -> Result<SocketAddr, MeshError> {
@@ -107,26 +132,71 @@
         F: Future<Output = Result<Result<T, MeshError>, RpcError>>,
     {
         let address = self.address(node)?;
-        let client = self.client(address).await?;
+        let client = self.client(address, deadline).await?;
         let mut context = context::current();
         context.deadline = Instant::now() + deadline.remaining(self.state.now()).to_std();
         let result = send(client, context).await;
         self.handle_rpc_result(address, result)?
+            .map_err(|error| error.received_at(self.state.now()))
     }
 
-    async fn client(&self, address: SocketAddr) -> Result<PeerServiceClient, MeshError> {
-        if let Some(client) = self.clients.borrow().get(&address) {
-            return Ok(client.clone());
-        }
-        let OpenedPeer { client, dispatch } = open_connection(&self.state, address).await?;
-        self.clients.borrow_mut().insert(address, client.clone());
-        let clients = Rc::clone(&self.clients);
+    /// Returns the connection to a node, or an error after half of the time until `deadline`.
+    ///
+    /// Requests share a connection that is being opened, and it is opened to the end even if they
+    /// give up, so that a slow handshake delays the first requests only.
+    async fn client(
+        &self,
+        address: SocketAddr,
+        deadline: ClockInstant,
+    ) -> Result<PeerServiceClient, MeshError> {
+        let opening = self.links.borrow().get(&address).map(PeerLink::opening);
+        let mut opening = opening.unwrap_or_else(|| self.open(address));
+        let time_left = deadline.remaining(self.state.now()).to_std();
+        let opened = opening.wait_for(Option::is_some);
+        let Ok(opened) = time::timeout(time_left / OPENING_WAIT_DIVISOR, opened).await else {
+            let message = format!("node at {address} has not accepted a connection yet");
+            return Err(MeshError::new(ErrorKind::Overloaded, message));
+        };
+        let result = opened.ok().and_then(|result| result.clone());
+        result.unwrap_or_else(|| Err(unreachable_error(address, "the connection was dropped")))
+    }
+
+    /// Starts opening a connection.
+    fn open(&self, address: SocketAddr) -> watch::Receiver<OpeningResult> {
+        let number = self.next_link.replace(self.next_link.get() + 1);
+        let (sender, opening) = watch::channel(None);
+        let link = PeerLink {
+            number,
+            opening: opening.clone(),
+        };
+        self.links.borrow_mut().insert(address, link);
+        let pool = self.clone();
         spawn_local(async move {
-            // Removes a closed connection, so that the next request opens a new one.
-            let _ = dispatch.await;
-            clients.borrow_mut().remove(&address);
+            match open_connection(&pool.state, address).await {
+                Ok(OpenedPeer { client, dispatch }) => {
+                    // Requests may have given up.
+                    let _ = sender.send(Some(Ok(client)));
+                    let _ = dispatch.await;
+                    pool.remove(address, number);
+                }
+                Err(error) => {
+                    pool.remove(address, number);
+                    let _ = sender.send(Some(Err(error)));
+                }
+            }
         });
-        Ok(client)
+        opening
+    }
+
+    /// Removes a connection, unless another one has replaced it.
+    fn remove(&self, address: SocketAddr, number: u64) {
+        let mut links = self.links.borrow_mut();
+        if links
+            .get(&address)
+            .is_some_and(|link| link.number == number)
+        {
+            links.remove(&address);
+        }
     }
 
     fn handle_rpc_result<T>(
@@ -136,12 +206,24 @@
     ) -> Result<T, MeshError> {
         result.map_err(|error| {
             if !matches!(error, RpcError::DeadlineExceeded | RpcError::Server(_)) {
-                self.clients.borrow_mut().remove(&address);
+                self.links.borrow_mut().remove(&address);
             }
-            MeshError::new(
-                ErrorKind::OutcomeUnknown,
-                format!("node at {address} did not answer: {error}"),
-            )
+            let kind = match error {
+                // The message could not be encoded, so no part of it was sent.
+                RpcError::Send(_) => ErrorKind::NoBackend,
+                _ => ErrorKind::OutcomeUnknown,
+            };
+            MeshError::new(kind, format!("node at {address} did not answer: {error}"))
         })
     }
 }
+
+impl PeerLink {
+    fn opening(&self) -> watch::Receiver<OpeningResult> {
+        self.opening.clone()
+    }
+
+    fn is_open(&self) -> bool {
+        self.opening.borrow().as_ref().is_some_and(Result::is_ok)
+    }
+}
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -3,14 +3,16 @@
 //! The server writes raw bytes to a socket, so that each test controls its responses exactly.
 
 use std::{
+    cell::RefCell,
     collections::BTreeMap,
     io,
     net::SocketAddr,
+    rc::Rc,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bronzelb_kernel::{
@@ -22,6 +24,7 @@
     error::{ErrorKind, MeshError, RunState},
     ids::{AttemptToken, ByteCount, SlotCount, VersionNumber},
     member::{BackendState, StatedLimit},
+    request::AccountRank,
     rollout::{MoveRecord, MoveRequest},
     spread::{FetchSource, SnapshotReply, VersionFetch},
 };
@@ -37,13 +40,15 @@
 use compact_str::format_compact;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     task::spawn_local,
     time,
 };
 
 /// Repetitions that are written at once.
 const REPEATED_BLOCK_LENGTH: usize = 1_000;
+/// Time after which a connection to a full listener counts as hanging.
+const PENDING_TIMEOUT: Duration = Duration::from_millis(100);
 const REQUEST_HEADER: &str = "x-bronzelb-request: ";
 
 /// Returns the reply to a request, given its number and identifier.
@@ -240,6 +245,10 @@
 
 impl ForwarderHarness {
     fn new(servers: &[SocketAddr], idempotent: bool) -> Self {
+        Self::with_slots(servers, idempotent, 4)
+    }
+
+    fn with_slots(servers: &[SocketAddr], idempotent: bool, slots: u32) -> Self {
         let state = node();
         let number = VersionNumber::new(1);
         let version = ConfigVersion::from_snapshot(number, snapshot(idempotent));
@@ -249,7 +258,7 @@
                 service: "tracker".parse().expect("a valid name"),
                 version: "v1".parse().expect("a valid version"),
                 address: *address,
-                slots: SlotCount::new(4),
+                slots: SlotCount::new(slots),
                 connections: 110,
                 state: BackendState::Serving,
             };
@@ -275,8 +284,12 @@
         number: usize,
         deadline: ClockInstant,
     ) -> Result<ForwardResponse, MeshError> {
+        self.forwarder.run(self.request(number, deadline)).await
+    }
+
+    fn request(&self, number: usize, deadline: ClockInstant) -> RoutedRequest {
         let target = format_compact!("/item/{number}");
-        let request = RoutedRequest {
+        RoutedRequest {
             service: "tracker".parse().expect("a valid name"),
             deadline,
             idempotent: self.idempotent,
@@ -299,8 +312,7 @@
                 headers: Vec::new(),
                 body: Bytes::new(),
             },
-        };
-        self.forwarder.run(request).await
+        }
     }
 }
 
@@ -600,6 +612,139 @@
     }
 }
 
+/// Listens without accepting, and fills the queue of pending connections, so that further
+/// connections hang.
+async fn full_listener() -> (SocketAddr, TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .bind("127.0.0.1:0".parse().expect("a valid address"))
+        .expect("a free port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("a bound socket");
+    let mut pending = Vec::new();
+    while let Ok(stream) = time::timeout(PENDING_TIMEOUT, TcpStream::connect(address)).await {
+        pending.push(stream.expect("the connection is queued"));
+    }
+    (address, listener, pending)
+}
+
+/// Guards against a request that reached no server but ends as outcome-unknown, because its
+/// deadline passed while the connection was being opened.
+#[actix_web::test]
+async fn hanging_connection_is_not_run_and_leaves_time_for_another_server() {
+    let (address, _listener, _pending) = full_listener().await;
+    let harness = ForwarderHarness::new(&[address], false);
+    let started = Instant::now();
+    let error = harness.get(1).await.expect_err("no connection is accepted");
+    assert_eq!(error.kind().response().run_state, RunState::NotRun);
+    assert!(error.retry_at().is_some());
+    assert!(started.elapsed() < Duration::from_millis(450));
+    let working = RawServer::start(|_, id| keep_open(complete_response(id, id))).await;
+    let harness = ForwarderHarness::new(&[address, working.address], false);
+    for number in 0..8 {
+        harness.get(number).await.expect("the other server answers");
+    }
+}
+
+/// Guards against callers that stay away from a server whose refusals do not depend on its load.
+#[actix_web::test]
+async fn request_shed_by_a_server_with_room_may_return_at_once() {
+    let shedding = RawServer::start(|_, id| {
+        keep_open(format!(
+            "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-backend-run: not-run\r\n\
+             {REQUEST_HEADER}{id}\r\n\r\n"
+        ))
+    })
+    .await;
+    let harness = ForwarderHarness::new(&[shedding.address], false);
+    let error = harness.get(1).await.expect_err("is shed");
+    assert_eq!(error.kind(), ErrorKind::Shed);
+    let retry_at = error.retry_at().expect("a time to return");
+    let delay = retry_at.remaining(harness.forwarder.state().now());
+    // A few round trips to the caller, far below the shortest target of 200 ms.
+    assert!(delay <= TimeBudget::from_millis(20), "{delay}");
+}
+
+/// Starts a server that answers after `delay`, and returns the identifiers that it receives.
+async fn slow_server(delay: Duration) -> (SocketAddr, Rc<RefCell<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    let received: Rc<RefCell<Vec<String>>> = Rc::default();
+    let recorded = Rc::clone(&received);
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let recorded = Rc::clone(&recorded);
+            spawn_local(async move {
+                let mut buffer = Vec::new();
+                while let Some(head) = read_head(&mut stream, &mut buffer).await {
+                    let mut lines = head.lines();
+                    let id = lines.find_map(|line| line.strip_prefix(REQUEST_HEADER));
+                    let id = id.unwrap_or_default();
+                    recorded.borrow_mut().push(id.to_owned());
+                    time::sleep(delay).await;
+                    let response = complete_response(id, id);
+                    let _ = stream.write_all(response.as_bytes()).await;
+                }
+            });
+        }
+    });
+    (address, received)
+}
+
+/// Guards against requests that are sent although they cannot be answered any more, which end as
+/// outcome-unknown and occupy a slot.
+#[actix_web::test]
+async fn request_without_enough_time_left_is_not_sent() {
+    let (address, received) = slow_server(Duration::from_millis(100)).await;
+    let harness = ForwarderHarness::new(&[address], false);
+    for number in 0..6 {
+        harness.get(number).await.expect("a complete response");
+    }
+    let now = harness.forwarder.state().now();
+    let deadline = now.after(TimeBudget::from_millis(30));
+    let result = harness.get_with_deadline(6, deadline).await;
+    assert_eq!(run_state(&result), RunState::NotRun);
+    assert_eq!(received.borrow().len(), 6);
+}
+
+/// Guards against an entry node's gate that orders requests by arrival only, whatever their
+/// accounts.
+#[actix_web::test]
+async fn gate_of_the_entry_node_admits_the_most_urgent_account_first() {
+    let (address, received) = slow_server(Duration::from_millis(15)).await;
+    // With one slot, the gate admits two requests at a time.
+    let harness = ForwarderHarness::with_slots(&[address], false, 1);
+    let low = AccountRank {
+        account: "low".parse().expect("a valid name"),
+        priority: RequestPriority::DEFERRABLE,
+    };
+    let high = AccountRank {
+        account: "high".parse().expect("a valid name"),
+        priority: RequestPriority::URGENT,
+    };
+    let mut runs = Vec::new();
+    for (number, rank) in [&low, &low, &low, &low, &high].into_iter().enumerate() {
+        let now = harness.forwarder.state().now();
+        let deadline = now.after(TimeBudget::from_secs(5));
+        let mut request = harness.request(number, deadline);
+        request.message.account = Some(rank.clone());
+        let forwarder = harness.forwarder.clone();
+        runs.push(spawn_local(async move { forwarder.run(request).await }));
+        tokio::task::yield_now().await;
+    }
+    for run in runs {
+        run.await.expect("does not panic").expect("a response");
+    }
+    let expected = [
+        "request-0",
+        "request-1",
+        "request-4",
+        "request-2",
+        "request-3",
+    ];
+    assert_eq!(*received.borrow(), expected);
+}
+
 #[actix_web::test]
 async fn shed_request_stays_on_its_drawn_version() {
     let shed = |_: usize, _: &str| {
