--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -18,7 +18,7 @@
     ids::{BackendName, SlotCount},
     member::{BackendIncarnation, BackendState, StatedLimit},
     plugin::{ServerDialect, ServerNotice},
-    request::{CrashStatus, ServerInstance},
+    request::{AccountRank, CrashStatus, ServerInstance},
 };
 use bronzelb_wire::peer::{ForwardRequest, ForwardResponse, HttpHeader};
 use bytes::Bytes;
@@ -28,12 +28,13 @@
 use crate::{
     backends::BackendAnnouncement,
     forward::{
+        account_headers, account_name,
         backend_connection::{
             BackendConnection, BackendResponse, ExchangeError, ExchangeOptions, MAX_RESPONSE_BYTES,
         },
         concurrency_limiter::SlotPermit,
         crash_registry::CrashRegistry,
-        is_hop_header,
+        is_hop_header, recheck_account,
         request_state::BackendRuntime,
         routed_request::admission_request,
     },
@@ -87,6 +88,7 @@
     ///
     /// # Errors
     ///
+    /// - [`ErrorKind::Unauthorized`]: the request's key has been revoked.
     /// - [`ErrorKind::NoBackend`]: the server is not on this node or refuses connections.
     /// - [`ErrorKind::Draining`]: the server accepts no new requests.
     /// - [`ErrorKind::Overloaded`]: no slot of the server is available before the deadline, or the
@@ -103,6 +105,8 @@
         deadline: ClockInstant,
         message: &ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
+        // The entry node may hold an older version.
+        recheck_account(&self.state, message)?;
         let (announcement, _) = self.serving(name)?;
         let runtime = self
             .state
@@ -164,6 +168,25 @@
         })
     }
 
+    /// Sets the header with the client account, and removes what callers or servers sent in its
+    /// place.
+    fn set_account(
+        &self,
+        head: &mut RequestHead,
+        account: Option<&AccountRank>,
+    ) -> Result<(), ExchangeError> {
+        let dialect = self.state.settings.dialect;
+        if let Some(config) = self.state.config() {
+            for name in account_headers(dialect, &config).into_iter().flatten() {
+                head.headers.remove(name);
+            }
+        }
+        match dialect.servers.account_header.zip(account) {
+            Some((name, rank)) => insert(head, name, rank.account.as_str()),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the announcement and incarnation of a server that accepts requests.
     fn serving(
         &self,
@@ -205,6 +228,7 @@
         let (now, load) = (state.now(), runtime.slot_limiter.load());
         info!(state.logger, #REQUEST_TAG, "{}", EventName::RequestRefused;
             "request" => message.request_id.as_str(), "route" => message.route.to_string(),
+            "account" => account_name(message.account.as_ref()),
             "backend" => name.to_string(), "priority" => message.priority.to_string(),
             "running" => load.running, "waiting" => load.waiting,
             "waited_ms" => queued_at.elapsed(now).as_millis(),
@@ -233,6 +257,7 @@
         }
         info!(state.logger, #REQUEST_TAG, "{}", EventName::RequestRan;
             "request" => message.request_id.as_str(), "route" => message.route.to_string(),
+            "account" => account_name(message.account.as_ref()),
             "backend" => name.to_string(), "outcome" => outcome,
             "status" => result.as_ref().ok().map(|response| response.status.as_u16()),
             "message" => result.as_ref().err().map(|error| error.message().to_owned()),
@@ -291,6 +316,7 @@
                 Err(MeshError::new(ErrorKind::Overloaded, message)
                     .with_retry_at(runtime.slot_limiter.retry_at()))
             }
+            Err(ExchangeError::Unauthorized(error)) => Err(error),
             Err(ExchangeError::TooLarge) => {
                 let message = format!("the response exceeds {MAX_RESPONSE_BYTES} bytes");
                 Err(MeshError::new(ErrorKind::BackendFailed, message))
@@ -328,7 +354,10 @@
             None => BackendConnection::open(address, time_left.to_std()).await?,
         };
         let dialect = &self.state.settings.dialect.servers;
-        let head = request_head(
+        // The key may have been revoked while the request was queued or the connection was opened.
+        let (_, account) =
+            recheck_account(&self.state, message).map_err(ExchangeError::Unauthorized)?;
+        let mut head = request_head(
             dialect,
             name,
             address,
@@ -336,6 +365,7 @@
             time_left,
             message,
         )?;
+        self.set_account(&mut head, account.as_ref())?;
         let is_for_request = |response: &BackendResponse, is_fresh: bool| {
             match response.headers.get(dialect.request_header) {
                 Some(echo) => echo.as_bytes() == message.request_id.as_bytes(),
--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -15,7 +15,7 @@
     Method, StatusCode,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
-use bronzelb_kernel::request::ResponseBudget;
+use bronzelb_kernel::{error::MeshError, request::ResponseBudget};
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -50,6 +50,8 @@
     /// The server did not accept a connection while another server could still answer in time; no
     /// part of the request was sent.
     NotAccepted,
+    /// No part of the request was sent, because its key has been revoked.
+    Unauthorized(MeshError),
     /// The server may have received the request, but the response was lost or truncated.
     Lost(String),
     /// The request ran, but its response exceeds the size limit.
