Hold the rate of cold servers at the queue beside them

Cause: a server that turned cold got as many requests as a warm one; only the first cold time of an incarnation was taken, and only as a weight.

Change: ColdPacer in AdmissionQueue limits the starts in every sliding second while the server counts as cold, and counts them while it is warm too. ColdState keeps what the node beside it knows: heartbeats prolong the cold time; an event (silence, lost or hanging connection, pause, end of an evacuation, new server) makes the server cold until the response to a health request sent after it, or the service's cold time, ends that. Entry nodes count a cold server by what its rate lets it do.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -2,12 +2,14 @@
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
-    ids::BackendName,
+    config::WarmUpRule,
+    ids::{BackendName, ServiceName},
     member::{
-        BackendHeartbeat, BackendIncarnation, BackendMessage, BackendRow, BackendState, StatedLimit,
+        BackendHeartbeat, BackendIncarnation, BackendMessage, BackendRow, BackendState, StatedCold,
+        StatedLimit,
     },
     plugin::LoadReport,
-    request::{HealthDebouncer, LimitPublisher, TimePublisher},
+    request::{ColdLimit, ColdState, HealthDebouncer, LimitPublisher, TimePublisher},
 };
 
 use crate::backends::BackendAnnouncement;
@@ -15,6 +17,13 @@
 /// Default lease of an announcement.
 pub const LEASE_DURATION: TimeBudget = TimeBudget::from_secs(3);
 
+/// Deviation of a cold time that is not published: heartbeats repeat the same instant with a small
+/// deviation.
+const COLD_TOLERANCE: TimeBudget = TimeBudget::from_millis(250);
+/// Time without a heartbeat after which the server's VM may have been silent and the server may
+/// be cold. Heartbeats come every 1.5 s.
+const HEARTBEAT_SILENCE: TimeBudget = TimeBudget::from_millis(2_500);
+
 /// Maximum number of remembered departed servers; a VM has one or a few servers at a time.
 const MAX_DEPARTED: usize = 64;
 
@@ -31,8 +40,13 @@
     pub report: Option<LoadReport>,
     /// Publisher of the server's request execution times to other nodes.
     pub time_publisher: TimePublisher,
-    /// End of the server's warm-up, if the server announces one.
+    /// Published end of the time for which the server counts as cold, if that is known.
     pub cold_until: Option<ClockInstant>,
+    /// What is known of whether the server is cold.
+    cold_state: ColdState,
+    heartbeat_at: ClockInstant,
+    /// When this node learned of the server.
+    known_from: ClockInstant,
     /// Publisher of the server's rate limit to other nodes.
     pub limit_publisher: LimitPublisher,
     /// Whether this incarnation stated its departure in a response.
@@ -62,6 +76,8 @@
 #[derive(Clone, Debug)]
 pub struct BackendTable {
     lease: TimeBudget,
+    /// Limits of cold servers by service.
+    warm_up_rules: BTreeMap<ServiceName, WarmUpRule>,
     entries: BTreeMap<BackendName, BackendEntry>,
     /// Latest incarnations of departed servers, so that a late heartbeat does not restore them.
     departed: BTreeMap<BackendName, BackendIncarnation>,
@@ -79,6 +95,7 @@
     pub const fn new(lease: TimeBudget) -> Self {
         Self {
             lease,
+            warm_up_rules: BTreeMap::new(),
             entries: BTreeMap::new(),
             departed: BTreeMap::new(),
         }
@@ -131,13 +148,18 @@
                 is_changed |= entry.has_departed;
                 entry.has_departed = false;
             }
-            // Later heartbeats of an incarnation repeat the same instant with a small deviation.
-            if entry.cold_until.is_none() || is_new_incarnation {
-                entry.cold_until = Some(now.after(heartbeat.warm_up));
-                is_changed = true;
+            if is_new_incarnation {
+                entry.cold_state = ColdState::new(now);
+            } else if entry.heartbeat_at.after(HEARTBEAT_SILENCE).has_passed(now) {
+                entry.cold_state.record_doubt(now);
+            }
+            if let StatedCold::Left(cold_left) = heartbeat.cold_left {
+                entry.cold_state.record_heartbeat(now, cold_left);
             }
+            entry.heartbeat_at = now;
             entry.latest_heartbeat = heartbeat_order;
         }
+        is_changed |= self.publish_cold(now, &name);
         is_changed || !replaced_names.is_empty()
     }
 
@@ -187,6 +209,9 @@
             report: None,
             time_publisher: TimePublisher::default(),
             cold_until: None,
+            cold_state: ColdState::new(now),
+            heartbeat_at: now,
+            known_from: now,
             limit_publisher: LimitPublisher::default(),
             has_departed: false,
             latest_heartbeat: (BackendIncarnation::default(), 0),
@@ -240,6 +265,81 @@
         entry.is_some_and(|entry| !std::mem::replace(&mut entry.has_departed, true))
     }
 
+    /// Replaces the limits of cold servers by service.
+    pub fn set_warm_up_rules(&mut self, rules: BTreeMap<ServiceName, WarmUpRule>) {
+        self.warm_up_rules = rules;
+    }
+
+    /// Returns the limit of a server while it is cold, if its service declares one.
+    #[must_use]
+    pub fn cold_limit(&self, name: &BackendName) -> Option<ColdLimit> {
+        let entry = self.entries.get(name)?;
+        let rule = self.warm_up_rules.get(&entry.announcement.service)?;
+        let cold_until = entry.cold_state.cold_until(Some(rule.time));
+        Some(ColdLimit {
+            rate: rule.rate,
+            cold_until: cold_until.unwrap_or_default(),
+            known_from: entry.known_from,
+        })
+    }
+
+    /// Records an event that may have turned a server cold, and returns whether the data published
+    /// to other nodes changed.
+    pub fn record_doubt(&mut self, now: ClockInstant, name: &BackendName) -> bool {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.cold_state.record_doubt(now);
+        }
+        self.publish_cold(now, name)
+    }
+
+    /// Records the remaining cold time in the response to a request sent at `asked_at`, and returns
+    /// whether the data published to other nodes changed.
+    pub fn record_cold(
+        &mut self,
+        now: ClockInstant,
+        name: &BackendName,
+        asked_at: ClockInstant,
+        cold_left: TimeBudget,
+    ) -> bool {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.cold_state.record_response(now, asked_at, cold_left);
+        }
+        self.publish_cold(now, name)
+    }
+
+    /// Returns the servers to which a health request is due, and counts it as sent.
+    pub fn take_probes(&mut self, now: ClockInstant) -> Vec<(BackendName, BackendAnnouncement)> {
+        let rules = &self.warm_up_rules;
+        let due = self.entries.iter_mut().filter_map(|(name, entry)| {
+            let rule = rules.get(&entry.announcement.service)?;
+            let is_due = entry.cold_state.take_probe(now, rule.time);
+            is_due.then(|| (name.clone(), entry.announcement.clone()))
+        });
+        due.collect()
+    }
+
+    /// Updates the published end of a server's cold time and returns whether it changed.
+    fn publish_cold(&mut self, now: ClockInstant, name: &BackendName) -> bool {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return false;
+        };
+        let rule = self.warm_up_rules.get(&entry.announcement.service);
+        let cold_until = entry.cold_state.cold_until(rule.map(|rule| rule.time));
+        let is_same = match (entry.cold_until, cold_until) {
+            (Some(published), Some(known)) => {
+                let have_passed = published.has_passed(now) && known.has_passed(now);
+                let deviation = published.remaining(known).max(known.remaining(published));
+                have_passed || deviation <= COLD_TOLERANCE
+            }
+            (None, None) => true,
+            _ => false,
+        };
+        if !is_same {
+            entry.cold_until = cold_until;
+        }
+        !is_same
+    }
+
     /// Removes a server and returns whether it was present.
     pub fn remove(&mut self, name: &BackendName) -> bool {
         self.entries.remove(name).is_some()
--- a/crates/daemon/src/backends/mod.rs
+++ b/crates/daemon/src/backends/mod.rs
@@ -1,6 +1,12 @@
 //! Backend servers on this node.
 
 mod backend_table;
+mod cold_events;
+mod contact_monitor;
+mod health_probe;
 
 pub use backend_table::{BackendEntry, BackendTable, LEASE_DURATION};
 pub use bronzelb_kernel::member::BackendAnnouncement;
+pub(crate) use cold_events::{apply_cold_limit, doubt_all_servers, doubt_server, record_contact};
+pub use contact_monitor::ContactMonitor;
+pub use health_probe::run_health_probes;
--- a/crates/daemon/src/callers/native_dialect.rs
+++ b/crates/daemon/src/callers/native_dialect.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::{
     clock::TimeBudget,
     error::ErrorKind,
-    member::StatedLimit,
+    member::{StatedCold, StatedLimit},
     plugin::{CallerDialect, ResponseHeaders, ServerDialect, ServerNotice, WireDialect},
 };
 use compact_str::{CompactString, format_compact};
@@ -68,5 +68,6 @@
     ServerNotice {
         limit: StatedLimit::from_header(header(BACKEND_LIMIT_HEADER)),
         is_leaving: header(BACKEND_LEAVING_HEADER) == Some(LEAVING_VALUE),
+        cold_left: StatedCold::Unknown,
     }
 }
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -26,7 +26,7 @@
 use tokio::{io::AsyncReadExt, net::TcpStream, time};
 
 use crate::{
-    backends::BackendAnnouncement,
+    backends::{BackendAnnouncement, doubt_server},
     forward::{
         backend_connection::{
             BackendConnection, BackendResponse, ExchangeError, ExchangeOptions, MAX_RESPONSE_BYTES,
@@ -106,6 +106,8 @@
             .requests
             .backend_runtime(name, usable_slots(&announcement));
         runtime.slot_limiter.adopt_limit(message.limit);
+        let cold_limit = self.state.backends().cold_limit(name);
+        runtime.slot_limiter.set_cold_limit(cold_limit);
         let crash_status = self.crashes.check(message.fingerprint)?;
         let suspect_permit = match crash_status {
             CrashStatus::Suspect => Some(
@@ -310,8 +312,13 @@
             let message = "the deadline passed before the request ran";
             return Err(MeshError::new(ErrorKind::DeadlinePassed, message));
         }
+        let started_at = self.state.now();
         let exchange = self.exchange(server, time_left, message);
         let Ok(result) = time::timeout(time_left.to_std(), exchange).await else {
+            // A server on a VM whose network is silent may be cold when it is back.
+            if !runtime.has_responded_since(started_at) {
+                doubt_server(&self.state, name, "hanging connection");
+            }
             let message = format!("backend server {name} did not respond before the deadline");
             return Err(MeshError::new(ErrorKind::OutcomeUnknown, message));
         };
@@ -326,6 +333,7 @@
                 Err(MeshError::new(ErrorKind::BackendFailed, message))
             }
             Err(ExchangeError::Lost(reason)) => {
+                doubt_server(&self.state, name, "lost connection");
                 if has_crashed(announcement.address).await {
                     runtime.record_crash(instance.prior_crashes);
                     self.withdraw(name, announcement.address);
@@ -390,6 +398,7 @@
                 runtime.echoes_request_id.store(false, Ordering::Relaxed);
             }
         })?;
+        runtime.record_response(self.state.now());
         self.record_notice(server, sent_at, read_notice(dialect, &response));
         if !is_not_run(dialect, &response) {
             let has_echoed = response.headers.contains_key(dialect.request_header);
--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -7,8 +7,8 @@
     ids::{RouteName, SlotCount},
     member::StatedLimit,
     request::{
-        AdmissionDecision, AdmissionQueue, AdmissionRequest, AdmissionUpdate, QueueKey, ServerLoad,
-        Slowdown, TimePublisher,
+        AdmissionDecision, AdmissionQueue, AdmissionRequest, AdmissionUpdate, ColdLimit, QueueKey,
+        ServerLoad, Slowdown, TimePublisher,
     },
 };
 use tokio::{runtime::Handle, sync::oneshot, time};
@@ -124,6 +124,13 @@
         self.apply(update);
     }
 
+    /// Sets the limit of a cold server; `None` if its service declares none.
+    pub(crate) fn set_cold_limit(self: &Arc<Self>, limit: Option<ColdLimit>) {
+        let now = self.clock.now();
+        let update = self.lock().set_cold_limit(now, limit, &mut rand::rng());
+        self.apply(update);
+    }
+
     /// Returns the rate limit in force.
     pub(crate) fn limit(&self) -> StatedLimit {
         self.lock().limit()
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -75,6 +75,8 @@
     /// Reset when a response is lost.
     pub(crate) echoes_request_id: AtomicBool,
     limit_monitor: Mutex<LimitMonitor>,
+    /// When the server last responded, in microseconds of the node's clock.
+    responded_at: AtomicU64,
 }
 
 impl RequestState {
@@ -204,11 +206,17 @@
             crash_count: AtomicUsize::new(0),
             echoes_request_id: AtomicBool::new(false),
             limit_monitor: Mutex::default(),
+            responded_at: AtomicU64::new(0),
         });
         backends.insert(name.clone(), Arc::clone(&runtime));
         runtime
     }
 
+    /// Returns the runtime state of a backend server that has received a request here.
+    pub(crate) fn known_runtime(&self, name: &BackendName) -> Option<Arc<BackendRuntime>> {
+        lock(&self.backends).get(name).cloned()
+    }
+
     /// Returns the runtime state of every backend server that has received a request here.
     pub(crate) fn backend_runtimes(&self) -> Vec<(BackendName, Arc<BackendRuntime>)> {
         let backends = lock(&self.backends);
@@ -254,6 +262,17 @@
         lock(&self.limit_monitor)
     }
 
+    /// Records that the server has responded.
+    pub(crate) fn record_response(&self, now: ClockInstant) {
+        self.responded_at
+            .fetch_max(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Returns whether the server has responded to any request since `instant`.
+    pub(crate) fn has_responded_since(&self, instant: ClockInstant) -> bool {
+        self.responded_at.load(Ordering::Relaxed) >= instant.as_micros()
+    }
+
     /// Increments the crash count if it still equals `prior_crashes`.
     pub(crate) fn record_crash(&self, prior_crashes: u32) {
         let (prior_crashes, next) = (prior_crashes as usize, prior_crashes as usize + 1);
--- a/crates/daemon/src/gossip/gossip_task.rs
+++ b/crates/daemon/src/gossip/gossip_task.rs
@@ -12,6 +12,7 @@
 use tokio::{task::spawn_local, time};
 
 use crate::{
+    backends::{doubt_all_servers, record_contact},
     gossip::GossipPool,
     log::EventName,
     node::{NodeState, StopSignal},
@@ -107,6 +108,9 @@
                 deadline,
             } => {
                 let result = self.pool.gossip(to.address, request, deadline).await;
+                if result.is_ok() {
+                    record_contact(&self.state);
+                }
                 let now = self.state.now();
                 gossip.step(|node, rng| node.handle_gossip_reply(&to, result, now, rng));
             }
@@ -228,6 +232,7 @@
                 warn!(state.logger, "{}", EventName::RecordRefused; "message" => error.to_string());
             }
             GossipEvent::Resumed => {
+                doubt_all_servers(state, "pause");
                 state.count("pause");
                 info!(state.logger, "{}", EventName::Resumed);
             }
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -45,6 +45,8 @@
     /// A backend server's stated rate limit changed or is in force; the fields count the requests
     /// sent to it.
     ServerLimit,
+    /// A backend server counts as cold after an event, or has stated how much longer it is cold.
+    ServerCold,
     /// A request failed or was rejected.
     RequestFailed,
     /// Log lines over the rate limit were counted instead of written.
@@ -88,6 +90,7 @@
             Self::RequestRefused => "request-refused",
             Self::RequestRan => "request-ran",
             Self::ServerLimit => "server-limit",
+            Self::ServerCold => "server-cold",
             Self::RequestFailed => "request-failed",
             Self::LinesSuppressed => "lines-suppressed",
             Self::MoveRowFailed => "move-row-failed",
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -26,7 +27,7 @@
 use tokio::sync::broadcast;
 
 use crate::{
-    backends::{BackendTable, LEASE_DURATION},
+    backends::{BackendTable, ContactMonitor, LEASE_DURATION},
     forward::RequestState,
     gossip::GossipState,
     log::{EventName, LogLimiter},
@@ -87,6 +88,8 @@
     backends: Mutex<BackendTable>,
     /// Version moves known to this node, their evidence and the error budget burn.
     pub rollout: RolloutState,
+    /// Contact with other nodes, whose absence may mean that this VM's servers turn cold.
+    pub contacts: ContactMonitor,
     /// Evacuations of data centres known to this node.
     pub placement: PlacementState,
     /// Admission and execution state of requests.
@@ -128,6 +131,7 @@
             config: ArcSwapOption::empty(),
             applied_at: AtomicU64::new(0),
             backends: Mutex::new(BackendTable::new(backend_lease)),
+            contacts: ContactMonitor::new(clock.now()),
             placement: PlacementState::default(),
             requests: Arc::new(RequestState::new(clock, retry_policy)),
             log_limiter: Mutex::default(),
@@ -160,12 +164,24 @@
         let stamp = version.stamp();
         self.applied_at
             .store(self.now().as_micros(), Ordering::Relaxed);
+        self.apply_warm_up_rules(&version);
         self.config.store(Some(version));
         self.count("config_applied");
         info!(self.logger, "{}", EventName::ConfigApplied;
             "version" => stamp.number.get(), "hash" => stamp.hash.to_string());
     }
 
+    fn apply_warm_up_rules(&self, version: &ConfigVersion) {
+        let services = version.snapshot().services.iter();
+        let rules = services.filter_map(|(name, spec)| Some((name.clone(), spec.warm_up?)));
+        let rules: BTreeMap<_, _> = rules.collect();
+        let rates = rules.iter().map(|(name, rule)| (name.clone(), rule.rate));
+        self.requests
+            .load_balancer()
+            .set_cold_rates(rates.collect());
+        self.backends().set_warm_up_rules(rules);
+    }
+
     /// Returns the node's incarnation, which changes when the node rejoins after a pause.
     #[must_use]
     pub fn incarnation(&self) -> IncarnationNumber {
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    backends::run_health_probes,
     callers::start_caller_server,
     gossip::{GossipPool, run_gossip},
     log::{EventName, LineBatch, NodeLogger},
@@ -119,6 +120,7 @@
         peers,
         stop.clone(),
     ));
+    spawn_local(run_health_probes(Arc::clone(&state), stop.clone()));
     spawn_local(run_reports(Arc::clone(&state), stop.clone()));
     spawn_local(run_rollout(Arc::clone(&state), stop.clone()));
     spawn_local(run_evidence(
--- a/crates/daemon/src/operators/local_server.rs
+++ b/crates/daemon/src/operators/local_server.rs
@@ -3,12 +3,14 @@
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, dev::Server, http::StatusCode, web};
 use bronzelb_kernel::{
     error::{ErrorKind, MeshError},
-    member::{BackendMessage, BackendState},
+    member::{BackendMessage, BackendState, StatedCold},
     plugin::{LocalDialect, LocalRequest},
 };
 use slog::{info, warn};
 
-use crate::{callers::caller_error_response, log::EventName, node::NodeState};
+use crate::{
+    backends::apply_cold_limit, callers::caller_error_response, log::EventName, node::NodeState,
+};
 
 /// Body limit; an announcement is a few hundred bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -89,7 +91,19 @@
         ),
         BackendMessage::Leaving { name, .. } => (name.clone(), None, None),
     };
-    if !state.backends().handle_message(state.now(), message) {
+    if let BackendMessage::Heartbeat(heartbeat) = &message
+        && heartbeat.cold_left == StatedCold::Refused
+    {
+        state.count("announcement_refused");
+        if state.should_log(EventName::AnnouncementRefused) {
+            warn!(state.logger, "{}", EventName::AnnouncementRefused;
+                "backend" => name.to_string(),
+                "message" => "the cold time is negative, endless or unreadable and was left out");
+        }
+    }
+    let is_changed = state.backends().handle_message(state.now(), message);
+    apply_cold_limit(state, &name);
+    if !is_changed {
         return;
     }
     state.publish_backends();
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -15,6 +15,7 @@
 use tarpc::context::Context;
 
 use crate::{
+    backends::record_contact,
     forward::{RequestForwarder, RoutedRequest},
     gossip::GossipPool,
     node::NodeState,
@@ -55,6 +56,7 @@
 impl PeerService for PeerHandler {
     async fn gossip(self, _: Context, request: GossipRequest) -> Result<GossipReply, MeshError> {
         let now = self.state.now();
+        record_contact(&self.state);
         let gossip = &self.state.gossip;
         Ok(gossip.step(|node, _| node.handle_gossip(request, now)))
     }
@@ -65,6 +67,7 @@
         request: ReconcileRequest,
     ) -> Result<ReconcileReply, MeshError> {
         let now = self.state.now();
+        record_contact(&self.state);
         let gossip = &self.state.gossip;
         Ok(gossip.step(|node, rng| node.handle_reconcile(&request, now, rng)))
     }
@@ -106,6 +109,7 @@
         context: Context,
         request: ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
+        record_contact(&self.state);
         self.state.check_lease()?;
         let _in_flight = self.state.requests.begin_request()?;
         let deadline = self.deadline(&context);
--- a/crates/daemon/src/placement/evacuation_orders.rs
+++ b/crates/daemon/src/placement/evacuation_orders.rs
@@ -6,7 +6,7 @@
 };
 use slog::{info, warn};
 
-use crate::{log::EventName, node::NodeState};
+use crate::{backends::doubt_all_servers, log::EventName, node::NodeState};
 
 /// Applies the state of an evacuation that this node has read from the platform, and replicates it
 /// if the other nodes know another one.
@@ -40,6 +40,10 @@
         table.evacuated()
     };
     state.requests.load_balancer().set_evacuated(evacuated);
+    // Servers may be cold at the end of an evacuation.
+    if !is_ordered && data_centre == state.settings.data_centre {
+        doubt_all_servers(state, "end of evacuation");
+    }
     state.count("evacuation_changed");
     info!(state.logger, "{}", EventName::EvacuationChanged;
         "data_centre" => data_centre.to_string(), "is_ordered" => is_ordered,
--- a/crates/daemon/tests/announcements.rs
+++ b/crates/daemon/tests/announcements.rs
@@ -5,6 +5,7 @@
     ids::SlotCount,
     member::{
         BackendAnnouncement, BackendHeartbeat, BackendIncarnation, BackendMessage, BackendState,
+        StatedCold,
     },
 };
 use bronzelbd::backends::BackendTable;
@@ -23,7 +24,7 @@
         name: name.parse().expect("is a name"),
         incarnation: incarnation(started_at_ms),
         sequence,
-        warm_up: TimeBudget::ZERO,
+        cold_left: StatedCold::Left(TimeBudget::ZERO),
         announcement: BackendAnnouncement {
             service: "tracker".parse().expect("is a name"),
             version: "v1".parse().expect("is a version"),
--- a/crates/kernel/src/config/service_spec.rs
+++ b/crates/kernel/src/config/service_spec.rs
@@ -81,6 +81,11 @@
     pub hold: TimeBudget,
 }
 
+impl WarmUpRule {
+    /// Cold time of a service that declares only the rate: that of the users' deployments.
+    pub const DEFAULT_TIME: TimeBudget = TimeBudget::from_secs(3);
+}
+
 /// Limits of a backend server while it warms up after a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/kernel/src/member/backend_announcement.rs
+++ b/crates/kernel/src/member/backend_announcement.rs
@@ -3,9 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    clock::{ClockInstant, TimeBudget},
+    clock::ClockInstant,
     ids::{BackendName, BuildVersion, ServiceName, SlotCount},
-    member::BackendState,
+    member::{BackendState, StatedCold},
 };
 
 /// Self-description that a backend server sends to its local node.
@@ -60,8 +60,8 @@
     pub incarnation: BackendIncarnation,
     /// Sequence number within the incarnation, by which late heartbeats are recognised.
     pub sequence: u64,
-    /// Time after its start for which the server is slow.
-    pub warm_up: TimeBudget,
+    /// Remaining time for which the server is cold.
+    pub cold_left: StatedCold,
     /// Self-description of the server.
     pub announcement: BackendAnnouncement,
 }
--- a/crates/kernel/src/member/mod.rs
+++ b/crates/kernel/src/member/mod.rs
@@ -8,6 +8,7 @@
 mod member_row;
 mod member_table;
 mod member_view;
+mod stated_cold;
 mod stated_limit;
 
 pub use backend_announcement::{
@@ -20,4 +21,5 @@
 pub use member_row::{MemberRow, MemberState};
 pub use member_table::MemberTable;
 pub use member_view::{MemberView, MergeOutcome};
+pub use stated_cold::{MAX_COLD_TIME, StatedCold};
 pub use stated_limit::StatedLimit;
--- a/crates/kernel/src/plugin/wire_dialect.rs
+++ b/crates/kernel/src/plugin/wire_dialect.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::TimeBudget,
     error::{ErrorKind, MeshError},
-    member::{BackendMessage, StatedLimit},
+    member::{BackendMessage, StatedCold, StatedLimit},
 };
 
 /// Wire conventions between a node and callers, backend servers and the VM's supervisor.
@@ -74,6 +74,8 @@
     pub limit: StatedLimit,
     /// Whether the server is about to shut down.
     pub is_leaving: bool,
+    /// Remaining time for which the server is cold.
+    pub cold_left: StatedCold,
 }
 
 /// Looks up a response header by its name in lower case.
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -7,7 +7,7 @@
     config::RequestPriority,
     ids::{RouteName, SlotCount},
     member::StatedLimit,
-    request::{AccountRank, RatePacer},
+    request::{AccountRank, ColdLimit, ColdPacer, RatePacer},
 };
 
 /// Assumed service time until the first request has finished; short, so that no request is refused
@@ -189,6 +189,8 @@
     checked_service_time: TimeBudget,
     next_sequence: u64,
     pacer: RatePacer,
+    /// Limit of a cold server, if its service declares one.
+    cold_pacer: Option<ColdPacer>,
 }
 
 impl<T> AdmissionQueue<T> {
@@ -206,6 +208,7 @@
             checked_service_time: INITIAL_SERVICE_TIME,
             next_sequence: 0,
             pacer: RatePacer::default(),
+            cold_pacer: None,
         }
     }
 
@@ -364,6 +367,25 @@
         self.update_after(now, is_changed, rng)
     }
 
+    /// Sets the limit of a cold server; `None` if its service declares none. Returns the waiting requests that start or are
+    /// refused.
+    pub fn set_cold_limit(
+        &mut self,
+        now: ClockInstant,
+        limit: Option<ColdLimit>,
+        rng: &mut impl Rng,
+    ) -> AdmissionUpdate<T> {
+        let previous = self.start_after(now, 0);
+        self.cold_pacer = limit.map(|limit| {
+            let known = self.cold_pacer.take();
+            let mut pacer = known.unwrap_or_else(|| ColdPacer::new(limit));
+            pacer.set_limit(now, limit);
+            pacer
+        });
+        let is_changed = self.start_after(now, 0) != previous;
+        self.update_after(now, is_changed, rng)
+    }
+
     /// Returns the rate limit in force.
     #[must_use]
     pub const fn limit(&self) -> StatedLimit {
@@ -380,7 +402,22 @@
     #[must_use]
     pub fn next_start(&self) -> Option<ClockInstant> {
         let waits = !self.queue.is_empty() && self.running < self.slots;
-        waits.then(|| self.pacer.next_start())
+        waits.then(|| self.next_paced_start())
+    }
+
+    /// Returns the instant from which the stated limit and the one of a cold server allow a
+    /// request.
+    fn next_paced_start(&self) -> ClockInstant {
+        let cold = self.cold_pacer.as_ref().map(ColdPacer::next_start);
+        self.pacer.next_start().max(cold.unwrap_or_default())
+    }
+
+    /// Returns the same if `ahead` requests start before.
+    fn start_after(&self, now: ClockInstant, ahead: usize) -> ClockInstant {
+        let cold = self.cold_pacer.as_ref();
+        let cold = cold.map(|pacer| pacer.start_after(now, ahead));
+        let stated = self.pacer.start_after(now, ahead);
+        stated.max(cold.unwrap_or_default())
     }
 
     fn update_after(
@@ -492,16 +529,19 @@
         ahead: QueuedWork,
     ) -> bool {
         let slot_free_at = now.after(TimeBudget::from_micros(self.wait_micros(ahead.micros)));
-        slot_free_at.max(self.pacer.start_after(now, ahead.requests)) > queue_deadline
+        slot_free_at.max(self.start_after(now, ahead.requests)) > queue_deadline
     }
 
     fn may_start(&self, now: ClockInstant) -> bool {
-        self.running < self.slots && self.pacer.may_start(now)
+        self.running < self.slots && self.next_paced_start().has_passed(now)
     }
 
     fn start(&mut self, now: ClockInstant) {
         self.running += 1;
         self.pacer.count_start(now);
+        if let Some(pacer) = &mut self.cold_pacer {
+            pacer.count_start(now);
+        }
     }
 
     /// Returns the time until a slot is free for a request if the queued requests before it take
@@ -567,7 +607,7 @@
     fn retry_at(&self, now: ClockInstant, rng: &mut impl Rng) -> ClockInstant {
         let queued = self.queue.values();
         let queued = queued.fold(QueuedWork::default(), QueuedWork::with);
-        let next_start = self.pacer.start_after(now, queued.requests);
+        let next_start = self.start_after(now, queued.requests);
         let drain_micros = self
             .wait_micros(queued.micros)
             .max(next_start.remaining(now).as_micros());
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
-    ids::{BackendName, DataCentre, NodeName, RouteName, ServiceName, SlotCount},
+    ids::{BackendName, DataCentre, NodeName, RequestRate, RouteName, ServiceName, SlotCount},
     member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     request::{
         AttemptOutcome, ServerLoad, ServerLocation, notice_table::NoticeTable,
@@ -88,6 +88,8 @@
     /// Servers that each node hosts.
     hosted: BTreeMap<NodeName, Vec<(ServiceName, BackendName)>>,
     notices: NoticeTable,
+    /// Rates of requests that cold servers bear, by service.
+    cold_rates: BTreeMap<ServiceName, RequestRate>,
     /// Data centres that operators have ordered to be evacuated.
     evacuated: BTreeSet<DataCentre>,
     /// Data centres whose nodes have refused a request because of such an order, which may not
@@ -263,6 +265,16 @@
         }
     }
 
+    /// Replaces the rates of requests that one cold server of each service bears.
+    pub fn set_cold_rates(&mut self, cold_rates: BTreeMap<ServiceName, RequestRate>) {
+        for (service, servers) in &mut self.services {
+            for server in servers.values_mut() {
+                server.cold_rate = cold_rates.get(service).copied();
+            }
+        }
+        self.cold_rates = cold_rates;
+    }
+
     /// Replaces the set of data centres whose servers are not selected.
     pub fn set_evacuated(&mut self, evacuated: BTreeSet<DataCentre>) {
         self.evacuated = evacuated;
@@ -372,6 +384,7 @@
             server.begin_slow_start(now);
         }
         server.set_cold_until(now, row.cold_until);
+        server.cold_rate = self.cold_rates.get(&row.service).copied();
         server.location = location;
         server.slots = row.slots.get();
         server.is_healthy = row.is_reported_healthy;
@@ -556,7 +569,7 @@
         .iter()
         .filter(|server| server.location.data_centre == *data_centre);
     let (request_count, slots) = inside.fold((0.0, 0.0), |(request_count, slots), server| {
-        let capacity = server.capacity() * server.weight(now);
+        let capacity = server.capacity(now) * server.weight(now);
         (
             request_count + f64::from(server.request_count(now)),
             slots + capacity,
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -13,6 +13,8 @@
 mod attempt_context;
 mod attempt_outcome;
 mod claim_row;
+mod cold_pacer;
+mod cold_state;
 mod crash_record;
 mod health_debouncer;
 mod idempotency_cache;
@@ -37,6 +39,8 @@
 pub use attempt_context::{AttemptContext, RetryDecision};
 pub use attempt_outcome::AttemptOutcome;
 pub use claim_row::{ClaimOutcome, ClaimRow, ClaimStatus, MAX_CLAIM_BODY_BYTES};
+pub use cold_pacer::{ColdLimit, ColdPacer};
+pub use cold_state::ColdState;
 pub use crash_record::{CRASH_RECORD_KIND, CrashRecord, CrashStatus, ServerInstance};
 pub use health_debouncer::HealthDebouncer;
 pub use idempotency_cache::{IdempotencyCache, KEY_RETENTION, KeyDecision, KeyOutcome};
--- a/crates/kernel/src/request/server_stats.rs
+++ b/crates/kernel/src/request/server_stats.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
-    ids::{BackendName, BuildVersion, DataCentre, NodeName, RouteName},
+    ids::{BackendName, BuildVersion, DataCentre, NodeName, RequestRate, RouteName},
     member::{BackendState, StatedLimit},
     request::{AttemptOutcome, Slowdown},
 };
@@ -96,6 +96,8 @@
     pub(crate) service_times: BTreeMap<RouteName, TimeBudget>,
     /// Instant until which the server reports itself cold; `None` if it does not report this.
     cold_until: Option<ClockInstant>,
+    /// Rate of requests that the server bears while it is cold, from all nodes together.
+    pub(crate) cold_rate: Option<RequestRate>,
     full_weight_from: ClockInstant,
     slow_start: TimeBudget,
     ejected_until: ClockInstant,
@@ -126,6 +128,7 @@
             limit: StatedLimit::Unknown,
             service_times: BTreeMap::new(),
             cold_until: None,
+            cold_rate: None,
             full_weight_from,
             slow_start,
             ejected_until: ClockInstant::default(),
@@ -213,7 +216,7 @@
     /// the server's service time for `route` is unknown.
     pub(crate) fn expected_micros(&self, now: ClockInstant, route: &RouteName) -> Option<f64> {
         let service_time = self.service_times.get(route)?.as_micros() as f64;
-        let capacity = self.capacity();
+        let capacity = self.capacity(now);
         // An idle server starts the next request at once, even if it takes few a second.
         let queued = (f64::from(self.request_count(now)) + 1.0 - capacity.max(1.0)).max(0.0);
         let time =
@@ -226,16 +229,22 @@
     }
 
     /// Returns the number of requests that the server processes concurrently: its slots, or fewer
-    /// if its rate limit leaves some of them idle.
-    pub(crate) fn capacity(&self) -> f64 {
+    /// if its rate limit, or its rate while it is cold, leaves some of them idle.
+    pub(crate) fn capacity(&self, now: ClockInstant) -> f64 {
         let slots = f64::from(self.slots.max(1));
-        let Some((rate, service_micros)) = self.limit.rate().zip(self.mean_service_micros()) else {
+        let cold_rate = self.cold_rate.filter(|_| self.is_cold(now));
+        let rates = [self.limit.rate(), cold_rate].into_iter().flatten();
+        let Some((rate, service_micros)) = rates.min().zip(self.mean_service_micros()) else {
             return slots;
         };
         let busy = rate.per_second() * service_micros / MICROS_PER_SECOND;
         busy.clamp(MIN_CAPACITY, slots)
     }
 
+    fn is_cold(&self, now: ClockInstant) -> bool {
+        self.cold_until.is_some_and(|end| !end.has_passed(now))
+    }
+
     /// Returns the mean of the published service times, or of this node's own attempts if none is
     /// published.
     fn mean_service_micros(&self) -> Option<f64> {
@@ -264,7 +273,7 @@
     /// Returns the requests per weighted slot, increased if the server is stalled; the server with
     /// the lower value is selected.
     pub(crate) fn weighted_load(&self, now: ClockInstant) -> f64 {
-        let load = f64::from(self.request_count(now)) / (self.capacity() * self.weight(now));
+        let load = f64::from(self.request_count(now)) / (self.capacity(now) * self.weight(now));
         if self.is_stalled(now) {
             return load * STALL_PENALTY;
         }
@@ -282,8 +291,7 @@
     }
 
     fn warm_up_factor(&self, now: ClockInstant) -> f64 {
-        let is_cold = self.cold_until.is_some_and(|end| !end.has_passed(now));
-        let speed = if is_cold { COLD_SPEED } else { 1.0 };
+        let speed = if self.is_cold(now) { COLD_SPEED } else { 1.0 };
         if self.slow_start.is_zero() {
             return speed;
         }
