--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -8,7 +8,7 @@
     ids::{AccountName, RouteName, SlotCount},
     member::StatedLimit,
     request::{
-        AccountRank, RatePacer,
+        AccountRank, ColdLimit, ColdPacer, RatePacer,
         class_load::{ClassLoad, LoadClass},
         fair_order::{FairOrder, FairPlan, FairTurn, VirtualTime},
     },
@@ -237,6 +237,8 @@
     pacer: RatePacer,
     fair_order: FairOrder,
     class_load: ClassLoad,
+    /// Limit of a cold server, if its service declares one.
+    cold_pacer: Option<ColdPacer>,
 }
 
 impl<T> AdmissionQueue<T> {
@@ -256,6 +258,7 @@
             pacer: RatePacer::default(),
             fair_order: FairOrder::default(),
             class_load: ClassLoad::default(),
+            cold_pacer: None,
         }
     }
 
@@ -420,6 +423,25 @@
         self.update_after(now, is_changed, rng)
     }
 
+    /// Sets the limit of a cold server; `None` if its service declares none. Returns the waiting requests that start or are
+    /// refused.
+    pub fn set_cold_limit(
+        &mut self,
+        now: ClockInstant,
+        limit: Option<ColdLimit>,
+        rng: &mut impl Rng,
+    ) -> AdmissionUpdate<T> {
+        let previous = self.start_after(now, 0);
+        self.cold_pacer = limit.map(|limit| {
+            let known = self.cold_pacer.take();
+            let mut pacer = known.unwrap_or_else(|| ColdPacer::new(limit));
+            pacer.set_limit(now, limit);
+            pacer
+        });
+        let is_changed = self.start_after(now, 0) != previous;
+        self.update_after(now, is_changed, rng)
+    }
+
     /// Returns the rate limit in force.
     #[must_use]
     pub const fn limit(&self) -> StatedLimit {
@@ -436,7 +458,22 @@
     #[must_use]
     pub fn next_start(&self) -> Option<ClockInstant> {
         let waits = !self.queue.is_empty() && self.running < self.slots;
-        waits.then(|| self.pacer.next_start())
+        waits.then(|| self.next_paced_start())
+    }
+
+    /// Returns the instant from which the stated limit and the one of a cold server allow a
+    /// request.
+    fn next_paced_start(&self) -> ClockInstant {
+        let cold = self.cold_pacer.as_ref().map(ColdPacer::next_start);
+        self.pacer.next_start().max(cold.unwrap_or_default())
+    }
+
+    /// Returns the same if `ahead` requests start before.
+    fn start_after(&self, now: ClockInstant, ahead: usize) -> ClockInstant {
+        let cold = self.cold_pacer.as_ref();
+        let cold = cold.map(|pacer| pacer.start_after(now, ahead));
+        let stated = self.pacer.start_after(now, ahead);
+        stated.max(cold.unwrap_or_default())
     }
 
     fn update_after(
@@ -635,11 +672,11 @@
             .share_before(now, class.load_class(), self.slots);
         let wait = self.wait_micros(ahead.micros) as f64 / (1.0 - overtaken);
         let slot_free_at = now.after(TimeBudget::from_micros(wait as u64));
-        slot_free_at.max(self.pacer.start_after(now, ahead.requests)) > queue_deadline
+        slot_free_at.max(self.start_after(now, ahead.requests)) > queue_deadline
     }
 
     fn may_start(&self, now: ClockInstant) -> bool {
-        self.running < self.slots && self.pacer.may_start(now)
+        self.running < self.slots && self.next_paced_start().has_passed(now)
     }
 
     fn start(
@@ -655,6 +692,9 @@
             self.fair_order
                 .record_start(account, arrival, expected_time);
         }
+        if let Some(pacer) = &mut self.cold_pacer {
+            pacer.count_start(now);
+        }
     }
 
     /// Returns the time until a slot is free for a request if the queued requests before it take
@@ -737,7 +777,7 @@
     pub fn retry_at(&self, now: ClockInstant, rng: &mut impl Rng) -> ClockInstant {
         let queued = self.queue.values();
         let queued = queued.fold(QueuedWork::default(), QueuedWork::with);
-        let next_start = self.pacer.start_after(now, queued.requests);
+        let next_start = self.start_after(now, queued.requests);
         let drain_micros = self
             .wait_micros(queued.micros)
             .max(next_start.remaining(now).as_micros());
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -14,6 +14,8 @@
 mod attempt_outcome;
 mod claim_row;
 mod class_load;
+mod cold_pacer;
+mod cold_state;
 mod crash_record;
 mod fair_order;
 mod health_debouncer;
@@ -39,6 +41,8 @@
 pub use attempt_context::{AttemptContext, RetryDecision};
 pub use attempt_outcome::AttemptOutcome;
 pub use claim_row::{ClaimOutcome, ClaimRow, ClaimStatus, MAX_CLAIM_BODY_BYTES};
+pub use cold_pacer::{ColdLimit, ColdPacer};
+pub use cold_state::ColdState;
 pub use crash_record::{CRASH_RECORD_KIND, CrashRecord, CrashStatus, ServerInstance};
 pub use fair_order::{FairOrder, FairPlan, FairTurn, VirtualTime};
 pub use health_debouncer::HealthDebouncer;
