Decide on usage caps with one owner an account and leases to entry nodes

A cap counts over all nodes together, without a store.

The owner, chosen by rendezvous hashing, holds a token bucket. Unused tokens at entry nodes count as part of its content, so that the capacity bounds what runs however they are spread. Entry nodes ask when a request finds no token; a busy one gets tokens in advance. A report carries states only, so lost messages do no harm. Owners out of reach are asked through a third data centre, then replaced; a substitute passes reports on to a better owner that it reaches, and spends by the share of the members in data centres that replied to it.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 //! passes time, messages and randomness in, so that one seed replays every decision. The daemon
 //! performs the I/O around these types.
 //!
+//! - [`account`]: usage caps of client accounts
 //! - [`burn`]: error budget burn of service-level objectives
 //! - [`clock`]: instants and durations
 //! - [`config`]: mesh configuration and its validation
@@ -16,6 +17,7 @@
 //! - [`status`]: status that nodes report to operators
 //! - [`plugin`]: plug-in interfaces for formats and protocols
 
+pub mod account;
 pub mod burn;
 pub mod clock;
 pub mod config;
