--- a/crates/kernel/src/account/usage_node.rs
+++ b/crates/kernel/src/account/usage_node.rs
@@ -14,6 +14,8 @@
 /// Time within which a node must reply. Many round trips, and more than the pauses of a process
 /// that gets a tenth of a core in periods of 100 ms.
 const REPLY_TIMEOUT: TimeBudget = TimeBudget::from_millis(200);
+/// Time within which a substitute must reply, which may ask a better owner first.
+const REPLACE_TIMEOUT: TimeBudget = TimeBudget::from_millis(450);
 /// Most owners of an account whose replies a substitute looks for.
 const MAX_REPLACED: usize = 8;
 /// Time after a report to a substitute for which it looks whether the owner replies.
@@ -203,6 +205,10 @@
                 continue;
             };
             let usage = lease.take_report(now, &account);
+            let timeout = match &stage {
+                RelayStage::Entry | RelayStage::Final => REPLY_TIMEOUT,
+                RelayStage::Replace | RelayStage::Through(_) => REPLACE_TIMEOUT,
+            };
             let key = (to.clone(), owner.clone());
             let exchange = exchanges.entry(key).or_insert_with(|| UsageExchange {
                 report: UsageReport {
@@ -215,7 +221,7 @@
                 to,
                 owner,
                 sent_at: now,
-                deadline: now.after(REPLY_TIMEOUT),
+                deadline: now.after(timeout),
             });
             exchange.report.usages.push(usage);
         }
@@ -357,7 +363,10 @@
         {
             return Vec::new();
         }
-        self.contacts.take_probes(now, table, &self.own, pick)
+        self.replaced.retain(|_, until| !until.has_passed(now));
+        let probes = self.contacts.take_probes(now, table, &self.own, pick);
+        let probes: BTreeSet<_> = probes.iter().chain(self.replaced.keys()).collect();
+        probes.into_iter().cloned().collect()
     }
 
     /// Returns the message of a probe.
--- a/crates/kernel/tests/usage_cap/main.rs
+++ b/crates/kernel/tests/usage_cap/main.rs
@@ -208,9 +208,9 @@
     for nodes in SIZES {
         let mut mesh = Mesh::new(nodes, 3, 1);
         let account = mesh.add_account(200.0, 100);
-        mesh.add_load(account, 240.0, 0..12_000, skewed(nodes));
+        mesh.add_load(account, 240.0, 0..16_000, skewed(nodes));
         mesh.act(4_000, move |mesh| mesh.set_cap(account, cap(20.0, 10)));
-        mesh.run_until(13_000);
+        mesh.run_until(17_000);
         let account = &mesh.accounts[account];
         assert!(account.peak_since(at(9_000)) <= account.bound());
         assert!(account.peak_since(at(9_000)) >= 20 * 5 - 10);
