--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -11,14 +11,15 @@
     },
     rollout::{OutcomeClass, OutcomeReport, VersionSplit},
 };
-use bronzelb_wire::peer::ForwardResponse;
-
+use bronzelb_wire::peer::{ForwardRequest, ForwardResponse};
 use slog::info;
 
 use crate::{
+    accounts::{UsageLimiter, UsagePermit},
     forward::{
-        BackendClient, RoutedRequest, claim_table::ClaimTable, concurrency_limiter::SlotPermit,
-        crash_registry::CrashRegistry, request_state::ServiceLimiter,
+        BackendClient, RoutedRequest, account_name, claim_table::ClaimTable,
+        concurrency_limiter::SlotPermit, crash_registry::CrashRegistry, recheck_account,
+        request_state::ServiceLimiter,
     },
     log::{EventName, REQUEST_TAG},
     node::NodeState,
@@ -36,6 +37,7 @@
     backends: BackendClient,
     crashes: CrashRegistry,
     pub(crate) peers: PeerPool,
+    pub(crate) usage: UsageLimiter,
     pub(crate) claims: ClaimTable,
 }
 
@@ -43,6 +45,7 @@
 pub(crate) struct ServicePermit {
     limiter: Arc<ServiceLimiter>,
     slot: SlotPermit,
+    usage: Option<UsagePermit>,
 }
 
 impl RequestForwarder {
@@ -54,6 +57,7 @@
             backends: BackendClient::new(Arc::clone(&state), peers.clone()),
             crashes: CrashRegistry::new(Arc::clone(&state), peers.clone()),
             claims: ClaimTable::new(Arc::clone(&state)),
+            usage: UsageLimiter::new(Arc::clone(&state), peers.clone()),
             peers,
             state,
         }
@@ -106,17 +110,42 @@
         {
             return Err(self.no_backend(request));
         }
+        let account = request.message.account.as_ref();
+        let usage = match account {
+            Some(rank) => self.usage.admit(&rank.account, request.deadline).await?,
+            None => None,
+        };
         let limiter = self.state.requests.service_limiter(&request.service);
-        let priority = request.message.priority;
         let slot = limiter
             .slot_limiter
-            .acquire(priority, request.deadline)
+            .acquire_for(request.gate_request(self.state.config().as_deref()))
             .await?;
-        Ok(ServicePermit { limiter, slot })
+        Ok(ServicePermit {
+            limiter,
+            slot,
+            usage,
+        })
     }
 
     /// Runs an admitted request and retries it where that is safe.
     pub(crate) async fn run_admitted(
+        &self,
+        request: &RoutedRequest,
+        mut permit: ServicePermit,
+    ) -> Result<ForwardResponse, MeshError> {
+        let usage = permit.usage.take();
+        // Given back only if every attempt says that the request did not run.
+        let running = usage.map(UsagePermit::begin_run);
+        let result = self.run_attempts(request, permit).await;
+        if let Some(running) = running
+            && !may_have_run(&result)
+        {
+            running.give_back();
+        }
+        result
+    }
+
+    async fn run_attempts(
         &self,
         request: &RoutedRequest,
         permit: ServicePermit,
@@ -127,7 +156,16 @@
         let mut request_outcome = RequestOutcome::default();
         let mut last_outcome = None;
         loop {
-            let Some(server) = self.choose(request, &tried_backends) else {
+            let next = match self.rechecked_message(request) {
+                Ok(message) => self
+                    .choose(request, &tried_backends)
+                    .map(|server| (server, message)),
+                Err(error) => {
+                    request_outcome.record(Err(error));
+                    None
+                }
+            };
+            let Some((server, message)) = next else {
                 if let Some(outcome) = last_outcome {
                     permit
                         .limiter
@@ -137,7 +175,7 @@
             };
             tried_backends.push(server.backend.clone());
             let attempt = u32::try_from(tried_backends.len()).unwrap_or(u32::MAX);
-            let (outcome, result) = self.attempt(request, &server, attempt).await;
+            let (outcome, result) = self.attempt(request, &server, message, attempt).await;
             let is_final = result.as_ref().is_err_and(is_final);
             let was_delivered = was_delivered(&result);
             deliveries += u32::from(was_delivered);
@@ -176,14 +214,24 @@
         }
     }
 
+    /// Returns the message of the next attempt, after another check of the request's key.
+    fn rechecked_message(&self, request: &RoutedRequest) -> Result<ForwardRequest, MeshError> {
+        let (key_check, account) = recheck_account(&self.state, &request.message)?;
+        Ok(ForwardRequest {
+            key_check,
+            account,
+            ..request.message.clone()
+        })
+    }
+
     async fn attempt(
         &self,
         request: &RoutedRequest,
         server: &ServerLocation,
+        mut message: ForwardRequest,
         attempt: u32,
     ) -> (AttemptOutcome, Result<ForwardResponse, MeshError>) {
         let guard = AttemptGuard::new(&self.state, request, server);
-        let mut message = request.message.clone();
         message.backend = Some(server.backend.clone());
         message.limit = self.state.requests.load_balancer().limit(&server.backend);
         message.attempt = message.attempt.max(1) + attempt - 1;
@@ -229,6 +277,7 @@
         let config = state.config();
         info!(state.logger, #REQUEST_TAG, "{event}";
             "request" => request.message.request_id.as_str(),
+            "account" => account_name(request.message.account.as_ref()),
             "route" => request.message.route.to_string(),
             "service" => request.service.to_string(), "attempt" => attempt,
             "backend" => server.backend.to_string(), "build" => server.version.to_string(),
@@ -374,10 +423,6 @@
 
 impl RequestOutcome {
     fn record(&mut self, result: Result<ForwardResponse, MeshError>) {
-        let may_have_run = |result: &Result<ForwardResponse, MeshError>| match result {
-            Ok(_) => true,
-            Err(error) => error.kind().response().run_state != RunState::NotRun,
-        };
         let would_hide = self.result.as_ref().is_some_and(may_have_run) && !may_have_run(&result);
         if !would_hide {
             self.result = Some(result);
@@ -475,6 +520,8 @@
         Err(error) => error,
     };
     match error.kind().response().run_state {
+        // The key was revoked on the way, which says nothing about the server.
+        RunState::NotRun if error.kind() == ErrorKind::Unauthorized => AttemptOutcome::Abandoned,
         RunState::NotRun if error.kind() == ErrorKind::NoBackend => AttemptOutcome::Unreached,
         RunState::NotRun => AttemptOutcome::Shed,
         RunState::Ran => AttemptOutcome::Failed,
@@ -507,6 +554,13 @@
     }
 }
 
+fn may_have_run(result: &Result<ForwardResponse, MeshError>) -> bool {
+    match result {
+        Ok(_) => true,
+        Err(error) => error.kind().response().run_state != RunState::NotRun,
+    }
+}
+
 fn deadline_passed() -> MeshError {
     MeshError::new(
         ErrorKind::DeadlinePassed,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! stores the mesh configuration and replicates it to other nodes. The decision logic is in the
 //! [kernel](bronzelb_kernel); this crate provides the I/O around it.
 
+pub mod accounts;
 pub mod backends;
 pub mod callers;
 pub mod command;
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -26,6 +26,7 @@
 use tokio::sync::broadcast;
 
 use crate::{
+    accounts::UsageState,
     backends::{BackendTable, LEASE_DURATION},
     forward::RequestState,
     gossip::GossipState,
@@ -86,6 +87,8 @@
     backends: Mutex<BackendTable>,
     /// Version moves known to this node, their evidence and the error budget burn.
     pub rollout: RolloutState,
+    /// Usage caps of client accounts.
+    pub usage: UsageState,
     /// Admission and execution state of requests.
     pub requests: Arc<RequestState>,
     log_limiter: Mutex<LogLimiter>,
@@ -111,12 +114,14 @@
             node: settings.node.clone(),
             incarnation: gossip.read(|node| node.own().incarnation),
         };
+        let usage = UsageState::new(settings.node.clone(), source.incarnation);
         let rollout = RolloutState::new(source, settings.data_centre.clone());
         Arc::new(Self {
             settings,
             addresses,
             gossip,
             rollout,
+            usage,
             peer_traffic: PeerTraffic::default(),
             clock,
             logger,
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    accounts::run_usage,
     callers::start_caller_server,
     gossip::{GossipPool, run_gossip},
     log::{EventName, LineBatch, NodeLogger},
@@ -128,6 +129,7 @@
     ));
     spawn_local(run_operator_feed(Arc::clone(&state), stop.clone()));
     spawn_local(watch_settings(Arc::clone(&state), path, stop.clone()));
+    spawn_local(run_usage(Arc::clone(&state), stop.clone()));
     spawn_local(run_move_rows(Arc::clone(&state), stop.clone()));
     let gossip_task = spawn_local(run_gossip(Arc::clone(&state), pool, stop));
     log_listening(&state);
--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -10,10 +10,10 @@
 };
 use bronzelb_wire::{
     PeerServiceClient,
-    peer::{ForwardRequest, ForwardResponse, RecordEntry},
+    peer::{ForwardRequest, ForwardResponse, RecordEntry, UsageReply, UsageReport},
 };
 use tarpc::{client::RpcError, context};
-use tokio::task::spawn_local;
+use tokio::{task::spawn_local, time};
 
 use crate::{
     node::NodeState,
@@ -86,6 +86,29 @@
         self.call(node, deadline, send).await
     }
 
+    /// Reports the use of client accounts to a node, which grants tokens in reply.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NoBackend`] when the node does not reply by `deadline`, and any error that it
+    /// returns.
+    pub async fn report_usage(
+        &self,
+        node: &NodeName,
+        deadline: ClockInstant,
+        report: UsageReport,
+    ) -> Result<UsageReply, MeshError> {
+        let send =
+            async |client: PeerServiceClient, context| client.report_usage(context, report).await;
+        let timeout = deadline.remaining(self.state.now()).to_std();
+        // Opening a connection may take longer than a request can wait.
+        let reply = time::timeout(timeout, self.call(node, deadline, send)).await;
+        reply.unwrap_or_else(|_| {
+            let message = format!("node {node} did not answer in time");
+            Err(MeshError::new(ErrorKind::NoBackend, message))
+        })
+    }
+
     /// Returns whether a connection to the node is open.
     #[must_use]
     pub fn is_connected(&self, node: &NodeName) -> bool {
--- a/crates/kernel/src/account/mod.rs
+++ b/crates/kernel/src/account/mod.rs
@@ -1,5 +1,10 @@
-//! Client accounts: the usage cap of each account over all nodes together.
+//! Client accounts: whose key a request presents, whether it may run, and the usage cap of each
+//! account over all nodes together.
+//!
+//! Accounts are part of a configuration version and come into force with it.
 
+mod account_index;
+mod checked_key;
 mod recent_count;
 mod usage_book;
 mod usage_bucket;
@@ -12,6 +17,8 @@
 mod usage_owner;
 mod usage_paths;
 
+pub use account_index::AccountIndex;
+pub use checked_key::CheckedKey;
 pub use recent_count::RecentCount;
 pub use usage_book::UsageBook;
 pub use usage_bucket::UsageBucket;
--- a/crates/kernel/src/account/usage_book.rs
+++ b/crates/kernel/src/account/usage_book.rs
@@ -31,6 +31,12 @@
         }
     }
 
+    /// Returns the state of an account that has sent requests here.
+    #[must_use]
+    pub fn get(&self, account: &AccountName) -> Option<&UsageLease> {
+        self.leases.get(account)
+    }
+
     /// Returns the state of an account that has sent requests here.
     pub fn get_mut(&mut self, account: &AccountName) -> Option<&mut UsageLease> {
         self.leases.get_mut(account)
--- a/crates/kernel/src/account/usage_lease.rs
+++ b/crates/kernel/src/account/usage_lease.rs
@@ -40,6 +40,7 @@
     may_wait: bool,
     /// Requests refused since the owner's last reply.
     refused: u32,
+    refusals: u64,
     recent: RecentCount,
     /// Requests in the last second, with exponential decay.
     demand: f64,
@@ -63,6 +64,7 @@
             room_interval: TimeBudget::ZERO,
             may_wait: false,
             refused: 0,
+            refusals: 0,
             recent: RecentCount::default(),
             demand: 0.0,
             demand_at: ClockInstant::default(),
@@ -104,6 +106,7 @@
         }
         let ahead = u64::from(self.refused);
         self.refused = self.refused.saturating_add(1);
+        self.refusals += 1;
         let later = self.room_interval.as_micros().saturating_mul(ahead);
         let retry_at = self.room_at.after(TimeBudget::from_micros(later));
         UsageDecision::Refused(retry_at.min(now.after(MAX_RETRY_TIME)))
@@ -180,6 +183,12 @@
         self.refused = 0;
     }
 
+    /// Returns the requests refused since the node started.
+    #[must_use]
+    pub const fn refusals(&self) -> u64 {
+        self.refusals
+    }
+
     /// Returns the requests admitted in the last window.
     #[must_use]
     pub fn recent(&self, now: ClockInstant) -> u32 {
--- a/crates/kernel/src/account/usage_ledger.rs
+++ b/crates/kernel/src/account/usage_ledger.rs
@@ -19,6 +19,12 @@
         self.buckets.iter()
     }
 
+    /// Returns the bucket of an account.
+    #[must_use]
+    pub fn get(&self, account: &AccountName) -> Option<&UsageBucket> {
+        self.buckets.get(account)
+    }
+
     /// Creates the bucket of an account that the node now owns, which fills from now on, and adopts
     /// a newer cap.
     pub fn own(
--- a/crates/kernel/src/account/usage_node.rs
+++ b/crates/kernel/src/account/usage_node.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     account::{
-        RelayStage, UsageBook, UsageContacts, UsageDecision, UsageLedger, UsagePaths, UsageReply,
-        UsageReport, choose_owner, usage_paths::OwnerStep,
+        RelayStage, UsageBook, UsageContacts, UsageDecision, UsageLease, UsageLedger, UsagePaths,
+        UsageReply, UsageReport, choose_owner, usage_paths::OwnerStep,
     },
     clock::{ClockInstant, TimeBudget},
     config::UsageCap,
     ids::{AccountName, IncarnationNumber, NodeName, VersionNumber},
     member::{MemberRow, MemberState, MemberTable},
+    status::UsageStatus,
 };
 
 /// Time within which a node must reply. Many round trips, and more than the pauses of a process
@@ -159,6 +160,24 @@
             .remove_idle(now, |account| owned.contains(account));
     }
 
+    /// Returns the caps in force here.
+    #[must_use]
+    pub const fn caps(&self) -> &BTreeMap<AccountName, UsageCap> {
+        &self.caps
+    }
+
+    /// Returns whether any account has a cap.
+    #[must_use]
+    pub fn has_caps(&self) -> bool {
+        !self.caps.is_empty()
+    }
+
+    /// Returns the number of accounts for which a report is due.
+    #[must_use]
+    pub fn due_count(&self, now: ClockInstant) -> usize {
+        self.book.due_accounts(now).len()
+    }
+
     /// Returns the configuration version whose caps are in force here.
     #[must_use]
     pub const fn version(&self) -> VersionNumber {
@@ -182,6 +201,18 @@
         lease.map_or(UsageDecision::Uncapped, |lease| lease.decide(now))
     }
 
+    /// Returns what this node knows of the use of an account, if it has seen any.
+    #[must_use]
+    pub fn status(&self, now: ClockInstant, account: &AccountName) -> Option<UsageStatus> {
+        let lease = self.book.get(account);
+        let bucket = self.ledger.get(account);
+        (lease.is_some() || bucket.is_some()).then(|| UsageStatus {
+            used: bucket.map(|bucket| bucket.used(now)),
+            admitted: lease.map_or(0, |lease| lease.recent(now)),
+            refused: lease.map_or(0, UsageLease::refusals),
+        })
+    }
+
     /// Changes the number of requests that wait for a token.
     pub fn add_waiting(&mut self, account: &AccountName, change: i32) {
         if let Some(lease) = self.book.get_mut(account) {
--- a/crates/kernel/src/status/mod.rs
+++ b/crates/kernel/src/status/mod.rs
@@ -1,9 +1,13 @@
 //! Status that a node reports to operators at `GET /v1/status`.
 
+mod account_status;
 mod member_status;
 mod node_status;
 mod refused_version;
+mod usage_status;
 
+pub use account_status::AccountStatus;
 pub use member_status::MemberStatus;
 pub use node_status::NodeStatus;
 pub use refused_version::RefusedVersion;
+pub use usage_status::UsageStatus;
--- a/crates/wire/src/peer/peer_service.rs
+++ b/crates/wire/src/peer/peer_service.rs
@@ -5,7 +5,8 @@
 
 use crate::peer::{
     ForwardRequest, ForwardResponse, GossipReply, GossipRequest, ProbeReply, ProbeRequest,
-    ReconcileReply, ReconcileRequest, RecordEntry, SnapshotReply, SnapshotRequest,
+    ReconcileReply, ReconcileRequest, RecordEntry, SnapshotReply, SnapshotRequest, UsageReply,
+    UsageReport,
 };
 
 /// RPC service that every node offers to its peers.
@@ -34,4 +35,7 @@
 
     /// Receives observations by other nodes of version moves that the called node evaluates.
     async fn report_evidence(reports: Vec<EvidenceReport>) -> Result<(), MeshError>;
+
+    /// Grants tokens of client accounts that the called node owns, by their usage caps.
+    async fn report_usage(report: UsageReport) -> Result<UsageReply, MeshError>;
 }
