--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -15,6 +15,7 @@
 use slog::info;
 
 use crate::{
+    accounts::{UsageLimiter, UsagePermit},
     forward::{
         BackendClient, RoutedRequest, account_name, claim_table::ClaimTable,
         concurrency_limiter::SlotPermit, crash_registry::CrashRegistry, recheck_account,
@@ -42,6 +43,7 @@
     backends: BackendClient,
     crashes: CrashRegistry,
     pub(crate) peers: PeerPool,
+    pub(crate) usage: UsageLimiter,
     pub(crate) claims: ClaimTable,
 }
 
@@ -49,6 +51,7 @@
 pub(crate) struct ServicePermit {
     limiter: Arc<ServiceLimiter>,
     slot: SlotPermit,
+    usage: Option<UsagePermit>,
 }
 
 impl RequestForwarder {
@@ -60,6 +63,7 @@
             backends: BackendClient::new(Arc::clone(&state), peers.clone()),
             crashes: CrashRegistry::new(Arc::clone(&state), peers.clone()),
             claims: ClaimTable::new(Arc::clone(&state)),
+            usage: UsageLimiter::new(Arc::clone(&state), peers.clone()),
             peers,
             state,
         }
@@ -112,16 +116,42 @@
         {
             return Err(self.no_backend(request));
         }
+        let account = request.message.account.as_ref();
+        let usage = match account {
+            Some(rank) => self.usage.admit(&rank.account, request.deadline).await?,
+            None => None,
+        };
         let limiter = self.state.requests.service_limiter(&request.service);
         let slot = limiter
             .slot_limiter
             .acquire_for(request.gate_request(self.state.config().as_deref()))
             .await?;
-        Ok(ServicePermit { limiter, slot })
+        Ok(ServicePermit {
+            limiter,
+            slot,
+            usage,
+        })
     }
 
     /// Runs an admitted request and retries it where that is safe.
     pub(crate) async fn run_admitted(
+        &self,
+        request: &RoutedRequest,
+        mut permit: ServicePermit,
+    ) -> Result<ForwardResponse, MeshError> {
+        let usage = permit.usage.take();
+        // Given back only if every attempt says that the request did not run.
+        let running = usage.map(UsagePermit::begin_run);
+        let result = self.run_attempts(request, permit).await;
+        if let Some(running) = running
+            && !may_have_run(&result)
+        {
+            running.give_back();
+        }
+        result
+    }
+
+    async fn run_attempts(
         &self,
         request: &RoutedRequest,
         permit: ServicePermit,
@@ -448,10 +478,6 @@
                 .map_or(retry_at, |earliest| earliest.min(retry_at));
             self.retry_at = Some(earliest);
         }
-        let may_have_run = |result: &Result<ForwardResponse, MeshError>| match result {
-            Ok(_) => true,
-            Err(error) => error.kind().response().run_state != RunState::NotRun,
-        };
         let would_hide = self.result.as_ref().is_some_and(may_have_run) && !may_have_run(&result);
         if !would_hide {
             self.result = Some(result);
@@ -594,3 +620,10 @@
         }
     }
 }
+
+fn may_have_run(result: &Result<ForwardResponse, MeshError>) -> bool {
+    match result {
+        Ok(_) => true,
+        Err(error) => error.kind().response().run_state != RunState::NotRun,
+    }
+}
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -42,6 +42,8 @@
     RequestRefused,
     /// The node beside a server forwarded a request to it, and the exchange ended.
     RequestRan,
+    /// Requests of a client account were refused because of its usage cap; the fields count them.
+    AccountRefused,
     /// A backend server's stated rate limit changed or is in force; the fields count the requests
     /// sent to it.
     ServerLimit,
@@ -89,6 +91,7 @@
             Self::RequestAttempted => "request-attempted",
             Self::RequestRefused => "request-refused",
             Self::RequestRan => "request-ran",
+            Self::AccountRefused => "account-refused",
             Self::ServerLimit => "server-limit",
             Self::ServerCold => "server-cold",
             Self::RequestFailed => "request-failed",
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -27,6 +27,7 @@
 use tokio::sync::broadcast;
 
 use crate::{
+    accounts::UsageState,
     backends::{BackendTable, ContactMonitor, LEASE_DURATION},
     forward::RequestState,
     gossip::GossipState,
@@ -92,6 +93,8 @@
     pub contacts: ContactMonitor,
     /// Evacuations of data centres known to this node.
     pub placement: PlacementState,
+    /// Usage caps of client accounts.
+    pub usage: UsageState,
     /// Admission and execution state of requests.
     pub requests: Arc<RequestState>,
     log_limiter: Mutex<LogLimiter>,
@@ -117,12 +120,14 @@
             node: settings.node.clone(),
             incarnation: gossip.read(|node| node.own().incarnation),
         };
+        let usage = UsageState::new(settings.node.clone(), source.incarnation);
         let rollout = RolloutState::new(source, settings.data_centre.clone());
         Arc::new(Self {
             settings,
             addresses,
             gossip,
             rollout,
+            usage,
             peer_traffic: PeerTraffic::default(),
             clock,
             logger,
--- a/crates/daemon/src/operators/node_status.rs
+++ b/crates/daemon/src/operators/node_status.rs
@@ -30,16 +30,19 @@
         silent_data_centres: gossip.read(|node| node.silent_data_centres(now)),
         is_reader: gossip.read(GossipNode::is_reader),
         refused: gossip.read(refused_versions),
-        accounts: config.as_ref().map_or_else(Vec::new, accounts),
+        accounts: config
+            .as_ref()
+            .map_or_else(Vec::new, |config| accounts(state, config)),
         evacuations: evacuations(state),
         members: state.members().iter().map(MemberStatus::from).collect(),
     }
 }
 
-fn accounts(config: &Arc<ConfigVersion>) -> Vec<AccountStatus> {
+fn accounts(state: &NodeState, config: &Arc<ConfigVersion>) -> Vec<AccountStatus> {
+    let usage = state.usage.lock();
     let accounts = config.snapshot().accounts.iter();
     accounts
-        .map(|(name, spec)| AccountStatus::new(name, spec))
+        .map(|(name, spec)| AccountStatus::new(name, spec, usage.status(state.now(), name)))
         .collect()
 }
 
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -9,7 +9,8 @@
     PeerService,
     peer::{
         ForwardRequest, ForwardResponse, GossipReply, GossipRequest, ProbeReply, ProbeRequest,
-        ReconcileReply, ReconcileRequest, RecordEntry, SnapshotReply, SnapshotRequest,
+        ReconcileReply, ReconcileRequest, RecordEntry, SnapshotReply, SnapshotRequest, UsageReply,
+        UsageReport,
     },
 };
 use tarpc::context::Context;
@@ -170,4 +171,9 @@
             .merge_evidence(&reports, self.state.now());
         Ok(())
     }
+
+    async fn report_usage(self, _: Context, report: UsageReport) -> Result<UsageReply, MeshError> {
+        self.state.check_lease()?;
+        Ok(self.forwarder.usage.serve(&report).await)
+    }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,7 +4,7 @@
 //! passes time, messages and randomness in, so that one seed replays every decision. The daemon
 //! performs the I/O around these types.
 //!
-//! - [`account`]: keys of client accounts
+//! - [`account`]: usage caps and keys of client accounts
 //! - [`burn`]: error budget burn of service-level objectives
 //! - [`clock`]: instants and durations
 //! - [`config`]: mesh configuration and its validation
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -323,10 +323,10 @@
     ) -> Option<ClockInstant> {
         let servers = self.services.get(service)?;
         let has_room = servers.values().any(|server| {
-            server.state == BackendState::Serving
+            self.is_usable(server)
                 && !server.is_ejected(now)
                 && !tried.contains(&server.location.backend)
-                && f64::from(server.request_count(now)) < server.capacity()
+                && f64::from(server.request_count(now)) < server.capacity(now)
         });
         let delay = rng.random_range(MIN_RETURN_DELAY_MICROS..=2 * MIN_RETURN_DELAY_MICROS);
         has_room.then(|| now.after(TimeBudget::from_micros(delay)))
--- a/crates/kernel/src/status/account_status.rs
+++ b/crates/kernel/src/status/account_status.rs
@@ -3,6 +3,7 @@
 use crate::{
     config::{AccountSpec, RequestPriority, UsageCap},
     ids::AccountName,
+    status::UsageStatus,
 };
 
 /// A client account of the active version, without its keys.
@@ -17,17 +18,21 @@
     /// Usage cap; `None` means no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cap: Option<UsageCap>,
+    /// Use of the cap, as the reporting node knows it; absent if it has seen none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<UsageStatus>,
 }
 
 impl AccountStatus {
     /// Builds the status of the account `account`.
     #[must_use]
-    pub fn new(account: &AccountName, spec: &AccountSpec) -> Self {
+    pub fn new(account: &AccountName, spec: &AccountSpec, usage: Option<UsageStatus>) -> Self {
         Self {
             account: account.clone(),
             priority: spec.priority,
             keys: spec.keys.len(),
             cap: spec.cap,
+            usage,
         }
     }
 }
--- a/crates/kernel/src/status/mod.rs
+++ b/crates/kernel/src/status/mod.rs
@@ -5,9 +5,11 @@
 mod member_status;
 mod node_status;
 mod refused_version;
+mod usage_status;
 
 pub use account_status::AccountStatus;
 pub use evacuation_status::EvacuationStatus;
 pub use member_status::MemberStatus;
 pub use node_status::NodeStatus;
 pub use refused_version::RefusedVersion;
+pub use usage_status::UsageStatus;
