Give overtaken requests a later time to return

Change: the time in which the queue drains is divided by the share of the capacity that more urgent classes leave.

--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -289,16 +289,16 @@
         rng: &mut impl Rng,
     ) -> (AdmissionDecision, Vec<RefusedRequest<T>>) {
         let deadline = request.deadline;
+        let load_class = (
+            request.account.as_ref().map(|rank| rank.priority),
+            request.priority,
+        );
         if deadline.has_passed(now) || self.is_hopeless(now, request) {
-            return (self.refuse(now, rng), Vec::new());
+            return (self.refuse(now, load_class, rng), Vec::new());
         }
         let account = request.account.as_ref().map(|rank| &rank.account);
         let expected_time = self.expected_time(request.route.as_ref());
         let arrival = self.fair_order.arrival_time(self.service_time);
-        let load_class = (
-            request.account.as_ref().map(|rank| rank.priority),
-            request.priority,
-        );
         if self.queue.is_empty() && self.may_start(now) {
             self.start(now, account, arrival, expected_time);
             self.class_load.record_start(now, load_class, expected_time);
@@ -325,7 +325,7 @@
         self.queue.insert(queue_key, entry);
         if !self.may_wait(now, queue_key, queue_deadline) {
             self.queue.remove(&queue_key);
-            return (self.refuse(now, rng), Vec::new());
+            return (self.refuse(now, load_class, rng), Vec::new());
         }
         self.next_sequence += 1;
         let refused = self.evict(now, rng);
@@ -493,7 +493,7 @@
             };
             let item = entry.item;
             if entry.queue_deadline.has_passed(now) {
-                let retry_at = self.retry_at(now, rng);
+                let retry_at = self.class_retry_at(now, queue_key.class.load_class(), rng);
                 update.refused.push(RefusedRequest { item, retry_at });
                 continue;
             }
@@ -606,7 +606,7 @@
         }
         let mut refused = Vec::with_capacity(evicted.len());
         for queue_key in evicted {
-            let retry_at = self.retry_at(now, rng);
+            let retry_at = self.class_retry_at(now, queue_key.class.load_class(), rng);
             if let Some(entry) = self.queue.remove(&queue_key) {
                 let item = entry.item;
                 refused.push(RefusedRequest { item, retry_at });
@@ -615,9 +615,9 @@
         refused
     }
 
-    fn refuse(&self, now: ClockInstant, rng: &mut impl Rng) -> AdmissionDecision {
+    fn refuse(&self, now: ClockInstant, class: LoadClass, rng: &mut impl Rng) -> AdmissionDecision {
         AdmissionDecision::Refuse {
-            retry_at: self.retry_at(now, rng),
+            retry_at: self.class_retry_at(now, class, rng),
         }
     }
 
@@ -735,12 +735,35 @@
     /// server itself has refused: if no other request waits, the server has room by its own count
     /// and its refusal does not depend on its load.
     pub fn retry_at(&self, now: ClockInstant, rng: &mut impl Rng) -> ClockInstant {
+        self.retry_after_drain(now, 0.0, rng)
+    }
+
+    /// Returns the instant at which there will be room for a request of `class`.
+    fn class_retry_at(
+        &self,
+        now: ClockInstant,
+        class: LoadClass,
+        rng: &mut impl Rng,
+    ) -> ClockInstant {
+        let overtaken = self.class_load.share_before(now, class, self.slots);
+        self.retry_after_drain(now, overtaken, rng)
+    }
+
+    /// Returns the instant to retry if more urgent requests take the share `overtaken` of the
+    /// capacity meanwhile.
+    fn retry_after_drain(
+        &self,
+        now: ClockInstant,
+        overtaken: f64,
+        rng: &mut impl Rng,
+    ) -> ClockInstant {
         let queued = self.queue.values();
         let queued = queued.fold(QueuedWork::default(), QueuedWork::with);
         let next_start = self.pacer.start_after(now, queued.requests);
         let drain_micros = self
             .wait_micros(queued.micros)
             .max(next_start.remaining(now).as_micros());
+        let drain_micros = (drain_micros as f64 / (1.0 - overtaken)) as u64;
         let base_delay = (drain_micros / 2).clamp(MIN_BASE_DELAY_MICROS, MAX_BASE_DELAY_MICROS);
         let jitter = TimeBudget::from_micros(rng.random_range(0..=base_delay));
         let earliest = now.after(TimeBudget::from_micros(base_delay));
--- a/crates/kernel/tests/request_refusals.rs
+++ b/crates/kernel/tests/request_refusals.rs
@@ -108,6 +108,40 @@
     assert!(full >= at(120) && full <= at(270), "{full} with 12 waiting");
 }
 
+/// Guards against callers of a less urgent route who return to be refused again, since more urgent
+/// requests take the slots that fall free.
+#[test]
+fn time_to_return_is_later_for_requests_that_are_overtaken() {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let mut queue = AdmissionQueue::new(SlotCount::new(1), 4);
+    let took = TimeBudget::from_millis(10);
+    // Urgent requests take 0.9 of the slot for five seconds.
+    for step in 0..450 {
+        let now = at(step * 11);
+        queue.submit(now, RequestPriority::URGENT, at(60_000), 0, &mut rng);
+        queue.release(now, Some(took), &mut rng);
+    }
+    let now = at(450 * 11);
+    for item in 0..5 {
+        queue.submit(now, RequestPriority::URGENT, at(60_000), item, &mut rng);
+    }
+    let mut mean_delay = |priority| {
+        let delays = (0..50).map(|item| {
+            let (decision, _) = queue.submit(now, priority, at(60_000), item, &mut rng);
+            match decision {
+                AdmissionDecision::Refuse { retry_at } => retry_at.remaining(now).as_millis(),
+                decision => panic!("a full queue gave {decision:?}"),
+            }
+        });
+        delays.sum::<u64>() / 50
+    };
+    let (urgent, deferrable) = (
+        mean_delay(RequestPriority::URGENT),
+        mean_delay(RequestPriority::DEFERRABLE),
+    );
+    assert!(deferrable >= 5 * urgent, "{deferrable} ms and {urgent} ms");
+}
+
 /// Guards against times to return that are wrong by the difference of two nodes' clocks.
 #[test]
 fn time_to_return_does_not_depend_on_the_clock_of_the_node_that_refused() {
@@ -276,6 +310,8 @@
     accounts: BTreeMap<usize, Tally>,
     /// Waits at servers that ended in a refusal, in milliseconds.
     refused_waits: Vec<u64>,
+    /// Refusals of callers at their first arrival, and of those that had returned.
+    refusals: [usize; 2],
     /// Time of slots in use while the load is three times the capacity, in milliseconds.
     busy: u64,
 }
@@ -392,6 +428,7 @@
 
     /// Refuses a call, whose caller may return.
     fn refuse(&mut self, now: u64, call: Call) {
+        self.refusals[usize::from(call.returns > 0)] += 1;
         let tried: Vec<_> = (0..SPEEDS.len())
             .filter(|server| call.tried & (1 << server) != 0)
             .map(server_name)
@@ -524,6 +561,7 @@
         routes: BTreeMap::new(),
         accounts: BTreeMap::new(),
         refused_waits: Vec::new(),
+        refusals: [0; 2],
         busy: 0,
     };
     for now in 0..MILLIS {
@@ -580,8 +618,12 @@
         println!("{title}, {spell}: in time {first:.3} {second:.3} {third:.3} {fourth:.3}");
     }
     println!(
-        "{title}: in time {:.3}, worst account {:.3}, refused after {:?} ms, slots in use {:.3}",
-        summary.total, summary.worst_account, summary.refused_waits, summary.busy
+        "{title}: in time {:.3}, worst account {:.3}, refused after {:?} ms, slots in use {:.3}, refusals {:?}",
+        summary.total,
+        summary.worst_account,
+        summary.refused_waits,
+        summary.busy,
+        simulation.refusals
     );
     summary
 }
