Let one in eight requests without a chance through, measure refusals

Cause: if only callers with short deadlines are left after a server was slow, none of their requests would start, and the route's mean time would stay. Nothing showed how long requests wait before they are refused. Change: one in eight is started; the histogram refusal_wait_ms has the waits at the gate and at servers.

--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -212,7 +212,7 @@
         Err(MeshError::new(ErrorKind::Draining, message).with_retry_at(self.retry_at()))
     }
 
-    /// Logs a request that got no slot, with the load of the server.
+    /// Logs and measures a request that got no slot, with the load of the server.
     fn log_refusal(
         &self,
         name: &BackendName,
@@ -222,6 +222,8 @@
         error: &MeshError,
     ) {
         let state = &self.state;
+        let waited = queued_at.elapsed(state.now());
+        state.observe_duration("refusal_wait_ms", "place", "server", waited);
         if !state.should_log(EventName::RequestRefused) {
             return;
         }
@@ -231,7 +233,7 @@
             "account" => account_name(message.account.as_ref()),
             "backend" => name.to_string(), "priority" => message.priority.to_string(),
             "running" => load.running, "waiting" => load.waiting,
-            "waited_ms" => queued_at.elapsed(now).as_millis(),
+            "waited_ms" => waited.as_millis(),
             "message" => error.message().to_owned(),
             "retry_after_ms" => error.retry_at().map(|instant| instant.remaining(now).as_millis()));
     }
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -116,7 +116,12 @@
         let slot = limiter
             .slot_limiter
             .acquire_for(request.gate_request(self.state.config().as_deref()))
-            .await?;
+            .await
+            .inspect_err(|_| {
+                let waited = now.elapsed(self.state.now());
+                self.state
+                    .observe_duration("refusal_wait_ms", "place", "gate", waited);
+            })?;
         Ok(ServicePermit { limiter, slot })
     }
 
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -39,6 +39,9 @@
 /// Divisor of a route's mean service time that gives the time in which hardly any request of the
 /// route ends: 6% of log-normal times with a standard deviation of 0.4 are below half the mean.
 const HOPELESS_TIME_DIVISOR: u64 = 2;
+/// One in this many requests without a chance is let through, because the mean service time may be
+/// that of a server that has recovered since.
+const HOPELESS_PROBE_INTERVAL: u32 = 8;
 /// Minimum retry delay before jitter, in microseconds: a few round trips to the caller.
 const MIN_BASE_DELAY_MICROS: u64 = 5_000;
 /// Maximum retry delay before jitter, in microseconds; callers give up rather than wait longer.
@@ -186,6 +189,8 @@
     time: TimeBudget,
     /// Number of requests in the average.
     requests: u32,
+    /// Number of requests without a chance since the latest request in the average.
+    hopeless: u32,
 }
 
 /// Concurrency limit with a bounded priority queue for the requests that wait.
@@ -349,11 +354,13 @@
             Some(average) => {
                 average.time = moving_average(average.time, took);
                 average.requests = average.requests.saturating_add(1);
+                average.hopeless = 0;
             }
             None => {
                 let first = RouteTime {
                     time: took,
                     requests: 1,
+                    hopeless: 0,
                 };
                 self.route_times.insert(route.clone(), first);
             }
@@ -689,14 +696,18 @@
     ///
     /// Such a request is refused even if a slot is free: it would occupy the slot until its
     /// deadline, and its caller could no longer be told whether it ran.
-    fn is_hopeless(&self, now: ClockInstant, request: &AdmissionRequest) -> bool {
+    fn is_hopeless(&mut self, now: ClockInstant, request: &AdmissionRequest) -> bool {
         let route = request.route.as_ref();
-        let known = route.and_then(|route| self.route_times.get(route));
-        let known = known.filter(|average| average.requests >= MIN_TIME_SAMPLES);
-        known.is_some_and(|average| {
-            let time_left = request.deadline.remaining(now).as_micros();
-            time_left < average.time.as_micros() / HOPELESS_TIME_DIVISOR
-        })
+        let Some(average) = route.and_then(|route| self.route_times.get_mut(route)) else {
+            return false;
+        };
+        let time_left = request.deadline.remaining(now).as_micros();
+        let is_long = time_left < average.time.as_micros() / HOPELESS_TIME_DIVISOR;
+        if !is_long || average.requests < MIN_TIME_SAMPLES {
+            return false;
+        }
+        average.hopeless = average.hopeless.saturating_add(1);
+        !average.hopeless.is_multiple_of(HOPELESS_PROBE_INTERVAL)
     }
 
     /// Returns whether a request is so short that refusing it frees almost no capacity.
--- a/crates/kernel/tests/request_refusals.rs
+++ b/crates/kernel/tests/request_refusals.rs
@@ -86,6 +86,9 @@
         panic!("a request of 100 ms was started 40 ms before its deadline");
     };
     assert!(retry_at > at(1));
+    // A server that was slow and has recovered is found out.
+    let probes = (0..16).filter(|_| decide(&mut queue, 40) == AdmissionDecision::Run);
+    assert_eq!(probes.count(), 2);
 }
 
 /// Guards against fixed times to return.
