State a time to return when another node cannot be reached

Cause: the new test of a hanging connection to another node found refusals without a time: errors of connections between nodes have none. Change: without a time from any server, the time in which news of one arrives.

--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -405,6 +405,11 @@
                 load_balancer.return_at(now, &request.service, tried_backends, &mut rand::rng());
             match return_at {
                 Some(return_at) => error.with_retry_at(return_at),
+                // Another node that cannot be reached gives no time.
+                None if error.retry_at().is_none() => {
+                    let (shortest, _) = NEWS_DELAY_MICROS;
+                    error.with_retry_at(now.after(TimeBudget::from_micros(shortest)))
+                }
                 None => error,
             }
         })
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -23,11 +23,13 @@
         RouteObjective, RouteRule, RouteTraffic, ServiceSpec, ShareRatio,
     },
     error::{ErrorKind, MeshError, RunState},
-    ids::{AttemptToken, ByteCount, SlotCount, VersionNumber},
-    member::{BackendState, StatedLimit},
+    ids::{
+        AttemptToken, ByteCount, DataCentre, IncarnationNumber, NodeName, SlotCount, VersionNumber,
+    },
+    member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     request::AccountRank,
     rollout::{MoveRecord, MoveRequest},
-    spread::{FetchSource, SnapshotReply, VersionFetch},
+    spread::{FetchSource, GossipRequest, PeerHeader, SnapshotReply, VersionFetch},
 };
 use bronzelb_wire::peer::{ForwardRequest, ForwardResponse};
 use bronzelbd::{
@@ -651,6 +653,59 @@
     }
 }
 
+/// Guards against requests that wait for a connection to another node until their deadline has
+/// passed.
+#[actix_web::test]
+async fn request_does_not_wait_for_a_hanging_connection_to_another_node() {
+    let (address, _listener, _pending) = full_listener().await;
+    let harness = ForwarderHarness::new(&[], false);
+    let state = harness.forwarder.state();
+    let (node, data_centre): (NodeName, DataCentre) = (
+        "leuven-2".parse().expect("a valid name"),
+        "leuven".parse().expect("a valid name"),
+    );
+    let row = MemberRow {
+        node: node.clone(),
+        incarnation: IncarnationNumber::new(1),
+        revision: 1,
+        state: MemberState::Serving,
+        data_centre: data_centre.clone(),
+        peer_address: address,
+        backends: vec![BackendRow {
+            incarnation: BackendIncarnation::default(),
+            limit: StatedLimit::Unknown,
+            name: "tracker-9".parse().expect("a valid name"),
+            service: "tracker".parse().expect("a valid name"),
+            version: "v1".parse().expect("a valid version"),
+            slots: SlotCount::new(4),
+            state: BackendState::Serving,
+            is_reported_healthy: true,
+            cold_until: None,
+            times: BTreeMap::new(),
+        }],
+    };
+    let push = GossipRequest {
+        from: PeerHeader {
+            node,
+            data_centre,
+            stamp: None,
+            platform_seen_at: None,
+        },
+        digest: None,
+        members: vec![row],
+        records: Vec::new(),
+    };
+    let now = state.now();
+    state.gossip.step(|node, _| node.handle_gossip(push, now));
+    let started = Instant::now();
+    let deadline = state.now().after(TimeBudget::from_millis(300));
+    let result = harness.get_with_deadline(1, deadline).await;
+    assert!(started.elapsed() < Duration::from_millis(300));
+    let error = result.expect_err("the other node accepts no connection");
+    assert_eq!(error.kind().response().run_state, RunState::NotRun);
+    assert!(error.retry_at().is_some());
+}
+
 /// Guards against callers that stay away from a server whose refusals do not depend on its load.
 #[actix_web::test]
 async fn request_shed_by_a_server_with_room_may_return_at_once() {
