--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -125,7 +125,12 @@
         let slot = limiter
             .slot_limiter
             .acquire_for(request.gate_request(self.state.config().as_deref()))
-            .await?;
+            .await
+            .inspect_err(|_| {
+                let waited = now.elapsed(self.state.now());
+                self.state
+                    .observe_duration("refusal_wait_ms", "place", "gate", waited);
+            })?;
         Ok(ServicePermit {
             limiter,
             slot,
@@ -430,6 +435,11 @@
                 load_balancer.return_at(now, &request.service, tried_backends, &mut rand::rng());
             match return_at {
                 Some(return_at) => error.with_retry_at(return_at),
+                // Another node that cannot be reached gives no time.
+                None if error.retry_at().is_none() => {
+                    let (shortest, _) = NEWS_DELAY_MICROS;
+                    error.with_retry_at(now.after(TimeBudget::from_micros(shortest)))
+                }
                 None => error,
             }
         })
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -39,6 +39,9 @@
 /// Divisor of a route's mean service time that gives the time in which hardly any request of the
 /// route ends: 6% of log-normal times with a standard deviation of 0.4 are below half the mean.
 const HOPELESS_TIME_DIVISOR: u64 = 2;
+/// One in this many requests without a chance is let through, because the mean service time may be
+/// that of a server that has recovered since.
+const HOPELESS_PROBE_INTERVAL: u32 = 8;
 /// Minimum retry delay before jitter, in microseconds: a few round trips to the caller.
 const MIN_BASE_DELAY_MICROS: u64 = 5_000;
 /// Maximum retry delay before jitter, in microseconds; callers give up rather than wait longer.
@@ -186,6 +189,8 @@
     time: TimeBudget,
     /// Number of requests in the average.
     requests: u32,
+    /// Number of requests without a chance since the latest request in the average.
+    hopeless: u32,
 }
 
 /// Concurrency limit with a bounded priority queue for the requests that wait.
@@ -292,16 +297,16 @@
         rng: &mut impl Rng,
     ) -> (AdmissionDecision, Vec<RefusedRequest<T>>) {
         let deadline = request.deadline;
+        let load_class = (
+            request.account.as_ref().map(|rank| rank.priority),
+            request.priority,
+        );
         if deadline.has_passed(now) || self.is_hopeless(now, request) {
-            return (self.refuse(now, rng), Vec::new());
+            return (self.refuse(now, load_class, rng), Vec::new());
         }
         let account = request.account.as_ref().map(|rank| &rank.account);
         let expected_time = self.expected_time(request.route.as_ref());
         let arrival = self.fair_order.arrival_time(self.service_time);
-        let load_class = (
-            request.account.as_ref().map(|rank| rank.priority),
-            request.priority,
-        );
         if self.queue.is_empty() && self.may_start(now) {
             self.start(now, account, arrival, expected_time);
             self.class_load.record_start(now, load_class, expected_time);
@@ -328,7 +333,7 @@
         self.queue.insert(queue_key, entry);
         if !self.may_wait(now, queue_key, queue_deadline) {
             self.queue.remove(&queue_key);
-            return (self.refuse(now, rng), Vec::new());
+            return (self.refuse(now, load_class, rng), Vec::new());
         }
         self.next_sequence += 1;
         let refused = self.evict(now, rng);
@@ -352,11 +357,13 @@
             Some(average) => {
                 average.time = moving_average(average.time, took);
                 average.requests = average.requests.saturating_add(1);
+                average.hopeless = 0;
             }
             None => {
                 let first = RouteTime {
                     time: took,
                     requests: 1,
+                    hopeless: 0,
                 };
                 self.route_times.insert(route.clone(), first);
             }
@@ -530,7 +537,7 @@
             };
             let item = entry.item;
             if entry.queue_deadline.has_passed(now) {
-                let retry_at = self.retry_at(now, rng);
+                let retry_at = self.class_retry_at(now, queue_key.class.load_class(), rng);
                 update.refused.push(RefusedRequest { item, retry_at });
                 continue;
             }
@@ -643,7 +650,7 @@
         }
         let mut refused = Vec::with_capacity(evicted.len());
         for queue_key in evicted {
-            let retry_at = self.retry_at(now, rng);
+            let retry_at = self.class_retry_at(now, queue_key.class.load_class(), rng);
             if let Some(entry) = self.queue.remove(&queue_key) {
                 let item = entry.item;
                 refused.push(RefusedRequest { item, retry_at });
@@ -652,9 +659,9 @@
         refused
     }
 
-    fn refuse(&self, now: ClockInstant, rng: &mut impl Rng) -> AdmissionDecision {
+    fn refuse(&self, now: ClockInstant, class: LoadClass, rng: &mut impl Rng) -> AdmissionDecision {
         AdmissionDecision::Refuse {
-            retry_at: self.retry_at(now, rng),
+            retry_at: self.class_retry_at(now, class, rng),
         }
     }
 
@@ -729,14 +736,18 @@
     ///
     /// Such a request is refused even if a slot is free: it would occupy the slot until its
     /// deadline, and its caller could no longer be told whether it ran.
-    fn is_hopeless(&self, now: ClockInstant, request: &AdmissionRequest) -> bool {
+    fn is_hopeless(&mut self, now: ClockInstant, request: &AdmissionRequest) -> bool {
         let route = request.route.as_ref();
-        let known = route.and_then(|route| self.route_times.get(route));
-        let known = known.filter(|average| average.requests >= MIN_TIME_SAMPLES);
-        known.is_some_and(|average| {
-            let time_left = request.deadline.remaining(now).as_micros();
-            time_left < average.time.as_micros() / HOPELESS_TIME_DIVISOR
-        })
+        let Some(average) = route.and_then(|route| self.route_times.get_mut(route)) else {
+            return false;
+        };
+        let time_left = request.deadline.remaining(now).as_micros();
+        let is_long = time_left < average.time.as_micros() / HOPELESS_TIME_DIVISOR;
+        if !is_long || average.requests < MIN_TIME_SAMPLES {
+            return false;
+        }
+        average.hopeless = average.hopeless.saturating_add(1);
+        !average.hopeless.is_multiple_of(HOPELESS_PROBE_INTERVAL)
     }
 
     /// Returns whether a request is so short that refusing it frees almost no capacity.
@@ -775,12 +786,35 @@
     /// server itself has refused: if no other request waits, the server has room by its own count
     /// and its refusal does not depend on its load.
     pub fn retry_at(&self, now: ClockInstant, rng: &mut impl Rng) -> ClockInstant {
+        self.retry_after_drain(now, 0.0, rng)
+    }
+
+    /// Returns the instant at which there will be room for a request of `class`.
+    fn class_retry_at(
+        &self,
+        now: ClockInstant,
+        class: LoadClass,
+        rng: &mut impl Rng,
+    ) -> ClockInstant {
+        let overtaken = self.class_load.share_before(now, class, self.slots);
+        self.retry_after_drain(now, overtaken, rng)
+    }
+
+    /// Returns the instant to retry if more urgent requests take the share `overtaken` of the
+    /// capacity meanwhile.
+    fn retry_after_drain(
+        &self,
+        now: ClockInstant,
+        overtaken: f64,
+        rng: &mut impl Rng,
+    ) -> ClockInstant {
         let queued = self.queue.values();
         let queued = queued.fold(QueuedWork::default(), QueuedWork::with);
         let next_start = self.start_after(now, queued.requests);
         let drain_micros = self
             .wait_micros(queued.micros)
             .max(next_start.remaining(now).as_micros());
+        let drain_micros = (drain_micros as f64 / (1.0 - overtaken)) as u64;
         let base_delay = (drain_micros / 2).clamp(MIN_BASE_DELAY_MICROS, MAX_BASE_DELAY_MICROS);
         let jitter = TimeBudget::from_micros(rng.random_range(0..=base_delay));
         let earliest = now.after(TimeBudget::from_micros(base_delay));
