Complete connections to owners after the report that opened them has timed out

One cause can be connections that take longer than the 200 ms of an exchange to open: each exchange cancelled the opening, and the next one started anew.

--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -98,15 +98,23 @@
         deadline: ClockInstant,
         report: UsageReport,
     ) -> Result<UsageReply, MeshError> {
-        let send =
-            async |client: PeerServiceClient, context| client.report_usage(context, report).await;
         let timeout = deadline.remaining(self.state.now()).to_std();
-        // Opening a connection may take longer than a request can wait.
-        let reply = time::timeout(timeout, self.call(node, deadline, send)).await;
-        reply.unwrap_or_else(|_| {
-            let message = format!("node {node} did not answer in time");
-            Err(MeshError::new(ErrorKind::NoBackend, message))
-        })
+        let (pool, to) = (self.clone(), node.clone());
+        // Opening a connection may take longer than a request can wait. It is completed for the
+        // next report; a late reply is dropped.
+        let call = spawn_local(async move {
+            let send = async |client: PeerServiceClient, context| {
+                client.report_usage(context, report).await
+            };
+            pool.call(&to, deadline, send).await
+        });
+        match time::timeout(timeout, call).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(_)) | Err(_) => {
+                let message = format!("node {node} did not answer in time");
+                Err(MeshError::new(ErrorKind::NoBackend, message))
+            }
+        }
     }
 
     /// Returns whether a connection to the node is open.
