--- a/crates/kernel/tests/usage_cap/main.rs
+++ b/crates/kernel/tests/usage_cap/main.rs
@@ -88,6 +88,8 @@
         mesh.run_until(5_000);
         print(&mesh, "far below", 5);
         let requests: usize = mesh.accounts.iter().map(|account| account.runs.len()).sum();
+        // A report and its reply for each request, and probes of idle owners at most.
+        assert!(mesh.messages as f64 <= 2.1 * requests as f64);
         println!(
             "messages a request {:.2}",
             mesh.messages as f64 / requests as f64
