--- a/crates/cli/src/status/mesh_status.rs
+++ b/crates/cli/src/status/mesh_status.rs
@@ -20,7 +20,8 @@
     pub(crate) accepted: Option<AcceptedVersion>,
     /// Nodes that responded.
     pub(crate) nodes: Vec<NodeLine>,
-    /// Client accounts of the highest version in force among these nodes.
+    /// Client accounts of the highest version in force among these nodes, with their use at all of
+    /// them.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) accounts: Vec<AccountStatus>,
     /// Summary of each data centre.
@@ -138,9 +139,15 @@
             known.insert(member.node.clone(), (member, response.node.clone()));
         }
         let highest = self.nodes.iter().filter_map(|line| line.version).max();
-        if line.version > highest {
-            self.accounts = response.accounts;
+        let (mut accounts, others) = match line.version > highest {
+            true => (response.accounts, std::mem::take(&mut self.accounts)),
+            false => (std::mem::take(&mut self.accounts), response.accounts),
+        };
+        for status in &mut accounts {
+            let other = others.iter().find(|other| other.account == status.account);
+            status.add_usage(other.and_then(|other| other.usage));
         }
+        self.accounts = accounts;
         let summary = self.centre(&line.data_centre);
         summary.heard += 1;
         if let Some(version) = line.version {
--- a/crates/kernel/src/status/account_status.rs
+++ b/crates/kernel/src/status/account_status.rs
@@ -35,4 +35,12 @@
             usage,
         }
     }
+
+    /// Adds the use of the account at another node.
+    pub fn add_usage(&mut self, other: Option<UsageStatus>) {
+        self.usage = match (self.usage, other) {
+            (Some(own), Some(other)) => Some(own.plus(other)),
+            (own, other) => own.or(other),
+        };
+    }
 }
--- a/crates/kernel/src/status/usage_status.rs
+++ b/crates/kernel/src/status/usage_status.rs
@@ -11,3 +11,16 @@
     /// Requests that this node has refused since it started.
     pub refused: u64,
 }
+
+impl UsageStatus {
+    /// Returns the use at two nodes together.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            // More than one node counts the account only for moments or in a partition.
+            used: self.used.max(other.used),
+            admitted: self.admitted + other.admitted,
+            refused: self.refused + other.refused,
+        }
+    }
+}
