--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -690,6 +690,7 @@
             data_centre,
             stamp: None,
             platform_seen_at: None,
+            orders_seen_at: None,
         },
         digest: None,
         members: vec![row],
