--- a/crates/kernel/src/ids/names.rs
+++ b/crates/kernel/src/ids/names.rs
@@ -130,8 +130,8 @@
 /// Accepts every text that a header can carry: operators choose the names of accounts freely.
 fn check_account(label: &str, text: &str) -> Result<(), MeshError> {
     let is_printable = |c: char| c.is_ascii_graphic() || c == ' ';
-    let has_limits = (1..=MAX_ACCOUNT_BYTES).contains(&text.len());
-    if has_limits && text.trim() == text && text.chars().all(is_printable) {
+    let has_valid_length = (1..=MAX_ACCOUNT_BYTES).contains(&text.len());
+    if has_valid_length && text.trim() == text && text.chars().all(is_printable) {
         return Ok(());
     }
     Err(MeshError::invalid(format!(
