Ask cold servers at the event, and describe how their rate is held

Cause: an earlier heartbeat with a long cold time could only be ended by a health response, and the task that asks servers woke 20 times a second without need.

Change: a heartbeat replaces what the heartbeat before stated; events wake the task.

--- a/crates/daemon/src/backends/cold_events.rs
+++ b/crates/daemon/src/backends/cold_events.rs
@@ -31,6 +31,7 @@
         backends.record_doubt(state.now(), name)
     };
     apply_cold_limit(state, name);
+    state.cold_events.notify_one();
     state.count_labeled("server_cold_doubted", "reason", reason);
     if is_changed {
         state.publish_backends();
--- a/crates/daemon/src/backends/health_probe.rs
+++ b/crates/daemon/src/backends/health_probe.rs
@@ -15,9 +15,9 @@
     node::{NodeState, StopSignal},
 };
 
-/// Interval at which servers in doubt are looked for; a doubt holds a warm server back for about
-/// half of it.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which servers that have not answered are looked for; an event wakes the task at
+/// once.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Asks servers that may be cold how much longer they are, until the stop signal.
@@ -29,7 +29,13 @@
         .disable_redirects()
         .timeout(RESPONSE_TIMEOUT)
         .finish();
-    while stop.tick(CHECK_INTERVAL).await {
+    loop {
+        tokio::select! {
+            () = state.cold_events.notified() => {}
+            is_running = stop.tick(CHECK_INTERVAL) => if !is_running {
+                return;
+            },
+        }
         let probes = state.backends().take_probes(state.now());
         for (name, announcement) in probes {
             let (state, client) = (Arc::clone(&state), client.clone());
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -24,7 +24,7 @@
 use compact_str::{CompactString, format_compact};
 use rand::{SeedableRng, rngs::StdRng};
 use slog::{Logger, info, warn};
-use tokio::sync::broadcast;
+use tokio::sync::{Notify, broadcast};
 
 use crate::{
     backends::{BackendTable, ContactMonitor, LEASE_DURATION},
@@ -90,6 +90,8 @@
     pub rollout: RolloutState,
     /// Contact with other nodes, whose absence may mean that this VM's servers turn cold.
     pub contacts: ContactMonitor,
+    /// Wakes the task that asks servers which may be cold.
+    pub(crate) cold_events: Notify,
     /// Evacuations of data centres known to this node.
     pub placement: PlacementState,
     /// Admission and execution state of requests.
@@ -132,6 +134,7 @@
             applied_at: AtomicU64::new(0),
             backends: Mutex::new(BackendTable::new(backend_lease)),
             contacts: ContactMonitor::new(clock.now()),
+            cold_events: Notify::new(),
             placement: PlacementState::default(),
             requests: Arc::new(RequestState::new(clock, retry_policy)),
             log_limiter: Mutex::default(),
@@ -180,6 +183,7 @@
             .load_balancer()
             .set_cold_rates(rates.collect());
         self.backends().set_warm_up_rules(rules);
+        self.cold_events.notify_one();
     }
 
     /// Returns the node's incarnation, which changes when the node rejoins after a pause.
--- a/crates/daemon/src/operators/local_server.rs
+++ b/crates/daemon/src/operators/local_server.rs
@@ -106,6 +106,8 @@
     if !is_changed {
         return;
     }
+    // The server may be new to this node, and cold.
+    state.cold_events.notify_one();
     state.publish_backends();
     let event = match backend_state {
         Some(_) => EventName::BackendAnnounced,
--- a/crates/daemon/tests/announcements.rs
+++ b/crates/daemon/tests/announcements.rs
@@ -2,7 +2,8 @@
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
-    ids::SlotCount,
+    config::WarmUpRule,
+    ids::{RequestRate, SlotCount},
     member::{
         BackendAnnouncement, BackendHeartbeat, BackendIncarnation, BackendMessage, BackendState,
         StatedCold,
@@ -118,3 +119,74 @@
     let servers = apply_messages([leaving("a", None), late, restarted]);
     assert_eq!(servers.len(), 1, "a new incarnation is used");
 }
+
+fn cold_heartbeat(sequence: u64, cold_left: StatedCold) -> BackendMessage {
+    match heartbeat("a", 10, sequence, BackendState::Serving) {
+        BackendMessage::Heartbeat(heartbeat) => BackendMessage::Heartbeat(BackendHeartbeat {
+            cold_left,
+            ..heartbeat
+        }),
+        message => message,
+    }
+}
+
+/// Guards against a cold time that is ignored because it is not the first of the incarnation, and
+/// against a message to every node for each heartbeat.
+#[test]
+fn later_heartbeat_may_state_a_new_cold_time() {
+    let mut table = BackendTable::new(LEASE);
+    let left = |millis| StatedCold::Left(TimeBudget::from_millis(millis));
+    let at = |millis| NOW.after(TimeBudget::from_millis(millis));
+    let cold_until = |table: &BackendTable| table.rows()[0].cold_until;
+    table.handle_message(NOW, cold_heartbeat(1, left(3_000)));
+    assert_eq!(cold_until(&table), Some(at(3_000)));
+    let is_changed = table.handle_message(at(1_600), cold_heartbeat(2, left(1_500)));
+    assert!(!is_changed, "repeats the same instant");
+    let is_changed = table.handle_message(at(3_100), cold_heartbeat(3, left(0)));
+    assert!(!is_changed, "is warm as expected");
+    table.handle_message(at(4_600), cold_heartbeat(4, StatedCold::Refused));
+    assert_eq!(cold_until(&table), Some(at(3_000)), "changes nothing");
+    assert!(table.handle_message(at(6_100), cold_heartbeat(5, left(2_000))));
+    assert_eq!(cold_until(&table), Some(at(8_100)));
+    table.handle_message(at(6_200), cold_heartbeat(4, left(9_000)));
+    assert_eq!(
+        cold_until(&table),
+        Some(at(8_100)),
+        "an outdated one changes nothing"
+    );
+}
+
+/// Guards against a server that counts as warm when its node learns of it, or after a gap in its
+/// heartbeats, and against limits where the configuration declares none.
+#[test]
+fn unknown_and_silent_servers_count_as_cold_where_a_rate_is_declared() {
+    let (service, name) = (
+        "tracker".parse().expect("is a name"),
+        "a".parse().expect("is a name"),
+    );
+    let rule = WarmUpRule {
+        time: TimeBudget::from_secs(3),
+        rate: RequestRate::from_millis(15_000),
+    };
+    let at = |millis| NOW.after(TimeBudget::from_millis(millis));
+    let warm = StatedCold::Left(TimeBudget::ZERO);
+    let mut table = BackendTable::new(LEASE);
+    table.handle_message(NOW, cold_heartbeat(1, warm));
+    assert_eq!(table.cold_limit(&name), None);
+    table.set_warm_up_rules([(service, rule)].into());
+    let limit = table.cold_limit(&name).expect("is declared");
+    assert_eq!((limit.cold_until, limit.known_from), (at(3_000), NOW));
+    assert_eq!(table.take_probes(at(10)).len(), 1);
+    table.record_cold(at(20), &name, at(10), TimeBudget::ZERO);
+    assert_eq!(
+        table.cold_limit(&name).map(|limit| limit.cold_until),
+        Some(at(20))
+    );
+    assert!(table.take_probes(at(2_000)).is_empty(), "is not in doubt");
+    table.handle_message(at(1_500), cold_heartbeat(2, warm));
+    table.handle_message(at(4_500), cold_heartbeat(3, warm));
+    assert_eq!(
+        table.cold_limit(&name).map(|limit| limit.cold_until),
+        Some(at(7_500))
+    );
+}
--- a/crates/kernel/src/request/cold_state.rs
+++ b/crates/kernel/src/request/cold_state.rs
@@ -10,15 +10,18 @@
 /// evacuation, which its node notices before the next heartbeat. From such an event on the server
 /// counts as cold, until the response to a health request sent after the event says otherwise or
 /// the service's cold time is over. Heartbeats state no time of sending and may be seconds late, so
-/// they prolong the cold time but never end a doubt.
+/// they neither end a doubt nor what a health response stated.
 #[derive(Clone, Debug)]
 pub struct ColdState {
     /// Latest event that may have turned the server cold.
     doubted_at: ClockInstant,
     is_doubted: bool,
-    /// End of the cold time that the server states; `None` if it has stated nothing.
-    told_until: Option<ClockInstant>,
-    /// When the request was sent whose response was the latest statement.
+    /// End of the cold time by the latest heartbeat.
+    heartbeat_until: Option<ClockInstant>,
+    heartbeat_at: ClockInstant,
+    /// End of the cold time by the latest health response.
+    response_until: Option<ClockInstant>,
+    /// When the request for that response was sent.
     asked_at: ClockInstant,
     next_probe_at: ClockInstant,
 }
@@ -30,7 +33,9 @@
         Self {
             doubted_at: now,
             is_doubted: true,
-            told_until: None,
+            heartbeat_until: None,
+            heartbeat_at: ClockInstant::default(),
+            response_until: None,
             asked_at: ClockInstant::default(),
             next_probe_at: now,
         }
@@ -42,10 +47,11 @@
         self.is_doubted = true;
     }
 
-    /// Records the remaining cold time that a heartbeat states.
+    /// Records the remaining cold time that a heartbeat states. Heartbeats are passed in the order
+    /// in which they were sent, so the latest replaces what earlier ones stated.
     pub fn record_heartbeat(&mut self, now: ClockInstant, cold_left: TimeBudget) {
-        let until = now.after(cold_left);
-        self.told_until = Some(self.told_until.map_or(until, |told| told.max(until)));
+        self.heartbeat_until = Some(now.after(cold_left));
+        self.heartbeat_at = now;
     }
 
     /// Records the remaining cold time that the response to a request sent at `asked_at` states.
@@ -63,7 +69,10 @@
         }
         self.asked_at = asked_at;
         self.is_doubted = false;
-        self.told_until = Some(now.after(cold_left));
+        self.response_until = Some(now.after(cold_left));
+        if self.heartbeat_at < asked_at {
+            self.heartbeat_until = None;
+        }
     }
 
     /// Returns the end of the time for which the server counts as cold, or `None` if it has stated
@@ -73,7 +82,8 @@
         let doubt_end = cold_time
             .filter(|_| self.is_doubted)
             .map(|time| self.doubted_at.after(time));
-        self.told_until.max(doubt_end)
+        let told_until = self.heartbeat_until.max(self.response_until);
+        told_until.max(doubt_end)
     }
 
     /// Returns whether a health request is due, and counts it as sent.
--- a/crates/kernel/tests/request_cold.rs
+++ b/crates/kernel/tests/request_cold.rs
@@ -281,6 +281,12 @@
         Some(at(22_500)),
         "is cold again"
     );
+    state.record_heartbeat(at(20_500), TimeBudget::ZERO);
+    assert_eq!(
+        state.cold_until(Some(COLD_TIME)),
+        Some(at(20_500)),
+        "a heartbeat ends what an earlier one stated"
+    );
 }
 
 /// Guards against health requests without need.
