--- a/crates/kernel/src/status/node_status.rs
+++ b/crates/kernel/src/status/node_status.rs
@@ -8,7 +8,7 @@
     config::VersionStamp,
     ids::{DataCentre, IncarnationNumber, MeshName, NodeName, ServiceName},
     member::{BackendState, MemberState},
-    status::{EvacuationStatus, MemberStatus, RefusedVersion},
+    status::{AccountStatus, EvacuationStatus, MemberStatus, RefusedVersion},
 };
 
 /// Status of a node and of the members that it knows.
@@ -52,6 +52,9 @@
     /// Whether each data centre is evacuated, as far as the node knows.
     #[serde(default)]
     pub evacuations: Vec<EvacuationStatus>,
+    /// Client accounts of the active version.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub accounts: Vec<AccountStatus>,
     /// Members that the node knows, including itself.
     pub members: Vec<MemberStatus>,
 }
