Place requests by base speed, slowdown of the moment and measured load

Cause: entry nodes compared servers by published times and their own counts only.

Change: the host reads the slowdown from the load header and keeps a clock that runs at the server's speed (ServerSpeed), so that published times do not depend on spells; its queue uses the slowdown of the moment and hands a waiting request on once if it would be late. The entry node compares expected times with the slowdown by age, the measured round trip, and the mean load of the data centre and the server. The thresholds from prices are replaced by the error of the expectation.

--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -141,6 +141,7 @@
             account: None,
             priority: rule.priority,
             waited: route_match.waited,
+            may_hand_on: false,
             attempt,
             method,
             target,
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -99,6 +99,7 @@
         deadline: ClockInstant,
         message: &ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
+        let arrived_at = self.state.now();
         let (announcement, _) = self.serving(name)?;
         let runtime = self
             .state
@@ -118,7 +119,10 @@
         let queued_at = self.state.now();
         let acquired = runtime
             .slot_limiter
-            .acquire_for(self.admission_request(deadline, message))
+            .acquire_for(
+                self.admission_request(deadline, message),
+                message.may_hand_on,
+            )
             .await;
         let permit = acquired.inspect_err(|error| {
             self.log_refusal(name, &runtime, message, queued_at, error);
@@ -151,6 +155,7 @@
             backend: name.clone(),
             version: announcement.version,
             load: runtime.slot_limiter.load(),
+            held: arrived_at.elapsed(self.state.now()),
             limit: runtime.slot_limiter.limit(),
             departed: notice.is_leaving.then_some(incarnation).filter(is_stated),
         })
@@ -393,6 +398,10 @@
     fn record_notice(&self, server: &LocalServer<'_>, sent_at: ClockInstant, notice: ServerNotice) {
         let LocalServer { name, runtime, .. } = *server;
         runtime.slot_limiter.record_statement(sent_at, notice.limit);
+        for _ in 0..runtime.slot_limiter.record_slowdown(notice.slowdown) {
+            self.state
+                .count_labeled("requests_handed_on", "backend", name.as_str());
+        }
         let limit = runtime.slot_limiter.limit();
         let is_changed = {
             let mut backends = self.state.backends();
--- a/crates/daemon/src/forward/claim_table.rs
+++ b/crates/daemon/src/forward/claim_table.rs
@@ -297,6 +297,7 @@
         backend: replayed_backend(),
         version: replayed_version(),
         load: ServerLoad::default(),
+        held: TimeBudget::ZERO,
         limit: StatedLimit::Unknown,
         departed: None,
     }))
--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -18,9 +18,8 @@
 /// Minimum number of requests for a route's execution time to be representative of the server.
 const MIN_SAMPLES: u32 = 6;
 
-/// Signal to a waiter: a slot was granted, or the request was rejected and may be retried at the
-/// given instant.
-type SlotSignal = Result<(), ClockInstant>;
+/// Signal to a waiter: a slot was granted, or the request was rejected.
+type SlotSignal = Result<(), MeshError>;
 type SlotWaiter = oneshot::Sender<SlotSignal>;
 
 /// Limits concurrent requests, with an [`AdmissionQueue`] for those that wait.
@@ -60,23 +59,34 @@
             account: None,
             route: None,
         };
-        self.acquire_for(request).await
+        self.acquire_for(request, false).await
     }
 
     /// Waits for a slot for `request`; see [`ConcurrencyLimiter::acquire`].
+    ///
+    /// With `may_hand_on` it is also refused when the server has slowed down so much that another
+    /// one would answer sooner.
     pub(crate) async fn acquire_for(
         self: &Arc<Self>,
         request: AdmissionRequest,
+        may_hand_on: bool,
     ) -> Result<SlotPermit, MeshError> {
         let now = self.clock.now();
         let (sender, receiver) = oneshot::channel();
+        let mut queue = self.lock();
         let (decision, rejected_waiters) =
-            self.lock()
-                .submit_request(now, &request, sender, &mut rand::rng());
+            queue.submit_request(now, &request, sender, &mut rand::rng());
+        let soft_deadline = request.soft_deadline.filter(|_| may_hand_on);
+        if let (AdmissionDecision::Wait { queue_key, .. }, Some(soft_deadline)) =
+            (decision, soft_deadline)
+        {
+            queue.allow_hand_on(queue_key, soft_deadline);
+        }
+        drop(queue);
         self.schedule_start();
         for waiter in rejected_waiters {
             // The waiter may have been cancelled.
-            let _ = waiter.item.send(Err(waiter.retry_at));
+            let _ = waiter.item.send(Err(overloaded(waiter.retry_at)));
         }
         match decision {
             AdmissionDecision::Run => Ok(self.permit(request.route)),
@@ -117,6 +127,22 @@
         self.apply(update);
     }
 
+    /// Records the slowdown that a response reports, and returns the number of waiting requests that
+    /// are handed on to other servers because of it.
+    pub(crate) fn record_slowdown(&self, reported: Option<Slowdown>) -> usize {
+        let now = self.clock.now();
+        let handed_on = self.lock().record_slowdown(now, reported, &mut rand::rng());
+        let count = handed_on.len();
+        for waiter in handed_on {
+            let message = "the server has slowed down while the request waited";
+            let error =
+                MeshError::new(ErrorKind::Overloaded, message).with_retry_at(waiter.retry_at);
+            // The waiter may have been cancelled.
+            let _ = waiter.item.send(Err(error));
+        }
+        count
+    }
+
     /// Adopts a rate limit that another node knows, until the server's own first response.
     pub(crate) fn adopt_limit(self: &Arc<Self>, limit: StatedLimit) {
         let now = self.clock.now();
@@ -134,7 +160,7 @@
         ServerLoad {
             running: queue.running(),
             waiting: u32::try_from(queue.waiting()).unwrap_or(u32::MAX),
-            slowdown: Slowdown::NONE,
+            slowdown: queue.slowdown(self.clock.now()),
         }
     }
 
@@ -153,11 +179,16 @@
         SlotPermit {
             limiter: Arc::clone(self),
             route,
-            started_at: self.clock.now(),
+            started_at: self.service_clock(),
             is_finished: false,
         }
     }
 
+    /// Returns the reading of the clock that runs at the server's speed.
+    fn service_clock(&self) -> TimeBudget {
+        self.lock().service_clock(self.clock.now())
+    }
+
     fn release(self: &Arc<Self>, took: Option<TimeBudget>) {
         let now = self.clock.now();
         let update = self.lock().release(now, took, &mut rand::rng());
@@ -167,7 +198,7 @@
     fn apply(self: &Arc<Self>, update: AdmissionUpdate<SlotWaiter>) {
         for waiter in update.refused {
             // The waiter may have been cancelled.
-            let _ = waiter.item.send(Err(waiter.retry_at));
+            let _ = waiter.item.send(Err(overloaded(waiter.retry_at)));
         }
         for waiter in update.started {
             if waiter.send(Ok(())).is_err() {
@@ -227,7 +258,8 @@
 pub(crate) struct SlotPermit {
     limiter: Arc<ConcurrencyLimiter>,
     route: Option<RouteName>,
-    started_at: ClockInstant,
+    /// Reading of the limiter's service clock at the start.
+    started_at: TimeBudget,
     is_finished: bool,
 }
 
@@ -240,7 +272,7 @@
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
-        let took = self.started_at.elapsed(self.limiter.clock.now());
+        let took = self.started_at.shortfall_from(self.limiter.service_clock());
         if let Some(route) = self.route.as_ref().filter(|_| self.is_finished) {
             self.limiter.lock().record_route_time(route, took);
         }
@@ -261,7 +293,7 @@
         let time_left = deadline.remaining(self.limiter.clock.now()).to_std();
         match time::timeout(time_left, &mut self.receiver).await {
             Ok(Ok(Ok(()))) => Ok(self.limiter.permit(self.route.take())),
-            Ok(Ok(Err(retry_at))) => Err(overloaded(retry_at)),
+            Ok(Ok(Err(error))) => Err(error),
             _ => Err(overloaded(self.limiter.clock.now())),
         }
     }
@@ -273,7 +305,7 @@
             return;
         }
         // The slot was granted concurrently and would otherwise leak.
-        if self.receiver.try_recv() == Ok(Ok(())) {
+        if matches!(self.receiver.try_recv(), Ok(Ok(()))) {
             self.limiter.release(None);
         }
     }
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -187,6 +187,7 @@
         message.backend = Some(server.backend.clone());
         message.limit = self.state.requests.load_balancer().limit(&server.backend);
         message.attempt = message.attempt.max(1) + attempt - 1;
+        message.may_hand_on = attempt == 1;
         let result = if server.node == self.state.settings.node {
             let backends = &self.backends;
             backends
@@ -435,6 +436,8 @@
             let service = &self.request.service;
             let (now, backend) = (self.state.now(), &self.server.backend);
             load_balancer.report_load(now, service, backend, response.load);
+            let took = self.started_at.elapsed(now);
+            load_balancer.record_round_trip(service, backend, took, response.held);
             load_balancer.record_limit(now, service, backend, response.limit);
             if let Some(incarnation) = response.departed {
                 load_balancer.record_departure(now, service, backend, incarnation);
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -293,6 +293,7 @@
                 account: None,
                 priority: RequestPriority::NORMAL,
                 waited: TimeBudget::ZERO,
+                may_hand_on: false,
                 attempt: 1,
                 method: HttpMethod::Get,
                 target,
--- a/crates/kernel/src/plugin/wire_dialect.rs
+++ b/crates/kernel/src/plugin/wire_dialect.rs
@@ -4,6 +4,7 @@
     clock::TimeBudget,
     error::{ErrorKind, MeshError},
     member::{BackendMessage, StatedLimit},
+    request::Slowdown,
 };
 
 /// Wire conventions between a node and callers, backend servers and the VM's supervisor.
@@ -74,6 +75,9 @@
     pub limit: StatedLimit,
     /// Whether the server is about to shut down.
     pub is_leaving: bool,
+    /// Time that work takes on the server now, relative to the usual time; `None` if the response
+    /// does not state it.
+    pub slowdown: Option<Slowdown>,
 }
 
 /// Looks up a response header by its name in lower case.
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -7,7 +7,7 @@
     config::RequestPriority,
     ids::{RouteName, SlotCount},
     member::StatedLimit,
-    request::{AccountRank, RatePacer},
+    request::{AccountRank, RatePacer, ServerSpeed, Slowdown},
 };
 
 /// Assumed service time until the first request has finished; short, so that no request is refused
@@ -29,6 +29,9 @@
 /// Wait that is allowed even if the soft deadline cannot be met, so that a short queue does not
 /// refuse requests.
 const MIN_QUEUE_WAIT: TimeBudget = TimeBudget::from_millis(100);
+/// Time, in microseconds, that a request needs to get from one host to another by way of its entry
+/// node: four ways of 4 ms between data centres, and as much again for the nodes' work.
+const HAND_ON_MICROS: u64 = 32_000;
 /// Minimum retry delay before jitter, in microseconds: a few round trips to the caller.
 const MIN_BASE_DELAY_MICROS: u64 = 5_000;
 /// Maximum retry delay before jitter, in microseconds; callers give up rather than wait longer.
@@ -116,8 +119,10 @@
     item: T,
     /// Instant from which the request is refused instead of started.
     queue_deadline: ClockInstant,
-    /// Expected service time of the request.
+    /// Expected service time of the request at the server's usual speed.
     expected_time: TimeBudget,
+    /// Instant by which the caller wants the response, if the request may be handed on.
+    hand_on_before: Option<ClockInstant>,
 }
 
 /// Number and total expected service time of waiting requests.
@@ -189,6 +194,7 @@
     checked_service_time: TimeBudget,
     next_sequence: u64,
     pacer: RatePacer,
+    speed: ServerSpeed,
 }
 
 impl<T> AdmissionQueue<T> {
@@ -206,6 +212,7 @@
             checked_service_time: INITIAL_SERVICE_TIME,
             next_sequence: 0,
             pacer: RatePacer::default(),
+            speed: ServerSpeed::default(),
         }
     }
 
@@ -247,9 +254,10 @@
             return (AdmissionDecision::Run, Vec::new());
         }
         let expected_time = self.expected_time(request.route.as_ref());
+        let slowed_time = self.speed.expected_time(now, expected_time);
         let queue_key = QueueKey {
             priority: request.priority,
-            is_late: self.is_late(now, request, expected_time),
+            is_late: self.is_late(now, request, slowed_time),
             deadline,
             sequence: self.next_sequence,
         };
@@ -261,7 +269,7 @@
         let ahead = self.queue.range(..queue_key);
         let ahead = ahead.filter(|(_, entry)| !entry.queue_deadline.has_passed(now));
         let ahead = ahead.fold(QueuedWork::default(), |ahead, (_, entry)| ahead.with(entry));
-        let queue_deadline = self.queue_deadline(now, request, expected_time);
+        let queue_deadline = self.queue_deadline(now, request, slowed_time);
         if (is_full && is_least_urgent) || self.starts_too_late(now, queue_deadline, ahead) {
             return (self.refuse(now, rng), Vec::new());
         }
@@ -270,6 +278,7 @@
             item,
             queue_deadline,
             expected_time,
+            hand_on_before: None,
         };
         self.queue.insert(queue_key, entry);
         let refused = self.evict(now, rng);
@@ -287,7 +296,41 @@
         self.queue.remove(&queue_key).map(|entry| entry.item)
     }
 
-    /// Records the service time of a request of `route`.
+    /// Allows a waiting request to be refused later because the server has slowed down and another
+    /// one can still answer by `soft_deadline`.
+    pub fn allow_hand_on(&mut self, queue_key: QueueKey, soft_deadline: ClockInstant) {
+        if let Some(entry) = self.queue.get_mut(&queue_key) {
+            entry.hand_on_before = Some(soft_deadline);
+        }
+    }
+
+    /// Records the slowdown that a response reports; returns the waiting requests that are handed
+    /// on.
+    pub fn record_slowdown(
+        &mut self,
+        now: ClockInstant,
+        reported: Option<Slowdown>,
+        rng: &mut impl Rng,
+    ) -> Vec<RefusedRequest<T>> {
+        match self.speed.record_report(now, reported) {
+            true => self.hand_on(now, rng),
+            false => Vec::new(),
+        }
+    }
+
+    /// Returns the slowdown of the server that is expected now, relative to its own mean.
+    #[must_use]
+    pub fn slowdown(&self, now: ClockInstant) -> Slowdown {
+        self.speed.slowdown(now)
+    }
+
+    /// Returns the reading of a clock that runs at the server's speed, for service times; see
+    /// [`ServerSpeed::clock`].
+    pub fn service_clock(&mut self, now: ClockInstant) -> TimeBudget {
+        self.speed.clock(now)
+    }
+
+    /// Records the service time of a request of `route`, by [`AdmissionQueue::service_clock`].
     pub fn record_route_time(&mut self, route: &RouteName, took: TimeBudget) {
         match self.route_times.get_mut(route) {
             Some(average) => {
@@ -312,7 +355,8 @@
             .map(|(route, average)| (route, average.time))
     }
 
-    /// Frees the slot of a request that ran for `took`; `None` if the request never started.
+    /// Frees the slot of a request that ran for `took` by [`AdmissionQueue::service_clock`]; `None`
+    /// if the request never started.
     ///
     /// Returns the waiting requests that start or are refused.
     pub fn release(
@@ -467,8 +511,47 @@
                 ahead = ahead.with(entry);
             }
         }
-        let mut refused = Vec::with_capacity(evicted.len());
-        for queue_key in evicted {
+        self.refuse_waiting(now, evicted, rng)
+    }
+
+    /// Refuses the waiting requests that would be late here because the server is slowed, and in
+    /// time on a server of the same usual speed that has a free slot.
+    fn hand_on(&mut self, now: ClockInstant, rng: &mut impl Rng) -> Vec<RefusedRequest<T>> {
+        let mut handed_on = Vec::new();
+        let mut ahead = QueuedWork::default();
+        for (queue_key, entry) in &self.queue {
+            let ends_after = |wait_micros: u64, time: TimeBudget| {
+                now.after(TimeBudget::from_micros(wait_micros))
+                    .after(conservative_time(time))
+            };
+            let usual_wait = self.wait_micros(ahead.micros);
+            let wait = self
+                .speed
+                .expected_time(now, TimeBudget::from_micros(usual_wait));
+            let time = self.speed.expected_time(now, entry.expected_time);
+            let is_late_when_slowed = |soft_deadline: ClockInstant| {
+                ends_after(wait.as_micros(), time) > soft_deadline
+                    && ends_after(usual_wait, entry.expected_time) <= soft_deadline
+                    && ends_after(HAND_ON_MICROS, entry.expected_time) <= soft_deadline
+            };
+            if entry.hand_on_before.is_some_and(is_late_when_slowed) {
+                handed_on.push(*queue_key);
+            } else {
+                ahead = ahead.with(entry);
+            }
+        }
+        self.refuse_waiting(now, handed_on, rng)
+    }
+
+    /// Removes waiting requests and returns them as refused.
+    fn refuse_waiting(
+        &mut self,
+        now: ClockInstant,
+        queue_keys: Vec<QueueKey>,
+        rng: &mut impl Rng,
+    ) -> Vec<RefusedRequest<T>> {
+        let mut refused = Vec::with_capacity(queue_keys.len());
+        for queue_key in queue_keys {
             let retry_at = self.retry_at(now, rng);
             if let Some(entry) = self.queue.remove(&queue_key) {
                 let item = entry.item;
@@ -491,7 +574,8 @@
         queue_deadline: ClockInstant,
         ahead: QueuedWork,
     ) -> bool {
-        let slot_free_at = now.after(TimeBudget::from_micros(self.wait_micros(ahead.micros)));
+        let usual_wait = TimeBudget::from_micros(self.wait_micros(ahead.micros));
+        let slot_free_at = now.after(self.speed.expected_time(now, usual_wait));
         slot_free_at.max(self.pacer.start_after(now, ahead.requests)) > queue_deadline
     }
 
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -1,4 +1,7 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use rand::Rng;
 
@@ -8,8 +11,10 @@
     ids::{BackendName, DataCentre, NodeName, RouteName, ServiceName, SlotCount},
     member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     request::{
-        AttemptOutcome, ServerLoad, ServerLocation, notice_table::NoticeTable,
-        server_stats::ServerStats,
+        AttemptOutcome, ServerLoad, ServerLocation,
+        load_average::LoadAverage,
+        notice_table::NoticeTable,
+        server_stats::{ServerStats, TimeEstimate},
     },
     rollout::VersionChoice,
 };
@@ -22,14 +27,17 @@
 /// Steepness with which the share of late responses rises with the mean time; fits log-normal times
 /// with a standard deviation of 0.4.
 const LATENESS_STEEPNESS: f64 = 4.25;
-/// Additional value of a response in time over a late one, as a fraction of the value of a
-/// response: 0.5 to 0.7 by the users' figures, raised because the worst-served callers count twice.
-const IN_TIME_VALUE: f64 = 0.8;
-/// Cost of the traffic of one request between data centres, as a fraction of the value of a
-/// response: 2 to 3 KB at the users' prices.
-const CROSS_DATA_CENTRE_COST: f64 = 0.08;
-/// Difference in value up to which servers count as equal, so that load decides between them.
-const EQUAL_VALUE_MARGIN: f64 = 0.03;
+/// Memory of the mean load of a data centre: demand that swings over 15 s changes little in it, and
+/// it covers some ten responses to a node with 11 requests a second.
+const DATA_CENTRE_MEMORY: TimeBudget = TimeBudget::from_secs(1);
+/// Assumed requests per slot of a data centre without news: it is just full, so that it is worth a
+/// try and no more than that.
+const ASSUMED_LOAD: f64 = 1.0;
+/// Least weight of a server that is not expected to respond in time, relative to one that is.
+const MIN_SHARE: f64 = 0.01;
+/// Weight of one response in the moving mean of the round trip to a data centre, which evens out
+/// pauses of the nodes' processors.
+const ROUND_TRIP_WEIGHT: f64 = 0.1;
 /// Requests per slot from which a data centre counts as full.
 const SPILL_UTILISATION: f64 = 1.0;
 /// Minimum advantage in requests per slot for which a request moves to another data centre.
@@ -68,6 +76,24 @@
         1.0 / (1.0 + fraction.powf(LATENESS_STEEPNESS))
     }
 
+    /// Returns the error of the expected share of responses in time that follows from the error of
+    /// the expected time.
+    fn share_error(&self, estimate: TimeEstimate) -> f64 {
+        let share = self.in_time_share(estimate.micros);
+        LATENESS_STEEPNESS * share * (1.0 - share) * estimate.error
+    }
+
+    /// Compares two estimates by the share of responses in time; those that differ by no more than
+    /// their error are equal.
+    fn compare(&self, first: TimeEstimate, second: TimeEstimate) -> Ordering {
+        let difference = self.in_time_share(first.micros) - self.in_time_share(second.micros);
+        let margin = self.share_error(first).max(self.share_error(second));
+        if difference.abs() <= margin {
+            return Ordering::Equal;
+        }
+        difference.total_cmp(&0.0)
+    }
+
     /// Returns whether responses that take `micros` on average are likely to be in time.
     fn is_likely_in_time(&self, micros: f64) -> bool {
         micros <= self.latency.as_micros() as f64 * SAFE_LATENCY_FRACTION
@@ -85,6 +111,10 @@
     /// Servers that each node hosts.
     hosted: BTreeMap<NodeName, Vec<(ServiceName, BackendName)>>,
     notices: NoticeTable,
+    /// Mean load of a service's servers in each data centre.
+    loads: BTreeMap<ServiceName, BTreeMap<DataCentre, LoadAverage>>,
+    /// Mean round trip to the hosts of each data centre, in microseconds.
+    round_trips: BTreeMap<DataCentre, f64>,
 }
 
 impl LoadBalancer {
@@ -172,8 +202,15 @@
         criteria: &SelectionCriteria<'_>,
         rng: &mut impl Rng,
     ) -> Option<ServerLocation> {
+        let servers = self.services.get(criteria.service)?;
+        let view = PlacementView {
+            now,
+            loads: self.loads.get(criteria.service),
+            round_trips: &self.round_trips,
+            criteria,
+        };
+        let name = select_backend(&view, servers, rng)?;
         let servers = self.services.get_mut(criteria.service)?;
-        let name = select_backend(now, servers, criteria, rng)?;
         let server = servers.get_mut(&name)?;
         server.begin_attempt(now);
         Some(server.location.clone())
@@ -198,6 +235,11 @@
         if server.record_outcome(now, outcome, took) && may_eject {
             server.eject(now);
         }
+        if outcome == AttemptOutcome::Shed {
+            let load = server.reported_load();
+            let data_centre = server.location.data_centre.clone();
+            self.record_data_centre_load(now, service, data_centre, load);
+        }
     }
 
     /// Records a server's load, as reported in a response of the node beside it.
@@ -208,9 +250,56 @@
         backend: &BackendName,
         load: ServerLoad,
     ) {
-        if let Some(server) = self.server_mut(service, backend) {
-            server.record_load(now, load);
+        let Some(server) = self.server_mut(service, backend) else {
+            return;
+        };
+        server.record_load(now, load);
+        let load = server.reported_load();
+        let data_centre = server.location.data_centre.clone();
+        self.record_data_centre_load(now, service, data_centre, load);
+    }
+
+    /// Records a response of a server's host that took `took` here, of which the host had the
+    /// request for `held`.
+    pub fn record_round_trip(
+        &mut self,
+        service: &ServiceName,
+        backend: &BackendName,
+        took: TimeBudget,
+        held: TimeBudget,
+    ) {
+        let micros = held.shortfall_from(took).as_micros() as f64;
+        let server = self
+            .services
+            .get(service)
+            .and_then(|servers| servers.get(backend));
+        let Some(server) = server else {
+            return;
+        };
+        match self.round_trips.get_mut(&server.location.data_centre) {
+            Some(mean) => *mean += ROUND_TRIP_WEIGHT * (micros - *mean),
+            None => {
+                let data_centre = server.location.data_centre.clone();
+                self.round_trips.insert(data_centre, micros);
+            }
+        }
+    }
+
+    fn record_data_centre_load(
+        &mut self,
+        now: ClockInstant,
+        service: &ServiceName,
+        data_centre: DataCentre,
+        load: f64,
+    ) {
+        if !self.loads.contains_key(service) {
+            self.loads.insert(service.clone(), BTreeMap::new());
         }
+        let loads = self.loads.get_mut(service).expect("was just added");
+        loads
+            .entry(data_centre)
+            .or_default()
+            .record(now, DATA_CENTRE_MEMORY, load);
     }
 
     /// Records the rate limit that a server states in a response.
@@ -380,63 +469,136 @@
     }
 }
 
-fn select_backend(
+/// What a node knows when it selects a server.
+struct PlacementView<'a> {
     now: ClockInstant,
+    loads: Option<&'a BTreeMap<DataCentre, LoadAverage>>,
+    round_trips: &'a BTreeMap<DataCentre, f64>,
+    criteria: &'a SelectionCriteria<'a>,
+}
+
+/// Server that may be selected.
+#[derive(Clone, Copy)]
+struct ServerCandidate<'a> {
+    server: &'a ServerStats,
+    /// Expected time until the response is here; `None` if the service time is unknown.
+    estimate: Option<TimeEstimate>,
+    /// Weight of the server in random draws.
+    weight: f64,
+}
+
+impl ServerCandidate<'_> {
+    fn is_in(&self, data_centre: &DataCentre) -> bool {
+        self.server.location.data_centre == *data_centre
+    }
+}
+
+impl PlacementView<'_> {
+    fn candidate<'a>(&self, server: &'a ServerStats) -> ServerCandidate<'a> {
+        let estimate = self.estimate(server);
+        let weight = server.weight(self.now);
+        // A server gets requests in proportion to its usual speed.
+        let weight = match (self.criteria.latency_target, estimate) {
+            (Some(target), Some(estimate)) => {
+                let share = target.in_time_share(estimate.micros);
+                weight * share.max(MIN_SHARE) / estimate.usual_micros.max(1.0)
+            }
+            _ => weight,
+        };
+        ServerCandidate {
+            server,
+            estimate,
+            weight,
+        }
+    }
+
+    fn estimate(&self, server: &ServerStats) -> Option<TimeEstimate> {
+        let target = self.criteria.latency_target?;
+        let data_centre = &server.location.data_centre;
+        let load = self.loads.and_then(|loads| loads.get(data_centre));
+        let usual_load = load.map_or(0.0, |load| {
+            load.load(self.now, DATA_CENTRE_MEMORY, ASSUMED_LOAD)
+        });
+        let estimate = server.expected_time(self.now, target.route, usual_load)?;
+        let round_trip = self.round_trips.get(data_centre).copied();
+        Some(TimeEstimate {
+            micros: estimate.micros + round_trip.unwrap_or(0.0),
+            ..estimate
+        })
+    }
+}
+
+fn select_backend(
+    view: &PlacementView<'_>,
     servers: &BTreeMap<BackendName, ServerStats>,
-    criteria: &SelectionCriteria<'_>,
     rng: &mut impl Rng,
 ) -> Option<BackendName> {
-    let all = untried_serving(servers, criteria);
-    let admitted: Vec<&ServerStats> = all
-        .iter()
-        .copied()
-        .filter(|server| !server.is_ejected(now))
-        .collect();
-    let mut candidates = match admitted.is_empty() {
-        true => all,
-        false => admitted,
+    let all = untried_serving(servers, view.criteria);
+    let admitted = all.iter().filter(|server| !server.is_ejected(view.now));
+    let mut candidates: Vec<_> = admitted.map(|server| view.candidate(server)).collect();
+    if candidates.is_empty() {
+        candidates = all.iter().map(|server| view.candidate(server)).collect();
+    }
+    let selected = match select_by_time(view, &candidates, rng) {
+        Some(selected) => selected,
+        None => {
+            let data_centre = select_data_centre(view, &candidates)?;
+            candidates.retain(|candidate| candidate.is_in(&data_centre));
+            better_of_two(view, &candidates, rng)?
+        }
     };
-    if let Some(target) = criteria.latency_target {
-        remove_slow(now, &mut candidates, criteria.data_centre, target);
-    }
-    let data_centre = select_data_centre(now, &candidates, criteria)?;
-    let nearby: Vec<&ServerStats> = candidates
-        .into_iter()
-        .filter(|server| server.location.data_centre == data_centre)
-        .collect();
-    Some(better_of_two(now, &nearby, rng)?.location.backend.clone())
+    Some(selected.server.location.backend.clone())
 }
 
-/// Removes servers whose response has clearly less expected value than the best server's, given its
-/// expected time and the cost of traffic between data centres.
+/// Selects a server by the expected share of responses in time, or returns `None` if expected times
+/// are unknown or the home data centre has no server.
 ///
-/// Servers with unknown service times stay.
-fn remove_slow(
-    now: ClockInstant,
-    candidates: &mut Vec<&ServerStats>,
-    home: &DataCentre,
-    target: LatencyTarget<'_>,
-) {
-    let value = |server: &&ServerStats| {
-        let expected = server.expected_micros(now, target.route)?;
-        let cost = if server.location.data_centre == *home {
-            0.0
-        } else {
-            CROSS_DATA_CENTRE_COST
-        };
-        Some(IN_TIME_VALUE * target.in_time_share(expected) - cost)
-    };
-    let values: Vec<_> = candidates.iter().map(value).collect();
-    let best = values
+/// A server of the home data centre is given up for one of another data centre only if that one is
+/// better by more than the error of these expectations. Both are drawn at random, so that nodes
+/// with the same news do not all select the same server.
+fn select_by_time<'a>(
+    view: &PlacementView<'_>,
+    candidates: &[ServerCandidate<'a>],
+    rng: &mut impl Rng,
+) -> Option<ServerCandidate<'a>> {
+    let criteria = view.criteria;
+    let target = criteria.latency_target?;
+    let (nearby, remote): (Vec<_>, Vec<_>) = candidates
         .iter()
-        .flatten()
-        .copied()
-        .fold(f64::NEG_INFINITY, f64::max);
-    let mut values = values.into_iter();
-    candidates.retain(|_| {
-        let value = values.next().flatten();
-        value.is_none_or(|value| value >= best - EQUAL_VALUE_MARGIN)
+        .partition(|candidate| candidate.is_in(criteria.data_centre));
+    let nearby = better_of_two(view, &nearby, rng)?;
+    let near_estimate = nearby.estimate?;
+    let is_in_spill_order = |candidate: &ServerCandidate<'_>| {
+        let data_centre = &candidate.server.location.data_centre;
+        criteria.spill_order.contains(data_centre)
+    };
+    let remote: Vec<_> = remote.into_iter().filter(is_in_spill_order).collect();
+    let Some(remote) = better_of_two(view, &remote, rng) else {
+        return Some(nearby);
+    };
+    let is_better = remote.estimate.is_some_and(|estimate| {
+        // A refusal is certain news of the home data centre.
+        if !criteria.tried.is_empty() {
+            return estimate.micros < near_estimate.micros;
+        }
+        let order = match target.is_likely_in_time(near_estimate.micros) {
+            true => Ordering::Equal,
+            false => target.compare(estimate, near_estimate),
+        };
+        order.then_with(|| compare_waits(estimate, near_estimate)) == Ordering::Greater
     });
+    Some(if is_better { remote } else { nearby })
+}
+
+/// Compares the waits of two estimates, each relative to the work's usual time there; those that
+/// differ by no more than their error are equal. The shorter one is the greater.
+fn compare_waits(first: TimeEstimate, second: TimeEstimate) -> Ordering {
+    let difference = second.stretch - first.stretch;
+    let margin = (first.stretch * first.error).hypot(second.stretch * second.error);
+    if difference.abs() <= margin {
+        return Ordering::Equal;
+    }
+    difference.total_cmp(&0.0)
 }
 
 /// Returns the untried serving servers of the best-ranked version that has a serving server.
@@ -471,18 +633,18 @@
 /// away must be better by [`SPILL_MARGIN`]. If no candidate is at home, the search ends at the
 /// first data centre with free capacity.
 fn select_data_centre(
-    now: ClockInstant,
-    candidates: &[&ServerStats],
-    criteria: &SelectionCriteria<'_>,
+    view: &PlacementView<'_>,
+    candidates: &[ServerCandidate<'_>],
 ) -> Option<DataCentre> {
+    let (now, criteria) = (view.now, view.criteria);
     let home_utilisation = utilisation(now, candidates, criteria.data_centre);
     let is_home_in_time = criteria.latency_target.is_some_and(|target| {
         let mut nearby = candidates
             .iter()
-            .filter(|server| server.location.data_centre == *criteria.data_centre);
-        nearby.any(|server| {
-            let expected = server.expected_micros(now, target.route);
-            expected.is_some_and(|expected| target.is_likely_in_time(expected))
+            .filter(|candidate| candidate.is_in(criteria.data_centre));
+        nearby.any(|candidate| {
+            let estimate = candidate.estimate;
+            estimate.is_some_and(|estimate| target.is_likely_in_time(estimate.micros))
         })
     });
     // A short wait costs callers less than the latency and traffic to another data centre.
@@ -508,19 +670,20 @@
         Some((data_centre, _)) => Some(data_centre.clone()),
         None => candidates
             .first()
-            .map(|server| server.location.data_centre.clone()),
+            .map(|candidate| candidate.server.location.data_centre.clone()),
     }
 }
 
 /// Returns the requests per weighted slot in one data centre, or `None` without candidates there.
 fn utilisation(
     now: ClockInstant,
-    candidates: &[&ServerStats],
+    candidates: &[ServerCandidate<'_>],
     data_centre: &DataCentre,
 ) -> Option<f64> {
     let inside = candidates
         .iter()
-        .filter(|server| server.location.data_centre == *data_centre);
+        .filter(|candidate| candidate.is_in(data_centre))
+        .map(|candidate| candidate.server);
     let (request_count, slots) = inside.fold((0.0, 0.0), |(request_count, slots), server| {
         let capacity = server.capacity() * server.weight(now);
         (
@@ -531,41 +694,59 @@
     (slots > 0.0).then(|| request_count / slots)
 }
 
+/// Draws two servers and returns the better one: that with the higher share of responses in time
+/// or, if these are equal, that with less load.
 fn better_of_two<'a>(
-    now: ClockInstant,
-    candidates: &[&'a ServerStats],
+    view: &PlacementView<'_>,
+    candidates: &[ServerCandidate<'a>],
     rng: &mut impl Rng,
-) -> Option<&'a ServerStats> {
-    let first = draw(now, candidates, None, rng)?;
-    let Some(second) = draw(now, candidates, Some(first), rng) else {
+) -> Option<ServerCandidate<'a>> {
+    let first = draw(candidates, None, rng)?;
+    let Some(second) = draw(candidates, Some(first), rng) else {
         return Some(first);
     };
-    match second.weighted_load(now) < first.weighted_load(now) {
-        true => Some(second),
-        false => Some(first),
+    let estimates = second.estimate.zip(first.estimate);
+    let order = match (view.criteria.latency_target, estimates) {
+        (Some(target), Some((second, first))) => {
+            let are_fast_enough = target.is_likely_in_time(second.usual_micros)
+                && target.is_likely_in_time(first.usual_micros);
+            let by_stretch = first.stretch.total_cmp(&second.stretch);
+            match are_fast_enough {
+                true => by_stretch,
+                false => target.compare(second, first).then(by_stretch),
+            }
+        }
+        _ => {
+            let load = |candidate: ServerCandidate<'_>| candidate.server.weighted_load(view.now);
+            load(first).total_cmp(&load(second))
+        }
+    };
+    match order {
+        Ordering::Greater => Some(second),
+        _ => Some(first),
     }
 }
 
 /// Draws a server at random by weight, so that a cold or failing server is rarely considered.
 fn draw<'a>(
-    now: ClockInstant,
-    candidates: &[&'a ServerStats],
-    excluded: Option<&ServerStats>,
+    candidates: &[ServerCandidate<'a>],
+    excluded: Option<ServerCandidate<'a>>,
     rng: &mut impl Rng,
-) -> Option<&'a ServerStats> {
-    let is_eligible = |server: &&&'a ServerStats| {
-        excluded.is_none_or(|excluded| excluded.location.backend != server.location.backend)
+) -> Option<ServerCandidate<'a>> {
+    let is_eligible = |candidate: &&ServerCandidate<'a>| {
+        let name = &candidate.server.location.backend;
+        excluded.is_none_or(|excluded| excluded.server.location.backend != *name)
     };
     let eligible = candidates.iter().filter(is_eligible);
-    let total: f64 = eligible.clone().map(|server| server.weight(now)).sum();
+    let total: f64 = eligible.clone().map(|candidate| candidate.weight).sum();
     if total <= 0.0 {
         return None;
     }
     let mut remaining = rng.random_range(0.0..total);
     let mut last = None;
-    for server in eligible {
-        last = Some(*server);
-        remaining -= server.weight(now);
+    for candidate in eligible {
+        last = Some(*candidate);
+        remaining -= candidate.weight;
         if remaining < 0.0 {
             break;
         }
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -3,8 +3,9 @@
 //! The entry node selects a backend server with [`LoadBalancer`], asks [`RetryBudget`] or
 //! [`SharedBudget`] before it retries, and bounds its outstanding requests with
 //! [`AdaptiveLimit`]. The node beside a server assigns the server's slots with an
-//! [`AdmissionQueue`], whose [`RatePacer`] holds the rate limit that the server states. [`IdempotencyCache`], [`RequestTicket`] and [`ClaimRow`] prevent a request
-//! with an idempotency key from running twice. [`CrashRecord`] quarantines a request after it has
+//! [`AdmissionQueue`], whose [`RatePacer`] holds the rate limit that the server states and whose
+//! [`ServerSpeed`] follows how fast the server works. [`IdempotencyCache`], [`RequestTicket`] and
+//! [`ClaimRow`] prevent a request with an idempotency key from running twice. [`CrashRecord`] quarantines a request after it has
 //! crashed two servers.
 
 mod account_rank;
@@ -17,12 +18,14 @@
 mod health_debouncer;
 mod idempotency_cache;
 mod limit_publisher;
+mod load_average;
 mod load_balancer;
 mod notice_table;
 mod rate_pacer;
 mod request_ticket;
 mod response_budget;
 mod retry_budget;
+mod server_speed;
 mod server_stats;
 mod shared_budget;
 mod slowdown;
@@ -46,6 +49,7 @@
 pub use request_ticket::RequestTicket;
 pub use response_budget::ResponseBudget;
 pub use retry_budget::{RetryBudget, RetryContext};
+pub use server_speed::ServerSpeed;
 pub use server_stats::{ServerLoad, ServerLocation};
 pub use shared_budget::{RetryPolicy, SharedBudget};
 pub use slowdown::Slowdown;
--- a/crates/kernel/src/request/server_stats.rs
+++ b/crates/kernel/src/request/server_stats.rs
@@ -7,13 +7,25 @@
     config::ShareRatio,
     ids::{BackendName, BuildVersion, DataCentre, NodeName, RouteName},
     member::{BackendState, StatedLimit},
-    request::{AttemptOutcome, Slowdown},
+    request::{AttemptOutcome, Slowdown, load_average::LoadAverage},
 };
 
 /// Speed of a server that is still warming up, relative to a warm one.
 const COLD_SPEED: f64 = 0.5;
 /// Maximum time for which a server is treated as cold because it reports so.
 const MAX_COLD_TIME: TimeBudget = TimeBudget::from_secs(30);
+/// Memory of a server's own mean load: how nodes share out requests changes more slowly than demand,
+/// and a node sees a given server every few seconds only.
+const SERVER_MEMORY: TimeBudget = TimeBudget::from_secs(5);
+/// Relative error of a published service time: it is republished only when it has changed by 35%,
+/// and an error that is evenly spread over that range has this standard deviation.
+const PUBLISHED_TIME_ERROR: f64 = 0.17;
+/// Relative standard deviation of the time that work takes on a server slowed 2.5 times for 15% of
+/// the time.
+const SLOWDOWN_ERROR: f64 = 0.44;
+/// Standard deviation of a number of requests, relative to its square root, as for independent
+/// arrivals.
+const COUNT_ERROR: f64 = 1.0;
 /// Weight of one attempt in the moving failure share: ten consecutive failures raise it above 0.5.
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Weight of one attempt in the moving mean latency, which follows a change within about ten
@@ -82,6 +94,18 @@
     pub slowdown: Slowdown,
 }
 
+/// Expected time until a server's response.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TimeEstimate {
+    pub(crate) micros: f64,
+    /// Time of the work itself at the server's usual speed.
+    pub(crate) usual_micros: f64,
+    /// Expected time at the server, relative to that of the work at its usual speed.
+    pub(crate) stretch: f64,
+    /// Relative standard deviation of `micros` from the truth.
+    pub(crate) error: f64,
+}
+
 /// Statistics of one backend server, mostly from this node's own attempts.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerStats {
@@ -109,6 +133,11 @@
     last_progress_at: ClockInstant,
     load: ServerLoad,
     load_valid_until: ClockInstant,
+    /// Mean of requests per slot by the reports.
+    own_load: LoadAverage,
+    /// Instant of the response with the slowdown in `load`; [`ClockInstant::NEVER`] if the server
+    /// has not reported one.
+    slowdown_at: ClockInstant,
 }
 
 impl ServerStats {
@@ -138,6 +167,8 @@
             last_progress_at: ClockInstant::default(),
             load: ServerLoad::default(),
             load_valid_until: ClockInstant::default(),
+            own_load: LoadAverage::default(),
+            slowdown_at: ClockInstant::NEVER,
         }
     }
 
@@ -165,8 +196,14 @@
     }
 
     pub(crate) fn record_load(&mut self, now: ClockInstant, load: ServerLoad) {
+        let reports_slowdown = self.slowdown_at != ClockInstant::NEVER;
+        if reports_slowdown || load.slowdown != Slowdown::NONE {
+            self.slowdown_at = now;
+        }
         self.load = load;
         self.load_valid_until = now.after(LOAD_REPORT_LIFETIME);
+        self.own_load
+            .record(now, SERVER_MEMORY, self.reported_load());
     }
 
     /// Records the outcome of an attempt and returns whether the server should be ejected.
@@ -211,20 +248,58 @@
 
     /// Returns the expected time until the response, including the wait for a slot, or `None` if
     /// the server's service time for `route` is unknown.
-    pub(crate) fn expected_micros(&self, now: ClockInstant, route: &RouteName) -> Option<f64> {
+    ///
+    /// `usual_load` is the mean of requests per slot, for a server without a recent report.
+    pub(crate) fn expected_time(
+        &self,
+        now: ClockInstant,
+        route: &RouteName,
+        usual_load: f64,
+    ) -> Option<TimeEstimate> {
         let service_time = self.service_times.get(route)?.as_micros() as f64;
         let capacity = self.capacity();
+        let count = self.expected_count(now, usual_load);
         // An idle server starts the next request at once, even if it takes few a second.
-        let queued = (f64::from(self.request_count(now)) + 1.0 - capacity.max(1.0)).max(0.0);
-        let time =
-            service_time * (1.0 + queued / capacity) / self.warm_up_factor(now).max(COLD_SPEED);
-        Some(if self.is_stalled(now) {
-            time * STALL_PENALTY
-        } else {
-            time
+        let count_error = COUNT_ERROR * count.sqrt();
+        let excess = count + 1.0 - capacity.max(1.0);
+        let queued = expected_excess(excess, count_error);
+        let delayed = count * excess_probability(excess, count_error);
+        let usual = service_time * (1.0 + (queued + delayed) / capacity)
+            / self.warm_up_factor(now).max(COLD_SPEED);
+        let (slowdown, slowdown_error) = self.expected_slowdown(now);
+        let time = usual * slowdown.mean_over(usual);
+        let micros = match self.is_stalled(now) {
+            true => time * STALL_PENALTY,
+            false => time,
+        };
+        let error = PUBLISHED_TIME_ERROR.hypot(slowdown_error);
+        Some(TimeEstimate {
+            micros,
+            usual_micros: service_time,
+            stretch: micros / service_time.max(1.0),
+            error,
         })
     }
 
+    /// Returns the slowdown to expect now, and the relative error of the expectation.
+    fn expected_slowdown(&self, now: ClockInstant) -> (Slowdown, f64) {
+        if self.slowdown_at == ClockInstant::NEVER {
+            return (Slowdown::NONE, 0.0);
+        }
+        let age = self.slowdown_at.elapsed(now);
+        let slowdown = self.load.slowdown.after(age);
+        (slowdown, SLOWDOWN_ERROR * Slowdown::lost_share(age))
+    }
+
+    /// Returns the number of requests to expect at the server.
+    fn expected_count(&self, now: ClockInstant, usual_load: f64) -> f64 {
+        let reported = match self.load_valid_until.has_passed(now) {
+            true => self.own_load.load(now, SERVER_MEMORY, usual_load) * self.capacity(),
+            false => f64::from(self.load.running + self.load.waiting),
+        };
+        reported.max(f64::from(self.outstanding))
+    }
+
     /// Returns the number of requests that the server processes concurrently: its slots, or fewer
     /// if its rate limit leaves some of them idle.
     pub(crate) fn capacity(&self) -> f64 {
@@ -292,6 +367,11 @@
         (1.0 - left).clamp(SLOW_START_WEIGHT, speed)
     }
 
+    /// Returns the requests per slot that the server last reported.
+    pub(crate) fn reported_load(&self) -> f64 {
+        f64::from(self.load.running + self.load.waiting) / self.capacity()
+    }
+
     fn is_stalled(&self, now: ClockInstant) -> bool {
         let idle = self.last_progress_at.elapsed(now).as_micros() as f64;
         let max_idle = (self.latency_micros * STALL_FACTOR).max(MIN_STALL_MICROS);
@@ -352,3 +432,23 @@
         ShareRatio::from_ppm(ppm as u32)
     }
 }
+
+/// Returns the probability that a quantity with the given mean and standard deviation exceeds zero.
+fn excess_probability(mean: f64, deviation: f64) -> f64 {
+    if deviation <= f64::EPSILON {
+        return if mean > 0.0 { 1.0 } else { 0.0 };
+    }
+    let scale = deviation / 1.814;
+    1.0 / (1.0 + (-mean / scale).exp())
+}
+
+/// Returns the mean of a quantity with the given mean and standard deviation as far as it exceeds
+/// zero, by the logistic approximation of the normal distribution.
+fn expected_excess(mean: f64, deviation: f64) -> f64 {
+    // A logistic distribution has a standard deviation of pi / sqrt(3) times its scale.
+    let scale = deviation / 1.814;
+    if scale <= f64::EPSILON || mean / scale > 30.0 {
+        return mean.max(0.0);
+    }
+    scale * (mean / scale).exp().ln_1p()
+}
--- a/crates/wire/src/peer/forward_message.rs
+++ b/crates/wire/src/peer/forward_message.rs
@@ -41,6 +41,9 @@
     pub priority: RequestPriority,
     /// Time that the caller has already spent on its own earlier attempts, if it reports this.
     pub waited: TimeBudget,
+    /// Whether the host may refuse the request while it waits because the server has slowed down;
+    /// true once for each request.
+    pub may_hand_on: bool,
     /// Attempt number, 1 for the first; it keeps counting along a chain of calls.
     pub attempt: u32,
     /// HTTP method.
@@ -68,6 +71,8 @@
     pub version: BuildVersion,
     /// Load of that backend server, as observed by its local node.
     pub load: ServerLoad,
+    /// Time from the arrival of the request at the host to its response.
+    pub held: TimeBudget,
     /// Rate limit of that backend server, as known to its local node.
     pub limit: StatedLimit,
     /// Incarnation of that backend server, if it states its departure.
