--- a/crates/kernel/src/request/server_stats.rs
+++ b/crates/kernel/src/request/server_stats.rs
@@ -263,7 +263,8 @@
         let count_error = COUNT_ERROR * count.sqrt();
         let excess = count + 1.0 - capacity.max(1.0);
         let queued = expected_excess(excess, count_error);
-        let delayed = count * excess_probability(excess, count_error);
+        let wait_probability = excess_probability(excess, count_error);
+        let delayed = count * wait_probability;
         let usual = service_time * (1.0 + (queued + delayed) / capacity)
             / self.warm_up_factor(now).max(COLD_SPEED);
         let (slowdown, slowdown_error) = self.expected_slowdown(now);
@@ -272,7 +273,10 @@
             true => time * STALL_PENALTY,
             false => time,
         };
-        let error = PUBLISHED_TIME_ERROR.hypot(slowdown_error);
+        let wait_error = wait_probability * count_error / (capacity + queued + delayed);
+        let error = PUBLISHED_TIME_ERROR
+            .hypot(slowdown_error)
+            .hypot(wait_error);
         Some(TimeEstimate {
             micros,
             usual_micros: service_time,
--- a/crates/kernel/tests/request_placing.rs
+++ b/crates/kernel/tests/request_placing.rs
@@ -55,3 +55,19 @@
         check(Scenario::new(65, load));
     }
 }
+
+#[test]
+fn trial() {
+    for (is_even, swing) in [(true, 0.0), (true, 0.55), (false, 0.0), (false, 0.55)] {
+        for load in [0.5, 0.85, 1.0] {
+            let scenario = Scenario {
+                is_slowed: false,
+                is_reported: false,
+                is_even,
+                swing,
+                ..Scenario::new(65, load)
+            };
+            println!("even {is_even} swing {swing} load {load} {}", scenario.run(Placement::Balancer));
+        }
+    }
+}
