--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -497,7 +497,7 @@
     fn candidate<'a>(&self, server: &'a ServerStats) -> ServerCandidate<'a> {
         let estimate = self.estimate(server);
         let weight = server.weight(self.now);
-        // A server gets requests in proportion to its usual speed.
+        // A server gets requests in proportion to its usual speed, fewer if it is full or slowed.
         let weight = match (self.criteria.latency_target, estimate) {
             (Some(target), Some(estimate)) => {
                 let share = target.in_time_share(estimate.micros);
--- a/crates/kernel/src/request/server_stats.rs
+++ b/crates/kernel/src/request/server_stats.rs
@@ -274,9 +274,7 @@
             false => time,
         };
         let wait_error = wait_probability * count_error / (capacity + queued + delayed);
-        let error = PUBLISHED_TIME_ERROR
-            .hypot(slowdown_error)
-            .hypot(wait_error);
+        let error = PUBLISHED_TIME_ERROR.hypot(slowdown_error).hypot(wait_error);
         Some(TimeEstimate {
             micros,
             usual_micros: service_time,
