--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -73,16 +73,17 @@
     ) -> Result<SlotPermit, MeshError> {
         let now = self.clock.now();
         let (sender, receiver) = oneshot::channel();
-        let mut queue = self.lock();
-        let (decision, rejected_waiters) =
-            queue.submit_request(now, &request, sender, &mut rand::rng());
         let soft_deadline = request.soft_deadline.filter(|_| may_hand_on);
-        if let (AdmissionDecision::Wait { queue_key, .. }, Some(soft_deadline)) =
-            (decision, soft_deadline)
-        {
-            queue.allow_hand_on(queue_key, soft_deadline);
-        }
-        drop(queue);
+        let (decision, rejected_waiters) = {
+            let mut queue = self.lock();
+            let submitted = queue.submit_request(now, &request, sender, &mut rand::rng());
+            if let (AdmissionDecision::Wait { queue_key, .. }, Some(soft_deadline)) =
+                (submitted.0, soft_deadline)
+            {
+                queue.allow_hand_on(queue_key, soft_deadline);
+            }
+            submitted
+        };
         self.schedule_start();
         for waiter in rejected_waiters {
             // The waiter may have been cancelled.
