Leave slots to the requests of a restarted host's predecessor

Cause: a host that has just restarted started as many requests as the server has slots, while requests of its former process could still run there; a server that does not answer when full loses those beyond. Seen in the code and by request_placing with hold_slots left out (6 started instead of 1).

Change: beside a server that is older than the node, one slot is used until a response states how many requests the server runs, or for 2 s after the node's start. The first response of a server that states nothing ends the hold.

--- a/crates/daemon/src/callers/native_dialect.rs
+++ b/crates/daemon/src/callers/native_dialect.rs
@@ -70,6 +70,7 @@
     ServerNotice {
         limit: StatedLimit::from_header(header(BACKEND_LIMIT_HEADER)),
         is_leaving: header(BACKEND_LEAVING_HEADER) == Some(LEAVING_VALUE),
+        running: None,
         slowdown: None,
     }
 }
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -105,11 +105,11 @@
         let arrived_at = self.state.now();
         // The entry node may hold an older version.
         recheck_account(&self.state, message)?;
-        let (announcement, _) = self.serving(name)?;
-        let runtime = self
-            .state
-            .requests
-            .backend_runtime(name, usable_slots(&announcement));
+        let (announcement, incarnation) = self.serving(name)?;
+        let runtime =
+            self.state
+                .requests
+                .backend_runtime(name, usable_slots(&announcement), incarnation);
         runtime.slot_limiter.adopt_limit(message.limit);
         let crash_status = self.crashes.check(message.fingerprint)?;
         let suspect_permit = match crash_status {
@@ -400,6 +400,7 @@
     fn record_notice(&self, server: &LocalServer<'_>, sent_at: ClockInstant, notice: ServerNotice) {
         let LocalServer { name, runtime, .. } = *server;
         runtime.slot_limiter.record_statement(sent_at, notice.limit);
+        runtime.slot_limiter.record_running(notice.running);
         for _ in 0..runtime.slot_limiter.record_slowdown(notice.slowdown) {
             self.state
                 .count_labeled("requests_handed_on", "backend", name.as_str());
--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -144,6 +144,18 @@
         count
     }
 
+    /// Holds slots for the requests of this node's predecessor; see [`AdmissionQueue::hold_slots`].
+    pub(crate) fn hold_slots(&self, until: ClockInstant) {
+        self.lock().hold_slots(until);
+    }
+
+    /// Records how many requests a response says that the server runs.
+    pub(crate) fn record_running(self: &Arc<Self>, stated: Option<u32>) {
+        let now = self.clock.now();
+        let update = self.lock().record_running(now, stated, &mut rand::rng());
+        self.apply(update);
+    }
+
     /// Adopts a rate limit that another node knows, until the server's own first response.
     pub(crate) fn adopt_limit(self: &Arc<Self>, limit: StatedLimit) {
         let now = self.clock.now();
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -11,6 +11,7 @@
     config::ConfigSnapshot,
     error::{ErrorKind, MeshError},
     ids::{BackendName, RouteName, ServiceName, SlotCount},
+    member::BackendIncarnation,
     request::{
         AdaptiveLimit, AttemptOutcome, IdempotencyCache, LoadBalancer, ResponseBudget, RetryBudget,
         RetryPolicy, SharedBudget, WaitEstimator,
@@ -28,6 +29,9 @@
 const SERVICE_QUEUE_FACTOR: usize = 4;
 const BACKEND_QUEUE_FACTOR: usize = 2;
 const SUSPECT_QUEUE_LIMIT: usize = 64;
+/// Time after this node's start for which slots are left to requests of its predecessor: work of
+/// 600 ms at the usual speed that is slowed 2.5 times has ended by then; longer work may not have.
+const PREDECESSOR_TIME: TimeBudget = TimeBudget::from_secs(2);
 const DRAINING_RETRY_DELAY: TimeBudget = TimeBudget::from_millis(200);
 
 /// Result of a request, shared by all waiters with the same idempotency key.
@@ -39,6 +43,7 @@
 #[derive(Debug)]
 pub struct RequestState {
     clock: SystemClock,
+    started_at: ClockInstant,
     load_balancer: Mutex<LoadBalancer>,
     /// Generation of the member table that the load balancer reflects.
     members_generation: AtomicU64,
@@ -80,6 +85,7 @@
 impl RequestState {
     pub(crate) fn new(clock: SystemClock, retry_policy: Option<RetryPolicy>) -> Self {
         Self {
+            started_at: clock.now(),
             clock,
             load_balancer: Mutex::default(),
             members_generation: AtomicU64::new(0),
@@ -186,6 +192,7 @@
         &self,
         name: &BackendName,
         slots: SlotCount,
+        incarnation: BackendIncarnation,
     ) -> Arc<BackendRuntime> {
         let mut backends = lock(&self.backends);
         if let Some(runtime) = backends.get(name) {
@@ -205,6 +212,13 @@
             echoes_request_id: AtomicBool::new(false),
             limit_monitor: Mutex::default(),
         });
+        let is_older = incarnation != BackendIncarnation::default()
+            && incarnation.started_at < self.started_at;
+        if is_older {
+            runtime
+                .slot_limiter
+                .hold_slots(self.started_at.after(PREDECESSOR_TIME));
+        }
         backends.insert(name.clone(), Arc::clone(&runtime));
         runtime
     }
--- a/crates/kernel/src/plugin/wire_dialect.rs
+++ b/crates/kernel/src/plugin/wire_dialect.rs
@@ -89,6 +89,8 @@
     pub limit: StatedLimit,
     /// Whether the server is about to shut down.
     pub is_leaving: bool,
+    /// Requests that run on the server; `None` if the response does not state it.
+    pub running: Option<u32>,
     /// Time that work takes on the server now, relative to the usual time; `None` if the response
     /// does not state it.
     pub slowdown: Option<Slowdown>,
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -10,6 +10,7 @@
     request::{
         AccountRank, RatePacer, ServerSpeed, Slowdown,
         fair_order::{FairOrder, FairPlan, VirtualTime},
+        slot_hold::SlotHold,
     },
 };
 
@@ -228,6 +229,7 @@
     next_sequence: u64,
     pacer: RatePacer,
     speed: ServerSpeed,
+    hold: SlotHold,
     fair_order: FairOrder,
 }
 
@@ -247,6 +249,7 @@
             next_sequence: 0,
             pacer: RatePacer::default(),
             speed: ServerSpeed::default(),
+            hold: SlotHold::default(),
             fair_order: FairOrder::default(),
         }
     }
@@ -354,6 +357,27 @@
         }
     }
 
+    /// Leaves all slots but one free until `until`, or until a response states how many requests the
+    /// server runs: requests of this host's predecessor may still run there.
+    pub fn hold_slots(&mut self, until: ClockInstant) {
+        self.hold = SlotHold::new(self.slots.saturating_sub(1), until);
+    }
+
+    /// Records how many requests a response says that the server runs, `None` if it does not say so;
+    /// returns the waiting requests that start or are refused.
+    pub fn record_running(
+        &mut self,
+        now: ClockInstant,
+        stated: Option<u32>,
+        rng: &mut impl Rng,
+    ) -> AdmissionUpdate<T> {
+        if self.hold.slots(now) == 0 {
+            return AdmissionUpdate::default();
+        }
+        self.hold.record_running(stated, self.running);
+        self.start_waiting(now, rng)
+    }
+
     /// Returns the slowdown of the server that is expected now, relative to its own mean.
     #[must_use]
     pub fn slowdown(&self, now: ClockInstant) -> Slowdown {
@@ -460,7 +484,7 @@
     #[must_use]
     pub fn next_start(&self) -> Option<ClockInstant> {
         let waits = !self.queue.is_empty() && self.running < self.slots;
-        waits.then(|| self.pacer.next_start())
+        waits.then(|| self.pacer.next_start().max(self.hold.end()))
     }
 
     fn update_after(
@@ -692,7 +716,8 @@
     }
 
     fn may_start(&self, now: ClockInstant) -> bool {
-        self.running < self.slots && self.pacer.may_start(now)
+        let held_slots = self.hold.slots(now).min(self.slots.saturating_sub(1));
+        self.running + held_slots < self.slots && self.pacer.may_start(now)
     }
 
     fn start(
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -29,6 +29,7 @@
 mod server_speed;
 mod server_stats;
 mod shared_budget;
+mod slot_hold;
 mod slowdown;
 mod time_publisher;
 mod wait_estimator;
--- a/crates/kernel/tests/request_placing.rs
+++ b/crates/kernel/tests/request_placing.rs
@@ -283,3 +283,35 @@
         assert_eq!(queue.waiting(), 1 - expected);
     }
 }
+
+/// Guards against a server that gets more requests than slots after its host has restarted, because
+/// requests of the former process still run there.
+#[test]
+fn restarted_host_leaves_slots_to_the_requests_of_its_predecessor() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let submit = |queue: &mut AdmissionQueue<u32>, now, rng: &mut SmallRng| {
+        let deadline = at(10_000);
+        let (decision, _) = queue.submit(now, RequestPriority::NORMAL, deadline, 0, rng);
+        decision == AdmissionDecision::Run
+    };
+    let mut queue = AdmissionQueue::new(SlotCount::new(6), 12);
+    queue.hold_slots(at(2_000));
+    let started = (0..6)
+        .filter(|_| submit(&mut queue, at(0), &mut rng))
+        .count();
+    assert_eq!(started, 1, "nothing is known of the predecessor's requests");
+    // The server runs this request and 3 of the predecessor's.
+    let update = queue.record_running(at(100), Some(4), &mut rng);
+    assert_eq!(queue.running() as usize, 1 + update.started.len());
+    assert_eq!(queue.running(), 3);
+    // A waiting request starts when the hold ends, without a response.
+    assert_eq!(queue.next_start(), Some(at(2_000)));
+    queue.start_due(at(2_000), &mut rng);
+    assert_eq!(queue.running(), 6);
+    // A server that states nothing is used in full after its first response.
+    let mut queue = AdmissionQueue::new(SlotCount::new(6), 12);
+    queue.hold_slots(at(2_000));
+    assert!(submit(&mut queue, at(0), &mut rng));
+    queue.record_running(at(100), None, &mut rng);
+    assert!((0..5).all(|_| submit(&mut queue, at(100), &mut rng)));
+}
