--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -148,6 +148,7 @@
             account: route_match.account.account.clone(),
             priority: rule.priority,
             waited: route_match.waited,
+            may_hand_on: false,
             attempt,
             method,
             target,
--- a/crates/daemon/src/callers/native_dialect.rs
+++ b/crates/daemon/src/callers/native_dialect.rs
@@ -71,5 +71,7 @@
         limit: StatedLimit::from_header(header(BACKEND_LIMIT_HEADER)),
         is_leaving: header(BACKEND_LEAVING_HEADER) == Some(LEAVING_VALUE),
         cold_left: StatedCold::Unknown,
+        running: None,
+        slowdown: None,
     }
 }
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -106,13 +106,14 @@
         deadline: ClockInstant,
         message: &ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
+        let arrived_at = self.state.now();
         // The entry node may hold an older version.
         recheck_account(&self.state, message)?;
-        let (announcement, _) = self.serving(name)?;
-        let runtime = self
-            .state
-            .requests
-            .backend_runtime(name, usable_slots(&announcement));
+        let (announcement, incarnation) = self.serving(name)?;
+        let runtime =
+            self.state
+                .requests
+                .backend_runtime(name, usable_slots(&announcement), incarnation);
         runtime.slot_limiter.adopt_limit(message.limit);
         let cold_limit = self.state.backends().cold_limit(name);
         runtime.slot_limiter.set_cold_limit(cold_limit);
@@ -129,11 +130,10 @@
         let queued_at = self.state.now();
         let acquired = runtime
             .slot_limiter
-            .acquire_for(admission_request(
-                self.state.config().as_deref(),
-                deadline,
-                message,
-            ))
+            .acquire_for(
+                admission_request(self.state.config().as_deref(), deadline, message),
+                message.may_hand_on,
+            )
             .await;
         let permit = acquired.inspect_err(|error| {
             self.log_refusal(name, &runtime, message, queued_at, error);
@@ -166,6 +166,7 @@
             backend: name.clone(),
             version: announcement.version,
             load: runtime.slot_limiter.load(),
+            held: arrived_at.elapsed(self.state.now()),
             limit: runtime.slot_limiter.limit(),
             departed: notice.is_leaving.then_some(incarnation).filter(is_stated),
         })
@@ -434,6 +435,11 @@
     fn record_notice(&self, server: &LocalServer<'_>, sent_at: ClockInstant, notice: ServerNotice) {
         let LocalServer { name, runtime, .. } = *server;
         runtime.slot_limiter.record_statement(sent_at, notice.limit);
+        runtime.slot_limiter.record_running(notice.running);
+        for _ in 0..runtime.slot_limiter.record_slowdown(notice.slowdown) {
+            self.state
+                .count_labeled("requests_handed_on", "backend", name.as_str());
+        }
         let limit = runtime.slot_limiter.limit();
         let is_changed = {
             let mut backends = self.state.backends();
--- a/crates/kernel/src/plugin/wire_dialect.rs
+++ b/crates/kernel/src/plugin/wire_dialect.rs
@@ -4,6 +4,7 @@
     clock::TimeBudget,
     error::{ErrorKind, MeshError},
     member::{BackendMessage, StatedCold, StatedLimit},
+    request::Slowdown,
 };
 
 /// Wire conventions between a node and callers, backend servers and the VM's supervisor.
@@ -90,6 +91,11 @@
     pub is_leaving: bool,
     /// Remaining time for which the server is cold.
     pub cold_left: StatedCold,
+    /// Requests that run on the server; `None` if the response does not state it.
+    pub running: Option<u32>,
+    /// Time that work takes on the server now, relative to the usual time; `None` if the response
+    /// does not state it.
+    pub slowdown: Option<Slowdown>,
 }
 
 /// Looks up a response header by its name in lower case.
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -8,9 +8,10 @@
     ids::{AccountName, RouteName, SlotCount},
     member::StatedLimit,
     request::{
-        AccountRank, ColdLimit, ColdPacer, RatePacer,
+        AccountRank, ColdLimit, ColdPacer, RatePacer, ServerSpeed, Slowdown,
         class_load::{ClassLoad, LoadClass},
         fair_order::{FairOrder, FairPlan, FairTurn, VirtualTime},
+        slot_hold::SlotHold,
     },
 };
 
@@ -42,6 +43,9 @@
 /// One in this many requests without a chance is let through, because the mean service time may be
 /// that of a server that has recovered since.
 const HOPELESS_PROBE_INTERVAL: u32 = 8;
+/// Time, in microseconds, that a request needs to get from one host to another by way of its entry
+/// node: four ways of 4 ms between data centres, and as much again for the nodes' work.
+const HAND_ON_MICROS: u64 = 32_000;
 /// Minimum retry delay before jitter, in microseconds: a few round trips to the caller.
 const MIN_BASE_DELAY_MICROS: u64 = 5_000;
 /// Maximum retry delay before jitter, in microseconds; callers give up rather than wait longer.
@@ -149,8 +153,10 @@
     item: T,
     /// Instant from which the request is refused instead of started.
     queue_deadline: ClockInstant,
-    /// Expected service time of the request.
+    /// Expected service time of the request at the server's usual speed.
     expected_time: TimeBudget,
+    /// Instant by which the caller wants the response, if the request may be handed on.
+    hand_on_before: Option<ClockInstant>,
     account: Option<AccountName>,
     /// Virtual time of the request's arrival.
     arrival: VirtualTime,
@@ -240,6 +246,8 @@
     checked_service_time: TimeBudget,
     next_sequence: u64,
     pacer: RatePacer,
+    speed: ServerSpeed,
+    hold: SlotHold,
     fair_order: FairOrder,
     class_load: ClassLoad,
     /// Limit of a cold server, if its service declares one.
@@ -261,6 +269,8 @@
             checked_service_time: INITIAL_SERVICE_TIME,
             next_sequence: 0,
             pacer: RatePacer::default(),
+            speed: ServerSpeed::default(),
+            hold: SlotHold::default(),
             fair_order: FairOrder::default(),
             class_load: ClassLoad::default(),
             cold_pacer: None,
@@ -312,21 +322,23 @@
             self.class_load.record_start(now, load_class, expected_time);
             return (AdmissionDecision::Run, Vec::new());
         }
+        let slowed_time = self.speed.expected_time(now, expected_time);
         let class = QueueClass {
             account_priority: request.account.as_ref().map(|rank| rank.priority),
             priority: request.priority,
-            is_late: self.is_late(now, request, expected_time),
+            is_late: self.is_late(now, request, slowed_time),
         };
         let queue_key = QueueKey {
             class,
             deadline,
             sequence: self.next_sequence,
         };
-        let queue_deadline = self.queue_deadline(now, request, expected_time);
+        let queue_deadline = self.queue_deadline(now, request, slowed_time);
         let entry = WaitEntry {
             item,
             queue_deadline,
             expected_time,
+            hand_on_before: None,
             account: account.cloned(),
             arrival,
         };
@@ -351,7 +363,62 @@
         self.queue.remove(&queue_key).map(|entry| entry.item)
     }
 
-    /// Records the service time of a request of `route`.
+    /// Allows a waiting request to be refused later because the server has slowed down and another
+    /// one can still answer by `soft_deadline`.
+    pub fn allow_hand_on(&mut self, queue_key: QueueKey, soft_deadline: ClockInstant) {
+        if let Some(entry) = self.queue.get_mut(&queue_key) {
+            entry.hand_on_before = Some(soft_deadline);
+        }
+    }
+
+    /// Records the slowdown that a response reports; returns the waiting requests that are handed
+    /// on.
+    pub fn record_slowdown(
+        &mut self,
+        now: ClockInstant,
+        reported: Option<Slowdown>,
+        rng: &mut impl Rng,
+    ) -> Vec<RefusedRequest<T>> {
+        match self.speed.record_report(now, reported) {
+            true => self.hand_on(now, rng),
+            false => Vec::new(),
+        }
+    }
+
+    /// Leaves all slots but one free until `until`, or until a response states how many requests the
+    /// server runs: requests of this host's predecessor may still run there.
+    pub fn hold_slots(&mut self, until: ClockInstant) {
+        self.hold = SlotHold::new(self.slots.saturating_sub(1), until);
+    }
+
+    /// Records how many requests a response says that the server runs, `None` if it does not say so;
+    /// returns the waiting requests that start or are refused.
+    pub fn record_running(
+        &mut self,
+        now: ClockInstant,
+        stated: Option<u32>,
+        rng: &mut impl Rng,
+    ) -> AdmissionUpdate<T> {
+        if self.hold.slots(now) == 0 {
+            return AdmissionUpdate::default();
+        }
+        self.hold.record_running(stated, self.running);
+        self.start_waiting(now, rng)
+    }
+
+    /// Returns the slowdown of the server that is expected now, relative to its own mean.
+    #[must_use]
+    pub fn slowdown(&self, now: ClockInstant) -> Slowdown {
+        self.speed.slowdown(now)
+    }
+
+    /// Returns the reading of a clock that runs at the server's speed, for service times; see
+    /// [`ServerSpeed::clock`].
+    pub fn service_clock(&mut self, now: ClockInstant) -> TimeBudget {
+        self.speed.clock(now)
+    }
+
+    /// Records the service time of a request of `route`, by [`AdmissionQueue::service_clock`].
     pub fn record_route_time(&mut self, route: &RouteName, took: TimeBudget) {
         match self.route_times.get_mut(route) {
             Some(average) => {
@@ -378,7 +445,8 @@
             .map(|(route, average)| (route, average.time))
     }
 
-    /// Frees the slot of a request that ran for `took`; `None` if the request never started.
+    /// Frees the slot of a request that ran for `took` by [`AdmissionQueue::service_clock`]; `None`
+    /// if the request never started.
     ///
     /// Returns the waiting requests that start or are refused.
     pub fn release(
@@ -465,7 +533,7 @@
     #[must_use]
     pub fn next_start(&self) -> Option<ClockInstant> {
         let waits = !self.queue.is_empty() && self.running < self.slots;
-        waits.then(|| self.next_paced_start())
+        waits.then(|| self.next_paced_start().max(self.hold.end()))
     }
 
     /// Returns the instant from which the stated limit and the one of a cold server allow a
@@ -648,8 +716,47 @@
             kept.retain(|(key, _)| **key != overflow);
             evicted.push(overflow);
         }
-        let mut refused = Vec::with_capacity(evicted.len());
-        for queue_key in evicted {
+        self.refuse_waiting(now, evicted, rng)
+    }
+
+    /// Refuses the waiting requests that would be late here because the server is slowed, and in
+    /// time on a server of the same usual speed that has a free slot.
+    fn hand_on(&mut self, now: ClockInstant, rng: &mut impl Rng) -> Vec<RefusedRequest<T>> {
+        let mut handed_on = Vec::new();
+        let mut ahead = QueuedWork::default();
+        for (queue_key, entry) in self.start_order() {
+            let ends_after = |wait_micros: u64, time: TimeBudget| {
+                now.after(TimeBudget::from_micros(wait_micros))
+                    .after(conservative_time(time))
+            };
+            let usual_wait = self.wait_micros(ahead.micros);
+            let wait = self
+                .speed
+                .expected_time(now, TimeBudget::from_micros(usual_wait));
+            let time = self.speed.expected_time(now, entry.expected_time);
+            let is_late_when_slowed = |soft_deadline: ClockInstant| {
+                ends_after(wait.as_micros(), time) > soft_deadline
+                    && ends_after(usual_wait, entry.expected_time) <= soft_deadline
+                    && ends_after(HAND_ON_MICROS, entry.expected_time) <= soft_deadline
+            };
+            if entry.hand_on_before.is_some_and(is_late_when_slowed) {
+                handed_on.push(*queue_key);
+            } else {
+                ahead = ahead.with(entry);
+            }
+        }
+        self.refuse_waiting(now, handed_on, rng)
+    }
+
+    /// Removes waiting requests and returns them as refused.
+    fn refuse_waiting(
+        &mut self,
+        now: ClockInstant,
+        queue_keys: Vec<QueueKey>,
+        rng: &mut impl Rng,
+    ) -> Vec<RefusedRequest<T>> {
+        let mut refused = Vec::with_capacity(queue_keys.len());
+        for queue_key in queue_keys {
             let retry_at = self.class_retry_at(now, queue_key.class.load_class(), rng);
             if let Some(entry) = self.queue.remove(&queue_key) {
                 let item = entry.item;
@@ -677,13 +784,15 @@
         let overtaken = self
             .class_load
             .share_before(now, class.load_class(), self.slots);
-        let wait = self.wait_micros(ahead.micros) as f64 / (1.0 - overtaken);
-        let slot_free_at = now.after(TimeBudget::from_micros(wait as u64));
+        let usual_wait = self.wait_micros(ahead.micros) as f64 / (1.0 - overtaken);
+        let usual_wait = TimeBudget::from_micros(usual_wait as u64);
+        let slot_free_at = now.after(self.speed.expected_time(now, usual_wait));
         slot_free_at.max(self.start_after(now, ahead.requests)) > queue_deadline
     }
 
     fn may_start(&self, now: ClockInstant) -> bool {
-        self.running < self.slots && self.next_paced_start().has_passed(now)
+        let held_slots = self.hold.slots(now).min(self.slots.saturating_sub(1));
+        self.running + held_slots < self.slots && self.next_paced_start().has_passed(now)
     }
 
     fn start(
