Read the bound of usage caps from the settings

Cause: the kernel held the window, overage and slack of one deployment as constants, so that a deployment with others would be held to the wrong bound.

--- a/crates/daemon/src/accounts/usage_state.rs
+++ b/crates/daemon/src/accounts/usage_state.rs
@@ -1,7 +1,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use bronzelb_kernel::{
-    account::UsageNode,
+    account::{UsageBound, UsageNode},
     ids::{AccountName, IncarnationNumber, NodeName},
 };
 use tokio::sync::{Notify, futures::Notified};
@@ -16,9 +16,9 @@
 }
 
 impl UsageState {
-    pub(crate) fn new(node: NodeName, incarnation: IncarnationNumber) -> Self {
+    pub(crate) fn new(node: NodeName, incarnation: IncarnationNumber, bound: UsageBound) -> Self {
         Self {
-            node: Mutex::new(UsageNode::new(node, incarnation)),
+            node: Mutex::new(UsageNode::new(node, incarnation, bound)),
             replies: Notify::new(),
         }
     }
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -122,7 +122,7 @@
             node: settings.node.clone(),
             incarnation: gossip.read(|node| node.own().incarnation),
         };
-        let usage = UsageState::new(settings.node.clone(), source.incarnation);
+        let usage = UsageState::new(settings.node.clone(), source.incarnation, settings.usage);
         let rollout = RolloutState::new(source, settings.data_centre.clone());
         Arc::new(Self {
             settings,
--- a/crates/daemon/src/settings/node_settings.rs
+++ b/crates/daemon/src/settings/node_settings.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use bronzelb_kernel::{
+    account::UsageBound,
     clock::TimeBudget,
     ids::{DataCentre, MeshName, NodeName, ServiceName},
     plugin::WireDialect,
@@ -38,6 +39,8 @@
     pub metrics: Option<SocketAddr>,
     /// Retry budget shared by all nodes; without it, each node has its own.
     pub retries: Option<RetryPolicy>,
+    /// Bound on how far client accounts may exceed their usage caps.
+    pub usage: UsageBound,
     /// Time limit of a graceful shutdown; without it, the requests in flight determine its length.
     pub shutdown: Option<TimeBudget>,
     /// Whether the whole mesh starts for the first time, so that no node can hold a version yet.
--- a/crates/daemon/src/settings/section_reader.rs
+++ b/crates/daemon/src/settings/section_reader.rs
@@ -1,7 +1,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use bronzelb_kernel::{
-    clock::TimeBudget, error::MeshError, plugin::WireDialect, request::RetryPolicy,
+    account::UsageBound, clock::TimeBudget, error::MeshError, plugin::WireDialect,
+    request::RetryPolicy,
 };
 use bronzelb_platform as _;
 use bronzelb_yaml::reader::{FieldNode, MapReader, parse_from_str};
@@ -57,6 +58,7 @@
         section.required("listen", ADDRESS_EXAMPLE, parse_address)
     });
     let retries = read_optional_section(&mut reader, "retries", read_retries);
+    let usage = read_optional_section(&mut reader, "usage", read_usage);
     let shutdown = reader.optional("shutdown", parse_duration);
     let is_first_start = reader.optional("first_start", parse_switch);
     let workers = reader.optional("workers", parse_workers);
@@ -72,6 +74,7 @@
         local,
         metrics,
         retries,
+        usage: usage.unwrap_or_default(),
         shutdown,
         is_first_start: is_first_start.unwrap_or(false),
         callers: callers?,
@@ -162,6 +165,17 @@
     })
 }
 
+fn read_usage(section: &mut MapReader<'_>) -> Option<UsageBound> {
+    let window = section.required("window", "window: 5s", parse_window);
+    let overage = section.required("overage", "overage: 0.1", parse_ratio);
+    let slack = section.required("slack", "slack: 20", parse_request_count);
+    Some(UsageBound {
+        window: window?,
+        overage: overage?,
+        slack: slack?,
+    })
+}
+
 fn read_peers(section: &mut MapReader<'_>) -> Option<PeerSettings> {
     let listen = section.required("listen", ADDRESS_EXAMPLE, parse_address);
     let advertise = section.optional("advertise", parse_remote_address);
@@ -239,19 +253,38 @@
     port.ok_or_else(|| MeshError::invalid(format!("{text:?} is not a port between 1 and 65535")))
 }
 
-/// Parses a number of retries; a fraction is rounded down.
 fn parse_retry_count(text: &str) -> Result<u32, MeshError> {
+    parse_count(text, "retries")
+}
+
+fn parse_request_count(text: &str) -> Result<u32, MeshError> {
+    parse_count(text, "requests")
+}
+
+/// Parses a number of retries or requests; a fraction is rounded down.
+fn parse_count(text: &str, what: &str) -> Result<u32, MeshError> {
     let count: Option<f64> = text.parse().ok();
     count
         .filter(|count| (0.0..=f64::from(u32::MAX)).contains(count))
         .map(|count| count as u32)
         .ok_or_else(|| {
             MeshError::invalid(format!(
-                "{text:?} is not a number of retries of 0 or more, such as 50"
+                "{text:?} is not a number of {what} of 0 or more, such as 50"
             ))
         })
 }
 
+/// Parses a span in which requests are counted, which must not be zero.
+fn parse_window(text: &str) -> Result<TimeBudget, MeshError> {
+    let window = parse_duration(text)?;
+    match window.is_zero() {
+        true => Err(MeshError::invalid(
+            "a window of zero holds no request; write one such as 5s",
+        )),
+        false => Ok(window),
+    }
+}
+
 fn parse_ratio(text: &str) -> Result<f64, MeshError> {
     let ratio = text.parse().ok();
     ratio
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -170,3 +170,16 @@
         assert!(parse_settings("node.yaml", &text).is_err(), "{slack}");
     }
 }
+
+/// Guards against a bound of usage caps that is ignored, and against a window that counts nothing.
+#[test]
+fn bound_of_usage_caps_is_read_and_a_window_of_zero_refused() {
+    let read = |window: &str| {
+        let usage = format!("usage: {{window: {window}, overage: 0.25, slack: 7.5}}");
+        parse_settings("node.yaml", &format!("{VALID}{usage}\n"))
+    };
+    let usage = read("2s").expect("is valid").usage;
+    assert_eq!(usage.window, TimeBudget::from_secs(2));
+    assert_eq!((usage.overage, usage.slack), (0.25, 7));
+    assert!(read("0s").is_err());
+}
--- a/crates/kernel/src/account/recent_count.rs
+++ b/crates/kernel/src/account/recent_count.rs
@@ -1,17 +1,27 @@
-use crate::{account::usage_bucket::USAGE_WINDOW, clock::ClockInstant};
+use crate::clock::{ClockInstant, TimeBudget};
 
 const SLICES: usize = 10;
-const SLICE_MICROS: u64 = USAGE_WINDOW.as_micros() / SLICES as u64;
 
 /// Count of the requests in the last window, in slices of a tenth of it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RecentCount {
+    slice_micros: u64,
     counts: [u32; SLICES],
     /// Number of the newest slice since the epoch.
     newest: u64,
 }
 
 impl RecentCount {
+    /// Creates a count over `window`.
+    #[must_use]
+    pub fn new(window: TimeBudget) -> Self {
+        Self {
+            slice_micros: (window.as_micros() / SLICES as u64).max(1),
+            counts: [0; SLICES],
+            newest: 0,
+        }
+    }
+
     /// Adds requests at `now`.
     pub fn add(&mut self, now: ClockInstant, count: u32) {
         let slice = self.advance(now);
@@ -40,7 +50,7 @@
     }
 
     fn advance(&mut self, now: ClockInstant) -> usize {
-        let current = now.as_micros() / SLICE_MICROS;
+        let current = now.as_micros() / self.slice_micros;
         let passed = current.saturating_sub(self.newest).min(SLICES as u64);
         for number in current.max(self.newest) - passed..current {
             self.counts[((number + 1) % SLICES as u64) as usize] = 0;
--- a/crates/kernel/src/account/usage_book.rs
+++ b/crates/kernel/src/account/usage_book.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    account::{UsageDecision, UsageLease},
+    account::{UsageBound, UsageDecision, UsageLease},
     clock::ClockInstant,
     config::UsageCap,
     ids::AccountName,
@@ -10,10 +10,20 @@
 /// Tokens and use of every capped account at an entry node.
 #[derive(Clone, Debug, Default)]
 pub struct UsageBook {
+    bound: UsageBound,
     leases: BTreeMap<AccountName, UsageLease>,
 }
 
 impl UsageBook {
+    /// Creates a book without accounts.
+    #[must_use]
+    pub const fn new(bound: UsageBound) -> Self {
+        Self {
+            bound,
+            leases: BTreeMap::new(),
+        }
+    }
+
     /// Returns the state of each account.
     pub fn iter(&self) -> impl Iterator<Item = (&AccountName, &UsageLease)> {
         self.leases.iter()
@@ -54,7 +64,7 @@
             return lease.decide(now);
         }
         let lease = self.leases.entry(account.clone());
-        let lease = lease.or_insert_with(|| UsageLease::new(cap));
+        let lease = lease.or_insert_with(|| UsageLease::new(self.bound, cap));
         lease.count_arrival(now);
         lease.decide(now)
     }
--- a/crates/kernel/src/account/usage_bucket.rs
+++ b/crates/kernel/src/account/usage_bucket.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     account::{
-        AccountGrant, AccountUsage, RecentCount, UsageReport,
+        AccountGrant, AccountUsage, RecentCount, UsageBound, UsageReport,
         usage_contacts::{CONTACT_TIMEOUT, PROBE_INTERVAL},
     },
     clock::{ClockInstant, TimeBudget},
@@ -10,12 +10,6 @@
     ids::{IncarnationNumber, NodeName, VersionNumber},
 };
 
-/// Window of the bound on a capped account (`QuotaWindow`).
-pub(super) const USAGE_WINDOW: TimeBudget = TimeBudget::from_secs(5);
-/// Share of the cap by which the requests of a window may exceed it (`QuotaOverage`).
-const OVERAGE_SHARE: f64 = 0.1;
-/// Requests by which those of a window may exceed the cap in addition (`QuotaSlack`).
-const SLACK_REQUESTS: f64 = 20.0;
 /// Share of the permitted excess that tokens in the hands of entry nodes use. The rest covers
 /// requests that run later than they were admitted, and owners that count side by side for a moment.
 const LEASED_EXCESS: f64 = 0.5;
@@ -39,6 +33,7 @@
 /// window is therefore at most what the rate adds and the capacity, however tokens are spread.
 #[derive(Clone, Debug)]
 pub struct UsageBucket {
+    bound: UsageBound,
     cap: UsageCap,
     version: VersionNumber,
     /// Share of the cap that this owner may grant.
@@ -76,12 +71,14 @@
     #[must_use]
     pub fn new(
         now: ClockInstant,
+        bound: UsageBound,
         cap: UsageCap,
         version: VersionNumber,
         share: f64,
         is_substitute: bool,
     ) -> Self {
         Self {
+            bound,
             cap,
             version,
             share,
@@ -92,7 +89,7 @@
             reported_at: now,
             is_substitute,
             leases: BTreeMap::new(),
-            used: RecentCount::default(),
+            used: RecentCount::new(bound.window),
         }
     }
 
@@ -130,7 +127,7 @@
     /// Returns whether no entry node has reported within the window.
     #[must_use]
     pub fn is_idle(&self, now: ClockInstant) -> bool {
-        self.reported_at.after(USAGE_WINDOW).has_passed(now)
+        self.reported_at.after(self.bound.window).has_passed(now)
     }
 
     /// Returns whether the account's use is so high that a part of the mesh that is cut off makes a
@@ -188,7 +185,7 @@
                 true => self.book_room(now),
                 false => TimeBudget::ZERO,
             },
-            may_wait: !self.created_at.after(USAGE_WINDOW).has_passed(now),
+            may_wait: !self.created_at.after(self.bound.window).has_passed(now),
         })
     }
 
@@ -213,7 +210,7 @@
             // Another owner granted what the node has used so far; that counts as far as this
             // bucket was filling at the same time.
             None => {
-                let window = USAGE_WINDOW.as_secs_f64();
+                let window = self.bound.window.as_secs_f64();
                 let overlap = self.created_at.elapsed(now).as_secs_f64() / window;
                 let used = f64::from(usage.recent) * overlap.min(1.0);
                 (used as i64, -(used as i64))
@@ -252,8 +249,8 @@
     fn capacity(&self) -> f64 {
         let burst = self.cap.burst as f64;
         let rate = self.cap.rate.per_second();
-        let cap = rate * USAGE_WINDOW.as_secs_f64() + burst;
-        let excess = OVERAGE_SHARE * cap + SLACK_REQUESTS;
+        let cap = rate * self.bound.window.as_secs_f64() + burst;
+        let excess = self.bound.overage * cap + f64::from(self.bound.slack);
         ((burst + LEASED_EXCESS * excess) * self.share).max(1.0)
     }
 
--- a/crates/kernel/src/account/usage_lease.rs
+++ b/crates/kernel/src/account/usage_lease.rs
@@ -1,5 +1,8 @@
 use crate::{
-    account::{AccountGrant, AccountUsage, RecentCount, UsageDecision, usage_bucket::FORGET_TIME},
+    account::{
+        AccountGrant, AccountUsage, RecentCount, UsageBound, UsageDecision,
+        usage_bucket::FORGET_TIME,
+    },
     clock::{ClockInstant, TimeBudget},
     config::UsageCap,
     ids::AccountName,
@@ -50,7 +53,7 @@
 impl UsageLease {
     /// Creates the state of a node that holds no tokens.
     #[must_use]
-    pub fn new(cap: UsageCap) -> Self {
+    pub fn new(bound: UsageBound, cap: UsageCap) -> Self {
         Self {
             cap,
             held: 0,
@@ -65,7 +68,7 @@
             may_wait: false,
             refused: 0,
             refusals: 0,
-            recent: RecentCount::default(),
+            recent: RecentCount::new(bound.window),
             demand: 0.0,
             demand_at: ClockInstant::default(),
         }
--- a/crates/kernel/src/account/usage_ledger.rs
+++ b/crates/kernel/src/account/usage_ledger.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    account::{AccountGrant, AccountUsage, UsageBucket, UsageReport},
+    account::{AccountGrant, AccountUsage, UsageBound, UsageBucket, UsageReport},
     clock::ClockInstant,
     config::UsageCap,
     ids::{AccountName, VersionNumber},
@@ -10,10 +10,20 @@
 /// Buckets of the accounts that a node owns, or for whose owner it is a substitute.
 #[derive(Clone, Debug, Default)]
 pub struct UsageLedger {
+    bound: UsageBound,
     buckets: BTreeMap<AccountName, UsageBucket>,
 }
 
 impl UsageLedger {
+    /// Creates a ledger without buckets.
+    #[must_use]
+    pub const fn new(bound: UsageBound) -> Self {
+        Self {
+            bound,
+            buckets: BTreeMap::new(),
+        }
+    }
+
     /// Returns the buckets.
     pub fn iter(&self) -> impl Iterator<Item = (&AccountName, &UsageBucket)> {
         self.buckets.iter()
@@ -35,7 +45,9 @@
         version: VersionNumber,
     ) {
         let bucket = self.buckets.entry(account.clone());
-        let bucket = bucket.or_insert_with(|| UsageBucket::new(now, cap, version, 1.0, false));
+        let bound = self.bound;
+        let bucket =
+            bucket.or_insert_with(|| UsageBucket::new(now, bound, cap, version, 1.0, false));
         bucket.set_substitute(false);
         bucket.adopt_cap(cap, version);
     }
@@ -60,10 +72,18 @@
         if self.buckets.get(&usage.account).is_some_and(is_stale) {
             self.buckets.remove(&usage.account);
         }
+        let bound = self.bound;
         let bucket = self.buckets.entry(usage.account.clone());
         let bucket = bucket.or_insert_with(|| {
             let since = is_substitute.then_some(now);
-            UsageBucket::new(now, usage.cap, report.version, share(since), is_substitute)
+            UsageBucket::new(
+                now,
+                bound,
+                usage.cap,
+                report.version,
+                share(since),
+                is_substitute,
+            )
         });
         bucket.adopt_cap(usage.cap, report.version);
         bucket.set_share(now, share(bucket.substitute_since()));
--- a/crates/kernel/src/account/usage_node.rs
+++ b/crates/kernel/src/account/usage_node.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     account::{
-        RelayStage, UsageBook, UsageContacts, UsageDecision, UsageLease, UsageLedger, UsagePaths,
-        UsageReply, UsageReport, choose_owner, usage_paths::OwnerStep,
+        RelayStage, UsageBook, UsageBound, UsageContacts, UsageDecision, UsageLease, UsageLedger,
+        UsagePaths, UsageReply, UsageReport, choose_owner, usage_paths::OwnerStep,
     },
     clock::{ClockInstant, TimeBudget},
     config::UsageCap,
@@ -25,6 +25,7 @@
 /// Usage caps at one node: its tokens as an entry node, and its buckets as an owner.
 #[derive(Clone, Debug)]
 pub struct UsageNode {
+    bound: UsageBound,
     own: NodeName,
     incarnation: IncarnationNumber,
     version: VersionNumber,
@@ -82,13 +83,14 @@
 impl UsageNode {
     /// Creates the state of a node that has just started.
     #[must_use]
-    pub fn new(own: NodeName, incarnation: IncarnationNumber) -> Self {
+    pub fn new(own: NodeName, incarnation: IncarnationNumber, bound: UsageBound) -> Self {
         Self {
+            bound,
             own,
             incarnation,
             version: VersionNumber::default(),
-            book: UsageBook::default(),
-            ledger: UsageLedger::default(),
+            book: UsageBook::new(bound),
+            ledger: UsageLedger::new(bound),
             contacts: UsageContacts::default(),
             paths: UsagePaths::default(),
             synced_to: None,
@@ -125,7 +127,7 @@
     ) {
         if incarnation != self.incarnation {
             self.incarnation = incarnation;
-            self.ledger = UsageLedger::default();
+            self.ledger = UsageLedger::new(self.bound);
             self.synced_to = None;
             self.owned_for = None;
         }
--- a/crates/kernel/tests/usage_bucket.rs
+++ b/crates/kernel/tests/usage_bucket.rs
@@ -1,7 +1,9 @@
 //! The token bucket of one account at its owner, and tokens that come back.
 
 use bronzelb_kernel::{
-    account::{AccountUsage, RelayStage, UsageBucket, UsageDecision, UsageNode, UsageReport},
+    account::{
+        AccountUsage, RelayStage, UsageBound, UsageBucket, UsageDecision, UsageNode, UsageReport,
+    },
     clock::ClockInstant,
     config::UsageCap,
     ids::{IncarnationNumber, RequestRate, VersionNumber},
@@ -28,6 +30,7 @@
     let created_at = ClockInstant::from_millis(0);
     UsageBucket::new(
         created_at,
+        UsageBound::default(),
         cap(RATE, BURST),
         VersionNumber::new(1),
         1.0,
@@ -116,7 +119,11 @@
         peer_address: "127.0.0.1:1".parse().expect("address is valid"),
         backends: Vec::new(),
     });
-    let mut node = UsageNode::new(name("node-0"), IncarnationNumber::new(1));
+    let mut node = UsageNode::new(
+        name("node-0"),
+        IncarnationNumber::new(1),
+        UsageBound::default(),
+    );
     let account = name("account");
     let caps = [(&account, cap(1, 10))];
     let start = ClockInstant::from_millis(0);
--- a/crates/kernel/tests/usage_cap/mesh.rs
+++ b/crates/kernel/tests/usage_cap/mesh.rs
@@ -5,7 +5,9 @@
 };
 
 use bronzelb_kernel::{
-    account::{UsageDecision, UsageExchange, UsageNode, UsageRelay, UsageReply, UsageReport},
+    account::{
+        UsageBound, UsageDecision, UsageExchange, UsageNode, UsageRelay, UsageReply, UsageReport,
+    },
     clock::{ClockInstant, TimeBudget},
     config::UsageCap,
     ids::{AccountName, IncarnationNumber, NodeName, RequestRate, VersionNumber},
@@ -113,7 +115,11 @@
             now: START,
             nodes: (0..nodes)
                 .map(|index| SimNode {
-                    usage: UsageNode::new(name(format!("node-{index}")), incarnation),
+                    usage: UsageNode::new(
+                        name(format!("node-{index}")),
+                        incarnation,
+                        UsageBound::default(),
+                    ),
                     is_up: true,
                     messages: 0,
                     incarnation,
@@ -243,7 +249,11 @@
     pub(crate) fn start(&mut self, node: usize) {
         let sim = &mut self.nodes[node];
         sim.incarnation = IncarnationNumber::new(self.now.as_micros());
-        sim.usage = UsageNode::new(name(format!("node-{node}")), sim.incarnation);
+        sim.usage = UsageNode::new(
+            name(format!("node-{node}")),
+            sim.incarnation,
+            UsageBound::default(),
+        );
         sim.is_up = true;
     }
 
