Place by the moment's speed only where servers report it

Change: servers that report no slowdown are selected as before, in a module of its own; its thresholds are margins of the share of responses in time. Ruled out: a larger margin for leaving the data centre in the new placement, which would take the gain where servers do report.

--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -13,6 +13,7 @@
     request::{
         AttemptOutcome, ServerLoad, ServerLocation,
         load_average::LoadAverage,
+        load_placement::select_by_load,
         notice_table::NoticeTable,
         server_stats::{ServerStats, TimeEstimate},
     },
@@ -41,13 +42,9 @@
 /// Weight of one response in the moving mean of the round trip to a data centre, which evens out
 /// pauses of the nodes' processors.
 const ROUND_TRIP_WEIGHT: f64 = 0.1;
-/// Requests per slot from which a data centre counts as full.
-const SPILL_UTILISATION: f64 = 1.0;
 /// Minimum time after which a refused request may return, in microseconds: a few round trips to the
 /// caller. It is spread over as much again.
 const MIN_RETURN_DELAY_MICROS: u64 = 5_000;
-/// Minimum advantage in requests per slot for which a request moves to another data centre.
-const SPILL_MARGIN: f64 = 0.25;
 
 /// Criteria for selecting a backend server for a request.
 #[derive(Clone, Copy, Debug)]
@@ -77,7 +74,7 @@
 
 impl LatencyTarget<'_> {
     /// Returns the expected share of responses in time if they take `micros` on average.
-    fn in_time_share(&self, micros: f64) -> f64 {
+    pub(super) fn in_time_share(&self, micros: f64) -> f64 {
         let fraction = micros / (self.latency.as_micros() as f64).max(1.0);
         1.0 / (1.0 + fraction.powf(LATENESS_STEEPNESS))
     }
@@ -101,7 +98,7 @@
     }
 
     /// Returns whether responses that take `micros` on average are likely to be in time.
-    fn is_likely_in_time(&self, micros: f64) -> bool {
+    pub(super) fn is_likely_in_time(&self, micros: f64) -> bool {
         micros <= self.latency.as_micros() as f64 * SAFE_LATENCY_FRACTION
     }
 }
@@ -606,20 +603,28 @@
 ) -> Option<BackendName> {
     let is_open = |data_centre: &DataCentre| view.is_open(data_centre);
     let all = untried_serving(servers, view.criteria, &is_open);
-    let admitted = all.iter().filter(|server| !server.is_ejected(view.now));
-    let mut candidates: Vec<_> = admitted.map(|server| view.candidate(server)).collect();
-    if candidates.is_empty() {
-        candidates = all.iter().map(|server| view.candidate(server)).collect();
-    }
-    let selected = match select_by_time(view, &candidates, rng) {
-        Some(selected) => selected,
-        None => {
-            let data_centre = select_data_centre(view, &candidates)?;
-            candidates.retain(|candidate| candidate.is_in(&data_centre));
-            better_of_two(view, &candidates, rng)?
+    let admitted = all.iter().copied();
+    let mut servers: Vec<_> = admitted
+        .filter(|server| !server.is_ejected(view.now))
+        .collect();
+    if servers.is_empty() {
+        servers = all;
+    }
+    let selected = match servers.iter().any(|server| server.reports_slowdown()) {
+        true => {
+            let candidates: Vec<_> = servers
+                .iter()
+                .map(|server| view.candidate(server))
+                .collect();
+            select_by_time(view, &candidates, rng)
         }
+        false => None,
+    };
+    let selected = match selected {
+        Some(selected) => selected.server,
+        None => select_by_load(view.now, servers, view.criteria, rng)?,
     };
-    Some(selected.server.location.backend.clone())
+    Some(selected.location.backend.clone())
 }
 
 /// Selects a server by the expected share of responses in time, or returns `None` if expected times
@@ -700,74 +705,6 @@
     all
 }
 
-/// Returns the data centre in which to select a server.
-///
-/// This is the home data centre if it has free capacity or a server that is likely to respond in
-/// time. Otherwise it is the one with the fewest requests per slot, where a data centre farther
-/// away must be better by [`SPILL_MARGIN`]. If no candidate is at home, the search ends at the
-/// first data centre with free capacity.
-fn select_data_centre(
-    view: &PlacementView<'_>,
-    candidates: &[ServerCandidate<'_>],
-) -> Option<DataCentre> {
-    let (now, criteria) = (view.now, view.criteria);
-    let home_utilisation = utilisation(now, candidates, criteria.data_centre);
-    let is_home_in_time = criteria.latency_target.is_some_and(|target| {
-        let mut nearby = candidates
-            .iter()
-            .filter(|candidate| candidate.is_in(criteria.data_centre));
-        nearby.any(|candidate| {
-            let estimate = candidate.estimate;
-            estimate.is_some_and(|estimate| target.is_likely_in_time(estimate.micros))
-        })
-    });
-    // A short wait costs callers less than the latency and traffic to another data centre.
-    if is_home_in_time
-        || home_utilisation.is_some_and(|home_utilisation| home_utilisation < SPILL_UTILISATION)
-    {
-        return Some(criteria.data_centre.clone());
-    }
-    let mut best =
-        home_utilisation.map(|home_utilisation| (criteria.data_centre, home_utilisation));
-    for data_centre in criteria.spill_order {
-        let Some(remote_utilisation) = utilisation(now, candidates, data_centre) else {
-            continue;
-        };
-        if best.is_none_or(|(_, lowest)| remote_utilisation + SPILL_MARGIN < lowest) {
-            best = Some((data_centre, remote_utilisation));
-        }
-        if remote_utilisation < SPILL_UTILISATION && home_utilisation.is_none() {
-            break;
-        }
-    }
-    match best {
-        Some((data_centre, _)) => Some(data_centre.clone()),
-        None => candidates
-            .first()
-            .map(|candidate| candidate.server.location.data_centre.clone()),
-    }
-}
-
-/// Returns the requests per weighted slot in one data centre, or `None` without candidates there.
-fn utilisation(
-    now: ClockInstant,
-    candidates: &[ServerCandidate<'_>],
-    data_centre: &DataCentre,
-) -> Option<f64> {
-    let inside = candidates
-        .iter()
-        .filter(|candidate| candidate.is_in(data_centre))
-        .map(|candidate| candidate.server);
-    let (request_count, slots) = inside.fold((0.0, 0.0), |(request_count, slots), server| {
-        let capacity = server.capacity(now) * server.weight(now);
-        (
-            request_count + f64::from(server.request_count(now)),
-            slots + capacity,
-        )
-    });
-    (slots > 0.0).then(|| request_count / slots)
-}
-
 /// Draws two servers and returns the better one: that with the higher share of responses in time
 /// or, if these are equal, that with less load.
 fn better_of_two<'a>(
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -24,6 +24,7 @@
 mod limit_publisher;
 mod load_average;
 mod load_balancer;
+mod load_placement;
 mod notice_table;
 mod rate_pacer;
 mod request_ticket;
--- a/crates/kernel/src/request/server_stats.rs
+++ b/crates/kernel/src/request/server_stats.rs
@@ -198,9 +198,13 @@
         self.outstanding += 1;
     }
 
+    /// Returns whether the server has reported that work takes longer or shorter than usual.
+    pub(crate) fn reports_slowdown(&self) -> bool {
+        self.slowdown_at != ClockInstant::NEVER
+    }
+
     pub(crate) fn record_load(&mut self, now: ClockInstant, load: ServerLoad) {
-        let reports_slowdown = self.slowdown_at != ClockInstant::NEVER;
-        if reports_slowdown || load.slowdown != Slowdown::NONE {
+        if self.reports_slowdown() || load.slowdown != Slowdown::NONE {
             self.slowdown_at = now;
         }
         self.load = load;
@@ -249,6 +253,22 @@
         self.full_weight_from = self.ejected_until.after(self.slow_start);
     }
 
+    /// Returns the expected time until the response, including the wait for a slot, or `None` if
+    /// the server's service time for `route` is unknown.
+    pub(crate) fn expected_micros(&self, now: ClockInstant, route: &RouteName) -> Option<f64> {
+        let service_time = self.service_times.get(route)?.as_micros() as f64;
+        let capacity = self.capacity(now);
+        // An idle server starts the next request at once, even if it takes few a second.
+        let queued = (f64::from(self.request_count(now)) + 1.0 - capacity.max(1.0)).max(0.0);
+        let time =
+            service_time * (1.0 + queued / capacity) / self.warm_up_factor(now).max(COLD_SPEED);
+        Some(if self.is_stalled(now) {
+            time * STALL_PENALTY
+        } else {
+            time
+        })
+    }
+
     /// Returns the expected time until the response, including the wait for a slot, or `None` if
     /// the server's service time for `route` is unknown.
     ///
@@ -288,7 +308,7 @@
 
     /// Returns the slowdown to expect now, and the relative error of the expectation.
     fn expected_slowdown(&self, now: ClockInstant) -> (Slowdown, f64) {
-        if self.slowdown_at == ClockInstant::NEVER {
+        if !self.reports_slowdown() {
             return (Slowdown::NONE, 0.0);
         }
         let age = self.slowdown_at.elapsed(now);
