--- a/crates/daemon/src/accounts/usage_limiter.rs
+++ b/crates/daemon/src/accounts/usage_limiter.rs
@@ -62,7 +62,8 @@
         if !state.usage.is_synced(state) {
             state.usage.sync(state);
         }
-        let give_up_at = deadline.min(state.now().after(MAX_WAIT));
+        let arrived_at = state.now();
+        let give_up_at = deadline.min(arrived_at.after(MAX_WAIT));
         let mut decision = state.usage.lock().admit(state.now(), account);
         loop {
             // Listens before the decision, so that no reply is missed.
@@ -77,7 +78,12 @@
                 }
                 UsageDecision::Refused(retry_at) => return Err(self.refuse(account, retry_at)),
                 UsageDecision::Ask | UsageDecision::WaitUntil(_) if give_up_at.has_passed(now) => {
-                    return Err(no_owner(account, now));
+                    // The owner may have replied, but granted the room to others each time.
+                    let room_at = state.usage.lock().give_up(now, account, arrived_at);
+                    return Err(match room_at {
+                        Some(retry_at) => self.refuse(account, retry_at),
+                        None => no_owner(account, now),
+                    });
                 }
                 UsageDecision::WaitUntil(instant) => {
                     let instant = instant.min(give_up_at);
--- a/crates/kernel/src/account/usage_lease.rs
+++ b/crates/kernel/src/account/usage_lease.rs
@@ -36,6 +36,8 @@
     asked_at: ClockInstant,
     /// Requests that wait for the owner's reply.
     waiting: u32,
+    /// Instant of the owner's last reply.
+    replied_at: ClockInstant,
     /// Instant at which there will be room, by the owner's last reply.
     room_at: ClockInstant,
     /// Time between two requests for which there is room at this node.
@@ -63,6 +65,7 @@
             is_asking: false,
             asked_at: ClockInstant::default(),
             waiting: 0,
+            replied_at: ClockInstant::default(),
             room_at: ClockInstant::default(),
             room_interval: TimeBudget::ZERO,
             may_wait: false,
@@ -107,12 +110,23 @@
         if self.may_wait && self.room_at.remaining(now) <= MAX_ROOM_WAIT {
             return UsageDecision::WaitUntil(self.room_at);
         }
+        UsageDecision::Refused(self.refuse(now))
+    }
+
+    /// Refuses a request that has waited since `since`, and returns when there will be room for it;
+    /// `None` if the owner has not replied in that time.
+    pub fn give_up(&mut self, now: ClockInstant, since: ClockInstant) -> Option<ClockInstant> {
+        (self.replied_at >= since).then(|| self.refuse(now))
+    }
+
+    /// Counts a refusal and returns when there will be room for the request.
+    fn refuse(&mut self, now: ClockInstant) -> ClockInstant {
         let ahead = u64::from(self.refused);
         self.refused = self.refused.saturating_add(1);
         self.refusals += 1;
         let later = self.room_interval.as_micros().saturating_mul(ahead);
-        let retry_at = self.room_at.after(TimeBudget::from_micros(later));
-        UsageDecision::Refused(retry_at.min(now.after(MAX_RETRY_TIME)))
+        let retry_at = self.room_at.max(now).after(TimeBudget::from_micros(later));
+        retry_at.min(now.after(MAX_RETRY_TIME))
     }
 
     /// Gives back the token of a request that did not run.
@@ -172,11 +186,17 @@
     }
 
     /// Records the owner's reply to the report sent at `sent_at`, or that it did not reply.
-    pub fn finish(&mut self, sent_at: ClockInstant, grant: Option<&AccountGrant>) {
+    pub fn finish(
+        &mut self,
+        now: ClockInstant,
+        sent_at: ClockInstant,
+        grant: Option<&AccountGrant>,
+    ) {
         self.is_asking = false;
         let Some(grant) = grant.filter(|grant| grant.number == self.number) else {
             return;
         };
+        self.replied_at = now;
         self.held += grant.tokens;
         self.expires_at = sent_at.after(grant.lease);
         self.room_at = sent_at.after(grant.room_in);
--- a/crates/kernel/src/account/usage_node.rs
+++ b/crates/kernel/src/account/usage_node.rs
@@ -203,6 +203,17 @@
         lease.map_or(UsageDecision::Uncapped, |lease| lease.decide(now))
     }
 
+    /// Refuses a request that has waited since `since`, and returns when there will be room for it;
+    /// `None` if no owner has replied in that time.
+    pub fn give_up(
+        &mut self,
+        now: ClockInstant,
+        account: &AccountName,
+        since: ClockInstant,
+    ) -> Option<ClockInstant> {
+        self.book.get_mut(account)?.give_up(now, since)
+    }
+
     /// Returns what this node knows of the use of an account, if it has seen any.
     #[must_use]
     pub fn status(&self, now: ClockInstant, account: &AccountName) -> Option<UsageStatus> {
@@ -280,7 +291,7 @@
             let grants = reply.iter().flat_map(|reply| &reply.grants);
             let mut grants = grants.filter(|grant| grant.account == usage.account);
             if let Some(lease) = self.book.get_mut(&usage.account) {
-                lease.finish(exchange.sent_at, grants.next());
+                lease.finish(now, exchange.sent_at, grants.next());
             }
         }
         if exchange.to == self.own {
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -616,7 +616,9 @@
                 .iter()
                 .map(|server| view.candidate(server))
                 .collect();
-            select_by_time(view, &candidates, rng)
+            // Without a server at home, the better of two anywhere.
+            let selected = select_by_time(view, &candidates, rng);
+            selected.or_else(|| better_of_two(view, &candidates, rng))
         }
         false => None,
     };
