--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -42,6 +42,8 @@
 /// Request state shared by all threads of a node.
 #[derive(Debug)]
 pub struct RequestState {
+    /// Whether slots of older servers are left to the requests of the node's predecessor.
+    holds_slots: bool,
     clock: SystemClock,
     started_at: ClockInstant,
     load_balancer: Mutex<LoadBalancer>,
@@ -85,8 +87,15 @@
 }
 
 impl RequestState {
-    pub(crate) fn new(clock: SystemClock, retry_policy: Option<RetryPolicy>) -> Self {
+    /// Creates the state of a node that has just started. `holds_slots` leaves slots of servers that
+    /// are older than the node to the requests of its predecessor.
+    pub(crate) fn new(
+        clock: SystemClock,
+        retry_policy: Option<RetryPolicy>,
+        holds_slots: bool,
+    ) -> Self {
         Self {
+            holds_slots,
             started_at: clock.now(),
             clock,
             load_balancer: Mutex::default(),
@@ -217,7 +226,7 @@
         });
         let is_older = incarnation != BackendIncarnation::default()
             && incarnation.started_at < self.started_at;
-        if is_older {
+        if is_older && self.holds_slots {
             runtime
                 .slot_limiter
                 .hold_slots(self.started_at.after(PREDECESSOR_TIME));
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -116,6 +116,10 @@
             .local
             .as_ref()
             .map_or(LEASE_DURATION, |local| local.lease);
+        let holds_slots = settings
+            .local
+            .as_ref()
+            .is_some_and(|local| local.is_silent_when_full);
         let metric_sink = MetricSink::default();
         let gossip = new_gossip_state(&settings, addresses, clock.now());
         let source = EvidenceSource {
@@ -141,7 +145,7 @@
             contacts: ContactMonitor::new(clock.now()),
             cold_events: Notify::new(),
             placement: PlacementState::default(),
-            requests: Arc::new(RequestState::new(clock, retry_policy)),
+            requests: Arc::new(RequestState::new(clock, retry_policy, holds_slots)),
             log_limiter: Mutex::default(),
             is_draining: AtomicBool::new(false),
             has_platform_failed: AtomicBool::new(false),
--- a/crates/daemon/src/settings/node_settings.rs
+++ b/crates/daemon/src/settings/node_settings.rs
@@ -73,6 +73,9 @@
     pub ready: SocketAddr,
     /// Time for which an announcement is valid.
     pub lease: TimeBudget,
+    /// Whether a backend server that is full does not answer, so that a node that has just started
+    /// must leave slots to the requests of its predecessor.
+    pub is_silent_when_full: bool,
 }
 
 /// Settings of the listener for other nodes.
--- a/crates/daemon/src/settings/section_reader.rs
+++ b/crates/daemon/src/settings/section_reader.rs
@@ -147,10 +147,12 @@
     let announcements = section.required("announcements", example, parse_address);
     let ready = section.required("ready", "ready: 10.0.1.1:9301", parse_address);
     let lease = section.optional("lease", parse_duration);
+    let is_silent_when_full = section.optional("silent_when_full", parse_switch);
     Some(LocalSettings {
         announcements: announcements?,
         ready: ready?,
         lease: lease.unwrap_or(LEASE_DURATION),
+        is_silent_when_full: is_silent_when_full.unwrap_or(false),
     })
 }
 
