--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -63,7 +63,8 @@
     /// # Errors
     ///
     /// [`ErrorKind::NoBackend`] when the node is not reachable, [`ErrorKind::Overloaded`] when it
-    /// has not accepted a connection after half of the time left, [`ErrorKind::OutcomeUnknown`] when the connection breaks or the deadline passes after the request was sent, and any error
+    /// has not accepted a connection after half of the time left, [`ErrorKind::OutcomeUnknown`]
+    /// when the connection breaks or the deadline passes after the request was sent, and any error
     /// that the node returns.
     pub async fn forward(
         &self,
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -498,8 +498,8 @@
         self.update_after(now, is_changed, rng)
     }
 
-    /// Sets the limit of a cold server; `None` if its service declares none. Returns the waiting requests that start or are
-    /// refused.
+    /// Sets the limit of a cold server; `None` if its service declares none. Returns the waiting
+    /// requests that start or are refused.
     pub fn set_cold_limit(
         &mut self,
         now: ClockInstant,
--- a/crates/kernel/tests/request_placing.rs
+++ b/crates/kernel/tests/request_placing.rs
@@ -123,7 +123,7 @@
     }
 }
 
-/// Guards against servers that are slowed without a word of it: the placing may lose the gain of the
+/// Guards against servers that are slowed and do not report it: the placing may lose the gain of the
 /// reports, but no more.
 #[test]
 fn unreported_slowdown_costs_little() {
