Let calls go first, and keep the last servers of a service in use

Ruled out: calls do not wait behind new requests in the queue (their deadlines are earlier); the platform's state does not matter to a host.

Change: a call is told by where its route enters and by the deadlines of the runs beside the entry node; it starts before new requests of the same account and priority, waits to its deadline, and belongs to the account of its run over any number of nodes. A node that has started hosts as soon as it has had contact with a peer. Neighbours in the order of names contact a departed node until it is back. A server whose node stops is used if its service has no other, and the node goes on accepting meanwhile, as far as its grace time allows.

--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -147,6 +147,8 @@
             key_check: route_match.account.key_check,
             account: route_match.account.account.clone(),
             priority: rule.priority,
+            origin: state.settings.callers.origin.clone(),
+            run_rank: route_match.run_rank.clone(),
             waited: route_match.waited,
             may_hand_on: false,
             attempt,
--- a/crates/daemon/src/callers/caller_request.rs
+++ b/crates/daemon/src/callers/caller_request.rs
@@ -8,6 +8,7 @@
     error::{ErrorKind, MeshError},
     ids::RouteName,
     plugin::CallerDialect,
+    request::RunRank,
 };
 use bytes::Bytes;
 
@@ -36,6 +37,8 @@
     pub(crate) account: AccountCheck,
     /// Time that the caller has already spent on earlier attempts.
     pub(crate) waited: TimeBudget,
+    /// Rank of the run beside this node that may have made the request.
+    pub(crate) run_rank: Option<RunRank>,
 }
 
 impl CallerRequest {
@@ -81,6 +84,8 @@
         let waited = caller_timeout.map_or(TimeBudget::ZERO, |timeout| {
             state.requests.record_caller_wait(route, timeout)
         });
+        let run_rank =
+            caller_timeout.and_then(|timeout| state.requests.rank_of_call(now.after(timeout)));
         let route = route.clone();
         Ok(Self {
             route,
@@ -88,6 +93,7 @@
             deadline,
             account,
             waited,
+            run_rank,
             config,
         })
     }
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -18,7 +18,7 @@
     ids::{BackendName, SlotCount},
     member::{BackendIncarnation, BackendState, StatedLimit},
     plugin::{ServerDialect, ServerNotice},
-    request::{AccountRank, CrashStatus, ServerInstance},
+    request::{AccountRank, AdmissionRequest, CrashStatus, RunRank, ServerInstance},
 };
 use bronzelb_wire::peer::{ForwardRequest, ForwardResponse, HttpHeader};
 use bytes::Bytes;
@@ -36,7 +36,7 @@
         crash_registry::CrashRegistry,
         is_hop_header, recheck_account,
         request_state::BackendRuntime,
-        routed_request::admission_request,
+        routed_request::{admission_request, call_rank},
     },
     log::{EventName, REQUEST_TAG},
     node::NodeState,
@@ -128,12 +128,20 @@
             _ => None,
         };
         let queued_at = self.state.now();
+        let call_rank = call_rank(&mut self.state.requests.call_routes(), message);
+        let is_call = call_rank.is_some();
+        let own_rank = RunRank {
+            account: message.account.clone(),
+        };
+        let rank = call_rank.unwrap_or(own_rank);
+        let admission = AdmissionRequest {
+            account: rank.account.clone(),
+            is_call,
+            ..admission_request(self.state.config().as_deref(), deadline, message)
+        };
         let acquired = runtime
             .slot_limiter
-            .acquire_for(
-                admission_request(self.state.config().as_deref(), deadline, message),
-                message.may_hand_on,
-            )
+            .acquire_for(admission, message.may_hand_on)
             .await;
         let permit = acquired.inspect_err(|error| {
             self.log_refusal(name, &runtime, message, queued_at, error);
@@ -147,7 +155,9 @@
             incarnation,
             runtime: &runtime,
         };
+        let run = self.state.requests.begin_run(deadline, rank);
         let result = self.run_in_slot(&server, deadline, message).await;
+        drop(run);
         self.log_run(name, message, (queued_at, started_at), &result);
         finish_if_ok(permit, &result);
         if let Some(suspect_permit) = suspect_permit {
--- a/crates/daemon/src/forward/concurrency_limiter.rs
+++ b/crates/daemon/src/forward/concurrency_limiter.rs
@@ -58,6 +58,7 @@
             soft_deadline: None,
             account: None,
             route: None,
+            is_call: false,
         };
         self.acquire_for(request, false).await
     }
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -13,8 +13,8 @@
     ids::{BackendName, RouteName, ServiceName, SlotCount},
     member::BackendIncarnation,
     request::{
-        AdaptiveLimit, AttemptOutcome, IdempotencyCache, LoadBalancer, ResponseBudget, RetryBudget,
-        RetryPolicy, SharedBudget, WaitEstimator,
+        AdaptiveLimit, AttemptOutcome, CallRoutes, IdempotencyCache, LoadBalancer, ResponseBudget,
+        RetryBudget, RetryPolicy, RunNumber, RunRank, RunRegistry, SharedBudget, WaitEstimator,
     },
 };
 use bronzelb_wire::peer::ForwardResponse;
@@ -53,6 +53,9 @@
     retry_policy: Option<RetryPolicy>,
     shared_budgets: Mutex<BTreeMap<ServiceName, SharedBudget>>,
     wait_estimator: Mutex<WaitEstimator>,
+    /// Runs in progress on the backend servers of this node.
+    run_registry: Mutex<RunRegistry>,
+    call_routes: Mutex<CallRoutes>,
     service_limiters: Mutex<BTreeMap<ServiceName, Arc<ServiceLimiter>>>,
     backends: Mutex<BTreeMap<BackendName, Arc<BackendRuntime>>>,
     idempotency_cache: Mutex<IdempotencyCache<ResultReceiver, SharedResult>>,
@@ -104,6 +107,8 @@
             retry_policy,
             shared_budgets: Mutex::default(),
             wait_estimator: Mutex::default(),
+            run_registry: Mutex::default(),
+            call_routes: Mutex::default(),
             service_limiters: Mutex::default(),
             backends: Mutex::default(),
             idempotency_cache: Mutex::default(),
@@ -153,6 +158,25 @@
         lock(&self.wait_estimator).record_timeout(route, wait)
     }
 
+    /// Registers a run until the guard is dropped.
+    pub(crate) fn begin_run(&self, deadline: ClockInstant, rank: RunRank) -> RunGuard<'_> {
+        RunGuard {
+            state: self,
+            number: lock(&self.run_registry).begin(deadline, rank),
+        }
+    }
+
+    /// Returns the rank of the run beside this node that may have made a request with the given
+    /// deadline.
+    pub(crate) fn rank_of_call(&self, deadline: ClockInstant) -> Option<RunRank> {
+        lock(&self.run_registry).rank_of_call(deadline).cloned()
+    }
+
+    /// Locks and returns the routes that only runs use.
+    pub(crate) fn call_routes(&self) -> MutexGuard<'_, CallRoutes> {
+        lock(&self.call_routes)
+    }
+
     pub(crate) fn idempotency_cache(
         &self,
     ) -> MutexGuard<'_, IdempotencyCache<ResultReceiver, SharedResult>> {
@@ -352,6 +376,19 @@
     }
 }
 
+/// Keeps a run registered until dropped.
+#[derive(Debug)]
+pub(crate) struct RunGuard<'a> {
+    state: &'a RequestState,
+    number: RunNumber,
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        lock(&self.state.run_registry).end(self.number);
+    }
+}
+
 fn service_queue_limit(slots: SlotCount) -> usize {
     slots.get() as usize * SERVICE_QUEUE_FACTOR
 }
--- a/crates/daemon/src/forward/routed_request.rs
+++ b/crates/daemon/src/forward/routed_request.rs
@@ -2,7 +2,7 @@
     clock::ClockInstant,
     config::ConfigVersion,
     ids::{AttemptCount, ContentHash, IdempotencyKey, ServiceName},
-    request::AdmissionRequest,
+    request::{AdmissionRequest, CallRoutes, RunRank},
 };
 use bronzelb_wire::peer::ForwardRequest;
 
@@ -79,9 +79,18 @@
         soft_deadline,
         account: message.account.clone(),
         route: Some(message.route.clone()),
+        is_call: false,
     }
 }
 
+/// Returns the rank of the run that a forwarded request is a call of, if it is one.
+pub(crate) fn call_rank(routes: &mut CallRoutes, message: &ForwardRequest) -> Option<RunRank> {
+    let origin = message.origin.as_ref()?;
+    routes.record(&message.route, origin, message.run_rank.is_some());
+    let rank = message.run_rank.as_ref();
+    rank.filter(|_| routes.is_call(&message.route)).cloned()
+}
+
 /// Returns a hash that identifies requests with the same route, method, target and body.
 ///
 /// Each field is preceded by its length, so that moving bytes from one field to the next changes
--- a/crates/daemon/src/node/drain_node.rs
+++ b/crates/daemon/src/node/drain_node.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
-use bronzelb_kernel::clock::TimeBudget;
+use bronzelb_kernel::clock::{ClockInstant, TimeBudget};
 use slog::info;
 use tokio::time;
 
@@ -33,7 +33,9 @@
 ///    to notice this, the backend servers on the VM continue to serve the other nodes meanwhile.
 /// 2. The node announces the drain to the mesh, and for a short time still accepts requests from
 ///    nodes that have not received the announcement.
-/// 3. The node rejects new requests as not run, closes idle connections and waits for the requests
+/// 3. While no other node has a server of a service that this node hosts, the node still accepts
+///    requests for it, as long as these can finish before the drain deadline.
+/// 4. The node rejects new requests as not run, closes idle connections and waits for the requests
 ///    in flight until the drain deadline. Without a limit in the settings this is the longest
 ///    drain time of any service, but at least 30 s.
 pub(crate) async fn drain_node(state: &NodeState, callers: &ServerHandle, connections: StopSender) {
@@ -48,9 +50,10 @@
         state.announce_drain();
         time::sleep(DRAIN_NOTICE_TIME).await;
     }
+    let deadline = limit.unwrap_or_else(|| state.now().after(drain_time(state)));
+    keep_last_server(state, deadline).await;
     state.requests.close();
     drop(connections);
-    let deadline = limit.unwrap_or_else(|| state.now().after(drain_time(state)));
     let stopped = callers.stop(true);
     while state.requests.in_flight() > 0 && !deadline.has_passed(state.now()) {
         time::sleep(POLL_INTERVAL).await;
@@ -64,6 +67,40 @@
         "cut" => has_timed_out || in_flight > 0, "in_flight" => in_flight);
 }
 
+/// Waits until another node has a server of each service that this node hosts, or until a request
+/// accepted now could outlast `drain_deadline`.
+async fn keep_last_server(state: &NodeState, drain_deadline: ClockInstant) {
+    let accept_deadline = drain_deadline.before(longest_timeout(state));
+    while !accept_deadline.has_passed(state.now()) {
+        if let Some(config) = state.config() {
+            let (now, snapshot) = (state.now(), config.snapshot());
+            state.requests.sync_members(now, &state.gossip, snapshot);
+        }
+        let load_balancer = state.requests.load_balancer();
+        if !load_balancer.is_last_host(&state.settings.node) {
+            return;
+        }
+        drop(load_balancer);
+        time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Returns the longest timeout of a route to a service that this node hosts.
+fn longest_timeout(state: &NodeState) -> TimeBudget {
+    let rows = state.backends().rows();
+    let config = state.config();
+    let routes = config
+        .iter()
+        .flat_map(|config| config.snapshot().routes.values());
+    let hosted = routes.filter(|route| {
+        let mut services = route.services();
+        services.any(|service| rows.iter().any(|row| row.service == *service))
+    });
+    hosted
+        .map(|route| route.timeout)
+        .fold(TimeBudget::ZERO, TimeBudget::max)
+}
+
 fn drain_time(state: &NodeState) -> TimeBudget {
     let config = state.config();
     let services = config
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -277,6 +277,19 @@
         Err(error.with_retry_at(now.after(LEASE_RETRY_DELAY)))
     }
 
+    /// Checks that the node may pass other nodes' requests to its backend servers.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NotReady`] otherwise, with the time of a retry.
+    pub fn check_host(&self) -> Result<(), MeshError> {
+        let now = self.now();
+        match self.gossip.read(|node| node.may_host(now)) {
+            true => Ok(()),
+            false => self.check_lease(),
+        }
+    }
+
     /// Removes backend servers whose lease has expired.
     pub(crate) fn expire_backends(&self) {
         let expired = self.backends().expire(self.now());
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -112,7 +112,7 @@
     ) -> Result<ForwardResponse, MeshError> {
         record_contact(&self.state);
         let sent = |error: MeshError| error.sent_at(self.state.now());
-        self.state.check_lease().map_err(sent)?;
+        self.state.check_host().map_err(sent)?;
         let _in_flight = self.state.requests.begin_request().map_err(sent)?;
         let deadline = self.deadline(&context);
         let backend = request
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -312,6 +312,8 @@
                 },
                 account: None,
                 priority: RequestPriority::NORMAL,
+                origin: None,
+                run_rank: None,
                 waited: TimeBudget::ZERO,
                 may_hand_on: false,
                 attempt: 1,
--- a/crates/kernel/src/member/member_row.rs
+++ b/crates/kernel/src/member/member_row.rs
@@ -11,7 +11,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MemberState {
-    /// Accepts no requests yet, after a start or a pause.
+    /// Accepts no callers' requests yet, after a start or a pause, but those of other nodes to its
+    /// backend servers.
     Starting,
     /// Accepts requests.
     Serving,
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -54,6 +54,9 @@
 /// other accounts want some. At a server, half of the places is one request for each slot.
 const ACCOUNT_SHARE_DIVISOR: usize = 2;
 
+/// Multiple of the queue limit at which waiting calls are refused by their number.
+const CALL_QUEUE_FACTOR: usize = 4;
+
 /// Key of a waiting request in an [`AdmissionQueue`].
 ///
 /// Requests of one account, and those without an account, start in the order of their keys.
@@ -64,13 +67,15 @@
     sequence: u64,
 }
 
-/// Urgency of a waiting request. Within a class, requests start in fair order over accounts.
+/// Urgency of a waiting request, the more urgent first. Within a class, requests start in fair order over accounts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct QueueClass {
     /// Priority of the account; requests without an account come first, because a request that is
     /// running may depend on them.
     account_priority: Option<RequestPriority>,
     priority: RequestPriority,
+    /// Whether the request begins a run. A call goes before, because its run holds a slot already.
+    begins_run: bool,
     /// Whether the request is likely to miss its soft deadline, so that a slot is better used for
     /// another request.
     is_late: bool,
@@ -78,7 +83,7 @@
 
 impl QueueClass {
     const fn load_class(self) -> LoadClass {
-        (self.account_priority, self.priority)
+        (self.account_priority, self.priority, self.begins_run)
     }
 }
 
@@ -99,6 +104,11 @@
     pub account: Option<AccountRank>,
     /// Route of the request; routes of one service differ in their service times.
     pub route: Option<RouteName>,
+    /// Whether the request is a call of a run in progress.
+    ///
+    /// It starts before new requests of the same rank and waits as long as it can still be answered
+    /// by its deadline, since its run fails without it.
+    pub is_call: bool,
 }
 
 /// Decision of an [`AdmissionQueue`] on a request for a slot.
@@ -294,6 +304,7 @@
             soft_deadline: None,
             account: None,
             route: None,
+            is_call: false,
         };
         self.submit_request(now, &request, item, rng)
     }
@@ -310,6 +321,7 @@
         let load_class = (
             request.account.as_ref().map(|rank| rank.priority),
             request.priority,
+            !request.is_call,
         );
         if deadline.has_passed(now) || self.is_hopeless(now, request) {
             return (self.refuse(now, load_class, rng), Vec::new());
@@ -326,6 +338,7 @@
         let class = QueueClass {
             account_priority: request.account.as_ref().map(|rank| rank.priority),
             priority: request.priority,
+            begins_run: !request.is_call,
             is_late: self.is_late(now, request, slowed_time),
         };
         let queue_key = QueueKey {
@@ -659,7 +672,7 @@
         queue_deadline: ClockInstant,
     ) -> bool {
         let order = self.start_order();
-        if order.len() > self.queue_limit && self.overflow(&order) == Some(queue_key) {
+        if self.is_over_limit(&order) && self.overflow(&order) == Some(queue_key) {
             return false;
         }
         let ahead = order.iter().take_while(|(key, _)| **key != queue_key);
@@ -668,6 +681,15 @@
         !self.starts_too_late(now, queue_key.class, queue_deadline, ahead)
     }
 
+    /// Returns whether so many requests wait that one must be refused.
+    ///
+    /// Calls do not count towards the queue's limit but have a larger one, since they are refused by
+    /// the expected wait alone, and short ones may wait in numbers.
+    fn is_over_limit(&self, order: &[(&QueueKey, &WaitEntry<T>)]) -> bool {
+        let new_runs = order.iter().filter(|(key, _)| key.class.begins_run);
+        new_runs.count() > self.queue_limit || order.len() > self.queue_limit * CALL_QUEUE_FACTOR
+    }
+
     /// Returns the request to refuse when the queue is over its limit, from the requests in the
     /// order in which they start.
     ///
@@ -710,7 +732,7 @@
                 kept.push((queue_key, entry));
             }
         }
-        while kept.len() > self.queue_limit
+        while self.is_over_limit(&kept)
             && let Some(overflow) = self.overflow(&kept)
         {
             kept.retain(|(key, _)| **key != overflow);
@@ -828,7 +850,7 @@
 
     /// Returns whether a request that starts now is likely to miss its soft deadline.
     ///
-    /// A short request never counts as late.
+    /// A short request and a call never count as late.
     fn is_late(
         &self,
         now: ClockInstant,
@@ -838,7 +860,7 @@
         let soft_deadline = request.soft_deadline;
         let is_too_late = soft_deadline
             .is_some_and(|instant| now > instant.before(conservative_time(expected_time)));
-        is_too_late && !self.is_short(expected_time)
+        is_too_late && !request.is_call && !self.is_short(expected_time)
     }
 
     /// Returns whether hardly any request of the route could be answered before the deadline.
@@ -867,7 +889,7 @@
     /// Returns the instant until which a request that arrives now may wait.
     ///
     /// This leaves time to meet the soft deadline or, without one, allows a quarter of the time
-    /// left. A short request may wait until its deadline can no longer be met.
+    /// left. A short request and a call may wait until the deadline can no longer be met.
     fn queue_deadline(
         &self,
         now: ClockInstant,
@@ -875,6 +897,9 @@
         expected_time: TimeBudget,
     ) -> ClockInstant {
         let latest_start = request.deadline.before(expected_time);
+        if request.is_call {
+            return latest_start;
+        }
         let Some(soft_deadline) = request.soft_deadline else {
             let longest = request.deadline.remaining(now).as_micros() / WAIT_DIVISOR;
             return latest_start.min(now.after(TimeBudget::from_micros(longest)));
--- a/crates/kernel/src/request/class_load.rs
+++ b/crates/kernel/src/request/class_load.rs
@@ -14,8 +14,9 @@
 /// Number of classes whose work is kept; the class with the least work is dropped for a new one.
 const MAX_CLASSES: usize = 32;
 
-/// Priority of a request's account and of its route; lower ones start first.
-pub(crate) type LoadClass = (Option<RequestPriority>, RequestPriority);
+/// Priority of a request's account and of its route, and whether it begins a run; lower ones start
+/// first.
+pub(crate) type LoadClass = (Option<RequestPriority>, RequestPriority, bool);
 
 /// Work that has recently started, by class.
 ///
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -348,6 +348,7 @@
         self.notices.record_departure(now, backend, incarnation);
         if let Some(server) = self.server_mut(service, backend) {
             server.state = BackendState::Draining;
+            server.is_last_resort = false;
         }
     }
 
@@ -387,12 +388,34 @@
         SlotCount::new(serving.map(|server| server.slots).sum())
     }
 
-    /// Returns whether the service has a serving server.
+    /// Returns whether the service has a serving server, or one whose node stops.
     #[must_use]
     pub fn has_server(&self, service: &ServiceName) -> bool {
-        self.services
-            .get(service)
-            .is_some_and(|servers| servers.values().any(|server| self.is_usable(server)))
+        self.services.get(service).is_some_and(|servers| {
+            let mut servers = servers.values();
+            servers.any(|server| self.is_usable(server) || server.is_last_resort)
+        })
+    }
+
+    /// Returns whether `node` hosts a live server of a service of which no other node has a serving
+    /// one.
+    ///
+    /// Answers the load of a service whose nodes are stopped one after the other: the node goes on
+    /// serving while it may, until a server beside another node is back.
+    #[must_use]
+    pub fn is_last_host(&self, node: &NodeName) -> bool {
+        let hosted = self.hosted.get(node).into_iter().flatten();
+        let mut services = hosted.filter_map(|(service, name)| {
+            let servers = self.services.get(service)?;
+            let own = servers.get(name)?;
+            (own.state == BackendState::Serving || own.is_last_resort).then_some(servers)
+        });
+        services.any(|servers| {
+            let mut others = servers
+                .values()
+                .filter(|server| server.location.node != *node);
+            !others.any(|server| self.is_usable(server))
+        })
     }
 
     /// Returns the instant at which a refused request may return because a server that it has not
@@ -478,12 +501,13 @@
         let server = servers
             .entry(row.name.clone())
             .or_insert_with(|| ServerStats::new(location.clone(), now, slow_start));
+        let has_departed = self.notices.has_departed(&row.name, row.incarnation);
         let state = match member.state {
-            MemberState::Serving if !self.notices.has_departed(&row.name, row.incarnation) => {
-                row.state
-            }
+            MemberState::Starting | MemberState::Serving if !has_departed => row.state,
             _ => BackendState::Draining,
         };
+        let host_drains = member.state == MemberState::Draining;
+        server.is_last_resort = host_drains && !has_departed && row.state == BackendState::Serving;
         let starts_serving =
             state == BackendState::Serving && server.state != BackendState::Serving;
         if starts_serving && !is_new_service && row.cold_until.is_none() {
@@ -503,7 +527,10 @@
 }
 
 fn is_reachable(state: MemberState) -> bool {
-    matches!(state, MemberState::Serving | MemberState::Draining)
+    matches!(
+        state,
+        MemberState::Starting | MemberState::Serving | MemberState::Draining
+    )
 }
 
 /// Returns whether ejecting `backend` leaves enough servers of the service.
@@ -601,8 +628,14 @@
     servers: &BTreeMap<BackendName, ServerStats>,
     rng: &mut impl Rng,
 ) -> Option<BackendName> {
-    let is_open = |data_centre: &DataCentre| view.is_open(data_centre);
-    let all = untried_serving(servers, view.criteria, &is_open);
+    let is_open = |server: &ServerStats| view.is_open(&server.location.data_centre);
+    let is_serving =
+        |server: &ServerStats| server.state == BackendState::Serving && is_open(server);
+    let mut all = untried(servers, view.criteria, &is_serving);
+    if all.is_empty() {
+        let is_last_resort = |server: &ServerStats| server.is_last_resort && is_open(server);
+        all = untried(servers, view.criteria, &is_last_resort);
+    }
     let admitted = all.iter().copied();
     let mut servers: Vec<_> = admitted
         .filter(|server| !server.is_ejected(view.now))
@@ -680,19 +713,15 @@
     difference.total_cmp(&0.0)
 }
 
-/// Returns the untried serving servers, in data centres that accept requests, of the best-ranked
-/// version that has a serving server there.
-fn untried_serving<'a>(
+/// Returns the untried candidates of the best-ranked version that has a candidate.
+fn untried<'a>(
     servers: &'a BTreeMap<BackendName, ServerStats>,
     criteria: &SelectionCriteria<'_>,
-    is_open: &impl Fn(&DataCentre) -> bool,
+    is_candidate: &impl Fn(&ServerStats) -> bool,
 ) -> Vec<&'a ServerStats> {
     let mut best = None;
     let mut all = Vec::with_capacity(servers.len());
-    let is_candidate = |server: &&ServerStats| {
-        server.state == BackendState::Serving && is_open(&server.location.data_centre)
-    };
-    for server in servers.values().filter(is_candidate) {
+    for server in servers.values().filter(|server| is_candidate(server)) {
         let Some(rank) = criteria.versions.rank(&server.location.version) else {
             continue;
         };
--- a/crates/kernel/src/request/mod.rs
+++ b/crates/kernel/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod admission_queue;
 mod attempt_context;
 mod attempt_outcome;
+mod call;
 mod claim_row;
 mod class_load;
 mod cold_pacer;
@@ -45,6 +46,7 @@
 };
 pub use attempt_context::{AttemptContext, RetryDecision};
 pub use attempt_outcome::AttemptOutcome;
+pub use call::{CallRoutes, RunNumber, RunRank, RunRegistry};
 pub use claim_row::{ClaimOutcome, ClaimRow, ClaimStatus, MAX_CLAIM_BODY_BYTES};
 pub use cold_pacer::{ColdLimit, ColdPacer};
 pub use cold_state::ColdState;
--- a/crates/kernel/src/request/server_stats.rs
+++ b/crates/kernel/src/request/server_stats.rs
@@ -112,6 +112,9 @@
     pub(crate) location: ServerLocation,
     pub(crate) slots: u32,
     pub(crate) state: BackendState,
+    /// Whether the server itself serves while the node beside it stops; such a server is used only
+    /// if its service has no other.
+    pub(crate) is_last_resort: bool,
     pub(crate) outstanding: u32,
     pub(crate) is_healthy: bool,
     /// Rate limit that the server states, for the requests of all nodes together.
@@ -152,6 +155,7 @@
             location,
             slots: 1,
             state: BackendState::Starting,
+            is_last_resort: false,
             outstanding: 0,
             is_healthy: true,
             limit: StatedLimit::Unknown,
--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -15,6 +15,7 @@
         FetchScheduler, GossipAction, GossipEvent, GossipOptions, JoinPacer, PeerHeader,
         PeerSelector, PlatformPoll, PlatformState, ReadinessGate, RecordEntry, RecordKey,
         RecordReplica, RecordTable, RecordValue, RootDigest, TransferLimiter, VersionStore,
+        return_watch::ReturnWatch,
     },
 };
 
@@ -57,6 +58,8 @@
     pub(crate) readiness: ReadinessGate,
     /// When the node started, or rejoined after a pause.
     pub(crate) started_at: ClockInstant,
+    /// When a peer last exchanged messages with this node.
+    pub(crate) contact_at: Option<ClockInstant>,
     /// Whether a node that knows no peer has waited long enough for one.
     pub(crate) has_waited_for_peers: bool,
     pub(crate) platform_poll: PlatformPoll,
@@ -69,6 +72,7 @@
     pub(crate) requires_orders: bool,
     pub(crate) lease_schedule: LeaseSchedule,
     pub(crate) peer_selector: PeerSelector,
+    pub(crate) return_watch: ReturnWatch,
     /// Number of outstanding indirect probes of each probed member.
     pub(crate) pending_probes: BTreeMap<NodeName, usize>,
     pub(crate) stamp_push_rounds: u8,
@@ -117,6 +121,7 @@
                 now.after(options.startup_timeout),
             ),
             started_at: now,
+            contact_at: None,
             has_waited_for_peers: false,
             platform_poll: PlatformPoll::new(now, rng),
             platform_seen_at: None,
@@ -124,6 +129,7 @@
             requires_orders: false,
             lease_schedule: LeaseSchedule::new(now, options.is_first_start, rng),
             peer_selector: PeerSelector::default(),
+            return_watch: ReturnWatch::default(),
             pending_probes: BTreeMap::new(),
             stamp_push_rounds: 0,
             next_push: now,
@@ -172,6 +178,16 @@
         self.readiness.is_open() && self.lease_guard.is_valid(now)
     }
 
+    /// Returns whether the node may pass other nodes' requests to the backend servers beside it.
+    ///
+    /// This does not wait for the platform as [`GossipNode::may_act`] does, because the entry node
+    /// is ready: it has matched the request against its configuration and knows the operators' orders.
+    #[must_use]
+    pub fn may_host(&self, now: ClockInstant) -> bool {
+        let has_contact = self.contact_at >= Some(self.started_at);
+        self.may_act(now) || (self.lease_guard.is_valid(now) && has_contact)
+    }
+
     /// Returns when this node's own lease expires unless it is renewed.
     #[must_use]
     pub const fn lease_deadline(&self) -> ClockInstant {
--- a/crates/kernel/src/spread/mod.rs
+++ b/crates/kernel/src/spread/mod.rs
@@ -24,6 +24,7 @@
 mod readiness_gate;
 mod record_replica;
 mod record_table;
+mod return_watch;
 mod table_digest;
 mod transfer_limiter;
 mod version_row;
--- a/crates/kernel/src/spread/node_requests.rs
+++ b/crates/kernel/src/spread/node_requests.rs
@@ -118,6 +118,7 @@
         now: ClockInstant,
     ) {
         self.view.record_contact(&from.data_centre, now);
+        self.contact_at = Some(now);
         self.peer_selector.mark_responsive(&from.node);
         self.pending_probes.remove(&from.node);
         // The peer's clock may be ahead of this node's.
@@ -146,11 +147,17 @@
         for row in rows {
             // While a node joins, nearly every row is news to it and to nobody else.
             let is_known_to_others = !self.has_joined(now) && row.state < MemberState::Draining;
+            let departed = (row.state == MemberState::Gone).then(|| row.node.clone());
             let outcome = if is_known_to_others {
                 self.view.merge_quietly(row, now)
             } else {
                 self.view.merge(row, now)
             };
+            if let Some(departed) = departed.filter(|_| outcome == MergeOutcome::Changed) {
+                let table = self.view.table();
+                self.return_watch
+                    .record_departure(now, &departed, &self.view.own().node, table);
+            }
             has_changed |= matches!(outcome, MergeOutcome::Changed | MergeOutcome::Refuted);
         }
         if has_changed {
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -45,6 +45,7 @@
         self.poll_platform(now, rng);
         self.update_lease_row(now, rng);
         self.exchange(now, rng);
+        self.contact_departed(now);
         self.push(now, rng);
         self.start_fetch(now, rng);
         self.update_readiness(now);
@@ -69,7 +70,8 @@
         let push = self.has_pushes().then_some(self.next_push);
         let hint_push = self.view.has_hint_pushes().then_some(self.next_hint_push);
         let fetch = self.fetches.next_start();
-        let work = [push, hint_push, fetch].into_iter().flatten();
+        let contact = self.return_watch.next_contact();
+        let work = [push, hint_push, fetch, contact].into_iter().flatten();
         work.fold(latest.min(self.next_exchange), ClockInstant::min)
     }
 
@@ -94,9 +96,16 @@
     }
 
     fn expire_members(&mut self, now: ClockInstant) {
-        if !self.view.expire(now).is_empty() {
-            self.notify(GossipEvent::MembersChanged);
+        let gone = self.view.expire(now);
+        if gone.is_empty() {
+            return;
+        }
+        for node in &gone {
+            let table = self.view.table();
+            self.return_watch
+                .record_departure(now, node, &self.view.own().node, table);
         }
+        self.notify(GossipEvent::MembersChanged);
     }
 
     fn poll_platform(&mut self, now: ClockInstant, rng: &mut impl Rng) {
@@ -191,6 +200,20 @@
         }
     }
 
+    /// Exchanges with members that have departed recently and may be back.
+    fn contact_departed(&mut self, now: ClockInstant) {
+        for node in self.return_watch.take_due(now, self.view.table()) {
+            let Some(row) = self.view.table().get(&node) else {
+                continue;
+            };
+            let to = PeerTarget {
+                address: row.peer_address,
+                node: Some(node),
+            };
+            self.send_gossip(to, true, Vec::new(), Vec::new(), now);
+        }
+    }
+
     fn exchange_targets(&self, now: ClockInstant, rng: &mut impl Rng) -> Vec<PeerTarget> {
         let mut targets = Vec::new();
         if self
--- a/crates/kernel/tests/placing/mod.rs
+++ b/crates/kernel/tests/placing/mod.rs
@@ -489,6 +489,7 @@
             soft_deadline: Some(at(self.jobs[job].arrived + route.target)),
             account: None,
             route: Some(name(route.name)),
+            is_call: false,
         };
         let queue = &mut self.servers[server].queue;
         let (decision, evicted) = queue.submit_request(at(self.now), &request, job, &mut self.rng);
--- a/crates/kernel/tests/request_fairness.rs
+++ b/crates/kernel/tests/request_fairness.rs
@@ -52,6 +52,7 @@
         soft_deadline: None,
         account,
         route: None,
+        is_call: false,
     }
 }
 
--- a/crates/kernel/tests/request_gate.rs
+++ b/crates/kernel/tests/request_gate.rs
@@ -111,6 +111,7 @@
         soft_deadline: Some(soft_deadline),
         account: None,
         route: Some(route(name)),
+        is_call: false,
     }
 }
 
--- a/crates/kernel/tests/request_mixed_load.rs
+++ b/crates/kernel/tests/request_mixed_load.rs
@@ -72,6 +72,7 @@
             soft_deadline: Some(at(now + soft_deadline)),
             account: None,
             route: Some(route(is_call)),
+            is_call: false,
         };
         self.tally(is_call).arrived += 1;
         let (decision, _) = self
--- a/crates/kernel/tests/request_placing.rs
+++ b/crates/kernel/tests/request_placing.rs
@@ -280,6 +280,7 @@
             soft_deadline: Some(at(target)),
             account: None,
             route: Some(route.clone()),
+            is_call: false,
         };
         for _ in 0..8 {
             queue.submit_request(at(0), &request, 0, &mut rng);
--- a/crates/kernel/tests/request_refusals.rs
+++ b/crates/kernel/tests/request_refusals.rs
@@ -61,6 +61,7 @@
         soft_deadline: None,
         account: None,
         route: Some(route_name(0)),
+        is_call: false,
     }
 }
 
@@ -369,6 +370,7 @@
             soft_deadline: Some(at(call.began + ROUTES[call.route].1)),
             account,
             route: Some(route_name(call.route)),
+            is_call: false,
         };
         let (decision, refused) =
             self.queues[server].submit_request(at(now), &request, call, &mut self.rng);
--- a/crates/kernel/tests/request_returns.rs
+++ b/crates/kernel/tests/request_returns.rs
@@ -98,6 +98,7 @@
             soft_deadline: Some(at(now + self.case.soft_deadline_ms).before(elapsed_wait)),
             account: None,
             route: Some(route()),
+            is_call: false,
         };
         let (decision, refused) =
             self.queue
--- a/crates/kernel/tests/spread/fixture.rs
+++ b/crates/kernel/tests/spread/fixture.rs
@@ -203,6 +203,15 @@
         self.paused.remove(node);
     }
 
+    /// Makes a node tell the others that it leaves.
+    pub(crate) fn leave(&mut self, node: &NodeName) {
+        let run = self.runs[node];
+        self.step(node, run, |node, now, rng| {
+            node.leave();
+            node.tick(now, rng);
+        });
+    }
+
     pub(crate) fn run_for(&mut self, millis: u64) {
         let end = self.now.after(TimeBudget::from_millis(millis));
         while let Some(entry) = self.queue.first_entry() {
--- a/crates/kernel/tests/spread/main.rs
+++ b/crates/kernel/tests/spread/main.rs
@@ -4,5 +4,6 @@
 mod member;
 mod orders;
 mod publish;
+mod returning;
 mod size;
 mod version;
--- a/crates/wire/src/peer/forward_message.rs
+++ b/crates/wire/src/peer/forward_message.rs
@@ -2,9 +2,9 @@
     account::CheckedKey,
     clock::TimeBudget,
     config::{HttpMethod, RequestPriority},
-    ids::{BackendName, BuildVersion, ContentHash, IdempotencyKey, RouteName},
+    ids::{BackendName, BuildVersion, ContentHash, IdempotencyKey, RouteName, ServiceName},
     member::{BackendIncarnation, StatedLimit},
-    request::{AccountRank, ServerLoad},
+    request::{AccountRank, RunRank, ServerLoad},
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -42,6 +42,10 @@
     pub account: Option<AccountRank>,
     /// Priority of the matched route.
     pub priority: RequestPriority,
+    /// Service beside whose server the request entered the mesh, if the entry node has one.
+    pub origin: Option<ServiceName>,
+    /// Rank of the run beside the entry node that may have made the request.
+    pub run_rank: Option<RunRank>,
     /// Time that the caller has already spent on its own earlier attempts, if it reports this.
     pub waited: TimeBudget,
     /// Whether the host may refuse the request while it waits because the server has slowed down;
