--- a/crates/daemon/src/node/drain_node.rs
+++ b/crates/daemon/src/node/drain_node.rs
@@ -71,20 +71,22 @@
 /// accepted now could outlast `drain_deadline`.
 async fn keep_last_server(state: &NodeState, drain_deadline: ClockInstant) {
     let accept_deadline = drain_deadline.before(longest_timeout(state));
-    while !accept_deadline.has_passed(state.now()) {
-        if let Some(config) = state.config() {
-            let (now, snapshot) = (state.now(), config.snapshot());
-            state.requests.sync_members(now, &state.gossip, snapshot);
-        }
-        let load_balancer = state.requests.load_balancer();
-        if !load_balancer.is_last_host(&state.settings.node) {
-            return;
-        }
-        drop(load_balancer);
+    while !accept_deadline.has_passed(state.now()) && is_last_host(state) {
         time::sleep(POLL_INTERVAL).await;
     }
 }
 
+/// Returns whether this node hosts a server of a service that no other node serves, by the latest
+/// member rows.
+fn is_last_host(state: &NodeState) -> bool {
+    if let Some(config) = state.config() {
+        let (now, snapshot) = (state.now(), config.snapshot());
+        state.requests.sync_members(now, &state.gossip, snapshot);
+    }
+    let load_balancer = state.requests.load_balancer();
+    load_balancer.is_last_host(&state.settings.node)
+}
+
 /// Returns the longest timeout of a route to a service that this node hosts.
 fn longest_timeout(state: &NodeState) -> TimeBudget {
     let rows = state.backends().rows();
