--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -130,6 +130,9 @@
         let queued_at = self.state.now();
         let call_rank = call_rank(&mut self.state.requests.call_routes(), message);
         let is_call = call_rank.is_some();
+        if is_call {
+            self.state.count("calls_received");
+        }
         let own_rank = RunRank {
             account: message.account.clone(),
         };
@@ -144,6 +147,9 @@
             .acquire_for(admission, message.may_hand_on)
             .await;
         let permit = acquired.inspect_err(|error| {
+            if is_call {
+                self.state.count("calls_refused");
+            }
             self.log_refusal(name, &runtime, message, queued_at, error);
         })?;
         let started_at = self.state.now();
--- a/crates/daemon/src/rollout/rollout_state.rs
+++ b/crates/daemon/src/rollout/rollout_state.rs
@@ -11,7 +11,9 @@
     rollout::{EvidenceReport, EvidenceSource, MoveRecord, MoveTable, OutcomeReport, VersionSplit},
 };
 
-use crate::node::NodeState;
+use slog::info;
+
+use crate::{log::EventName, node::NodeState};
 
 const MAX_TRACKED_BACKENDS: usize = 10_000;
 
@@ -63,7 +65,14 @@
         });
         report.is_in_slow_start =
             self.is_in_slow_start(&report.backend, slow_start.unwrap_or_default(), now);
-        self.table().record_outcome(&report, now);
+        if !self.table().record_outcome(&report, now) {
+            return;
+        }
+        state.count_labeled("version_breaker_opened", "service", report.service.as_str());
+        info!(state.logger, "{}", EventName::MoveChanged;
+            "service" => report.service.to_string(), "state" => "held-here",
+            "version" => report.version.to_string(), "backend" => report.backend.to_string(),
+            "route" => report.route.to_string());
     }
 
     /// Merges the record of a move and returns whether it changed the table.
--- a/crates/kernel/src/rollout/move_table.rs
+++ b/crates/kernel/src/rollout/move_table.rs
@@ -164,19 +164,20 @@
     }
 
     /// Records the outcome of one attempt as evidence about the running move of its service, if
-    /// there is one.
-    pub fn record_outcome(&mut self, report: &OutcomeReport, now: ClockInstant) {
+    /// there is one. Returns whether this node stops sending to the new version for a while because
+    /// of it.
+    pub fn record_outcome(&mut self, report: &OutcomeReport, now: ClockInstant) -> bool {
         let Some(entry) = self.entries.get_mut(&report.service) else {
-            return;
+            return false;
         };
         if entry.record.state.is_final() {
-            return;
+            return false;
         }
         let Some(side) = entry.record.side_of(&report.version) else {
-            return;
+            return false;
         };
         entry.local_evidence.record(side, report, now);
-        entry.breaker.observe(side, report, now);
+        entry.breaker.observe(side, report, now)
     }
 
     /// Evaluates every running move and returns the marks of new faults, which are already in the
