Wait as the last host only where the settings limit a shutdown

Without a limit a node that hosts the last server of a service would have gone on accepting requests for the longest drain time, 30 s and more, so stopping a whole mesh or its only node took that long. Found by reading.

--- a/crates/daemon/src/node/drain_node.rs
+++ b/crates/daemon/src/node/drain_node.rs
@@ -33,8 +33,8 @@
 ///    to notice this, the backend servers on the VM continue to serve the other nodes meanwhile.
 /// 2. The node announces the drain to the mesh, and for a short time still accepts requests from
 ///    nodes that have not received the announcement.
-/// 3. While no other node has a server of a service that this node hosts, the node still accepts
-///    requests for it, as long as these can finish before the drain deadline.
+/// 3. With a limit in the settings, the node still accepts requests while no other node has a server
+///    of a service that it hosts, as long as they can finish before the drain deadline.
 /// 4. The node rejects new requests as not run, closes idle connections and waits for the requests
 ///    in flight until the drain deadline. Without a limit in the settings this is the longest
 ///    drain time of any service, but at least 30 s.
@@ -51,7 +51,9 @@
         time::sleep(DRAIN_NOTICE_TIME).await;
     }
     let deadline = limit.unwrap_or_else(|| state.now().after(drain_time(state)));
-    keep_last_server(state, deadline).await;
+    if limit.is_some() {
+        keep_last_server(state, deadline).await;
+    }
     state.requests.close();
     drop(connections);
     let stopped = callers.stop(true);
--- a/crates/kernel/src/request/admission_queue.rs
+++ b/crates/kernel/src/request/admission_queue.rs
@@ -67,7 +67,8 @@
     sequence: u64,
 }
 
-/// Urgency of a waiting request, the more urgent first. Within a class, requests start in fair order over accounts.
+/// Urgency of a waiting request, the more urgent first. Within a class, requests start in fair order
+/// over accounts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct QueueClass {
     /// Priority of the account; requests without an account come first, because a request that is
