Add review case 1: a server that left is in use again after a restart

Promise tested: DRAIN, the acknowledgement of a deregistration binds also after a restart of the node that gave it.

Order of events: a ready ping of an instance is delayed by 3 s; the instance deregisters and gets its acknowledgement; the node beside it is killed and started again within 0.8 s; the late ping arrives at the new process, which publishes the instance as serving.

--- /dev/null
+++ b/review/stand-in/instance.rs
@@ -0,0 +1,225 @@
+//! Stand-in for an application instance: it runs requests and pings the node beside it.
+
+use std::{
+    io::{BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use crate::{http, record::Record};
+
+const SLOTS: u32 = 12;
+const BEAT: Duration = Duration::from_millis(1_500);
+
+/// A request that reached an instance and was not answered with 421.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: f64,
+    pub request: String,
+    pub instance: String,
+    pub version: String,
+}
+
+pub struct InstanceState {
+    pub name: String,
+    pub service: String,
+    pub version: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    control: SocketAddr,
+    born: u64,
+    sequence: AtomicU64,
+    is_draining: AtomicBool,
+    beats: AtomicBool,
+    /// Share of the requests that fail with 500, in hundredths.
+    failing: AtomicU64,
+    running: AtomicU64,
+    arrivals: Mutex<Vec<Arrival>>,
+    record: Record,
+    work: Duration,
+}
+
+#[derive(Clone)]
+pub struct Instance {
+    pub state: Arc<InstanceState>,
+}
+
+pub struct InstancePlace<'a> {
+    pub name: &'a str,
+    pub service: &'a str,
+    pub version: &'a str,
+    pub zone: &'a str,
+    pub address: SocketAddr,
+    pub control: SocketAddr,
+}
+
+impl Instance {
+    pub fn start(place: &InstancePlace<'_>, work: Duration, record: &Record) -> Instance {
+        let born = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .expect("the clock is set")
+            .as_millis();
+        let instance = Instance {
+            state: Arc::new(InstanceState {
+                name: place.name.to_owned(),
+                service: place.service.to_owned(),
+                version: place.version.to_owned(),
+                zone: place.zone.to_owned(),
+                address: place.address,
+                control: place.control,
+                born: born as u64,
+                sequence: AtomicU64::new(0),
+                is_draining: AtomicBool::new(false),
+                beats: AtomicBool::new(true),
+                failing: AtomicU64::new(0),
+                running: AtomicU64::new(0),
+                arrivals: Mutex::default(),
+                record: record.clone(),
+                work,
+            }),
+        };
+        let listener = TcpListener::bind(place.address).expect("the instance's port is free");
+        let served = instance.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let instance = served.clone();
+                thread::spawn(move || instance.serve(stream));
+            }
+        });
+        let beating = instance.clone();
+        thread::spawn(move || {
+            while beating.state.beats.load(Ordering::SeqCst) {
+                let body = beating.beat_body();
+                beating.send_beat(&body);
+                thread::sleep(BEAT);
+            }
+        });
+        instance
+    }
+
+    pub fn name(&self) -> &str {
+        &self.state.name
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.arrivals.lock().unwrap().clone()
+    }
+
+    pub fn set_failing(&self, hundredths: u64) {
+        self.state.failing.store(hundredths, Ordering::SeqCst);
+    }
+
+    /// Stops pinging, as an instance that has deregistered does.
+    pub fn stop_beats(&self) {
+        self.state.beats.store(false, Ordering::SeqCst);
+    }
+
+    pub fn set_draining(&self) {
+        self.state.is_draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the body of the next ping.
+    pub fn beat_body(&self) -> String {
+        let state = &self.state;
+        let sequence = state.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let reported = match state.is_draining.load(Ordering::SeqCst) {
+            true => "draining",
+            false => "ready",
+        };
+        format!(
+            "{{\"Address\":\"{}\",\"born\":{},\"Info\":{{\"Service\":\"{}\",\"Version\":\"{}\",\"Zone\":\"{}\",\"Slots\":{SLOTS}}},\"Status\":{{\"State\":\"{reported}\",\"Seq\":{sequence},\"ColdLeft\":\"0ms\"}}}}",
+            state.address, state.born, state.service, state.version, state.zone
+        )
+    }
+
+    /// Sends a ping and returns whether it was acknowledged within a second.
+    pub fn send_beat(&self, body: &str) -> bool {
+        let target = format!("/bronzelb/rpc?call=instances.heartbeat&of={}", self.name());
+        self.call(&target, body)
+    }
+
+    /// Deregisters and returns whether that was acknowledged.
+    pub fn deregister(&self) -> bool {
+        let target = format!("/bronzelb/rpc?call=instances.deregister&of={}", self.name());
+        let body = format!("{{\"born\":{}}}", self.state.born);
+        self.call(&target, &body)
+    }
+
+    fn call(&self, target: &str, body: &str) -> bool {
+        let host = self.state.control.to_string();
+        let headers = [
+            ("Host", host.as_str()),
+            ("Content-Type", "application/json"),
+            ("Connection", "close"),
+        ];
+        let bytes = http::request("POST", target, &headers, body.as_bytes());
+        let answer = http::call(self.state.control, &bytes, Duration::from_secs(1));
+        answer.is_ok_and(|answer| (200..300).contains(&answer.status()))
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let state = &self.state;
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(request)) = http::read_message(&mut reader) {
+            let load = format!("{},0,{SLOTS}", state.running.load(Ordering::SeqCst));
+            if request.path() == "/health" {
+                let headers = [
+                    ("X-Instance-Id", state.name.as_str()),
+                    ("X-Server-Load", load.as_str()),
+                    ("X-Cold-Ms", "0"),
+                ];
+                let _ = writer.write_all(&http::response(200, &headers, b""));
+                continue;
+            }
+            let id = request.header("x-request-id").to_owned();
+            let expected = request.header("x-expect-instance");
+            if !expected.is_empty() && expected != state.name {
+                let headers = [("X-Instance-Id", state.name.as_str()), ("X-Request-Id", &id)];
+                let _ = writer.write_all(&http::response(421, &headers, b""));
+                continue;
+            }
+            let at = state.record.time();
+            let arrival = Arrival {
+                at,
+                request: id.clone(),
+                instance: state.name.clone(),
+                version: state.version.clone(),
+            };
+            state.arrivals.lock().unwrap().push(arrival);
+            state
+                .record
+                .line(&format!("request {id} reaches instance {} and runs", state.name));
+            state.running.fetch_add(1, Ordering::SeqCst);
+            thread::sleep(state.work);
+            state.running.fetch_sub(1, Ordering::SeqCst);
+            let number: u64 = id.bytes().map(u64::from).sum::<u64>() * 37 % 100;
+            let status = match number < state.failing.load(Ordering::SeqCst) {
+                true => 500,
+                false => 200,
+            };
+            let seal = format!("seal-{}-{id}", state.name);
+            let headers = [
+                ("X-Request-Id", id.as_str()),
+                ("X-Server-Seal", seal.as_str()),
+                ("X-Server-Load", load.as_str()),
+                ("Keep-Alive", "timeout=10"),
+            ];
+            let body = format!("{} {} by {}", request.method(), request.target(), state.name);
+            if writer
+                .write_all(&http::response(status, &headers, body.as_bytes()))
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+}
