Add review case: an order runs twice after a late copy of a rejection

Promise tested: TWICE, a request that is not idempotent runs at most once; and REFUSED, a 503 says that the request has not run.

Order of events: an instance rejects an order as not executed, on a kept connection; the next order on that connection begins to run; a second copy of the rejection, which has no id, arrives late and is taken for the answer to the running order; the order is sent to a second instance, or answered 503.

--- a/review/stand-in/instance.rs
+++ b/review/stand-in/instance.rs
@@ -38,12 +38,24 @@
     beats: AtomicBool,
     /// Share of the requests that fail with 500, in hundredths.
     failing: AtomicU64,
+    shedding: Mutex<Shedding>,
     running: AtomicU64,
     arrivals: Mutex<Vec<Arrival>>,
     record: Record,
     work: Duration,
 }
 
+/// How a faulty instance rejects requests.
+#[derive(Clone, Copy, Default)]
+pub struct Shedding {
+    /// Share of the requests that are rejected as not executed, in hundredths.
+    pub share: u64,
+    /// Share of the rejections after which a second copy follows, in hundredths.
+    pub doubled: u64,
+    /// Time after which the second copy follows.
+    pub delay: Duration,
+}
+
 #[derive(Clone)]
 pub struct Instance {
     pub state: Arc<InstanceState>,
@@ -77,6 +89,7 @@
                 is_draining: AtomicBool::new(false),
                 beats: AtomicBool::new(true),
                 failing: AtomicU64::new(0),
+                shedding: Mutex::default(),
                 running: AtomicU64::new(0),
                 arrivals: Mutex::default(),
                 record: record.clone(),
@@ -114,6 +127,10 @@
         self.state.failing.store(hundredths, Ordering::SeqCst);
     }
 
+    pub fn set_shedding(&self, shedding: Shedding) {
+        *self.state.shedding.lock().unwrap() = shedding;
+    }
+
     /// Stops pinging, as an instance that has deregistered does.
     pub fn stop_beats(&self) {
         self.state.beats.store(false, Ordering::SeqCst);
@@ -165,9 +182,11 @@
     fn serve(&self, stream: TcpStream) {
         let state = &self.state;
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else {
+        let Ok(writer) = stream.try_clone() else {
             return;
         };
+        let writer = Arc::new(Mutex::new(writer));
+        let write = |bytes: &[u8]| writer.lock().unwrap().write_all(bytes);
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_message(&mut reader) {
             let load = format!("{},0,{SLOTS}", state.running.load(Ordering::SeqCst));
@@ -177,14 +196,33 @@
                     ("X-Server-Load", load.as_str()),
                     ("X-Cold-Ms", "0"),
                 ];
-                let _ = writer.write_all(&http::response(200, &headers, b""));
+                let _ = write(&http::response(200, &headers, b""));
                 continue;
             }
             let id = request.header("x-request-id").to_owned();
             let expected = request.header("x-expect-instance");
             if !expected.is_empty() && expected != state.name {
                 let headers = [("X-Instance-Id", state.name.as_str()), ("X-Request-Id", &id)];
-                let _ = writer.write_all(&http::response(421, &headers, b""));
+                let _ = write(&http::response(421, &headers, b""));
+                continue;
+            }
+            let shedding = *state.shedding.lock().unwrap();
+            if draw(&id, 1) < shedding.share {
+                let rejection = http::response(503, &[("X-Not-Executed", "1")], b"");
+                let is_doubled = draw(&id, 2) < shedding.doubled;
+                state.record.line(&format!(
+                    "request {id} is rejected by {} as not executed{}",
+                    state.name,
+                    if is_doubled { ", a second copy follows" } else { "" }
+                ));
+                let _ = write(&rejection);
+                if is_doubled {
+                    let writer = Arc::clone(&writer);
+                    thread::spawn(move || {
+                        thread::sleep(shedding.delay);
+                        let _ = writer.lock().unwrap().write_all(&rejection);
+                    });
+                }
                 continue;
             }
             let at = state.record.time();
@@ -201,8 +239,7 @@
             state.running.fetch_add(1, Ordering::SeqCst);
             thread::sleep(state.work);
             state.running.fetch_sub(1, Ordering::SeqCst);
-            let number: u64 = id.bytes().map(u64::from).sum::<u64>() * 37 % 100;
-            let status = match number < state.failing.load(Ordering::SeqCst) {
+            let status = match draw(&id, 3) < state.failing.load(Ordering::SeqCst) {
                 true => 500,
                 false => 200,
             };
@@ -214,12 +251,17 @@
                 ("Keep-Alive", "timeout=10"),
             ];
             let body = format!("{} {} by {}", request.method(), request.target(), state.name);
-            if writer
-                .write_all(&http::response(status, &headers, body.as_bytes()))
-                .is_err()
-            {
+            if write(&http::response(status, &headers, body.as_bytes())).is_err() {
                 return;
             }
         }
     }
 }
+
+/// Returns a number below 100 that is drawn from a request's id.
+fn draw(id: &str, salt: u64) -> u64 {
+    let hash = id.bytes().fold(salt.wrapping_mul(0x9e37_79b9_7f4a_7c15), |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    ((hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 33) % 100
+}
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -3,9 +3,11 @@
 //!
 //! Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
 
+mod drill;
 mod http;
 mod instance;
 mod json;
+mod late_copy;
 mod late_ping;
 mod mesh;
 mod record;
@@ -30,6 +32,8 @@
     let record = record::Record::create(Path::new(path));
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
+        "drill" => drill::run(&record, has_trouble),
+        "late-copy" => late_copy::run(&record, has_trouble),
         "late-ping" => late_ping::run(&record, has_trouble),
         _ => Verdict::NotRun,
     };
--- a/review/stand-in/mesh.rs
+++ b/review/stand-in/mesh.rs
@@ -323,6 +323,7 @@
             let (answers, is_stopped) = (Arc::clone(&answers), Arc::clone(&is_stopped));
             let record = mesh.record.clone();
             thread::spawn(move || {
+                let mut seed = 0x2545_f491_u64.wrapping_mul(machine as u64 + 1);
                 while !is_stopped.load(Ordering::SeqCst) {
                     let (answers, record) = (Arc::clone(&answers), record.clone());
                     let (host, path, method) = (host.clone(), path.clone(), method.clone());
@@ -331,7 +332,9 @@
                             send(&record, machine, address, &host, &path, &method, deadline_ms);
                         answers.lock().unwrap().push(answer);
                     });
-                    thread::sleep(interval);
+                    // Between a fifth and nine fifths of the mean interval.
+                    seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                    thread::sleep(interval * (20 + (seed >> 33) as u32 % 161) / 100);
                 }
             })
         });
