Add review case: the order for a version is ignored after a drill of the store

Promise tested: EXPOSURE, a bad version gets a small share of the requests and none later than Rollback after its 50th bad answer.

Order of events: the store comes back from a copy of 5 s before, with lower versions, and the operator's writes are made again; a first version is rolled back; 9 s later the order for a second, bad version follows, at a store version below that of the first order before the drill.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
+folder="$(cd "$(dirname "$0")" && pwd)" || exit 2
+cd "$folder/../.." || exit 2
+[ -x target/release/bronzelbd ] && [ -x target/review/stand-in ] || exit 2
+exec target/review/stand-in drill-move "$folder/record.txt"
--- a/review/stand-in/instance.rs
+++ b/review/stand-in/instance.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -36,6 +36,8 @@
     sequence: AtomicU64,
     is_draining: AtomicBool,
     beats: AtomicBool,
+    has_exited: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
     /// Share of the requests that fail with 500, in hundredths.
     failing: AtomicU64,
     shedding: Mutex<Shedding>,
@@ -88,6 +90,8 @@
                 sequence: AtomicU64::new(0),
                 is_draining: AtomicBool::new(false),
                 beats: AtomicBool::new(true),
+                has_exited: AtomicBool::new(false),
+                connections: Mutex::default(),
                 failing: AtomicU64::new(0),
                 shedding: Mutex::default(),
                 running: AtomicU64::new(0),
@@ -100,6 +104,11 @@
         let served = instance.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if served.state.has_exited.load(Ordering::SeqCst) {
+                    return;
+                }
+                let copy = stream.try_clone();
+                served.state.connections.lock().unwrap().extend(copy);
                 let instance = served.clone();
                 thread::spawn(move || instance.serve(stream));
             }
@@ -127,6 +136,11 @@
         self.state.failing.store(hundredths, Ordering::SeqCst);
     }
 
+    /// Returns whether the instance fails a request after it has run it.
+    pub fn fails(&self, request: &str) -> bool {
+        draw(request, 3) < self.state.failing.load(Ordering::SeqCst)
+    }
+
     pub fn set_shedding(&self, shedding: Shedding) {
         *self.state.shedding.lock().unwrap() = shedding;
     }
@@ -136,6 +150,18 @@
         self.state.beats.store(false, Ordering::SeqCst);
     }
 
+    /// Ends the instance: its connections close, and its port refuses new ones.
+    pub fn exit(&self) {
+        self.stop_beats();
+        self.state.has_exited.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then closes.
+        let _ = TcpStream::connect(self.state.address);
+        for connection in self.state.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        self.state.record.line(&format!("instance {} exits", self.name()));
+    }
+
     pub fn set_draining(&self) {
         self.state.is_draining.store(true, Ordering::SeqCst);
     }
@@ -239,7 +265,7 @@
             state.running.fetch_add(1, Ordering::SeqCst);
             thread::sleep(state.work);
             state.running.fetch_sub(1, Ordering::SeqCst);
-            let status = match draw(&id, 3) < state.failing.load(Ordering::SeqCst) {
+            let status = match self.fails(&id) {
                 true => 500,
                 false => 200,
             };
--- a/review/stand-in/late_ping.rs
+++ b/review/stand-in/late_ping.rs
@@ -14,6 +14,8 @@
 const DRAIN_S: f64 = 2.0;
 /// `Contact` of the settings.
 const CONTACT_S: f64 = 3.0;
+/// Time for which the instance serves after its acknowledgement.
+const SERVES_S: f64 = 6.5;
 /// Machine whose instance leaves.
 const LEAVING: usize = 0;
 
@@ -30,9 +32,9 @@
         Machine::new("zb", "archive"),
         Machine::new("zc", "archive"),
     ];
-    let mut mesh = Mesh::prepare(&machines, Duration::from_millis(30), record);
+    let mut mesh = Mesh::prepare(&machines, Duration::from_millis(120), record);
     let services = ["tracker", "archive"];
-    let routes = [("/view/", "safe", "tracker"), ("/past/", "safe", "archive")];
+    let routes = [("/view/", "safe", "tracker"), ("/book/", "unsafe", "tracker")];
     mesh.store.put("op", "config", &config_document(1, &services, &routes));
     if !mesh.start() {
         return Verdict::NotRun;
@@ -46,6 +48,12 @@
         deadline_ms: 1_500,
     };
     let clients = Clients::start(&mesh, &[1, 2, 3, 4, 5], &plan);
+    let order_plan = ClientPlan {
+        path: "/book/7",
+        method: "POST",
+        ..plan
+    };
+    let order_clients = Clients::start(&mesh, &[1, 2, 3, 4, 5], &order_plan);
     sleep_s(3.0);
     if mesh.instances[LEAVING].arrivals().is_empty() {
         record.say("the instance gets no request before it leaves");
@@ -86,8 +94,13 @@
         "the late ping arrives {:.1} s after it was sent; acknowledged: {is_acknowledged}",
         record.time() - late_sent_at
     ));
-    sleep_s(7.0);
-    let answers = clients.stop();
+    // The instance serves for some seconds more than `Drain` and exits.
+    let wait = left_at + SERVES_S - record.time();
+    sleep_s(wait.max(0.0));
+    instance.exit();
+    sleep_s(2.0);
+    let mut answers = clients.stop();
+    let orders = order_clients.stop();
 
     let in_touch_from = mesh.touched_at[LEAVING] + CONTACT_S;
     let late: Vec<_> = instance
@@ -95,6 +108,12 @@
         .into_iter()
         .filter(|arrival| arrival.at > left_at + DRAIN_S && arrival.at > in_touch_from)
         .collect();
+    let cut: Vec<_> = orders
+        .iter()
+        .filter(|answer| matches!(answer.status, 0 | 502 | 504))
+        .filter(|answer| late.iter().any(|arrival| arrival.request == answer.request))
+        .collect();
+    answers.extend(orders.iter().cloned());
     let served = answers.iter().filter(|answer| answer.status == 200).count();
     record.say(&format!("{} requests sent, {served} answered with 200", answers.len()));
     record.say(&format!(
@@ -109,6 +128,10 @@
             last.at - left_at
         ));
     }
+    record.say(&format!(
+        "{} of these were orders that were running when the instance exited and are lost",
+        cut.len()
+    ));
     if served * 2 < answers.len() {
         return Verdict::NotRun;
     }
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -4,6 +4,7 @@
 //! Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
 
 mod drill;
+mod drill_move;
 mod http;
 mod instance;
 mod json;
@@ -33,6 +34,7 @@
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
         "drill" => drill::run(&record, has_trouble),
+        "drill-move" => drill_move::run(&record, has_trouble),
         "late-copy" => late_copy::run(&record, has_trouble),
         "late-ping" => late_ping::run(&record, has_trouble),
         _ => Verdict::NotRun,
