--- a/review/stand-in/http.rs
+++ b/review/stand-in/http.rs
@@ -55,7 +55,7 @@
     let mut decoded = Vec::new();
     let mut position = 0;
     while position < bytes.len() {
-        if bytes[position] == b'%' && position + 2 < bytes.len() + 0 {
+        if bytes[position] == b'%' && position + 2 < bytes.len() {
             let digits = std::str::from_utf8(&bytes[position + 1..position + 3]).unwrap_or("20");
             decoded.push(u8::from_str_radix(digits, 16).unwrap_or(b' '));
             position += 3;
--- a/review/stand-in/instance.rs
+++ b/review/stand-in/instance.rs
@@ -22,7 +22,6 @@
     pub at: f64,
     pub request: String,
     pub instance: String,
-    pub version: String,
 }
 
 pub struct InstanceState {
@@ -256,7 +255,6 @@
                 at,
                 request: id.clone(),
                 instance: state.name.clone(),
-                version: state.version.clone(),
             };
             state.arrivals.lock().unwrap().push(arrival);
             state
--- a/review/stand-in/mesh.rs
+++ b/review/stand-in/mesh.rs
@@ -65,11 +65,8 @@
 pub struct Answer {
     pub sent_at: f64,
     pub request: String,
-    pub machine: usize,
     /// 0 if there was no answer.
     pub status: u16,
-    pub has_seal: bool,
-    pub body: String,
 }
 
 impl Mesh {
@@ -210,26 +207,6 @@
         self.touched_at[index] = self.record.time();
     }
 
-    /// Sends a signal, such as `STOP`, to a node's process.
-    pub fn signal_node(&mut self, index: usize, signal: &str) {
-        if let Some(child) = &self.nodes[index] {
-            let _ = Command::new("kill")
-                .arg(format!("-{signal}"))
-                .arg(child.id().to_string())
-                .status();
-        }
-        self.touched_at[index] = self.record.time();
-        self.record.line(&format!("node {index} gets SIG{signal}"));
-    }
-
-    /// Returns whether a node's process has ended.
-    pub fn has_ended(&mut self, index: usize) -> bool {
-        match &mut self.nodes[index] {
-            Some(child) => child.try_wait().ok().flatten().is_some(),
-            None => true,
-        }
-    }
-
     pub fn is_ready(&self, index: usize) -> bool {
         let bytes = http::request("GET", "/bronzelb/ready", &[("Host", "x"), ("Connection", "close")], b"");
         let answer = http::call(self.address(index, READY), &bytes, Duration::from_secs(1));
@@ -250,15 +227,6 @@
         true
     }
 
-    /// Keeps the logs of the nodes in a folder.
-    pub fn keep_logs(&self, folder: &std::path::Path) {
-        let _ = fs::create_dir_all(folder);
-        for index in 0..self.nodes.len() {
-            let name = format!("sidecar-{index}.log");
-            let _ = fs::copy(self.folder.join(&name), folder.join(&name));
-        }
-    }
-
     /// Ends every process that this run has started.
     pub fn stop(&mut self) {
         for child in self.nodes.iter_mut().flatten() {
@@ -394,10 +362,7 @@
     Answer {
         sent_at,
         request,
-        machine,
         status,
-        has_seal,
-        body,
     }
 }
 
