Add review case: a configuration is missed for good after a drill of the store

Promise tested: CONFIG, a version is in force everywhere within Config, and MaxStretch more, after its acknowledgement.

Order of events: two configurations are read at store versions 8 and 9; the store is silent for 1 s and comes back from a copy at 7; the operator writes the newest configuration again at 8 and the next one at 9; the readers ask for changes after 9.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)" || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/release/bronzelbd ] && [ -x target/review/stand-in ] || exit 2
-exec target/review/stand-in drill "$folder/record.txt"
+exec target/review/stand-in missed-config "$folder/record.txt"
--- a/review/stand-in/drill_move.rs
+++ b/review/stand-in/drill_move.rs
@@ -7,9 +7,9 @@
 };
 
 use crate::{
-    Verdict,
-    mesh::{ClientPlan, Clients, Machine, Mesh, config_document},
+    mesh::{config_document, ClientPlan, Clients, Machine, Mesh},
     record::Record,
+    Verdict,
 };
 
 const HOST: &str = "hulo84.example";
@@ -113,10 +113,16 @@
     }
 
     let served = answers.iter().filter(|answer| answer.status == 200).count();
-    record.say(&format!("{} requests sent, {served} answered with 200", answers.len()));
+    record.say(&format!(
+        "{} requests sent, {served} answered with 200",
+        answers.len()
+    ));
     let deadline = ordered_at + DURATION_S;
     let in_time = |at: f64| at > ordered_at && at < deadline;
-    let tracker = mesh.instances.iter().filter(|instance| instance.state.service == SERVICE);
+    let tracker = mesh
+        .instances
+        .iter()
+        .filter(|instance| instance.state.service == SERVICE);
     let all = tracker
         .flat_map(|instance| instance.arrivals())
         .filter(|arrival| in_time(arrival.at))
@@ -126,7 +132,10 @@
         .flat_map(|index| mesh.instances[*index].arrivals())
         .collect();
     to_third.sort_by(|first, second| first.at.total_cmp(&second.at));
-    let share = to_third.iter().filter(|arrival| in_time(arrival.at)).count();
+    let share = to_third
+        .iter()
+        .filter(|arrival| in_time(arrival.at))
+        .count();
     let allowed = EXPOSE_SHARE * all as f64 + EXPOSE_SLACK;
     record.say(&format!(
         "v3 got {share} of {all} requests from its order to its deadline, allowed {allowed:.0}"
@@ -143,7 +152,10 @@
     bad.sort_by(f64::total_cmp);
     let late = bad.get(49).map_or(0, |fiftieth| {
         let is_late = |at: f64| at > fiftieth + 0.03 + ROLLBACK_S + 1.5 && at < end;
-        to_third.iter().filter(|arrival| is_late(arrival.at)).count()
+        to_third
+            .iter()
+            .filter(|arrival| is_late(arrival.at))
+            .count()
     });
     record.say(&format!(
         "{} failures of v3 were answered to clients; v3 got {late} requests later than \
--- a/review/stand-in/instance.rs
+++ b/review/stand-in/instance.rs
@@ -4,8 +4,8 @@
     io::{BufReader, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::Duration,
@@ -158,7 +158,9 @@
         for connection in self.state.connections.lock().unwrap().drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
-        self.state.record.line(&format!("instance {} exits", self.name()));
+        self.state
+            .record
+            .line(&format!("instance {} exits", self.name()));
     }
 
     pub fn set_draining(&self) {
@@ -227,7 +229,10 @@
             let id = request.header("x-request-id").to_owned();
             let expected = request.header("x-expect-instance");
             if !expected.is_empty() && expected != state.name {
-                let headers = [("X-Instance-Id", state.name.as_str()), ("X-Request-Id", &id)];
+                let headers = [
+                    ("X-Instance-Id", state.name.as_str()),
+                    ("X-Request-Id", &id),
+                ];
                 let _ = write(&http::response(421, &headers, b""));
                 continue;
             }
@@ -238,7 +243,11 @@
                 state.record.line(&format!(
                     "request {id} is rejected by {} as not executed{}",
                     state.name,
-                    if is_doubled { ", a second copy follows" } else { "" }
+                    if is_doubled {
+                        ", a second copy follows"
+                    } else {
+                        ""
+                    }
                 ));
                 let _ = write(&rejection);
                 if is_doubled {
@@ -257,9 +266,10 @@
                 instance: state.name.clone(),
             };
             state.arrivals.lock().unwrap().push(arrival);
-            state
-                .record
-                .line(&format!("request {id} reaches instance {} and runs", state.name));
+            state.record.line(&format!(
+                "request {id} reaches instance {} and runs",
+                state.name
+            ));
             state.running.fetch_add(1, Ordering::SeqCst);
             thread::sleep(state.work);
             state.running.fetch_sub(1, Ordering::SeqCst);
@@ -274,7 +284,12 @@
                 ("X-Server-Load", load.as_str()),
                 ("Keep-Alive", "timeout=10"),
             ];
-            let body = format!("{} {} by {}", request.method(), request.target(), state.name);
+            let body = format!(
+                "{} {} by {}",
+                request.method(),
+                request.target(),
+                state.name
+            );
             if write(&http::response(status, &headers, body.as_bytes())).is_err() {
                 return;
             }
@@ -284,8 +299,10 @@
 
 /// Returns a number below 100 that is drawn from a request's id.
 fn draw(id: &str, salt: u64) -> u64 {
-    let hash = id.bytes().fold(salt.wrapping_mul(0x9e37_79b9_7f4a_7c15), |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    });
+    let hash = id
+        .bytes()
+        .fold(salt.wrapping_mul(0x9e37_79b9_7f4a_7c15), |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+        });
     ((hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 33) % 100
 }
--- a/review/stand-in/late_copy.rs
+++ b/review/stand-in/late_copy.rs
@@ -4,10 +4,10 @@
 use std::{collections::BTreeMap, thread, time::Duration};
 
 use crate::{
-    Verdict,
     instance::Shedding,
-    mesh::{ClientPlan, Clients, Machine, Mesh, config_document},
+    mesh::{config_document, ClientPlan, Clients, Machine, Mesh},
     record::Record,
+    Verdict,
 };
 
 const HOST: &str = "jepu9.example";
@@ -29,7 +29,10 @@
     ];
     let mut mesh = Mesh::prepare(&machines, Duration::from_millis(60), record);
     let services = ["dispatcher", "archive"];
-    let routes = [("/book/", "unsafe", "dispatcher"), ("/past/", "safe", "archive")];
+    let routes = [
+        ("/book/", "unsafe", "dispatcher"),
+        ("/past/", "safe", "archive"),
+    ];
     let document = config_document(1, &services, &routes).replace("hulo84.example", HOST);
     mesh.store.put("op", "config", &document);
     if !mesh.start() {
@@ -64,12 +67,19 @@
     let answers = clients.stop();
 
     let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
-    for arrival in mesh.instances.iter().flat_map(|instance| instance.arrivals()) {
+    for arrival in mesh
+        .instances
+        .iter()
+        .flat_map(|instance| instance.arrivals())
+    {
         let text = format!("{} at {:.3}", arrival.instance, arrival.at);
         runs.entry(arrival.request).or_default().push(text);
     }
     let served = answers.iter().filter(|answer| answer.status == 200).count();
-    record.say(&format!("{} orders sent, {served} answered with 200", answers.len()));
+    record.say(&format!(
+        "{} orders sent, {served} answered with 200",
+        answers.len()
+    ));
     let twice: Vec<_> = runs.iter().filter(|(_, places)| places.len() > 1).collect();
     for (request, places) in &twice {
         record.say(&format!("order {request} ran at {}", places.join(" and ")));
--- a/review/stand-in/late_ping.rs
+++ b/review/stand-in/late_ping.rs
@@ -4,9 +4,9 @@
 use std::{thread, time::Duration};
 
 use crate::{
-    Verdict,
-    mesh::{ClientPlan, Clients, Machine, Mesh, config_document},
+    mesh::{config_document, ClientPlan, Clients, Machine, Mesh},
     record::Record,
+    Verdict,
 };
 
 const HOST: &str = "hulo84.example";
@@ -34,8 +34,12 @@
     ];
     let mut mesh = Mesh::prepare(&machines, Duration::from_millis(120), record);
     let services = ["tracker", "archive"];
-    let routes = [("/view/", "safe", "tracker"), ("/book/", "unsafe", "tracker")];
-    mesh.store.put("op", "config", &config_document(1, &services, &routes));
+    let routes = [
+        ("/view/", "safe", "tracker"),
+        ("/book/", "unsafe", "tracker"),
+    ];
+    mesh.store
+        .put("op", "config", &config_document(1, &services, &routes));
     if !mesh.start() {
         return Verdict::NotRun;
     }
@@ -65,7 +69,10 @@
     let instance = mesh.instances[LEAVING].clone();
     let late_body = instance.beat_body();
     let late_sent_at = record.time();
-    record.say(&format!("instance {} sends a ping that is late: {late_body}", instance.name()));
+    record.say(&format!(
+        "instance {} sends a ping that is late: {late_body}",
+        instance.name()
+    ));
     sleep_s(1.0);
     if !instance.send_beat(&instance.beat_body()) {
         return Verdict::NotRun;
@@ -78,7 +85,10 @@
         return Verdict::NotRun;
     }
     let left_at = record.time();
-    record.say(&format!("instance {} deregisters and gets its acknowledgement", instance.name()));
+    record.say(&format!(
+        "instance {} deregisters and gets its acknowledgement",
+        instance.name()
+    ));
     sleep_s(0.3);
     if has_trouble {
         mesh.kill_node(LEAVING);
@@ -115,7 +125,10 @@
         .collect();
     answers.extend(orders.iter().cloned());
     let served = answers.iter().filter(|answer| answer.status == 200).count();
-    record.say(&format!("{} requests sent, {served} answered with 200", answers.len()));
+    record.say(&format!(
+        "{} requests sent, {served} answered with 200",
+        answers.len()
+    ));
     record.say(&format!(
         "{} requests reached {} later than {DRAIN_S} s after its acknowledgement",
         late.len(),
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -3,7 +3,6 @@
 //!
 //! Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
 
-mod drill;
 mod drill_move;
 mod http;
 mod instance;
@@ -11,6 +10,7 @@
 mod late_copy;
 mod late_ping;
 mod mesh;
+mod missed_config;
 mod record;
 mod store;
 
@@ -33,9 +33,9 @@
     let record = record::Record::create(Path::new(path));
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
-        "drill" => drill::run(&record, has_trouble),
         "drill-move" => drill_move::run(&record, has_trouble),
         "late-copy" => late_copy::run(&record, has_trouble),
+        "missed-config" => missed_config::run(&record, has_trouble),
         "late-ping" => late_ping::run(&record, has_trouble),
         _ => Verdict::NotRun,
     };
--- a/review/stand-in/mesh.rs
+++ b/review/stand-in/mesh.rs
@@ -6,8 +6,8 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant},
@@ -74,7 +74,8 @@
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("the temporary folder is writable");
         let network = free_network(machines.len() + 8);
-        let store_address = SocketAddr::from((Ipv4Addr::new(127, network[0], network[1], 250), STORE));
+        let store_address =
+            SocketAddr::from((Ipv4Addr::new(127, network[0], network[1], 250), STORE));
         Mesh {
             network,
             machines: machines.to_vec(),
@@ -128,11 +129,17 @@
 
     pub fn address(&self, index: usize, port: u16) -> SocketAddr {
         let last = u8::try_from(index + 1).expect("there are few machines");
-        SocketAddr::from((Ipv4Addr::new(127, self.network[0], self.network[1], last), port))
+        SocketAddr::from((
+            Ipv4Addr::new(127, self.network[0], self.network[1], last),
+            port,
+        ))
     }
 
     fn store_address(&self) -> SocketAddr {
-        SocketAddr::from((Ipv4Addr::new(127, self.network[0], self.network[1], 250), STORE))
+        SocketAddr::from((
+            Ipv4Addr::new(127, self.network[0], self.network[1], 250),
+            STORE,
+        ))
     }
 
     /// Writes the settings that the template of the deploy file gives for a machine.
@@ -208,7 +215,12 @@
     }
 
     pub fn is_ready(&self, index: usize) -> bool {
-        let bytes = http::request("GET", "/bronzelb/ready", &[("Host", "x"), ("Connection", "close")], b"");
+        let bytes = http::request(
+            "GET",
+            "/bronzelb/ready",
+            &[("Host", "x"), ("Connection", "close")],
+            b"",
+        );
         let answer = http::call(self.address(index, READY), &bytes, Duration::from_secs(1));
         answer.is_ok_and(|answer| answer.status() == 200)
     }
@@ -218,7 +230,8 @@
         for machine in machines {
             while !self.is_ready(*machine) {
                 if Instant::now() > end {
-                    self.record.say(&format!("node {machine} does not get ready"));
+                    self.record
+                        .say(&format!("node {machine} does not get ready"));
                     return false;
                 }
                 thread::sleep(Duration::from_millis(50));
@@ -251,9 +264,11 @@
         let network = [((seed >> 24) % 200 + 20) as u8, (seed >> 16) as u8];
         let is_free = (0..count).all(|index| {
             let ip = Ipv4Addr::new(127, network[0], network[1], index as u8 + 1);
-            [INBOUND, APP, READY, OUTBOUND, CONTROL, STORE, PEERS, OPERATORS]
-                .iter()
-                .all(|port| TcpListener::bind((ip, *port)).is_ok())
+            [
+                INBOUND, APP, READY, OUTBOUND, CONTROL, STORE, PEERS, OPERATORS,
+            ]
+            .iter()
+            .all(|port| TcpListener::bind((ip, *port)).is_ok())
         });
         if is_free {
             return network;
@@ -296,8 +311,15 @@
                     let (answers, record) = (Arc::clone(&answers), record.clone());
                     let (host, path, method) = (host.clone(), path.clone(), method.clone());
                     thread::spawn(move || {
-                        let answer =
-                            send(&record, machine, address, &host, &path, &method, deadline_ms);
+                        let answer = send(
+                            &record,
+                            machine,
+                            address,
+                            &host,
+                            &path,
+                            &method,
+                            deadline_ms,
+                        );
                         answers.lock().unwrap().push(answer);
                     });
                     // Between a fifth and nine fifths of the mean interval.
--- a/review/stand-in/store.rs
+++ b/review/stand-in/store.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     http::{self, Message},
-    json::{Json, decode_base64, encode_base64},
+    json::{decode_base64, encode_base64, Json},
     record::Record,
 };
 
@@ -31,6 +31,8 @@
     copy: Rows,
     era: u64,
     is_away: bool,
+    /// Number of times that the store fell silent; connections of an earlier number get no answer.
+    silence: u64,
     connections: Vec<TcpStream>,
 }
 
@@ -79,21 +81,6 @@
         version
     }
 
-    /// Removes a row as the operator does.
-    pub fn remove(&self, table: &str, key: &str) -> u64 {
-        let (lock, changed) = &*self.state;
-        let mut state = lock.lock().unwrap();
-        state.now.version += 1;
-        let version = state.now.version;
-        let row = (table.to_owned(), key.to_owned());
-        state.now.rows.remove(&row);
-        state.now.removed.insert(row, version);
-        changed.notify_all();
-        self.record
-            .line(&format!("operator removes {table}/{key}, Ver {version}"));
-        version
-    }
-
     /// Returns a row's value.
     pub fn get(&self, table: &str, key: &str) -> Option<String> {
         let state = self.state.0.lock().unwrap();
@@ -106,7 +93,8 @@
         let mut state = self.state.0.lock().unwrap();
         state.copy = state.now.clone();
         let version = state.now.version;
-        self.record.line(&format!("the store is copied at Ver {version}"));
+        self.record
+            .line(&format!("the store is copied at Ver {version}"));
     }
 
     /// Closes every connection and refuses new ones.
@@ -119,7 +107,21 @@
         }
         changed.notify_all();
         let version = state.now.version;
-        self.record.line(&format!("the store goes away at Ver {version}"));
+        self.record
+            .line(&format!("the store goes away at Ver {version}"));
+    }
+
+    /// Answers nothing any more, on connections that stay open, until it comes back; those from
+    /// before then get no answer after that either.
+    pub fn fall_silent(&self) {
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().unwrap();
+        state.is_away = true;
+        state.silence += 1;
+        changed.notify_all();
+        let version = state.now.version;
+        self.record
+            .line(&format!("the store falls silent at Ver {version}"));
     }
 
     /// Serves again, from the copy if `from_copy`.
@@ -131,27 +133,34 @@
         }
         state.is_away = false;
         let (version, era) = (state.now.version, state.era);
-        self.record
-            .line(&format!("the store is back at Ver {version}, Store-Era {era}"));
+        self.record.line(&format!(
+            "the store is back at Ver {version}, Store-Era {era}"
+        ));
     }
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        {
+        let silence = {
             let mut state = self.state.0.lock().unwrap();
-            if state.is_away {
+            if state.is_away && state.silence == 0 {
                 return;
             }
             if let Ok(copy) = stream.try_clone() {
                 state.connections.push(copy);
             }
-        }
+            // A connection that is opened in the silence gets no answer.
+            state.silence.saturating_sub(u64::from(state.is_away))
+        };
         let Ok(mut writer) = stream.try_clone() else {
             return;
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_message(&mut reader) {
-            let Some((status, body)) = self.answer(&request) else {
+            let answer = self.answer(&request);
+            while self.state.0.lock().unwrap().silence != silence {
+                thread::sleep(Duration::from_secs(1));
+            }
+            let Some((status, body)) = answer else {
                 let _ = writer.shutdown(Shutdown::Both);
                 return;
             };
@@ -225,7 +234,7 @@
                 .rows
                 .iter()
                 .filter(|((row_table, _), (_, version))| *row_table == table && *version > after)
-                .map(|row| (row.1.1, row_json(row)))
+                .map(|row| (row.1 .1, row_json(row)))
                 .collect();
             for ((row_table, key), version) in &state.now.removed {
                 if *row_table == table && *version > after {
