Log what the judges of a version move know

Callers saw a version that fails under load get hundreds of requests, and move on to everything. The logs can't tell a move that was proved under the wrong load from one whose judges saw the failures and did not decide.

Change: `move-judged`, a bounded line whenever a judge publishes its view: share, counts, failure rates, tests and detector of each route.

--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -57,6 +57,8 @@
     MoveRowFailed,
     /// A version move changed state.
     MoveChanged,
+    /// What a judge of a version move knows; the fields hold shares, counts and tests.
+    MoveJudged,
     /// The evacuation of a data centre was ordered, or the order ended.
     EvacuationChanged,
     /// A graceful shutdown began.
@@ -98,6 +100,7 @@
             Self::LinesSuppressed => "lines-suppressed",
             Self::MoveRowFailed => "move-row-failed",
             Self::MoveChanged => "move-changed",
+            Self::MoveJudged => "move-judged",
             Self::EvacuationChanged => "evacuation-changed",
             Self::Draining => "draining",
             Self::Drained => "drained",
--- a/crates/daemon/src/rollout/rollout_task.rs
+++ b/crates/daemon/src/rollout/rollout_task.rs
@@ -4,7 +4,9 @@
     clock::{ClockInstant, TimeBudget},
     error::MeshError,
     ids::ServiceName,
-    rollout::{MARK_KIND, MOVE_KIND, MoveMark, MoveRecord, MoveView, SharePlan, VIEW_KIND},
+    rollout::{
+        MARK_KIND, MOVE_KIND, MoveMark, MoveRecord, MoveView, SharePlan, VIEW_KIND, VersionSide,
+    },
     spread::{RecordEntry, RecordKey},
 };
 use slog::{info, warn};
@@ -143,12 +145,42 @@
             let Some(view) = self.view_to_publish(service, published, now) else {
                 continue;
             };
+            self.log_judgement(service, now);
             let name = format!("{service}/{}", self.state.settings.data_centre);
             self.publish_record(VIEW_KIND, &name, view.to_bytes());
             self.published.insert(service.clone(), view);
         }
     }
 
+    /// Logs what this node, as a judge, knows of each route of a move.
+    fn log_judgement(&self, service: &ServiceName, now: ClockInstant) {
+        let table = self.state.rollout.table();
+        let Some(judge) = table.judge(service) else {
+            return;
+        };
+        for (route, route_judge) in judge.routes() {
+            if !self.state.should_log(EventName::MoveJudged) {
+                return;
+            }
+            let share = table.version_split(service, route, now).share();
+            let (old_rate, new_rate) = route_judge.failure_rates();
+            let (failure_surplus, slow_surplus) = route_judge.surpluses();
+            info!(self.state.logger, "{}", EventName::MoveJudged;
+                "service" => service.to_string(), "route" => route.to_string(),
+                "share" => share.to_string(),
+                "old" => route_judge.requests(VersionSide::Old),
+                "new" => route_judge.requests(VersionSide::New),
+                "old_failure_rate" => format!("{old_rate:.3}"),
+                "new_failure_rate" => format!("{new_rate:.3}"),
+                "wealth" => format!("{:.1}", route_judge.wealth()),
+                "failure_surplus" => format!("{failure_surplus:.1}"),
+                "slow_surplus" => format!("{slow_surplus:.1}"),
+                "recheck_share" => route_judge.recheck_share().map(|share| share.to_string()),
+                "full_share_ms" => judge.view().full_share_since
+                    .map(|since| since.elapsed(now).as_millis()));
+        }
+    }
+
     /// Returns this node's view of a move if the node judges the move and the view is due.
     fn view_to_publish(
         &self,
--- a/crates/kernel/src/rollout/cusum_detector.rs
+++ b/crates/kernel/src/rollout/cusum_detector.rs
@@ -115,6 +115,12 @@
         self.recheck_started_at.map(|_| self.recheck_share())
     }
 
+    /// Returns the cumulative sums for failures and for slow requests.
+    #[must_use]
+    pub const fn sums(&self) -> (f64, f64) {
+        (self.failure_cusum, self.slow_cusum)
+    }
+
     const fn recheck_share(&self) -> ShareRatio {
         RECHECK_SHARES[self.share_index % RECHECK_SHARES.len()]
     }
--- a/crates/kernel/src/rollout/route_judge.rs
+++ b/crates/kernel/src/rollout/route_judge.rs
@@ -127,6 +127,13 @@
         self.detector.share()
     }
 
+    /// Returns the log likelihood ratios of the detector of late faults, for failures and for slow
+    /// requests.
+    #[must_use]
+    pub const fn surpluses(&self) -> (f64, f64) {
+        self.detector.sums()
+    }
+
     /// Returns the number of requests of the route on one version.
     #[must_use]
     pub fn requests(&self, side: VersionSide) -> u64 {
@@ -151,7 +158,8 @@
     }
 
     /// Returns the largest wealth of the sequential tests.
-    fn wealth(&self) -> f64 {
+    #[must_use]
+    pub fn wealth(&self) -> f64 {
         let slow = self.slow_tests.iter().map(|test| test.wealth().0);
         slow.fold(self.failure_test.wealth().0, f64::max)
     }
