Try a new version under the load that its servers will have

Cause: with `max_exposure` the allowed share was spread over all servers of the version, so that none had the load at which it fails before the move was done. Failures that showed in the last step were seen by some judges and did not keep another from "done"; with a limited full share no doubt could begin, since a recheck needs a planned share above 37%.

Change, for limited moves: - `LoadTrial`: the limit, with the slack that operators grant, is spent on a trial in which as few servers as it loads fully take turns at the requests. - Failures of all routes are tested together, without any one server. - An undecided version is in doubt from the second failure on: it keeps the trial's share, is not done, and is taken back when the limit is near or the deadline has passed. Any judge's doubt, and unexplained failures, keep all from "done".

--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -317,7 +317,10 @@
         let objective = route.map(|route| &route.objective);
         let criteria = SelectionCriteria {
             service: &request.service,
-            versions: split.choose(request.version_draw),
+            versions: match tried_backends.is_empty() {
+                true => split.choose(request.version_draw),
+                false => split.choose_again(request.version_draw),
+            },
             data_centre: own_data_centre,
             spill_order: proxy.map_or(&[], |proxy| proxy.spill_order.as_slice()),
             tried: tried_backends,
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -127,8 +127,11 @@
             incarnation: gossip.read(|node| node.own().incarnation),
         };
         let usage = UsageState::new(settings.node.clone(), source.incarnation, settings.usage);
-        let rollout =
-            RolloutState::new(source, settings.data_centre.clone(), settings.max_exposure);
+        let rollout = RolloutState::new(
+            source,
+            settings.data_centre.clone(),
+            settings.exposure_limit,
+        );
         Arc::new(Self {
             settings,
             addresses,
--- a/crates/daemon/src/rollout/evidence_sender.rs
+++ b/crates/daemon/src/rollout/evidence_sender.rs
@@ -2,12 +2,13 @@
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     ids::{DataCentre, IncarnationNumber, NodeName, ServiceName},
-    rollout::{COMPARISON_INTERVAL, EvidenceReport, MoveEvidence, choose_judges},
+    rollout::{EvidenceReport, MoveEvidence, choose_judges},
 };
 use futures::future;
 
@@ -16,12 +17,13 @@
     node::{NodeState, StopSignal},
 };
 
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
 const SEND_TIMEOUT: TimeBudget = TimeBudget::from_millis(400);
 /// Longest interval between reports to judges in other data centres.
 const REMOTE_INTERVAL: TimeBudget = TimeBudget::from_secs(2);
 /// Divisor of a short move's span that caps that interval, so that a judge knows what the other data
 /// centres saw in the hold before it calls the move done.
-const REMOTE_SPAN_DIVISOR: u64 = 30;
+const REMOTE_SPAN_DIVISOR: u64 = 64;
 /// Interval at which unchanged evidence is sent again, so that the judge counts the node as heard.
 const UNCHANGED_INTERVAL: TimeBudget = TimeBudget::from_secs(3);
 
@@ -45,7 +47,7 @@
 /// Sends evidence to the judges of running moves until the stop signal.
 pub async fn run_evidence(state: Arc<NodeState>, pool: Rc<GossipPool>, mut stop: StopSignal) {
     let mut sender = EvidenceSender::new(Arc::clone(&state), pool);
-    while stop.tick(COMPARISON_INTERVAL.to_std()).await {
+    while stop.tick(TICK_INTERVAL).await {
         let judges = running_move_judges(&state);
         sender.send(&judges, state.now()).await;
     }
@@ -182,7 +184,12 @@
             .record(&key.service)
             .map(|record| record.start.elapsed(record.by))?;
         let cap = TimeBudget::from_micros(span.as_micros() / REMOTE_SPAN_DIVISOR);
-        if !is_local && !has_passed(REMOTE_INTERVAL.min(cap)) {
+        let interval = table.plan(&key.service)?.interval();
+        let due_after = match is_local {
+            true => interval,
+            false => REMOTE_INTERVAL.min(cap).max(interval),
+        };
+        if !has_passed(due_after) {
             return None;
         }
         let evidence = match is_local {
--- a/crates/daemon/src/rollout/rollout_state.rs
+++ b/crates/daemon/src/rollout/rollout_state.rs
@@ -6,9 +6,11 @@
 use bronzelb_kernel::{
     burn::BurnTable,
     clock::{ClockInstant, TimeBudget},
-    config::ShareRatio,
     ids::{BackendName, DataCentre, RouteName, ServiceName},
-    rollout::{EvidenceReport, EvidenceSource, MoveRecord, MoveTable, OutcomeReport, VersionSplit},
+    rollout::{
+        EvidenceReport, EvidenceSource, ExposureLimit, MoveRecord, MoveTable, OutcomeReport,
+        VersionSplit,
+    },
 };
 
 use slog::info;
@@ -26,16 +28,16 @@
 }
 
 impl RolloutState {
-    /// Creates a state without any moves; `max_exposure` limits later ones, see
+    /// Creates a state without any moves; `exposure_limit` limits later ones, see
     /// [`MoveTable::limit_exposure`].
     #[must_use]
     pub fn new(
         source: EvidenceSource,
         data_centre: DataCentre,
-        max_exposure: Option<ShareRatio>,
+        exposure_limit: Option<ExposureLimit>,
     ) -> Self {
         let mut table = MoveTable::new(source, data_centre);
-        table.limit_exposure(max_exposure);
+        table.limit_exposure(exposure_limit);
         Self {
             table: Mutex::new(table),
             first_seen: Mutex::default(),
--- a/crates/daemon/src/rollout/rollout_task.rs
+++ b/crates/daemon/src/rollout/rollout_task.rs
@@ -18,7 +18,7 @@
     rollout::evidence_sender::{JudgeMap, running_move_judges},
 };
 
-const TICK_INTERVAL: Duration = Duration::from_millis(500);
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which an unchanged view is published again to show that it is still current.
 const VIEW_REFRESH_INTERVAL: TimeBudget = TimeBudget::from_secs(3);
 
@@ -122,6 +122,10 @@
 
     fn judge_moves(&self, judges: &BTreeMap<ServiceName, JudgeMap>, now: ClockInstant) {
         let settings = &self.state.settings;
+        let server_counts: Vec<_> = judges
+            .keys()
+            .map(|service| self.count_servers(service))
+            .collect();
         let marks = {
             let mut table = self.state.rollout.table();
             for (service, map) in judges {
@@ -129,6 +133,9 @@
                 let is_judge = local_judges.is_some_and(|nodes| nodes.contains(&settings.node));
                 table.set_judge(service, is_judge);
             }
+            for (service, servers) in judges.keys().zip(server_counts) {
+                table.set_server_count(service, servers, now);
+            }
             table.tick(now)
         };
         for (service, mark) in marks {
@@ -139,6 +146,18 @@
         }
     }
 
+    /// Returns the number of serving servers of the version that a service moves to.
+    fn count_servers(&self, service: &ServiceName) -> usize {
+        let target = {
+            let table = self.state.rollout.table();
+            table.record(service).map(|record| record.to.clone())
+        };
+        let load_balancer = self.state.requests.load_balancer();
+        target.map_or(0, |version| {
+            load_balancer.version_servers(service, &version)
+        })
+    }
+
     fn publish_views(&mut self, judges: &BTreeMap<ServiceName, JudgeMap>, now: ClockInstant) {
         for service in judges.keys() {
             let published = self.published.get(service);
--- a/crates/daemon/src/settings/node_settings.rs
+++ b/crates/daemon/src/settings/node_settings.rs
@@ -3,10 +3,10 @@
 use bronzelb_kernel::{
     account::UsageBound,
     clock::TimeBudget,
-    config::ShareRatio,
     ids::{DataCentre, MeshName, NodeName, ServiceName},
     plugin::WireDialect,
     request::RetryPolicy,
+    rollout::ExposureLimit,
     spread::SpreadMode,
 };
 use bronzelb_wire::handshake::MeshKey;
@@ -42,9 +42,8 @@
     pub retries: Option<RetryPolicy>,
     /// Bound on how far client accounts may exceed their usage caps.
     pub usage: UsageBound,
-    /// Share of the requests of a version move's whole span that a faulty version may get; without
-    /// it, a move is not limited.
-    pub max_exposure: Option<ShareRatio>,
+    /// Limit of the requests that a faulty version may get; without it, a move is not limited.
+    pub exposure_limit: Option<ExposureLimit>,
     /// Time limit of a graceful shutdown; without it, the requests in flight determine its length.
     pub shutdown: Option<TimeBudget>,
     /// Whether the whole mesh starts for the first time, so that no node can hold a version yet.
--- a/crates/daemon/src/settings/section_reader.rs
+++ b/crates/daemon/src/settings/section_reader.rs
@@ -2,7 +2,7 @@
 
 use bronzelb_kernel::{
     account::UsageBound, clock::TimeBudget, config::ShareRatio, error::MeshError,
-    plugin::WireDialect, request::RetryPolicy,
+    plugin::WireDialect, request::RetryPolicy, rollout::ExposureLimit,
 };
 use bronzelb_platform as _;
 use bronzelb_yaml::reader::{FieldNode, MapReader, parse_from_str};
@@ -60,6 +60,7 @@
     let retries = read_optional_section(&mut reader, "retries", read_retries);
     let usage = read_optional_section(&mut reader, "usage", read_usage);
     let max_exposure = reader.optional("max_exposure", parse_share);
+    let exposure_slack = reader.optional("exposure_slack", parse_request_count);
     let shutdown = reader.optional("shutdown", parse_duration);
     let is_first_start = reader.optional("first_start", parse_switch);
     let workers = reader.optional("workers", parse_workers);
@@ -76,7 +77,10 @@
         metrics,
         retries,
         usage: usage.unwrap_or_default(),
-        max_exposure,
+        exposure_limit: max_exposure.map(|share| ExposureLimit {
+            share,
+            slack: exposure_slack.unwrap_or(0),
+        }),
         shutdown,
         is_first_start: is_first_start.unwrap_or(false),
         callers: callers?,
--- a/crates/kernel/src/request/load_balancer.rs
+++ b/crates/kernel/src/request/load_balancer.rs
@@ -8,7 +8,10 @@
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
-    ids::{BackendName, DataCentre, NodeName, RequestRate, RouteName, ServiceName, SlotCount},
+    ids::{
+        BackendName, BuildVersion, DataCentre, NodeName, RequestRate, RouteName, ServiceName,
+        SlotCount,
+    },
     member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     request::{
         AttemptOutcome, ServerLoad, ServerLocation,
@@ -17,7 +20,7 @@
         notice_table::NoticeTable,
         server_stats::{ServerStats, TimeEstimate},
     },
-    rollout::VersionChoice,
+    rollout::{ServerGroup, VersionChoice},
 };
 
 /// Time for which a data centre is avoided after a refusal because of an evacuation; the order
@@ -388,6 +391,15 @@
         SlotCount::new(serving.map(|server| server.slots).sum())
     }
 
+    /// Returns the number of serving servers of a version.
+    #[must_use]
+    pub fn version_servers(&self, service: &ServiceName, version: &BuildVersion) -> usize {
+        let servers = self.services.get(service).into_iter().flatten();
+        let serving = servers
+            .filter(|(_, server)| server.location.version == *version && self.is_usable(server));
+        serving.count()
+    }
+
     /// Returns whether the service has a serving server, or one whose node stops.
     #[must_use]
     pub fn has_server(&self, service: &ServiceName) -> bool {
@@ -631,10 +643,10 @@
     let is_open = |server: &ServerStats| view.is_open(&server.location.data_centre);
     let is_serving =
         |server: &ServerStats| server.state == BackendState::Serving && is_open(server);
-    let mut all = untried(servers, view.criteria, &is_serving);
+    let mut all = untried(view, servers, &is_serving);
     if all.is_empty() {
         let is_last_resort = |server: &ServerStats| server.is_last_resort && is_open(server);
-        all = untried(servers, view.criteria, &is_last_resort);
+        all = untried(view, servers, &is_last_resort);
     }
     let admitted = all.iter().copied();
     let mut servers: Vec<_> = admitted
@@ -713,12 +725,14 @@
     difference.total_cmp(&0.0)
 }
 
-/// Returns the untried candidates of the best-ranked version that has a candidate.
+/// Returns the untried candidates of the best-ranked version that has a candidate, those of its
+/// server group if the choice names one.
 fn untried<'a>(
+    view: &PlacementView<'_>,
     servers: &'a BTreeMap<BackendName, ServerStats>,
-    criteria: &SelectionCriteria<'_>,
     is_candidate: &impl Fn(&ServerStats) -> bool,
 ) -> Vec<&'a ServerStats> {
+    let criteria = view.criteria;
     let mut best = None;
     let mut all = Vec::with_capacity(servers.len());
     for server in servers.values().filter(|server| is_candidate(server)) {
@@ -729,13 +743,32 @@
             best = Some(rank);
             all.clear();
         }
-        if best == Some(rank) && !criteria.tried.contains(&server.location.backend) {
+        if best == Some(rank) {
             all.push(server);
         }
     }
+    if let Some(group) = criteria.versions.group
+        && best == Some(0)
+    {
+        retain_group(view.now, &mut all, group);
+    }
+    all.retain(|server| !criteria.tried.contains(&server.location.backend));
     all
 }
 
+/// Retains the servers of a group, which is chosen among those that are not ejected.
+fn retain_group(now: ClockInstant, servers: &mut Vec<&ServerStats>, group: ServerGroup) {
+    if servers.iter().any(|server| !server.is_ejected(now)) {
+        servers.retain(|server| !server.is_ejected(now));
+    }
+    let count = servers.len();
+    let mut position = 0;
+    servers.retain(|_| {
+        position += 1;
+        group.contains(position - 1, count)
+    });
+}
+
 /// Draws two servers and returns the better one: that with the higher share of responses in time
 /// or, if these are equal, that with less load.
 fn better_of_two<'a>(
--- a/crates/kernel/src/rollout/cusum_detector.rs
+++ b/crates/kernel/src/rollout/cusum_detector.rs
@@ -1,6 +1,9 @@
+use std::collections::BTreeMap;
+
 use crate::{
     clock::{ClockInstant, TimeBudget},
     config::ShareRatio,
+    ids::BackendName,
     rollout::{
         EventCount, RouteBin,
         route_judge::{failure_count, slow_count},
@@ -10,6 +13,11 @@
 
 /// Value of a cumulative sum (log likelihood ratio) that starts a recheck.
 const ALARM_THRESHOLD: f64 = 4.6;
+/// The same in a limited move, in which an undecided version must not be called done: two failures
+/// in quick succession of a version whose predecessor does not fail.
+const DOUBT_THRESHOLD: f64 = 2.3;
+/// The same without any one server: a single failure.
+const LEAVE_ONE_OUT_THRESHOLD: f64 = 1.2;
 const MIN_RECHECK_TIME: TimeBudget = TimeBudget::from_secs(10);
 const MAX_RECHECK_TIME: TimeBudget = TimeBudget::from_secs(240);
 /// Divisors of a move's span that cap the recheck and cooldown times: a false alarm must not make
@@ -33,6 +41,10 @@
 const FAULT_SLOW_RATE: f64 = 0.22;
 /// Failure-free requests added to the baseline, which smooth its rate while it has few requests.
 const PRIOR_REQUESTS: f64 = 50.0;
+/// The same for the latest requests of the old version.
+const RECENT_PRIOR_REQUESTS: f64 = 10.0;
+/// Increase of the failure rate that makes a doubt, in its standard errors.
+const DOUBT_ERRORS: f64 = 1.5;
 const MAX_BASELINE_FAILURE_RATE: f64 = 0.80;
 
 /// Shares of the new version in successive rechecks. The first one distinguishes the versions
@@ -57,11 +69,37 @@
     max_recheck: TimeBudget,
     cooldown: TimeBudget,
     failure_cusum: f64,
+    /// The same without each of the version's servers, in the trial of a limited move.
+    leave_one_out: BTreeMap<BackendName, f64>,
     slow_cusum: f64,
     share_index: usize,
     recheck_requests: f64,
     recheck_started_at: Option<ClockInstant>,
     cooldown_until: ClockInstant,
+    /// Share of the trial of a limited move.
+    trial_share: Option<ShareRatio>,
+}
+
+/// What the old version's requests tell of the expected outcomes.
+#[derive(Clone, Copy, Debug)]
+pub struct DetectorBaseline {
+    /// Failures of the old version.
+    pub old: EventCount,
+    /// Its latest failures, including those of the interval.
+    pub recent_old: EventCount,
+    /// The latest failures of the new version, including those of the interval.
+    pub recent_new: EventCount,
+    /// Latency bucket of its 95th percentile.
+    pub p95_bucket: Option<u8>,
+}
+
+/// Shares of the new version in an interval.
+#[derive(Clone, Copy, Debug)]
+pub struct DetectorShares {
+    /// Share that the plan gives it.
+    pub planned: ShareRatio,
+    /// Share at which it is tried in a limited move.
+    pub trial: Option<ShareRatio>,
 }
 
 impl CusumDetector {
@@ -73,37 +111,43 @@
             max_recheck: MAX_RECHECK_TIME.min(fraction_of(span, MAX_RECHECK_SPAN_DIVISOR)),
             cooldown: COOLDOWN_TIME.min(fraction_of(span, COOLDOWN_SPAN_DIVISOR)),
             failure_cusum: 0.0,
+            leave_one_out: BTreeMap::new(),
             slow_cusum: 0.0,
             share_index: 0,
             recheck_requests: 0.0,
             recheck_started_at: None,
             cooldown_until: ClockInstant::default(),
+            trial_share: None,
         }
     }
 
     /// Adds the outcomes of one interval.
     ///
-    /// `baseline` counts the failures of the old version, `p95_bucket` is the latency bucket of its
-    /// 95th percentile, `planned_share` is the share of the new version in the interval, and
     /// `wealth` is the largest wealth of the sequential tests.
     pub fn observe(
         &mut self,
         bin: &RouteBin,
-        baseline: EventCount,
-        p95_bucket: Option<u8>,
-        planned_share: ShareRatio,
+        baseline: DetectorBaseline,
+        shares: DetectorShares,
         wealth: f64,
         now: ClockInstant,
     ) {
+        self.trial_share = shares.trial;
         if self.recheck_started_at.is_some() {
             self.recheck_requests +=
                 new_version_count(bin, failure_count).requests + bin.old.requests as f64;
             self.end_recheck_if_over(wealth, now);
             return;
         }
-        self.update_sums(bin, baseline, p95_bucket);
-        let is_alarm = self.failure_cusum.max(self.slow_cusum) >= ALARM_THRESHOLD;
-        if is_alarm && planned_share > self.recheck_share() && self.cooldown_until.has_passed(now) {
+        self.update_sums(bin, baseline);
+        let is_alarm = match shares.trial {
+            Some(trial) => shares.planned >= trial && self.is_surplus(baseline),
+            None => {
+                let is_alarm = self.failure_cusum.max(self.slow_cusum) >= ALARM_THRESHOLD;
+                is_alarm && shares.planned > self.recheck_share()
+            }
+        };
+        if is_alarm && self.cooldown_until.has_passed(now) {
             self.recheck_requests = 0.0;
             self.recheck_started_at = Some(now);
         }
@@ -115,31 +159,80 @@
         self.recheck_started_at.map(|_| self.recheck_share())
     }
 
+    /// Returns whether the version fails more often than the old one does and did, with any one of its
+    /// servers left out.
+    fn is_surplus(&self, baseline: DetectorBaseline) -> bool {
+        self.failure_cusum >= DOUBT_THRESHOLD
+            && self.is_uncertain()
+            && exceeds(baseline.recent_new, baseline.recent_old, DOUBT_ERRORS)
+    }
+
+    /// Returns whether a failure is not explained, with any one server left out, in the trial of a
+    /// limited move.
+    #[must_use]
+    pub fn is_uncertain(&self) -> bool {
+        let least = match self.leave_one_out.len() {
+            0 | 1 => self.failure_cusum,
+            _ => self
+                .leave_one_out
+                .values()
+                .copied()
+                .fold(f64::INFINITY, f64::min),
+        };
+        self.trial_share.is_some() && least >= LEAVE_ONE_OUT_THRESHOLD
+    }
+
     /// Returns the cumulative sums for failures and for slow requests.
     #[must_use]
     pub const fn sums(&self) -> (f64, f64) {
         (self.failure_cusum, self.slow_cusum)
     }
 
-    const fn recheck_share(&self) -> ShareRatio {
-        RECHECK_SHARES[self.share_index % RECHECK_SHARES.len()]
+    /// The share of a trial is kept, since a fault under load would not show at a lower one.
+    fn recheck_share(&self) -> ShareRatio {
+        let index = self.share_index % RECHECK_SHARES.len();
+        self.trial_share.unwrap_or(RECHECK_SHARES[index])
     }
 
-    fn update_sums(&mut self, bin: &RouteBin, baseline: EventCount, p95_bucket: Option<u8>) {
-        let base_rate = baseline.events / (baseline.requests + PRIOR_REQUESTS);
+    fn update_sums(&mut self, bin: &RouteBin, baseline: DetectorBaseline) {
+        let base_rate = smoothed_rate(baseline.old, PRIOR_REQUESTS);
+        let base_rate = match self.trial_share {
+            Some(_) => base_rate.max(smoothed_rate(baseline.recent_old, RECENT_PRIOR_REQUESTS)),
+            None => base_rate,
+        };
         let base_rate = base_rate.min(MAX_BASELINE_FAILURE_RATE);
         let failed = new_version_count(bin, failure_count);
         let rates = (
             base_rate + NULL_FAILURE_INCREASE,
             base_rate + FAULT_FAILURE_INCREASE,
         );
+        if self.trial_share.is_some() {
+            self.update_leave_one_out(bin, failed, rates);
+        }
         self.failure_cusum = next_cusum(self.failure_cusum, failed, rates);
-        if let Some(p95_bucket) = p95_bucket {
+        if let Some(p95_bucket) = baseline.p95_bucket {
             let slow = new_version_count(bin, |cell| slow_count(cell, p95_bucket));
             self.slow_cusum = next_cusum(self.slow_cusum, slow, (NULL_SLOW_RATE, FAULT_SLOW_RATE));
         }
     }
 
+    fn update_leave_one_out(&mut self, bin: &RouteBin, failed: EventCount, rates: (f64, f64)) {
+        for server in bin.new.keys() {
+            if !self.leave_one_out.contains_key(server) {
+                let sum = self.failure_cusum;
+                self.leave_one_out.insert(server.clone(), sum);
+            }
+        }
+        for (server, sum) in &mut self.leave_one_out {
+            let own = bin.new.get(server).map(failure_count).unwrap_or_default();
+            let rest = EventCount {
+                requests: failed.requests - own.requests,
+                events: failed.events - own.events,
+            };
+            *sum = next_cusum(*sum, rest, rates);
+        }
+    }
+
     fn end_recheck_if_over(&mut self, wealth: f64, now: ClockInstant) {
         let Some(recheck_started_at) = self.recheck_started_at else {
             return;
@@ -156,10 +249,28 @@
         self.recheck_started_at = None;
         self.cooldown_until = now.after(self.cooldown);
         self.failure_cusum = 0.0;
+        self.leave_one_out.values_mut().for_each(|sum| *sum = 0.0);
         self.slow_cusum = 0.0;
     }
 }
 
+/// Returns whether the failure rate in `new` exceeds that in `old` by more than `errors` standard
+/// errors.
+pub(crate) fn exceeds(new: EventCount, old: EventCount, errors: f64) -> bool {
+    let requests = new.requests + old.requests;
+    if requests <= 0.0 {
+        return false;
+    }
+    let mean_rate = (new.events + old.events) / requests;
+    let inverse = 1.0 / new.requests.max(1.0) + 1.0 / old.requests.max(1.0);
+    let error = (mean_rate * (1.0 - mean_rate) * inverse).sqrt();
+    new.event_rate() - old.event_rate() > errors * error
+}
+
+fn smoothed_rate(count: EventCount, prior_requests: f64) -> f64 {
+    count.events / (count.requests + prior_requests)
+}
+
 /// Returns the cumulative sum after the requests in `count`; `rates` are the event rates under the
 /// null hypothesis and the alternative.
 fn next_cusum(sum: f64, count: EventCount, rates: (f64, f64)) -> f64 {
--- a/crates/kernel/src/rollout/mod.rs
+++ b/crates/kernel/src/rollout/mod.rs
@@ -6,8 +6,10 @@
 
 mod cusum_detector;
 mod decaying_counts;
+mod exposure_limit;
 mod judge_choice;
 mod latency_histogram;
+mod load_trial;
 mod move_change;
 mod move_evidence;
 mod move_judge;
@@ -25,9 +27,11 @@
 mod version_breaker;
 mod version_split;
 
-pub use cusum_detector::CusumDetector;
+pub use cusum_detector::{CusumDetector, DetectorBaseline, DetectorShares};
+pub use exposure_limit::ExposureLimit;
 pub use judge_choice::{EvidenceReport, JUDGES_PER_DATA_CENTRE, choose_judges};
 pub use latency_histogram::LatencyHistogram;
+pub use load_trial::{LoadTrial, ServerGroup};
 pub use move_change::{MoveChange, MoveRequest};
 pub use move_evidence::{EvidenceCell, EvidenceKey, EvidenceSource, MoveEvidence, VersionSide};
 pub use move_judge::{COMPARISON_INTERVAL, EVIDENCE_TIMEOUT, MoveJudge};
--- a/crates/kernel/src/rollout/move_table.rs
+++ b/crates/kernel/src/rollout/move_table.rs
@@ -7,9 +7,9 @@
     config::ShareRatio,
     ids::{DataCentre, RouteName, ServiceName},
     rollout::{
-        EVIDENCE_TIMEOUT, EvidenceSource, MarkCause, MoveEvidence, MoveJudge, MoveMark,
-        MoveOutlook, MoveRecord, MoveState, MoveView, OutcomeReport, RouteFault, SharePlan,
-        VersionBreaker, VersionCapacity, VersionSplit,
+        EVIDENCE_TIMEOUT, EvidenceSource, ExposureLimit, MarkCause, MoveEvidence, MoveJudge,
+        MoveMark, MoveOutlook, MoveRecord, MoveState, MoveView, OutcomeReport, RouteFault,
+        SharePlan, VersionBreaker, VersionCapacity, VersionSplit,
     },
 };
 
@@ -20,8 +20,7 @@
     data_centre: DataCentre,
     entries: BTreeMap<ServiceName, MoveEntry>,
     marks: BTreeMap<ServiceName, MoveMark>,
-    /// Share of the requests of a move's whole span that a faulty version may get, if limited.
-    max_exposure: Option<ShareRatio>,
+    exposure_limit: Option<ExposureLimit>,
 }
 
 #[derive(Clone, Debug)]
@@ -36,12 +35,14 @@
 }
 
 impl MoveEntry {
+    fn is_recent(&self, view: &MoveView, now: ClockInstant) -> bool {
+        let expires_at = view.taken_at.after(EVIDENCE_TIMEOUT);
+        view.number == self.record.number && !expires_at.has_passed(now)
+    }
+
     /// Returns the recent view of `data_centre`, or else the latest recent view of any data centre.
     fn received_view(&self, data_centre: &DataCentre, now: ClockInstant) -> Option<&MoveView> {
-        let is_fresh = |view: &&MoveView| {
-            let expires_at = view.taken_at.after(EVIDENCE_TIMEOUT);
-            view.number == self.record.number && !expires_at.has_passed(now)
-        };
+        let is_fresh = |view: &&MoveView| self.is_recent(view, now);
         let latest = || {
             let views = self.views.values().filter(is_fresh);
             views.max_by_key(|view| view.taken_at)
@@ -59,14 +60,14 @@
             data_centre,
             entries: BTreeMap::new(),
             marks: BTreeMap::new(),
-            max_exposure: None,
+            exposure_limit: None,
         }
     }
 
-    /// Limits the share of the requests of a move's whole span that a faulty version may get, for
-    /// moves that start later. All nodes must have the same limit.
-    pub const fn limit_exposure(&mut self, max_exposure: Option<ShareRatio>) {
-        self.max_exposure = max_exposure;
+    /// Limits the requests that a faulty version may get, for moves that start later. All nodes must
+    /// have the same limit.
+    pub const fn limit_exposure(&mut self, limit: Option<ExposureLimit>) {
+        self.exposure_limit = limit;
     }
 
     /// Merges a move record from the platform or a peer and returns whether it was new.
@@ -119,6 +120,18 @@
         }
     }
 
+    /// Sets the number of servers of a move's new version that this node knows.
+    pub fn set_server_count(&mut self, service: &ServiceName, servers: usize, now: ClockInstant) {
+        let Some(entry) = self.entries.get(service) else {
+            return;
+        };
+        let view = self.view_of(entry, now).clone();
+        if let Some(entry) = self.entries.get_mut(service) {
+            entry.plan.set_server_count(servers, &view, now);
+            entry.judge.set_plan(entry.plan.clone());
+        }
+    }
+
     /// Merges the evidence about a move from another node, or all nodes of another data centre.
     pub fn merge_evidence(
         &mut self,
@@ -157,7 +170,7 @@
             }
             MoveState::Running => {
                 let share = entry.plan.share(self.view_of(entry, now), route, now);
-                VersionSplit::moving(from, to, share)
+                VersionSplit::moving(from, to, share).within(entry.plan.server_group(now))
             }
         };
         split.without(&record.barred)
@@ -256,14 +269,19 @@
         self.entries.get(service).map(|entry| &entry.judge)
     }
 
-    /// Returns whether a running move is done, if this node is a judge of it.
+    /// Returns whether a running move is done, if this node is a judge of it and no judge of
+    /// another data centre has a doubt.
     #[must_use]
     pub fn is_done(&self, service: &ServiceName, now: ClockInstant) -> bool {
         let Some(entry) = self.entries.get(service) else {
             return false;
         };
         let is_running = !entry.record.state.is_final() && self.mark(service).is_none();
-        entry.is_judge && is_running && entry.plan.is_done(entry.judge.view(), now)
+        let mut views = entry.views.values();
+        let is_in_doubt = views.any(|view| entry.is_recent(view, now) && view.is_in_doubt());
+        let is_held = entry.plan.is_done(entry.judge.view(), now);
+        let is_uncertain = is_in_doubt || entry.judge.is_uncertain();
+        entry.is_judge && is_running && is_held && !is_uncertain
     }
 
     /// Returns the forecast of whether a running move will meet its deadline.
@@ -334,7 +352,7 @@
             now,
         );
         let span = record.start.elapsed(record.by);
-        let plan = SharePlan::with_exposure(record.clone(), self.max_exposure);
+        let plan = SharePlan::with_exposure(record.clone(), self.exposure_limit);
         MoveEntry {
             judge: MoveJudge::with_plan(record.clone(), plan.clone(), now),
             plan,
--- a/crates/kernel/src/rollout/move_view.rs
+++ b/crates/kernel/src/rollout/move_view.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Returns whether the judge rechecks the new version on some route.
+    #[must_use]
+    pub fn is_in_doubt(&self) -> bool {
+        let mut tallies = self.routes.values();
+        tallies.any(|tally| tally.recheck_share.is_some())
+    }
+
     /// Returns whether this view replaces `current`.
     ///
     /// The view of the later move wins, and within a move the later view.
--- a/crates/kernel/src/rollout/share_curve.rs
+++ b/crates/kernel/src/rollout/share_curve.rs
@@ -38,7 +38,8 @@
 /// found within the limit. The new version gets the rest of the traffic when the move is done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShareCurve {
-    first: ShareRatio,
+    /// Share at the start.
+    pub first: ShareRatio,
     /// Share that counts as full.
     pub full_share: ShareRatio,
     /// Start time of the move.
--- a/crates/kernel/src/rollout/share_plan.rs
+++ b/crates/kernel/src/rollout/share_plan.rs
@@ -3,8 +3,8 @@
     config::ShareRatio,
     ids::RouteName,
     rollout::{
-        MoveOutlook, MoveRecord, MoveView, RouteTally, ShareCurve, VersionCapacity,
-        share_curve::ratio_from_f64,
+        COMPARISON_INTERVAL, ExposureLimit, LoadTrial, MoveOutlook, MoveRecord, MoveView,
+        RouteTally, ServerGroup, ShareCurve, VersionCapacity, share_curve::ratio_from_f64,
     },
 };
 
@@ -24,6 +24,9 @@
 pub struct SharePlan {
     record: MoveRecord,
     curve: ShareCurve,
+    limit: Option<ExposureLimit>,
+    /// Trial under full load, if the exposure is limited and the servers are known.
+    trial: Option<LoadTrial>,
 }
 
 impl SharePlan {
@@ -35,9 +38,58 @@
 
     /// Creates the plan of a move with a limit; see [`ShareCurve::with_exposure`].
     #[must_use]
-    pub fn with_exposure(record: MoveRecord, max_exposure: Option<ShareRatio>) -> Self {
-        let curve = ShareCurve::with_exposure(&record, max_exposure);
-        Self { record, curve }
+    pub fn with_exposure(record: MoveRecord, limit: Option<ExposureLimit>) -> Self {
+        let curve = ShareCurve::with_exposure(&record, limit.map(|limit| limit.share));
+        Self {
+            record,
+            curve,
+            limit,
+            trial: None,
+        }
+    }
+
+    /// Sets the number of servers of the new version, which the shares of a limited move follow.
+    pub fn set_server_count(&mut self, servers: usize, view: &MoveView, now: ClockInstant) {
+        let Some(limit) = self.limit.filter(|_| servers > 0) else {
+            return;
+        };
+        let rate = self.service_rate(view, now);
+        let trial = LoadTrial::for_move(&self.record, limit, servers, rate);
+        self.curve = trial.curve;
+        self.trial = Some(trial);
+    }
+
+    /// Returns the interval at which evidence is sent and compared.
+    #[must_use]
+    pub fn interval(&self) -> TimeBudget {
+        let span = self.record.start.elapsed(self.record.by);
+        let limited = self.limit.map(|_| LoadTrial::interval(span));
+        limited.unwrap_or(COMPARISON_INTERVAL)
+    }
+
+    /// Returns the servers that get the new version's requests at `now`; all of them if `None`.
+    #[must_use]
+    pub fn server_group(&self, now: ClockInstant) -> Option<ServerGroup> {
+        self.trial.map(|trial| trial.group_at(now))
+    }
+
+    /// Returns the share at which the version is tried under full load, in a limited move.
+    #[must_use]
+    pub fn trial_share(&self) -> Option<ShareRatio> {
+        self.trial.map(|trial| trial.curve.full_share)
+    }
+
+    /// Returns whether a limited move whose version is in doubt has to end: the requests that it
+    /// may cost are used up, or its deadline has passed.
+    #[must_use]
+    pub fn is_trial_over(&self, view: &MoveView, now: ClockInstant) -> bool {
+        let tallies = view.routes.values();
+        let (new, total) = tallies.fold((0, 0), |(new, total), tally| {
+            (new + tally.new, total + tally.total())
+        });
+        self.trial.is_some_and(|trial| {
+            self.record.by.has_passed(now) || trial.is_limit_near(&self.record, new, total, now)
+        })
     }
 
     /// Returns the share of a route's requests that go to the new version at `now`.
@@ -67,14 +119,14 @@
     #[must_use]
     pub fn hold_elapsed(&self, view: &MoveView, now: ClockInstant) -> bool {
         view.full_share_since
-            .is_some_and(|since| since.after(self.record.rule.hold).has_passed(now))
+            .is_some_and(|since| since.after(self.hold()).has_passed(now))
     }
 
     /// Returns whether the move is done: the hold has elapsed, and every reachable node knows it.
     #[must_use]
     pub fn is_done(&self, view: &MoveView, now: ClockInstant) -> bool {
         view.full_share_since.is_some_and(|since| {
-            let hold_end = since.after(self.record.rule.hold);
+            let hold_end = since.after(self.hold());
             hold_end.after(self.curve.propagation_time).has_passed(now)
         })
     }
@@ -130,6 +182,11 @@
         }
     }
 
+    /// Returns the time at full share after which the version counts as good.
+    fn hold(&self) -> TimeBudget {
+        self.trial.map_or(self.record.rule.hold, |trial| trial.hold)
+    }
+
     /// Returns the share that the curve and the evidence allow before the hold has elapsed, without
     /// the limit of a recheck.
     fn unrestricted_share(
@@ -142,7 +199,11 @@
         let requests = self.evidence_requests(view, route, now);
         let min = f64::from(self.record.rule.min_requests);
         if requests < min {
-            return ratio_from_f64(unverified);
+            return ratio_from_f64(unverified).min(self.curve.full_share);
+        }
+        if self.trial.is_some() {
+            let by_time = self.curve.share_at(now).max(ratio_from_f64(unverified));
+            return by_time.min(self.curve.full_share);
         }
         let progress = (requests - min) / (self.required_requests() as f64 - min).max(1.0);
         let by_evidence = ratio_from_f64(unverified + (1.0 - unverified) * progress);
@@ -152,6 +213,10 @@
 
     /// Returns the share until the version is verified, which is larger for low request rates.
     fn unverified_share(&self, view: &MoveView, route: &RouteName, now: ClockInstant) -> f64 {
+        if let Some(trial) = &self.trial {
+            let requests = f64::from(self.record.rule.min_requests);
+            return trial.first_share(requests, self.service_rate(view, now));
+        }
         let first = self.record.rule.first_share.as_f64();
         let time = self
             .curve
@@ -178,7 +243,8 @@
             .map_or(0.0, |rate| rate * time_to_full_share);
         let enough = SEPARATE_ROUTE_MULTIPLE * f64::from(self.record.rule.min_requests);
         let requests = |tally: &RouteTally| tally.new as f64;
-        if expected >= enough {
+        // A trial compares all routes together.
+        if expected >= enough && self.trial.is_none() {
             view.routes.get(route).map_or(0.0, requests)
         } else {
             view.routes.values().map(requests).sum()
@@ -210,6 +276,13 @@
         (elapsed >= MIN_RATE_TIME).then(|| tally.total() as f64 / elapsed.as_secs_f64())
     }
 
+    /// Returns the requests per second on all routes, once the move is old enough for an estimate.
+    fn service_rate(&self, view: &MoveView, now: ClockInstant) -> Option<f64> {
+        let rates = view.routes.keys().map(|route| self.rate(view, route, now));
+        let rates: Vec<f64> = rates.flatten().collect();
+        (!rates.is_empty()).then(|| rates.iter().sum())
+    }
+
     fn elapsed(&self, now: ClockInstant) -> TimeBudget {
         self.record.start.elapsed(now)
     }
--- a/crates/kernel/src/rollout/version_split.rs
+++ b/crates/kernel/src/rollout/version_split.rs
@@ -1,4 +1,4 @@
-use crate::{config::ShareRatio, ids::BuildVersion};
+use crate::{config::ShareRatio, ids::BuildVersion, rollout::ServerGroup};
 
 /// Distribution of a route's requests over the versions of its service at one instant.
 ///
@@ -22,6 +22,8 @@
     replaces_all: bool,
     /// Targets of earlier moves that were not done.
     barred: Vec<BuildVersion>,
+    /// Servers that get the candidate version's requests; all of them if `None`.
+    group: Option<ServerGroup>,
 }
 
 /// Versions eligible for one request.
@@ -42,6 +44,8 @@
     pub accepts_others: bool,
     /// Targets of earlier moves that were not done, which must not get the request.
     pub barred: &'a [BuildVersion],
+    /// Servers of the preferred version that may get the request; all of them if `None`.
+    pub group: Option<ServerGroup>,
 }
 
 impl VersionSplit {
@@ -62,9 +66,17 @@
             rolled_back: None,
             replaces_all,
             barred: Vec::new(),
+            group: None,
         }
     }
 
+    /// Restricts the candidate version's requests to some of its servers.
+    #[must_use]
+    pub const fn within(mut self, group: Option<ServerGroup>) -> Self {
+        self.group = group;
+        self
+    }
+
     /// Creates the split of a done move: the old version is used only while no server of the new
     /// one accepts requests.
     #[must_use]
@@ -93,6 +105,7 @@
             rolled_back: Some(to),
             replaces_all,
             barred: Vec::new(),
+            group: None,
         }
     }
 
@@ -115,6 +128,26 @@
     pub fn choose(&self, point: u64) -> VersionChoice<'_> {
         let ppm = u64::from(ShareRatio::ALL.as_ppm());
         let takes_candidate = self.candidate.is_some() && point % ppm < self.share_ppm();
+        self.choice(takes_candidate)
+    }
+
+    /// Chooses the versions for a request that a server has refused.
+    ///
+    /// While the versions share the traffic, a request that the candidate refused goes to the
+    /// others, so that its refusals do not raise its share.
+    #[must_use]
+    pub fn choose_again(&self, point: u64) -> VersionChoice<'_> {
+        let choice = self.choose(point);
+        let is_moving = self.share != ShareRatio::NONE && self.share != ShareRatio::ALL;
+        let is_candidate =
+            choice.preferred.is_some() && choice.preferred == self.candidate.as_ref();
+        match is_moving && is_candidate {
+            true => self.choice(false),
+            false => choice,
+        }
+    }
+
+    fn choice(&self, takes_candidate: bool) -> VersionChoice<'_> {
         let (preferred, fallback) = if takes_candidate {
             (self.candidate.as_ref(), self.stable.as_ref())
         } else if self.replaces_all || self.share == ShareRatio::NONE {
@@ -130,6 +163,7 @@
             last_resort: last_resort.filter(|_| self.replaces_all && !takes_candidate),
             accepts_others: self.replaces_all,
             barred: &self.barred,
+            group: self.group.filter(|_| takes_candidate),
         }
     }
 
