Keep requests that may run once off connections with unidentified refusals

Cause: a refusal carries no request identifier and was accepted as the answer to whatever request was in flight on a reused connection. A server that writes an earlier refusal once more thereby answered the next request.

Change: a connection on which a response without an identifier was read is kept for idempotent requests only, which use such connections first. Others get a connection whose unread bytes can't be a copy.

Evidence: request_that_ran_is_not_reported_as_not_run_after_a_late_copy_of_a_refusal failed before (request 2) and passes. repeatable_requests_reuse_connections_after_refusals shows that these pay no handshake for a refusal; it passed before too.

--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -391,7 +391,7 @@
         } = *server;
         let address = announcement.address;
         let echoes_request_id = runtime.echoes_request_id.load(Ordering::Relaxed);
-        let connection = match self.take_idle(address) {
+        let connection = match self.take_idle(address, self.is_idempotent(message)) {
             Some(connection) => connection,
             None => BackendConnection::open(address, time_left.to_std()).await?,
         };
@@ -434,14 +434,17 @@
         })?;
         runtime.record_response(self.state.now());
         self.record_notice(server, sent_at, read_notice(dialect, &response));
+        let has_echoed = response.headers.contains_key(dialect.request_header);
         if !is_not_run(dialect, &response) {
-            let has_echoed = response.headers.contains_key(dialect.request_header);
             runtime
                 .echoes_request_id
                 .store(has_echoed, Ordering::Relaxed);
         }
         let connection = connection.filter(|_| runtime.echoes_request_id.load(Ordering::Relaxed));
-        if let Some(connection) = connection {
+        if let Some(mut connection) = connection {
+            if !has_echoed {
+                connection.record_unidentified();
+            }
             self.keep_idle(announcement, connection);
         }
         Ok(response)
@@ -497,18 +500,40 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<BackendConnection> {
+    /// Returns an idle connection for a request.
+    ///
+    /// One that may hold a late copy of a refusal is only for idempotent requests, which may run again
+    /// if the copy is taken for their answer; these use such connections first.
+    fn take_idle(&self, address: SocketAddr, is_idempotent: bool) -> Option<BackendConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
+        let position = |connections: &[BackendConnection]| {
+            let first = connections
+                .iter()
+                .rposition(|connection| connection.may_hold_copy() == is_idempotent);
+            first.or_else(|| connections.len().checked_sub(1).filter(|_| is_idempotent))
+        };
+        while let Some(position) = position(connections) {
+            let connection = connections.remove(position);
             if connection.is_usable() {
                 return Some(connection);
             }
         }
-        idle.remove(&address);
+        if connections.is_empty() {
+            idle.remove(&address);
+        }
         None
     }
 
+    /// Returns whether the request may run more than once, as far as the configuration in force tells.
+    fn is_idempotent(&self, message: &ForwardRequest) -> bool {
+        let config = self.state.config();
+        let route = config
+            .as_ref()
+            .and_then(|config| config.snapshot().routes.get(&message.route));
+        route.is_some_and(|route| route.idempotent)
+    }
+
     /// Returns an error if the server shed the request.
     fn check_shed(
         &self,
--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -92,6 +92,8 @@
     has_write_error: bool,
     /// Whether any part of the request of the current exchange was written.
     has_sent: bool,
+    /// Whether a response without a request identifier was read, of which a late copy may follow.
+    may_hold_copy: bool,
     /// Instant after which the idle connection is not reused, if the server states an idle timeout.
     idle_deadline: Option<Instant>,
 }
@@ -125,10 +127,22 @@
             is_fresh: true,
             has_write_error: false,
             has_sent: false,
+            may_hold_copy: false,
             idle_deadline: None,
         })
     }
 
+    /// Records that a response without a request identifier was read.
+    pub(crate) const fn record_unidentified(&mut self) {
+        self.may_hold_copy = true;
+    }
+
+    /// Returns whether the next response without a request identifier may be a late copy of an
+    /// earlier one rather than the answer to the next request.
+    pub(crate) const fn may_hold_copy(&self) -> bool {
+        self.may_hold_copy
+    }
+
     /// Returns whether the idle connection is open, has no unread data and is not close to the
     /// server's stated idle timeout.
     pub(crate) fn is_usable(&self) -> bool {
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -526,6 +526,76 @@
     assert_eq!(run_states[3], RunState::NotRun);
 }
 
+/// Starts a server that refuses the first request of each connection, without its identifier, and
+/// writes the refusal once more before it answers the next request there.
+async fn server_with_late_copies() -> (SocketAddr, Rc<RefCell<Vec<String>>>) {
+    const REFUSAL: &str =
+        "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-backend-run: not-run\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    let ran = Rc::new(RefCell::new(Vec::new()));
+    let recorded = Rc::clone(&ran);
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let recorded = Rc::clone(&recorded);
+            spawn_local(async move {
+                let mut buffer = Vec::new();
+                let mut has_refused = false;
+                while let Some(head) = read_head(&mut stream, &mut buffer).await {
+                    let mut lines = head.lines();
+                    let id = lines.find_map(|line| line.strip_prefix(REQUEST_HEADER));
+                    let id = id.unwrap_or_default();
+                    let mut reply = REFUSAL.to_owned();
+                    if has_refused || head.contains("connection: close") {
+                        recorded.borrow_mut().push(id.to_owned());
+                        let copy = if has_refused { REFUSAL } else { "" };
+                        reply = format!("{copy}{}", complete_response(id, id));
+                    }
+                    has_refused = true;
+                    if stream.write_all(reply.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, ran)
+}
+
+/// Guards against a late copy of a refusal that is taken for the answer to the next request.
+#[actix_web::test]
+async fn request_that_ran_is_not_reported_as_not_run_after_a_late_copy_of_a_refusal() {
+    let (address, ran) = server_with_late_copies().await;
+    let harness = ForwarderHarness::new(&[address], false);
+    for number in 0..6 {
+        let result = harness.get(number).await;
+        let has_run = ran.borrow().contains(&format!("request-{number}"));
+        let is_not_run = run_state(&result) == RunState::NotRun;
+        assert!(!(has_run && is_not_run), "request {number}: {result:?}");
+    }
+    assert!(!ran.borrow().is_empty());
+}
+
+/// Guards against a handshake for each refusal: requests that may run again still share connections.
+#[actix_web::test]
+async fn repeatable_requests_reuse_connections_after_refusals() {
+    let server = RawServer::start(|number, id| {
+        if number % 2 == 0 {
+            return keep_open(complete_response(id, id));
+        }
+        keep_open(
+            "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-backend-run: not-run\r\n\r\n".to_owned(),
+        )
+    })
+    .await;
+    let harness = ForwarderHarness::new(&[server.address], true);
+    for number in 0..20 {
+        let _ = harness.get(number).await;
+    }
+    let connections = server.connections.load(Ordering::Relaxed);
+    assert!(connections <= 3, "{connections} connections");
+}
+
 #[actix_web::test]
 async fn shed_request_is_retried_on_another_server_even_when_not_idempotent() {
     let shedding = RawServer::start(|_, id| {
