Leave out unreadable rows instead of the whole page

Cause: a scan of the platform's table failed as a whole at the first value that is no text, so that nodes that start found no other node. A malformed row of one move kept the rows of all later ones from being reconciled, and its own move from its end.

Change: a page names the rows that it left out, in a bounded log line; a move whose row can't be read is written again.

The rows of moves are not covered by a test.

--- a/crates/cli/tests/commands/support/memory_platform.rs
+++ b/crates/cli/tests/commands/support/memory_platform.rs
@@ -84,6 +84,7 @@
         Ok(ScanPage {
             rows: rows.cloned().collect(),
             more: false,
+            refused: Vec::new(),
         })
     }
 
--- a/crates/daemon/src/rollout/move_reconciler.rs
+++ b/crates/daemon/src/rollout/move_reconciler.rs
@@ -17,7 +17,7 @@
 use crate::{
     log::EventName,
     node::{NodeState, StopSignal},
-    source::connect_platform,
+    source::{connect_platform, log_refused},
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -84,8 +84,9 @@
                 .platform
                 .scan_rows(&prefix, after.as_ref(), MAX_PAGE_ROWS, deadline)
                 .await?;
+            log_refused(&self.state, &page);
             for row in &page.rows {
-                self.reconcile_row(row).await?;
+                self.skip_unreadable(self.reconcile_row(row).await)?;
             }
             after = page.rows.last().map(|row| row.key.clone());
             if !page.more || after.is_none() {
@@ -129,7 +130,14 @@
         let Some(row) = self.platform.get_row(&key, deadline).await? else {
             return self.write_new_move(key, None, known).await;
         };
-        let stored = MoveRecord::from_row(&row.value)?;
+        let stored = match MoveRecord::from_row(&row.value) {
+            Ok(stored) => stored,
+            // Another writer's row must not keep the move from its end.
+            Err(error) => {
+                self.skip_unreadable(Err(error))?;
+                return self.write_new_move(key, Some(row.revision), known).await;
+            }
+        };
         if stored.number < known.number {
             return self.write_new_move(key, Some(row.revision), known).await;
         }
@@ -141,6 +149,21 @@
         Ok(())
     }
 
+    /// Logs the error of a row that cannot be read, so that the other rows are reconciled.
+    fn skip_unreadable(&self, result: Result<(), MeshError>) -> Result<(), MeshError> {
+        match result {
+            Err(error) if error.kind() == ErrorKind::Invalid => {
+                self.state.count("row_refused");
+                if self.state.should_log(EventName::RecordRefused) {
+                    warn!(self.state.logger, "{}", EventName::RecordRefused;
+                        "message" => error.to_string());
+                }
+                Ok(())
+            }
+            result => result,
+        }
+    }
+
     /// Writes the row of a move that the platform does not store yet.
     async fn write_new_move(
         &self,
--- a/crates/daemon/src/source/lease_writer.rs
+++ b/crates/daemon/src/source/lease_writer.rs
@@ -3,10 +3,11 @@
 use bronzelb_kernel::{clock::TimeBudget, error::MeshError, member::LeaseRow};
 use bronzelb_store::{
     PlatformClient,
-    table::{RowKey, RowWrite},
+    table::{RowKey, RowWrite, ScanPage},
 };
+use slog::warn;
 
-use crate::{node::NodeState, source::source_reader::platform_unavailable};
+use crate::{log::EventName, node::NodeState, source::source_reader::platform_unavailable};
 
 const CALL_TIMEOUT: TimeBudget = TimeBudget::from_secs(5);
 const MAX_SEED_ROWS: usize = 16;
@@ -29,6 +30,16 @@
     Ok(())
 }
 
+/// Logs the rows that could not be read.
+pub(crate) fn log_refused(state: &NodeState, page: &ScanPage) {
+    for message in &page.refused {
+        state.count("row_refused");
+        if state.should_log(EventName::RecordRefused) {
+            warn!(state.logger, "{}", EventName::RecordRefused; "message" => message.as_str());
+        }
+    }
+}
+
 /// Reads the addresses of a few nodes whose leases have not expired.
 ///
 /// The scan starts after this node's own name, so that nodes that search at the same time do not
@@ -51,6 +62,7 @@
         let page = platform
             .scan_rows(&prefix, after, MAX_SEED_ROWS, deadline)
             .await?;
+        log_refused(state, &page);
         rows.extend(page.rows);
         if rows.len() >= MAX_SEED_ROWS {
             break;
--- a/crates/emulator/src/platform/table_store.rs
+++ b/crates/emulator/src/platform/table_store.rs
@@ -58,6 +58,7 @@
         ScanPage {
             rows,
             more: matching.next().is_some(),
+            refused: Vec::new(),
         }
     }
 
--- a/crates/store/src/table/table_row.rs
+++ b/crates/store/src/table/table_row.rs
@@ -1,6 +1,7 @@
 use std::{fmt, str::FromStr};
 
 use bronzelb_kernel::error::MeshError;
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use crate::table::RowKey;
@@ -58,4 +59,7 @@
     pub rows: Vec<TableRow>,
     /// Whether the scan has more rows after this page.
     pub more: bool,
+    /// Why rows of other writers were left out: they can't be read.
+    #[serde(skip)]
+    pub refused: Vec<CompactString>,
 }
