Refuse announcements of servers that have not started yet

Cause: a deregistration or heartbeat makes all earlier incarnations outdated, whatever it claims, and for good.

Change: an incarnation that starts more than ten minutes from now is refused, with a bounded log line; so are all refused announcements, whose line had no bound.

Evidence: message_from_the_far_future_does_not_shut_out_a_server failed before.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -24,6 +24,10 @@
 /// be cold. Heartbeats come every 1.5 s.
 const HEARTBEAT_SILENCE: TimeBudget = TimeBudget::from_millis(2_500);
 
+/// Largest difference of the clocks of a server and its node. A later start is no statement of a
+/// server: it would make all later ones look outdated.
+const MAX_CLOCK_DIFFERENCE: TimeBudget = TimeBudget::from_secs(600);
+
 /// Maximum number of remembered departed servers; a VM has one or a few servers at a time.
 const MAX_DEPARTED: usize = 64;
 
@@ -104,8 +108,12 @@
     /// Applies a message of a server and returns whether the data published to other nodes changed.
     ///
     /// Outdated messages are ignored: a lower sequence number within an incarnation, an earlier
-    /// incarnation, or an incarnation earlier than that of another server at the same address.
+    /// incarnation, or an incarnation earlier than that of another server at the same address. So
+    /// are those of an incarnation that has not started yet.
     pub fn handle_message(&mut self, now: ClockInstant, message: BackendMessage) -> bool {
+        if !is_plausible(now, &message) {
+            return false;
+        }
         match message {
             BackendMessage::Heartbeat(heartbeat) => self.handle_heartbeat(now, heartbeat),
             BackendMessage::Leaving { name, incarnation } => {
@@ -390,3 +398,12 @@
             .collect()
     }
 }
+
+/// Returns whether the server's incarnation has started, as far as the clocks tell.
+pub(crate) fn is_plausible(now: ClockInstant, message: &BackendMessage) -> bool {
+    let incarnation = match message {
+        BackendMessage::Heartbeat(heartbeat) => Some(heartbeat.incarnation),
+        BackendMessage::Leaving { incarnation, .. } => *incarnation,
+    };
+    incarnation.is_none_or(|incarnation| incarnation.started_at <= now.after(MAX_CLOCK_DIFFERENCE))
+}
--- a/crates/daemon/src/backends/mod.rs
+++ b/crates/daemon/src/backends/mod.rs
@@ -5,6 +5,7 @@
 mod contact_monitor;
 mod health_probe;
 
+pub(crate) use backend_table::is_plausible;
 pub use backend_table::{BackendEntry, BackendTable, LEASE_DURATION};
 pub use bronzelb_kernel::member::BackendAnnouncement;
 pub(crate) use cold_events::{apply_cold_limit, doubt_all_servers, doubt_server, record_contact};
--- a/crates/daemon/src/operators/local_server.rs
+++ b/crates/daemon/src/operators/local_server.rs
@@ -9,7 +9,10 @@
 use slog::{info, warn};
 
 use crate::{
-    backends::apply_cold_limit, callers::caller_error_response, log::EventName, node::NodeState,
+    backends::{apply_cold_limit, is_plausible},
+    callers::caller_error_response,
+    log::EventName,
+    node::NodeState,
 };
 
 /// Body limit; an announcement is a few hundred bytes.
@@ -62,19 +65,31 @@
         body: &body,
     };
     match (dialect.decode_announcement)(&request) {
+        Ok(message) if !is_plausible(state.now(), &message) => {
+            let error = MeshError::invalid("the announcement is of a server that has not started");
+            refuse_announcement(&state, &error);
+            caller_error_response(&state.settings.dialect.callers, &error, state.now())
+        }
         Ok(message) => {
             apply_message(&state, message);
             HttpResponse::Ok().json(serde_json::Map::new())
         }
         Err(error) => {
-            state.count("announcement_refused");
-            warn!(state.logger, "{}", EventName::AnnouncementRefused;
-                "message" => error.to_string());
+            refuse_announcement(&state, &error);
             caller_error_response(&state.settings.dialect.callers, &error, state.now())
         }
     }
 }
 
+/// Counts and logs an announcement that names no server to use.
+fn refuse_announcement(state: &NodeState, error: &MeshError) {
+    state.count("announcement_refused");
+    if state.should_log(EventName::AnnouncementRefused) {
+        warn!(state.logger, "{}", EventName::AnnouncementRefused;
+            "message" => error.to_string());
+    }
+}
+
 fn ready(state: &NodeState) -> HttpResponse {
     match state.is_ready() {
         true => HttpResponse::Ok().finish(),
--- a/crates/daemon/tests/announcements.rs
+++ b/crates/daemon/tests/announcements.rs
@@ -120,6 +120,25 @@
     assert_eq!(servers.len(), 1, "a new incarnation is used");
 }
 
+/// Guards against one message with an absurd time of birth that shuts out a server for good.
+#[test]
+fn message_from_the_far_future_does_not_shut_out_a_server() {
+    let future = NOW.after(TimeBudget::from_secs(86_400)).as_millis();
+    for absurd in [future, u64::MAX] {
+        let first = heartbeat("a", 10, 1, BackendState::Serving);
+        let next = heartbeat("a", 10, 2, BackendState::Draining);
+        let odd = heartbeat("a", absurd, 1, BackendState::Serving);
+        let servers = apply_messages([first.clone(), odd, next.clone()]);
+        assert_eq!(servers, [("a".to_owned(), BackendState::Draining)]);
+        let servers = apply_messages([first, leaving("a", Some(absurd)), next]);
+        assert_eq!(servers, [("a".to_owned(), BackendState::Draining)]);
+        let elsewhere = heartbeat("b", absurd, 1, BackendState::Serving);
+        let own = heartbeat("a", 10, 1, BackendState::Serving);
+        let servers = apply_messages([elsewhere, own]);
+        assert_eq!(servers, [("a".to_owned(), BackendState::Serving)]);
+    }
+}
+
 fn cold_heartbeat(sequence: u64, cold_left: StatedCold) -> BackendMessage {
     match heartbeat("a", 10, sequence, BackendState::Serving) {
         BackendMessage::Heartbeat(heartbeat) => BackendMessage::Heartbeat(BackendHeartbeat {
