Show that a head cut anywhere is no whole response

It can't happen here: a head without its end is a lost response, also where a response may lack a length. The test cuts one at each byte; it needed no change of the code, so it has not been seen to fail.

--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange.rs
@@ -52,6 +52,8 @@
 const REPEATED_BLOCK_LENGTH: usize = 1_000;
 /// Time after which a connection to a full listener counts as hanging.
 const PENDING_TIMEOUT: Duration = Duration::from_millis(100);
+const NATIVE_DIALECT: &str = "bronzelb";
+const USERS_DIALECT: &str = "users";
 const REQUEST_HEADER: &str = "x-bronzelb-request: ";
 
 /// Returns the reply to a request, given its number and identifier.
@@ -207,11 +209,13 @@
     }
 }
 
-fn node() -> Arc<NodeState> {
-    let text = "{mesh: test, node: leuven-1, data_centre: leuven, \
-                mesh_key: 0123456789abcdef, callers: {listen: '127.0.0.1:0'}, \
-                peers: {listen: '127.0.0.1:0'}, platform: {kind: http, address: '127.0.0.1:9'}}";
-    let settings = parse_settings("node.yaml", text).expect("valid settings");
+fn node(dialect: &str) -> Arc<NodeState> {
+    let text = format!(
+        "{{mesh: test, node: leuven-1, data_centre: leuven, dialect: {dialect}, \
+         mesh_key: 0123456789abcdef, callers: {{listen: '127.0.0.1:0'}}, \
+         peers: {{listen: '127.0.0.1:0'}}, platform: {{kind: http, address: '127.0.0.1:9'}}}}"
+    );
+    let settings = parse_settings("node.yaml", &text).expect("valid settings");
     let unused_address: SocketAddr = "127.0.0.1:9".parse().expect("a valid address");
     let addresses = NodeAddresses {
         callers: unused_address,
@@ -252,7 +256,11 @@
     }
 
     fn with_slots(servers: &[SocketAddr], idempotent: bool, slots: u32) -> Self {
-        let state = node();
+        Self::with_dialect(servers, idempotent, slots, NATIVE_DIALECT)
+    }
+
+    fn with_dialect(servers: &[SocketAddr], idempotent: bool, slots: u32, dialect: &str) -> Self {
+        let state = node(dialect);
         let number = VersionNumber::new(1);
         let version = ConfigVersion::from_snapshot(number, snapshot(idempotent));
         apply_version(&state, version.expect("a valid configuration"));
@@ -355,6 +363,30 @@
     assert_eq!(outcome, RunState::OutcomeUnknown);
 }
 
+/// Guards against a head that ends anywhere and is taken for a whole response, where responses need
+/// no length.
+#[actix_web::test]
+async fn response_truncated_in_its_head_is_not_forwarded_where_responses_need_no_length() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Server-Seal: 3e1b.07\r\nContent-Length: 5\r\n\r\n";
+    let server = RawServer::start(|number, _| {
+        let end = (number + 1).min(HEAD.len());
+        close_after(HEAD[..end].to_owned())
+    })
+    .await;
+    // The last cut leaves the whole head, with a body that is too short.
+    for number in 0..HEAD.len() {
+        // The lease of an announcement is shorter than all cuts together.
+        let harness = ForwarderHarness::with_dialect(&[server.address], false, 4, USERS_DIALECT);
+        let result = harness.get(number).await;
+        assert_eq!(
+            run_state(&result),
+            RunState::OutcomeUnknown,
+            "cut {number}: {result:?}"
+        );
+        assert!(result.is_err(), "cut {number}");
+    }
+}
+
 #[actix_web::test]
 async fn body_shorter_than_its_length_is_not_forwarded() {
     let outcome = reported_run_state(|_, id| {
