Agree on the servers of a trial though nodes differ in the request rate

What could happen: nodes estimate a service's rate by their own views, and the size of a group and its time followed from it. Nodes with other sizes or times chose other servers, so that a trial was spread over more than it loads fully.

Change: the turn and the first server of a group follow from the move and the number of servers alone; only the size of a group differs.

--- a/crates/kernel/src/rollout/load_trial.rs
+++ b/crates/kernel/src/rollout/load_trial.rs
@@ -46,6 +46,9 @@
 pub struct ServerGroup {
     /// Number of servers.
     pub size: usize,
+    /// Servers by which each group is ahead of the one before. Nodes that differ in the size thereby
+    /// agree on most servers of a group.
+    pub stride: usize,
     /// Number of groups that came before it.
     pub turn: u64,
 }
@@ -59,7 +62,7 @@
             return true;
         }
         let turns = self.turn % count as u64;
-        let first = (turns as usize * self.size) % count;
+        let first = (turns as usize * self.stride) % count;
         (position + count - first) % count < self.size
     }
 }
@@ -80,6 +83,9 @@
     /// Time in which a fault is found and every node knows it.
     detection_time: TimeBudget,
     group_size: usize,
+    /// Size of the groups as far as it follows from the move alone.
+    stride: usize,
+    /// Time for which a group gets the requests.
     slice: TimeBudget,
 }
 
@@ -101,15 +107,20 @@
         let first = record.rule.first_share.min(first_limit);
         let detection_time = MAX_DETECTION_TIME.min(fraction_of(span, DETECTION_SPAN_DIVISOR));
         let wanted_hold = record.rule.hold.max(fraction_of(span, HOLD_SPAN_DIVISOR));
-        let trial_limit = (limit_secs - first.as_f64() * span.as_secs_f64()).max(0.0);
         // Seconds at a share of the servers until the limit, less those in which a fault is found.
-        let hold_secs =
-            |size: usize| trial_limit * servers as f64 / size as f64 - detection_time.as_secs_f64();
-        let group_size = (1..=servers)
-            .rev()
-            .find(|size| hold_secs(*size) >= wanted_hold.as_secs_f64())
-            .unwrap_or(1);
-        let possible_hold = TimeBudget::from_micros((hold_secs(group_size).max(0.0) * 1e6) as u64);
+        let hold_secs = |limit_secs: f64, size: usize| {
+            let trial_limit = (limit_secs - first.as_f64() * span.as_secs_f64()).max(0.0);
+            trial_limit * servers as f64 / size as f64 - detection_time.as_secs_f64()
+        };
+        let largest_group = |limit_secs: f64| {
+            let is_long_enough =
+                |size: &usize| hold_secs(limit_secs, *size) >= wanted_hold.as_secs_f64();
+            (1..=servers).rev().find(is_long_enough).unwrap_or(1)
+        };
+        let group_size = largest_group(limit_secs);
+        let stride = largest_group(limit.secs(span.as_secs_f64(), None));
+        let hold_limit = hold_secs(limit_secs, group_size).max(0.0);
+        let possible_hold = TimeBudget::from_micros((hold_limit * 1e6) as u64);
         let hold = wanted_hold.min(possible_hold).max(record.rule.hold);
         let full_share = share_of(group_size, servers);
         // Without old servers at work there is nothing left to drain after the trial.
@@ -121,7 +132,7 @@
         let latest = record.by.before(reserve).before(drain_time).before(hold);
         let full_share_at = latest.max(record.start);
         let growth_time = MAX_GROWTH_TIME.min(fraction_of(span, GROWTH_SPAN_DIVISOR));
-        let groups = servers.div_ceil(group_size) as u64;
+        let groups = servers.div_ceil(stride) as u64;
         Self {
             curve: ShareCurve {
                 first,
@@ -135,8 +146,9 @@
             limit,
             detection_time,
             group_size,
-            slice: fraction_of(hold, groups)
-                .max(MIN_SLICE_TIME.min(fraction_of(hold, 2)))
+            stride,
+            slice: fraction_of(wanted_hold, groups)
+                .max(MIN_SLICE_TIME.min(fraction_of(wanted_hold, 2)))
                 .clamp(TimeBudget::from_millis(1), MAX_SLICE_TIME),
         }
     }
@@ -165,6 +177,7 @@
         let elapsed = self.curve.start.elapsed(now).as_micros();
         ServerGroup {
             size: self.group_size,
+            stride: self.stride,
             turn: elapsed / self.slice.as_micros(),
         }
     }
--- a/crates/kernel/tests/rollout_exposure/main.rs
+++ b/crates/kernel/tests/rollout_exposure/main.rs
@@ -112,7 +112,11 @@
     for (size, count) in [(1, 3), (2, 3), (5, 23), (3, 3), (4, 1)] {
         let mut members = BTreeSet::new();
         for turn in 0..count as u64 {
-            let group = ServerGroup { size, turn };
+            let group = ServerGroup {
+                size,
+                stride: size,
+                turn,
+            };
             let positions: Vec<_> = (0..count)
                 .filter(|position| group.contains(*position, count))
                 .collect();
@@ -127,7 +131,11 @@
 #[test]
 fn request_that_the_new_version_refused_goes_to_the_old_one() {
     let [old, new] = ["v1", "v2"].map(|version| version.parse().expect("is a version"));
-    let group = ServerGroup { size: 1, turn: 0 };
+    let group = ServerGroup {
+        size: 1,
+        stride: 1,
+        turn: 0,
+    };
     let half = "50%".parse().expect("is a share");
     let split = VersionSplit::moving(old, new, half).within(Some(group));
     let first = split.choose(0);
