Leave a move's unreadable row as it is

The row of a move that can't be read may be of a later build, in the middle of an upgrade; writing it again would undo what that build stored. It is logged and left out, and the other services' moves are reconciled.

--- a/crates/daemon/src/rollout/evidence_sender.rs
+++ b/crates/daemon/src/rollout/evidence_sender.rs
@@ -17,12 +17,13 @@
     node::{NodeState, StopSignal},
 };
 
+/// Interval at which this node checks which reports are due; the shortest interval between reports.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 const SEND_TIMEOUT: TimeBudget = TimeBudget::from_millis(400);
 /// Longest interval between reports to judges in other data centres.
 const REMOTE_INTERVAL: TimeBudget = TimeBudget::from_secs(2);
-/// Divisor of a short move's span that caps that interval, so that a judge knows what the other data
-/// centres saw in the hold before it calls the move done.
+/// Divisor of a short move's span that caps that interval, down to the interval within a data centre,
+/// so that a judge knows what the other data centres saw in the hold before it calls the move done.
 const REMOTE_SPAN_DIVISOR: u64 = 64;
 /// Interval at which unchanged evidence is sent again, so that the judge counts the node as heard.
 const UNCHANGED_INTERVAL: TimeBudget = TimeBudget::from_secs(3);
--- a/crates/daemon/src/rollout/move_reconciler.rs
+++ b/crates/daemon/src/rollout/move_reconciler.rs
@@ -132,11 +132,8 @@
         };
         let stored = match MoveRecord::from_row(&row.value) {
             Ok(stored) => stored,
-            // Another writer's row must not keep the move from its end.
-            Err(error) => {
-                self.skip_unreadable(Err(error))?;
-                return self.write_new_move(key, Some(row.revision), known).await;
-            }
+            // A later build may have written it, so it is not overwritten.
+            Err(error) => return self.skip_unreadable(Err(error)),
         };
         if stored.number < known.number {
             return self.write_new_move(key, Some(row.revision), known).await;
--- a/crates/daemon/src/rollout/rollout_task.rs
+++ b/crates/daemon/src/rollout/rollout_task.rs
@@ -18,6 +18,7 @@
     rollout::evidence_sender::{JudgeMap, running_move_judges},
 };
 
+/// Interval at which moves are judged; the shortest one at which a judge compares the versions.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which an unchanged view is published again to show that it is still current.
 const VIEW_REFRESH_INTERVAL: TimeBudget = TimeBudget::from_secs(3);
