--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -111,7 +111,7 @@
     /// incarnation, or an incarnation earlier than that of another server at the same address. So
     /// are those of an incarnation that has not started yet.
     pub fn handle_message(&mut self, now: ClockInstant, message: BackendMessage) -> bool {
-        if !is_plausible(now, &message) {
+        if !has_plausible_start(now, &message) {
             return false;
         }
         match message {
@@ -400,7 +400,7 @@
 }
 
 /// Returns whether the server's incarnation has started, as far as the clocks tell.
-pub(crate) fn is_plausible(now: ClockInstant, message: &BackendMessage) -> bool {
+pub(crate) fn has_plausible_start(now: ClockInstant, message: &BackendMessage) -> bool {
     let incarnation = match message {
         BackendMessage::Heartbeat(heartbeat) => Some(heartbeat.incarnation),
         BackendMessage::Leaving { incarnation, .. } => *incarnation,
--- a/crates/daemon/src/backends/mod.rs
+++ b/crates/daemon/src/backends/mod.rs
@@ -5,7 +5,7 @@
 mod contact_monitor;
 mod health_probe;
 
-pub(crate) use backend_table::is_plausible;
+pub(crate) use backend_table::has_plausible_start;
 pub use backend_table::{BackendEntry, BackendTable, LEASE_DURATION};
 pub use bronzelb_kernel::member::BackendAnnouncement;
 pub(crate) use cold_events::{apply_cold_limit, doubt_all_servers, doubt_server, record_contact};
--- a/crates/daemon/src/operators/local_server.rs
+++ b/crates/daemon/src/operators/local_server.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 
 use crate::{
-    backends::{apply_cold_limit, is_plausible},
+    backends::{apply_cold_limit, has_plausible_start},
     callers::caller_error_response,
     log::EventName,
     node::NodeState,
@@ -65,7 +65,7 @@
         body: &body,
     };
     match (dialect.decode_announcement)(&request) {
-        Ok(message) if !is_plausible(state.now(), &message) => {
+        Ok(message) if !has_plausible_start(state.now(), &message) => {
             let error = MeshError::invalid("the announcement is of a server that has not started");
             refuse_announcement(&state, &error);
             caller_error_response(&state.settings.dialect.callers, &error, state.now())
