Read operators' documents whole after the platform returns from an older copy

Cause: a position in the operators' feed was a bare number. The platform assigns the same numbers again after it has returned from an older copy, so the reader went on from a number that by then stood for a later change, got no 410, and missed every change in between. Nothing read `Store-Era`.

Change: a revision is a pair of era and number, `RowRevision` in the kernel, made in `platform/` from the header of the response that states it. Feeds, orders of moves and evacuations, conditions and the publisher's plan carry the pair; there is no bare number left that is compared or sent back. `EraTracker` holds the latest era that any client of the process has seen: a response of an earlier era is discarded, a condition on a revision of an earlier era is not sent, and one that held by chance on a row of a later era is reported as unknown. A reader whose position is of an ended era reads all documents, and the first call after a failed one does not wait, so that the header is seen at once. Between nodes the pair travels as one integer in which builds without eras read a number of the same order.

--- a/crates/cli/src/platform/version_read.rs
+++ b/crates/cli/src/platform/version_read.rs
@@ -27,7 +27,7 @@
     };
     Ok(Some(CurrentRow {
         row: VersionRow::from_json(&row.value)?,
-        revision: row.revision.get(),
+        revision: row.revision,
     }))
 }
 
--- a/crates/cli/src/publish/version_publisher.rs
+++ b/crates/cli/src/publish/version_publisher.rs
@@ -4,7 +4,7 @@
     ids::{ContentHash, MeshName},
     spread::{CurrentRow, PublishAttempt, PublishPlan, PublishStep, WriteOutcome},
 };
-use bronzelb_store::table::{RowKey, RowPrecondition, RowRevision, RowWrite};
+use bronzelb_store::table::{RowKey, RowPrecondition, RowWrite};
 use serde::Serialize;
 
 use crate::platform::{PlatformAccess, read_version_row, version_key};
@@ -86,10 +86,8 @@
     key: &RowKey,
     plan: &PublishPlan,
 ) -> Result<WriteOutcome, MeshError> {
-    let precondition = match plan.expected_revision() {
-        0 => RowPrecondition::Absent,
-        revision => RowPrecondition::Revision(RowRevision::new(revision)),
-    };
+    let expected = plan.expected_revision();
+    let precondition = expected.map_or(RowPrecondition::Absent, RowPrecondition::Revision);
     let write = RowWrite::put(key.clone(), plan.row().to_json()).with_precondition(precondition);
     match access.client.transact(vec![write], access.deadline).await {
         Ok(_) => Ok(WriteOutcome::Written),
--- a/crates/cli/src/status/mesh_status.rs
+++ b/crates/cli/src/status/mesh_status.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::{
     clock::TimeBudget,
     error::{ErrorKind, MeshError},
-    ids::{DataCentre, MeshName, NodeName, VersionNumber},
+    ids::{DataCentre, MeshName, NodeName, RowRevision, VersionNumber},
     member::MemberState,
     spread::VersionRow,
     status::{AccountStatus, MemberStatus, NodeStatus, RefusedVersion},
@@ -39,7 +39,7 @@
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct EvacuationLine {
     /// Highest revision of the platform at which a node has seen the order.
-    pub(crate) revision: u64,
+    pub(crate) revision: RowRevision,
     /// Time since a node first saw the order.
     pub(crate) age_ms: u64,
     /// Nodes by which the order is in force.
--- a/crates/cli/tests/commands/support/memory_platform.rs
+++ b/crates/cli/tests/commands/support/memory_platform.rs
@@ -4,7 +4,7 @@
 
 use bronzelb_kernel::error::{ErrorKind, MeshError};
 use bronzelb_store::{
-    client::{PlatformCalls, PlatformKind, PlatformTarget},
+    client::{EraTracker, PlatformCalls, PlatformKind, PlatformTarget},
     table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
 };
 use bytes::Bytes;
@@ -133,7 +133,7 @@
     MeshError::new(ErrorKind::PlatformAway, "the platform does not answer")
 }
 
-fn connect(target: &PlatformTarget) -> Result<PlatformCalls, MeshError> {
+fn connect(target: &PlatformTarget, _eras: EraTracker) -> Result<PlatformCalls, MeshError> {
     let getter = target.address.clone();
     let scanner = target.address.clone();
     let writer = target.address.clone();
--- a/crates/daemon/src/forward/claim_table.rs
+++ b/crates/daemon/src/forward/claim_table.rs
@@ -11,7 +11,7 @@
     request::{ClaimOutcome, ClaimRow, ClaimStatus, MAX_CLAIM_BODY_BYTES, ServerLoad},
 };
 use bronzelb_store::{
-    PlatformClient, PlatformTarget,
+    PlatformClient,
     table::{RowKey, RowPrecondition, RowRevision, RowWrite, TableRow},
 };
 use bronzelb_wire::peer::{ForwardResponse, HttpHeader};
@@ -21,6 +21,7 @@
 use crate::{
     forward::{RoutedRequest, keyed_request::already_done, request_state::SharedResult},
     node::{NodeState, PlatformHealth},
+    source::connect_platform,
 };
 
 /// Timeout of a claim while the platform is reachable.
@@ -71,10 +72,7 @@
 
 impl ClaimTable {
     pub(crate) fn new(state: Arc<NodeState>) -> Self {
-        let settings = &state.settings;
-        let target = PlatformTarget::new(settings.platform.address.to_string())
-            .with_local_address(settings.peers.listen.ip());
-        let platform = PlatformClient::connect(&settings.platform.kind, &target).ok();
+        let platform = connect_platform(&state).ok();
         Self { state, platform }
     }
 
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -20,6 +20,7 @@
         GossipNode, GossipOptions, PlatformState, RecordEntry, RecordKey, RecordTable, RecordValue,
     },
 };
+use bronzelb_store::client::EraTracker;
 use cadence::{CountedExt, Timed};
 use compact_str::{CompactString, format_compact};
 use rand::{SeedableRng, rngs::StdRng};
@@ -93,6 +94,8 @@
     pub contacts: ContactMonitor,
     /// Wakes the task that asks servers which may be cold.
     pub(crate) cold_events: Notify,
+    /// Latest era of the platform that this node knows of.
+    pub platform_eras: EraTracker,
     /// Evacuations of data centres known to this node.
     pub placement: PlacementState,
     /// Usage caps of client accounts.
@@ -148,6 +151,7 @@
             backends: Mutex::new(BackendTable::new(backend_lease)),
             contacts: ContactMonitor::new(clock.now()),
             cold_events: Notify::new(),
+            platform_eras: EraTracker::default(),
             placement: PlacementState::default(),
             requests: Arc::new(RequestState::new(clock, retry_policy, holds_slots)),
             log_limiter: Mutex::default(),
--- a/crates/daemon/src/placement/evacuation_orders.rs
+++ b/crates/daemon/src/placement/evacuation_orders.rs
@@ -47,7 +47,7 @@
     state.count("evacuation_changed");
     info!(state.logger, "{}", EventName::EvacuationChanged;
         "data_centre" => data_centre.to_string(), "is_ordered" => is_ordered,
-        "revision" => revision);
+        "revision" => revision.to_string());
 }
 
 fn replicate_state(state: &NodeState, data_centre: &DataCentre) {
--- a/crates/daemon/src/rollout/move_order.rs
+++ b/crates/daemon/src/rollout/move_order.rs
@@ -38,7 +38,7 @@
         stored => new_record(state, order, stored.or(known).as_ref()),
     };
     info!(state.logger, "{}", EventName::MoveChanged;
-        "service" => order.service.to_string(), "move" => order.number.get(),
+        "service" => order.service.to_string(), "move" => order.number.to_string(),
         "to" => record.to.to_string(),
         "state" => record.state.name(), "left_ms" => record.by.remaining(state.now()).as_millis());
     let key = RecordKey::new(MOVE_KIND, order.service.as_str());
--- a/crates/daemon/src/rollout/move_reconciler.rs
+++ b/crates/daemon/src/rollout/move_reconciler.rs
@@ -214,7 +214,7 @@
         match result {
             Ok(_) => {
                 info!(self.state.logger, "{}", EventName::MoveChanged;
-                    "service" => written.service.to_string(), "move" => written.number.get(),
+                    "service" => written.service.to_string(), "move" => written.number.to_string(),
                     "state" => written.state.name(), "written" => true);
                 self.store_record(&written)
             }
--- a/crates/daemon/src/rollout/rollout_task.rs
+++ b/crates/daemon/src/rollout/rollout_task.rs
@@ -81,7 +81,7 @@
         let now = self.state.now();
         if self.state.rollout.merge_record(record, now) {
             info!(self.state.logger, "{}", EventName::MoveChanged;
-                "service" => service.to_string(), "move" => number.get(),
+                "service" => service.to_string(), "move" => number.to_string(),
                 "state" => state.name());
         }
         Ok(())
@@ -99,7 +99,7 @@
         let number = mark.number;
         if self.state.rollout.table().merge_mark(service, mark) {
             info!(self.state.logger, "{}", EventName::MoveChanged;
-                "service" => service.to_string(), "move" => number.get(),
+                "service" => service.to_string(), "move" => number.to_string(),
                 "state" => "marked", "figures" => figures.to_string());
         }
     }
@@ -141,7 +141,7 @@
         };
         for (service, mark) in marks {
             info!(self.state.logger, "{}", EventName::MoveChanged;
-                "service" => service.to_string(), "move" => mark.number.get(),
+                "service" => service.to_string(), "move" => mark.number.to_string(),
                 "state" => "marked", "figures" => mark.figures.to_string());
             self.publish_record(MARK_KIND, service.as_str(), mark.to_bytes());
         }
--- a/crates/daemon/src/source/operator_feed.rs
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -1,19 +1,20 @@
-use std::{sync::Arc, time::Duration};
+use std::{future, sync::Arc, time::Duration};
 
 use bronzelb_kernel::{
     clock::TimeBudget,
     config::ConfigVersion,
     error::{ErrorKind, MeshError},
+    ids::{RowRevision, StoreEra},
     plugin::{DocumentContext, OperatorDocument},
     spread::GossipNode,
 };
 use bronzelb_store::{
     PlatformClient,
-    client::{OperatorCalls, OperatorUpdates},
-    table::RowRevision,
+    client::{OperatorCalls, OperatorUpdates, WatchRequest},
 };
 use rand::Rng;
 use slog::warn;
+use tokio::sync::watch;
 
 use crate::{
     log::EventName,
@@ -23,8 +24,10 @@
     source::connect_platform,
 };
 
-/// Longest wait for changes; also bounds the time until a dead connection is noticed.
+/// Timeout of a watch; also bounds the time until a dead connection is noticed.
 const WATCH_TIMEOUT: TimeBudget = TimeBudget::from_millis(2_500);
+/// Time reserved at the end of a watch for the response to arrive.
+const RESPONSE_MARGIN: TimeBudget = TimeBudget::from_millis(500);
 /// Interval at which a node checks whether it has become a reader.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The same for a node that is not ready, which may depend on a read of its own.
@@ -59,7 +62,9 @@
         platform: &platform,
         calls,
         revision: None,
+        is_resuming: false,
     };
+    let mut eras = state.platform_eras.subscribe();
     loop {
         // Other nodes receive documents by gossip, within a few push rounds.
         if !state.gossip.read(GossipNode::is_reader) {
@@ -72,8 +77,11 @@
             }
             continue;
         }
+        let position = feed.revision;
         let pause = tokio::select! {
             pause = feed.poll_updates() => pause,
+            // Another call has shown that this one waits for changes of an era that has ended.
+            () = end_of_era(&mut eras, position) => None,
             () = stop.stopped() => return,
         };
         if let Some(pause) = pause
@@ -84,25 +92,53 @@
     }
 }
 
+/// Completes when the platform is known to have left the era of `position`.
+async fn end_of_era(eras: &mut watch::Receiver<Option<StoreEra>>, position: Option<RowRevision>) {
+    let Some(position) = position else {
+        return future::pending().await;
+    };
+    let ended = eras.wait_for(|latest| *latest > Some(position.era()));
+    if ended.await.is_err() {
+        // The state that holds the sender outlives every task.
+        future::pending().await
+    }
+}
+
 struct OperatorFeed<'a> {
     state: &'a Arc<NodeState>,
     platform: &'a PlatformClient,
     calls: &'a OperatorCalls,
     /// Revision from which to continue watching; `None` until a full read succeeds.
     revision: Option<RowRevision>,
+    /// Whether the last call failed. The platform may have returned to an older copy meanwhile,
+    /// which the next call has to find out without a wait.
+    is_resuming: bool,
 }
 
 impl OperatorFeed<'_> {
     /// Fetches updates with one call, applies them, and returns the pause before the next call, if
     /// any.
     async fn poll_updates(&mut self) -> Option<Duration> {
-        let timeout = match self.revision {
+        let latest_era = self.state.platform_eras.latest();
+        self.revision = self
+            .revision
+            .filter(|revision| Some(revision.era()) >= latest_era);
+        let now = self.state.now();
+        let deadline = now.after(match self.revision {
             Some(_) => WATCH_TIMEOUT,
             None => FULL_READ_TIMEOUT,
+        });
+        let request = WatchRequest {
+            after: self.revision,
+            wait_deadline: match self.is_resuming {
+                true => now,
+                false => deadline.before(RESPONSE_MARGIN),
+            },
+            context: self.context(),
         };
-        let deadline = self.state.now().after(timeout);
-        let result = (self.calls.watch)(self.revision, self.context(), deadline).await;
+        let result = (self.calls.watch)(request, deadline).await;
         self.state.count("source_read");
+        self.is_resuming = result.is_err();
         match result {
             Ok(updates) => {
                 let pause = self.update_pause(&updates);
--- a/crates/daemon/src/source/source_reader.rs
+++ b/crates/daemon/src/source/source_reader.rs
@@ -18,7 +18,11 @@
     let settings = &state.settings;
     let target = PlatformTarget::new(settings.platform.address.to_string())
         .with_local_address(settings.peers.listen.ip());
-    PlatformClient::connect(&settings.platform.kind, &target)
+    PlatformClient::connect_with_eras(
+        &settings.platform.kind,
+        &target,
+        state.platform_eras.clone(),
+    )
 }
 
 /// Reads the mesh's latest published version row from the platform.
--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -21,7 +21,7 @@
 };
 use bronzelb_store::{
     PlatformClient, PlatformTarget,
-    table::{RowKey, RowPrecondition, RowRevision, RowWrite},
+    table::{RowKey, RowPrecondition, RowWrite},
 };
 use bronzelb_wire::handshake::connect_peer;
 use bytes::Bytes;
@@ -105,7 +105,7 @@
     let row = row.expect("a version was published");
     CurrentRow {
         row: VersionRow::from_json(&row.value).expect("is well-formed"),
-        revision: row.revision.get(),
+        revision: row.revision,
     }
 }
 
@@ -257,8 +257,9 @@
     let (ours, theirs) = tokio::join!(mesh.publish(&third), async {
         let key: RowKey = "local/version".parse().expect("a valid key");
         let write = RowWrite::put(key, plan.row().to_json());
-        let revision = RowRevision::new(plan.expected_revision());
-        let write = write.with_precondition(RowPrecondition::Revision(revision));
+        let expected = plan.expected_revision();
+        let precondition = expected.map_or(RowPrecondition::Absent, RowPrecondition::Revision);
+        let write = write.with_precondition(precondition);
         client.transact(vec![write], deadline()).await
     });
     let row = current_row(&client).await.row;
--- a/crates/emulator/src/experiment/spread/spread_trial.rs
+++ b/crates/emulator/src/experiment/spread/spread_trial.rs
@@ -9,7 +9,7 @@
 };
 use bronzelb_store::{
     PlatformClient, PlatformTarget,
-    table::{RowKey, RowPrecondition, RowRevision, RowWrite},
+    table::{RowKey, RowPrecondition, RowWrite},
 };
 use rand::{SeedableRng, rngs::StdRng, seq::SliceRandom};
 use serde_json::{Map, Value, json};
@@ -166,17 +166,15 @@
         self.client
             .put_object(&plan.row().object, body, deadline)
             .await?;
-        let precondition = match plan.expected_revision() {
-            0 => RowPrecondition::Absent,
-            revision => RowPrecondition::Revision(RowRevision::new(revision)),
-        };
+        let expected = plan.expected_revision();
+        let precondition = expected.map_or(RowPrecondition::Absent, RowPrecondition::Revision);
         let write =
             RowWrite::put(version_key()?, plan.row().to_json()).with_precondition(precondition);
         self.accepted_at.insert(number, wall_clock());
         let revision = self.client.transact(vec![write], deadline).await?;
         self.current = Some(CurrentRow {
             row: plan.row().clone(),
-            revision: revision.get(),
+            revision,
         });
         Ok(())
     }
--- a/crates/emulator/tests/platform.rs
+++ b/crates/emulator/tests/platform.rs
@@ -106,7 +106,7 @@
 
     let good = RowWrite::put(key("mesh/good"), "two");
     let stale = RowWrite::put(key("mesh/a b/ü"), "three").with_precondition(
-        RowPrecondition::Revision(RowRevision::new(revision.get() + 7)),
+        RowPrecondition::Revision(RowRevision::new(revision.number() + 7)),
     );
     let error = client
         .transact(vec![good, stale], default_deadline())
--- a/crates/kernel/src/ids/numbers.rs
+++ b/crates/kernel/src/ids/numbers.rs
@@ -60,8 +60,8 @@
     IncarnationNumber, u64, "incarnation"
 );
 number_newtype!(
-    /// Number of a version move, unique per service.
-    MoveNumber, u64, "move number"
+    /// Number of times that the platform's table service has returned from an older copy.
+    StoreEra, u64, "era of the platform"
 );
 number_newtype!(
     /// Number of a request, unique per node and incarnation.
--- a/crates/kernel/src/placement/evacuation_order.rs
+++ b/crates/kernel/src/placement/evacuation_order.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     error::MeshError,
-    ids::DataCentre,
+    ids::{DataCentre, RowRevision},
     plugin::RecordKind,
     spread::{RecordEntry, RecordKey},
 };
@@ -21,7 +21,7 @@
     /// Whether the order is in force; `false` once the operator has removed it.
     pub is_ordered: bool,
     /// Revision of the platform's row at which this holds; a later state has a higher one.
-    pub revision: u64,
+    pub revision: RowRevision,
 }
 
 /// Value of the replicated record.
@@ -30,7 +30,7 @@
 /// revision an order wins over its absence.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 struct RecordBody {
-    revision: u64,
+    revision: RowRevision,
     is_ordered: bool,
 }
 
--- a/crates/kernel/src/spread/publish_plan.rs
+++ b/crates/kernel/src/spread/publish_plan.rs
@@ -4,7 +4,7 @@
     clock::ClockInstant,
     config::{ConfigSnapshot, ConfigVersion, VersionStamp},
     error::{ErrorKind, MeshError},
-    ids::{AttemptToken, MeshName, VersionNumber},
+    ids::{AttemptToken, MeshName, RowRevision, VersionNumber},
     spread::{AcceptedAttempt, MAX_ACCEPTED_ATTEMPTS, VersionRow},
 };
 
@@ -14,7 +14,7 @@
     /// Content of the row.
     pub row: VersionRow,
     /// Revision of the row in the table.
-    pub revision: u64,
+    pub revision: RowRevision,
 }
 
 /// Identity of one publish attempt.
@@ -93,7 +93,7 @@
 ///     started_at: ClockInstant::from_millis(1),
 /// };
 /// let plan = PublishPlan::new(None, snapshot, attempt)?;
-/// assert_eq!(plan.expected_revision(), 0);
+/// assert_eq!(plan.expected_revision(), None);
 /// let step = plan.after_write(&WriteOutcome::Written);
 /// let accepted = PublishOutcome::Accepted(plan.version().stamp());
 /// assert_eq!(step, PublishStep::Finished(accepted));
@@ -103,7 +103,7 @@
 pub struct PublishPlan {
     version: ConfigVersion,
     row: VersionRow,
-    expected_revision: u64,
+    expected_revision: Option<RowRevision>,
 }
 
 impl PublishPlan {
@@ -135,7 +135,7 @@
         Ok(Self {
             version,
             row,
-            expected_revision: current.map_or(0, |current| current.revision),
+            expected_revision: current.map(|current| current.revision),
         })
     }
 
@@ -152,10 +152,10 @@
         &self.row
     }
 
-    /// Returns the revision that the row must have for the write to succeed; 0 if the row must not
-    /// exist.
+    /// Returns the revision that the row must have for the write to succeed; `None` if the row
+    /// must not exist.
     #[must_use]
-    pub const fn expected_revision(&self) -> u64 {
+    pub const fn expected_revision(&self) -> Option<RowRevision> {
         self.expected_revision
     }
 
@@ -172,7 +172,7 @@
     /// Returns the next step after a successful read of the row.
     #[must_use]
     pub fn after_read(&self, current: Option<&CurrentRow>) -> PublishStep {
-        let revision = current.map_or(0, |current| current.revision);
+        let revision = current.map(|current| current.revision);
         if revision == self.expected_revision {
             return PublishStep::Write;
         }
--- a/crates/kernel/src/status/evacuation_status.rs
+++ b/crates/kernel/src/status/evacuation_status.rs
@@ -1,6 +1,10 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::ClockInstant, ids::DataCentre, placement::EvacuationEntry};
+use crate::{
+    clock::ClockInstant,
+    ids::{DataCentre, RowRevision},
+    placement::EvacuationEntry,
+};
 
 /// What a node knows of a data centre's evacuation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -10,7 +14,7 @@
     /// Whether the evacuation is in force.
     pub is_ordered: bool,
     /// Revision of the platform at which this holds.
-    pub revision: u64,
+    pub revision: RowRevision,
     /// Instant at which the node first saw this state, by the node's clock.
     pub seen_at: ClockInstant,
 }
--- a/crates/kernel/tests/placement.rs
+++ b/crates/kernel/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
-    ids::{DataCentre, IncarnationNumber, ServiceName, SlotCount},
+    ids::{DataCentre, IncarnationNumber, RowRevision, ServiceName, SlotCount},
     member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     placement::{EvacuationOrder, EvacuationTable},
     request::{LoadBalancer, SelectionCriteria},
@@ -28,7 +28,7 @@
     EvacuationOrder {
         data_centre: name("b"),
         is_ordered,
-        revision,
+        revision: RowRevision::new(revision),
     }
 }
 
--- a/crates/kernel/tests/spread/fixture.rs
+++ b/crates/kernel/tests/spread/fixture.rs
@@ -255,7 +255,7 @@
         self.platform
             .objects
             .insert(plan.row().object.to_string(), body);
-        let revision = plan.expected_revision() + 1;
+        let revision = plan.expected_revision().unwrap_or_default().next();
         let row = plan.row().clone();
         self.platform.current = Some(CurrentRow { row, revision });
         self.accepted.insert(stamp.number, stamp.hash);
@@ -277,7 +277,7 @@
         };
         let number = row.number;
         self.platform.objects.insert("bad".to_owned(), body);
-        let revision = current.revision + 1;
+        let revision = current.revision.next();
         self.platform.current = Some(CurrentRow { row, revision });
         number
     }
--- a/crates/kernel/tests/spread/orders.rs
+++ b/crates/kernel/tests/spread/orders.rs
@@ -1,6 +1,9 @@
 //! Operators' orders at the start of a node.
 
-use bronzelb_kernel::{ids::NodeName, placement::EvacuationOrder};
+use bronzelb_kernel::{
+    ids::{NodeName, RowRevision},
+    placement::EvacuationOrder,
+};
 
 use crate::fixture::MeshFixture;
 
@@ -10,7 +13,7 @@
     EvacuationOrder {
         data_centre: "dc1".parse().expect("is a name"),
         is_ordered: true,
-        revision: 7,
+        revision: RowRevision::new(7),
     }
 }
 
--- a/crates/kernel/tests/spread/publish.rs
+++ b/crates/kernel/tests/spread/publish.rs
@@ -34,7 +34,7 @@
 
 impl FakeTable {
     fn write(&mut self, plan: &PublishPlan) -> WriteOutcome {
-        let revision = self.current.as_ref().map_or(0, |current| current.revision);
+        let revision = self.current.as_ref().map(|current| current.revision);
         if revision != plan.expected_revision() {
             return WriteOutcome::Conflict;
         }
@@ -43,7 +43,7 @@
         self.accepted.push((row.number, row.attempt));
         self.current = Some(CurrentRow {
             row,
-            revision: revision + 3,
+            revision: revision.unwrap_or_default().next().next().next(),
         });
         WriteOutcome::Written
     }
--- a/crates/store/src/client/operator_calls.rs
+++ b/crates/store/src/client/operator_calls.rs
@@ -10,10 +10,20 @@
     table::{RowRevision, RowWrite},
 };
 
-type WatchDocuments =
-    dyn Fn(Option<RowRevision>, DocumentContext, ClockInstant) -> CallFuture<OperatorUpdates>;
+type WatchDocuments = dyn Fn(WatchRequest, ClockInstant) -> CallFuture<OperatorUpdates>;
 type BuildStatus = dyn Fn(&MoveRecord) -> Result<RowWrite, MeshError>;
 
+/// Parameters of a watch for operators' documents.
+#[derive(Clone, Debug)]
+pub struct WatchRequest {
+    /// Revision after which changes are returned; `None` returns the current documents.
+    pub after: Option<RowRevision>,
+    /// Until when the platform waits for a change.
+    pub wait_deadline: ClockInstant,
+    /// Values that the documents do not state.
+    pub context: DocumentContext,
+}
+
 /// Documents that operators have written to the platform since a given revision.
 #[derive(Debug)]
 pub struct OperatorUpdates {
@@ -25,10 +35,11 @@
 
 /// Calls of a platform that operators write documents to directly.
 pub struct OperatorCalls {
-    /// Long-polls for documents written after a revision and returns none at the deadline.
+    /// Long-polls for documents written after a revision and returns none if there are none by the
+    /// end of the wait.
     ///
-    /// Without a revision, returns the current documents. `NotFound` means that the platform no
-    /// longer holds the history after that revision.
+    /// `NotFound` means that the platform does not hold the history after that revision: it was
+    /// discarded, or the platform has returned to an older copy.
     pub watch: Box<WatchDocuments>,
     /// Builds the write of the row that shows the state of a move to operators.
     pub status: Box<BuildStatus>,
--- a/crates/store/src/client/platform_client.rs
+++ b/crates/store/src/client/platform_client.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 
 use crate::{
-    client::{OperatorCalls, PlatformCalls, PlatformKind, PlatformTarget, token_write},
+    client::{EraTracker, OperatorCalls, PlatformCalls, PlatformKind, PlatformTarget, token_write},
     table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
 };
 
@@ -28,8 +28,21 @@
     ///
     /// `NotFound` for an unknown kind, and `Invalid` for an address that the kind does not accept.
     pub fn connect(kind: &str, target: &PlatformTarget) -> Result<Self, MeshError> {
+        Self::connect_with_eras(kind, target, EraTracker::default())
+    }
+
+    /// Creates a client that shares what is known of the platform's eras with others.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`connect`](Self::connect).
+    pub fn connect_with_eras(
+        kind: &str,
+        target: &PlatformTarget,
+        eras: EraTracker,
+    ) -> Result<Self, MeshError> {
         let kind = PlatformKind::find(kind)?;
-        Ok(Self::from_calls((kind.connect)(target)?))
+        Ok(Self::from_calls((kind.connect)(target, eras)?))
     }
 
     /// Creates a client from calls, such as those of a test double.
@@ -72,7 +85,8 @@
     ///
     /// # Errors
     ///
-    /// `Conflict` names the first row whose precondition failed; nothing was written.
+    /// `Conflict` names the first row whose precondition failed, or says that the platform has
+    /// returned to an older copy since a row was read; nothing was written.
     /// `PlatformAway` means that the outcome is **unknown**: the write may have taken effect, may
     /// still take effect, or may never do so. See [`transact_with_token`](Self::transact_with_token).
     pub async fn transact(
--- a/crates/store/src/client/platform_kind.rs
+++ b/crates/store/src/client/platform_kind.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::error::{ErrorKind, MeshError};
 use compact_str::CompactString;
 
-use crate::client::PlatformCalls;
+use crate::client::{EraTracker, PlatformCalls};
 
 /// Address of a platform and the options for connecting to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,7 +37,9 @@
     /// Name that selects the kind in the settings.
     pub name: &'static str,
     /// Creates the calls for a target; the first call opens the first connection.
-    pub connect: fn(&PlatformTarget) -> Result<PlatformCalls, MeshError>,
+    ///
+    /// The calls record the platform's eras in the tracker and use nothing of an earlier one.
+    pub connect: fn(&PlatformTarget, EraTracker) -> Result<PlatformCalls, MeshError>,
 }
 
 inventory::collect!(PlatformKind);
--- a/crates/store/src/http/http_client.rs
+++ b/crates/store/src/http/http_client.rs
@@ -37,6 +37,8 @@
 pub struct HttpResponse {
     /// HTTP status code.
     pub status: StatusCode,
+    /// Response headers.
+    pub headers: HeaderMap,
     /// Complete response body.
     pub body: Bytes,
 }
@@ -146,7 +148,8 @@
         if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
             return Err(self.unavailable(status.as_str()));
         }
-        let length = content_length(response.headers());
+        let headers = response.headers().clone();
+        let length = content_length(&headers);
         let body = response
             .body()
             .limit(max_bytes)
@@ -156,7 +159,11 @@
         if length.is_some_and(|length| length != body.len()) {
             return Err(self.unavailable("response body is truncated"));
         }
-        Ok(HttpResponse { status, body })
+        Ok(HttpResponse {
+            status,
+            headers,
+            body,
+        })
     }
 
     fn send_error(&self, error: &SendRequestError) -> MeshError {
--- a/crates/store/src/http/http_platform.rs
+++ b/crates/store/src/http/http_platform.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    client::{PlatformCalls, PlatformKind, PlatformTarget},
+    client::{EraTracker, PlatformCalls, PlatformKind, PlatformTarget},
     http::{HttpClient, HttpRequest, HttpResponse, decode_json, percent_encode},
     table::{RowKey, RowRevision, RowWrite, ScanPage, TableRow},
 };
@@ -48,10 +48,11 @@
 #[derive(Deserialize)]
 struct ConflictResponse {
     key: RowKey,
-    revision: u64,
+    revision: RowRevision,
 }
 
-fn connect(target: &PlatformTarget) -> Result<PlatformCalls, MeshError> {
+// Rows of this kind state their whole revisions, so eras need not be tracked.
+fn connect(target: &PlatformTarget, _eras: EraTracker) -> Result<PlatformCalls, MeshError> {
     let http = HttpClient::new(target)?;
     let platform = Rc::new(HttpPlatform { http });
     Ok(build_calls(&platform))
@@ -211,7 +212,7 @@
 
 fn conflict_error(body: &[u8]) -> MeshError {
     match decode_json::<ConflictResponse>(body) {
-        Ok(ConflictResponse { key, revision: 0 }) => {
+        Ok(ConflictResponse { key, revision }) if revision == RowRevision::default() => {
             MeshError::new(ErrorKind::Conflict, format!("row {key} does not exist"))
         }
         Ok(ConflictResponse { key, revision }) => MeshError::new(
--- a/crates/store/src/table/row_write.rs
+++ b/crates/store/src/table/row_write.rs
@@ -2,7 +2,7 @@
 
 use crate::table::{RowKey, RowRevision};
 
-const ABSENT_REVISION: u64 = 0;
+const ABSENT_REVISION: RowRevision = RowRevision::new(0);
 
 /// Precondition on a row for a write to take effect.
 ///
@@ -36,7 +36,7 @@
         let revision = match self {
             Self::Any => None,
             Self::Absent => Some(ABSENT_REVISION),
-            Self::Revision(revision) => Some(revision.get()),
+            Self::Revision(revision) => Some(*revision),
         };
         revision.serialize(serializer)
     }
@@ -44,10 +44,10 @@
 
 impl<'de> Deserialize<'de> for RowPrecondition {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let precondition = match Option::<u64>::deserialize(deserializer)? {
+        let precondition = match Option::<RowRevision>::deserialize(deserializer)? {
             None => Self::Any,
             Some(ABSENT_REVISION) => Self::Absent,
-            Some(revision) => Self::Revision(RowRevision::new(revision)),
+            Some(revision) => Self::Revision(revision),
         };
         Ok(precondition)
     }
