Follow move orders whose revisions were assigned before a restore

A state that the store had lost was never written again.

The number of a move is the revision of its order, and an order whose number was not above the known one was ignored. Moves that had ended were remembered by that number too, and their rows not read again.

In a later era an order may also be one that was answered before, which the platform still has or which operators wrote again: `OrderHistory` compares the first order of an era by its target with the known move and its predecessors, which the record now names (`earlier`). A record that a node made without knowing the answered move loses against that move's record, whatever the order of arrival. Readers read all rows of moves again in a new era and write what it has lost.

Records of earlier builds, which end before `earlier`, are read.

--- a/crates/daemon/src/rollout/move_order.rs
+++ b/crates/daemon/src/rollout/move_order.rs
@@ -5,7 +5,7 @@
     config::ServiceSpec,
     ids::AttemptToken,
     plugin::MoveOrder,
-    rollout::{MOVE_KIND, MoveRecord, MoveState},
+    rollout::{MOVE_KIND, MoveRecord, MoveState, OrderHistory, OrderMatch},
     spread::RecordKey,
 };
 use bronzelb_store::{PlatformClient, table::RowKey};
@@ -24,18 +24,33 @@
     state: &Arc<NodeState>,
     platform: &PlatformClient,
     order: &MoveOrder,
+    history: &mut OrderHistory,
 ) {
     let known = state.rollout.table().record(&order.service).cloned();
-    if known
-        .as_ref()
-        .is_some_and(|known| known.number >= order.number)
-    {
-        return;
+    let order_match = history.classify(order, known.as_ref());
+    history.record(order);
+    match order_match {
+        OrderMatch::Known => return,
+        OrderMatch::Repeated => {
+            report_repeated_order(state, order, known.as_ref());
+            return;
+        }
+        OrderMatch::New => {}
     }
     let stored = read_record(state, platform, order).await;
+    let is_answered = stored.as_ref().is_some_and(|stored| {
+        stored.number >= order.number || (known.is_none() && stored.has_answered(&order.target))
+    });
     let record = match stored {
-        Some(stored) if stored.number >= order.number => stored,
-        stored => new_record(state, order, stored.or(known).as_ref()),
+        Some(stored) if is_answered => stored,
+        stored => {
+            let last = [stored, known].into_iter().flatten();
+            let last = last.reduce(|last, other| match other.replaces(&last) {
+                true => other,
+                false => last,
+            });
+            new_record(state, order, last.as_ref())
+        }
     };
     info!(state.logger, "{}", EventName::MoveChanged;
         "service" => order.service.to_string(), "move" => order.number.to_string(),
@@ -47,6 +62,16 @@
     }
 }
 
+/// Counts and logs an order that does not start a move because a known one has answered it.
+fn report_repeated_order(state: &NodeState, order: &MoveOrder, known: Option<&MoveRecord>) {
+    state.count("move_order_repeated");
+    info!(state.logger, "{}", EventName::MoveChanged;
+        "service" => order.service.to_string(), "move" => order.number.to_string(),
+        "to" => order.target.to_string(), "state" => "repeated",
+        "known_move" => known.map(|known| known.number.to_string()),
+        "known_state" => known.map(|known| known.state.name()));
+}
+
 /// Reads the latest record of the service's moves from the platform.
 async fn read_record(
     state: &NodeState,
@@ -87,5 +112,6 @@
         statement: None,
         mark: None,
         barred: last.map_or_else(Vec::new, |last| last.barred_after(&order.target)),
+        earlier: last.map_or_else(Vec::new, MoveRecord::earlier_after),
     }
 }
--- a/crates/daemon/src/rollout/move_reconciler.rs
+++ b/crates/daemon/src/rollout/move_reconciler.rs
@@ -3,7 +3,7 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
-    ids::{AttemptToken, DataCentre, MoveNumber, ServiceName},
+    ids::{AttemptToken, DataCentre, MoveNumber, ServiceName, StoreEra},
     rollout::{MOVE_KIND, MoveChange, MoveRecord, MoveState, MoveStatement, RouteTally},
     spread::{GossipNode, RecordKey},
 };
@@ -40,6 +40,7 @@
         platform,
         finished: BTreeMap::new(),
         next_checks: BTreeMap::new(),
+        era: None,
     };
     while stop.tick(POLL_INTERVAL).await {
         if !reconciler.is_reader() {
@@ -65,6 +66,8 @@
     finished: BTreeMap<ServiceName, MoveNumber>,
     /// When the row of each service's running move is read again although no change is pending.
     next_checks: BTreeMap<ServiceName, (MoveNumber, ClockInstant)>,
+    /// Era of the platform in which the rows were read.
+    era: Option<StoreEra>,
 }
 
 impl MoveReconciler {
@@ -97,6 +100,7 @@
 
     /// Reconciles the rows of moves started by operators' documents.
     async fn reconcile_known_moves(&mut self) -> Result<(), MeshError> {
+        self.forget_earlier_era();
         let records: Vec<_> = self.state.rollout.table().records().cloned().collect();
         for known in records {
             let is_finished = self.finished.get(&known.service) == Some(&known.number);
@@ -110,6 +114,17 @@
         Ok(())
     }
 
+    /// Makes every row due again once the platform has returned from an older copy, in which rows
+    /// may be missing or outdated.
+    fn forget_earlier_era(&mut self) {
+        let latest = self.state.platform_eras.latest();
+        if self.era != latest {
+            self.era = latest;
+            self.finished.clear();
+            self.next_checks.clear();
+        }
+    }
+
     /// Returns whether the row of a move has to be read: to write a change, or to check that it
     /// still holds what this node knows.
     ///
@@ -135,7 +150,9 @@
             // A later build may have written it, so it is not overwritten.
             Err(error) => return self.skip_unreadable(Err(error)),
         };
-        if stored.number < known.number {
+        let is_other_move = stored.number != known.number;
+        let is_lost = known.state.is_final() && !stored.state.is_final();
+        if (is_other_move || is_lost) && known.replaces(&stored) {
             return self.write_new_move(key, Some(row.revision), known).await;
         }
         if !stored.state.is_final() {
@@ -161,7 +178,7 @@
         }
     }
 
-    /// Writes the row of a move that the platform does not store yet.
+    /// Writes the row of a move that the platform does not store yet, or has lost.
     async fn write_new_move(
         &self,
         key: RowKey,
--- a/crates/daemon/src/source/operator_feed.rs
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -6,6 +6,7 @@
     error::{ErrorKind, MeshError},
     ids::{RowRevision, StoreEra},
     plugin::{DocumentContext, OperatorDocument},
+    rollout::OrderHistory,
     spread::GossipNode,
 };
 use bronzelb_store::{
@@ -62,6 +63,7 @@
         platform: &platform,
         calls,
         revision: None,
+        orders: OrderHistory::default(),
         is_resuming: false,
     };
     let mut eras = state.platform_eras.subscribe();
@@ -110,6 +112,8 @@
     calls: &'a OperatorCalls,
     /// Revision from which to continue watching; `None` until a full read succeeds.
     revision: Option<RowRevision>,
+    /// Orders of version moves that were read.
+    orders: OrderHistory,
     /// Whether the last call failed. The platform may have returned to an older copy meanwhile,
     /// which the next call has to find out without a wait.
     is_resuming: bool,
@@ -198,7 +202,7 @@
         gossip.step(|node, rng| node.handle_version_row(Ok(None), now, rng));
     }
 
-    async fn apply_document(&self, document: OperatorDocument) {
+    async fn apply_document(&mut self, document: OperatorDocument) {
         match document {
             OperatorDocument::Config { number, snapshot } => {
                 match ConfigVersion::from_snapshot(number, *snapshot) {
@@ -210,7 +214,9 @@
                     Err(error) => self.report_refused_document(&error),
                 }
             }
-            OperatorDocument::Move(order) => apply_order(self.state, self.platform, &order).await,
+            OperatorDocument::Move(order) => {
+                apply_order(self.state, self.platform, &order, &mut self.orders).await;
+            }
             OperatorDocument::Evacuation(order) => apply_evacuation(self.state, order),
             OperatorDocument::Unreadable(error) => self.report_refused_document(&error),
         }
--- a/crates/emulator/src/experiment/rollout/move_trial.rs
+++ b/crates/emulator/src/experiment/rollout/move_trial.rs
@@ -129,6 +129,7 @@
             statement: None,
             mark: None,
             barred: Vec::new(),
+            earlier: Vec::new(),
         };
         let backend_name = |centre, side| {
             format!("b{centre}-{side}")
--- a/crates/kernel/src/rollout/move_change.rs
+++ b/crates/kernel/src/rollout/move_change.rs
@@ -76,6 +76,7 @@
             statement: None,
             mark: None,
             barred: Vec::new(),
+            earlier: previous.map_or_else(Vec::new, Self::earlier_after),
         })
     }
 
--- a/crates/kernel/src/rollout/move_record.rs
+++ b/crates/kernel/src/rollout/move_record.rs
@@ -14,6 +14,11 @@
 pub const MOVE_KIND: &str = "move";
 
 const MAX_MOVE_BYTES: usize = 4_096;
+/// Number of earlier targets that a record names. Operators order few moves of a service within the
+/// seconds by which a copy of the platform is older.
+const MAX_EARLIER: usize = 8;
+/// Encoding of an empty list.
+const EMPTY_LIST: u8 = 0;
 
 /// Statement that a move is done, with the supporting figures.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -56,18 +61,37 @@
     /// Targets of earlier moves that were not done; these versions get no traffic.
     #[serde(default)]
     pub barred: Vec<BuildVersion>,
+    /// Targets of the latest earlier moves, the newest last.
+    #[serde(default)]
+    pub earlier: Vec<BuildVersion>,
 }
 
 impl MoveRecord {
     /// Returns whether this record replaces `current`.
     ///
-    /// A higher number wins. Within a move a final state wins over a running one, and a record
-    /// with a mark over one without.
+    /// A higher number wins, unless the record repeats the other one's move. Within a move a final
+    /// state wins over a running one, and a record with a mark over one without.
     #[must_use]
     pub fn replaces(&self, current: &Self) -> bool {
+        if self.repeats(current) || current.repeats(self) {
+            return current.repeats(self);
+        }
         self.rank() > current.rank()
     }
 
+    /// Returns whether the service was moved to `target` by this move or a recent earlier one.
+    #[must_use]
+    pub fn has_answered(&self, target: &BuildVersion) -> bool {
+        self.to == *target || self.earlier.contains(target)
+    }
+
+    /// Returns whether a node created this record in a later era of the platform because it did not
+    /// know that `known` has answered the order.
+    fn repeats(&self, known: &Self) -> bool {
+        let era = |record: &Self| record.number.revision().era();
+        era(self) > era(known) && known.has_answered(&self.to) && !self.earlier.contains(&known.to)
+    }
+
     /// Returns the side of the move that a version is on, if any.
     #[must_use]
     pub fn side_of(&self, version: &BuildVersion) -> Option<VersionSide> {
@@ -93,8 +117,11 @@
     ///
     /// [`ErrorKind::Invalid`](crate::error::ErrorKind::Invalid) for malformed bytes.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, MeshError> {
-        postcard::from_bytes(bytes)
-            .map_err(|error| MeshError::invalid(format!("malformed move record: {error}")))
+        let record = postcard::from_bytes(bytes).or_else(|_| {
+            // Records of earlier builds end before the list of earlier targets.
+            postcard::from_bytes(&[bytes, &[EMPTY_LIST]].concat())
+        });
+        record.map_err(|error| MeshError::invalid(format!("malformed move record: {error}")))
     }
 
     /// Encodes the record for the platform's row.
@@ -124,6 +151,16 @@
         barred
     }
 
+    /// Returns the targets that the next move's record names as earlier ones.
+    #[must_use]
+    pub fn earlier_after(&self) -> Vec<BuildVersion> {
+        let earlier = self.earlier.iter().filter(|target| **target != self.to);
+        let mut earlier: Vec<_> = earlier.chain([&self.to]).cloned().collect();
+        let excess = earlier.len().saturating_sub(MAX_EARLIER);
+        earlier.drain(..excess);
+        earlier
+    }
+
     /// Returns the sort key of [`replaces`](Self::replaces).
     ///
     /// Of two writers, the one that knew more of the earlier moves wins, by the number of barred
--- a/crates/kernel/tests/rollout_exposure/move_fleet.rs
+++ b/crates/kernel/tests/rollout_exposure/move_fleet.rs
@@ -185,6 +185,7 @@
             statement: None,
             mark: None,
             barred: Vec::new(),
+            earlier: Vec::new(),
         };
         let names: Vec<BackendName> = (0..2 * plan.servers)
             .map(|server| name(&format!("s{server}")))
--- a/crates/kernel/tests/rollout_order.rs
+++ b/crates/kernel/tests/rollout_order.rs
@@ -33,6 +33,7 @@
         statement: None,
         mark: None,
         barred: last.map_or_else(Vec::new, |last| last.barred_after(&version(target))),
+        earlier: last.map_or_else(Vec::new, MoveRecord::earlier_after),
     }
 }
 
