Keep departures of servers at other nodes before they are acknowledged

Cause: the departures that a node had acknowledged were in the memory of its process alone. Two weaknesses beside it: a full list evicted by name instead of age, and the draining state was remembered in the entry only, so the same held for a server that drains.

Change: a departure is a replicated record, `DepartureNotice`: an incarnation and the latest void sequence number. The node acknowledges it once two other nodes have confirmed a copy, or one after 0.7 s; with others known but none confirming it answers 503, and the server calls again. A process that has just started keeps heartbeats without effect until its records hold what a serving peer knows (`GossipNode::knows_records`), 1.2 s at the longest where no serving peer is known. Notices expire after ten minutes, at every node; record kinds can state when a value expires.

What was weighed: the platform's store would survive the loss of all nodes, but costs a write for each departure and can be away; a second heartbeat before a server is used would delay every server after every restart by its interval; a health request can't tell a server that has deregistered.

The kernel's simulation restarts the node at random moments within the lease at 12, 74 and 295 nodes, with and without loss.

--- a/crates/daemon/src/backends/backend_table.rs
+++ b/crates/daemon/src/backends/backend_table.rs
@@ -5,8 +5,8 @@
     config::WarmUpRule,
     ids::{BackendName, ServiceName},
     member::{
-        BackendHeartbeat, BackendIncarnation, BackendMessage, BackendRow, BackendState, StatedCold,
-        StatedLimit,
+        BackendHeartbeat, BackendIncarnation, BackendMessage, BackendRow, BackendState,
+        DepartureNotice, DepartureTable, StatedCold, StatedLimit,
     },
     plugin::LoadReport,
     request::{ColdLimit, ColdState, HealthDebouncer, LimitPublisher, TimePublisher},
@@ -28,8 +28,8 @@
 /// server: it would make all later ones look outdated.
 const MAX_CLOCK_DIFFERENCE: TimeBudget = TimeBudget::from_secs(600);
 
-/// Maximum number of remembered departed servers; a VM has one or a few servers at a time.
-const MAX_DEPARTED: usize = 64;
+/// Maximum number of servers whose heartbeats a held table keeps; a VM has one or a few servers.
+const MAX_HELD: usize = 64;
 
 /// Backend server on this node and the end of its lease.
 #[derive(Clone, Debug)]
@@ -83,8 +83,10 @@
     /// Limits of cold servers by service.
     warm_up_rules: BTreeMap<ServiceName, WarmUpRule>,
     entries: BTreeMap<BackendName, BackendEntry>,
-    /// Latest incarnations of departed servers, so that a late heartbeat does not restore them.
-    departed: BTreeMap<BackendName, BackendIncarnation>,
+    /// Departed servers of the mesh, so that a late heartbeat does not restore one of them.
+    departed: DepartureTable,
+    /// Latest heartbeats of each server while the table is held.
+    held: Option<BTreeMap<BackendName, BackendHeartbeat>>,
 }
 
 impl Default for BackendTable {
@@ -101,10 +103,37 @@
             lease,
             warm_up_rules: BTreeMap::new(),
             entries: BTreeMap::new(),
-            departed: BTreeMap::new(),
+            departed: DepartureTable::new(),
+            held: None,
         }
     }
 
+    /// Creates an empty table that keeps heartbeats without effect until [`release`](Self::release).
+    #[must_use]
+    pub fn held(lease: TimeBudget) -> Self {
+        Self {
+            held: Some(BTreeMap::new()),
+            ..Self::new(lease)
+        }
+    }
+
+    /// Applies the heartbeats that were kept, once the departures that other nodes know are recorded,
+    /// and returns whether the data published to other nodes changed.
+    pub fn release(&mut self, now: ClockInstant) -> bool {
+        let held = self.held.take().unwrap_or_default();
+        let mut is_changed = false;
+        for heartbeat in held.into_values() {
+            is_changed |= self.handle_heartbeat(now, heartbeat);
+        }
+        is_changed
+    }
+
+    /// Returns whether heartbeats are kept without effect.
+    #[must_use]
+    pub const fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Applies a message of a server and returns whether the data published to other nodes changed.
     ///
     /// Outdated messages are ignored: a lower sequence number within an incarnation, an earlier
@@ -124,9 +153,9 @@
 
     fn handle_heartbeat(&mut self, now: ClockInstant, heartbeat: BackendHeartbeat) -> bool {
         let heartbeat_order = (heartbeat.incarnation, heartbeat.sequence);
-        let departed_incarnation = self.departed.get(&heartbeat.name);
+        let notice = self.departed.get(&heartbeat.name);
         let has_departed =
-            departed_incarnation.is_some_and(|departed| heartbeat.incarnation <= *departed);
+            notice.is_some_and(|notice| notice.voids(heartbeat.incarnation, heartbeat.sequence));
         let address = heartbeat.announcement.address;
         let is_outdated = |(name, entry): (&BackendName, &BackendEntry)| {
             let is_same_server = *name == heartbeat.name;
@@ -137,6 +166,18 @@
         if has_departed || self.entries.iter().any(is_outdated) {
             return false;
         }
+        if heartbeat.announcement.state == BackendState::Draining {
+            self.note_draining(now, &heartbeat);
+        }
+        if let Some(held) = &mut self.held {
+            let latest = held.get(&heartbeat.name);
+            let is_later =
+                latest.is_none_or(|latest| (latest.incarnation, latest.sequence) < heartbeat_order);
+            if is_later && (held.len() < MAX_HELD || latest.is_some()) {
+                held.insert(heartbeat.name.clone(), heartbeat);
+            }
+            return false;
+        }
         let replaced_names: Vec<_> = self
             .entries
             .iter()
@@ -189,13 +230,47 @@
         let departed = incarnation
             .or(current_incarnation)
             .unwrap_or(BackendIncarnation { started_at: now });
-        self.departed.insert(name.clone(), departed);
-        while self.departed.len() > MAX_DEPARTED {
-            self.departed.pop_first();
-        }
+        let notice = DepartureNotice::of_gone(departed, now);
+        self.departed.record(name, notice);
         self.entries.remove(name).is_some()
     }
 
+    /// Records the first draining heartbeat of an incarnation as its departure.
+    fn note_draining(&mut self, now: ClockInstant, heartbeat: &BackendHeartbeat) {
+        let known = self.departed.get(&heartbeat.name);
+        if known.is_none_or(|known| known.incarnation() < heartbeat.incarnation) {
+            let sequence = heartbeat.sequence;
+            let notice = DepartureNotice::of_draining(heartbeat.incarnation, sequence, now);
+            self.departed.record(&heartbeat.name, notice);
+        }
+    }
+
+    /// Returns the latest known departure of the server `name`.
+    #[must_use]
+    pub fn departure(&self, name: &BackendName) -> Option<&DepartureNotice> {
+        self.departed.get(name)
+    }
+
+    /// Records a departure that another node, or this one before a restart, has acknowledged, and
+    /// returns whether the data published to other nodes changed.
+    pub fn record_notice(&mut self, name: &BackendName, notice: DepartureNotice) -> bool {
+        if !self.departed.record(name, notice) {
+            return false;
+        }
+        let is_void = |entry: &BackendEntry| {
+            let (incarnation, sequence) = entry.latest_heartbeat;
+            notice.voids(incarnation, sequence)
+        };
+        let Some(entry) = self.entries.get_mut(name).filter(|entry| is_void(entry)) else {
+            return false;
+        };
+        if notice.is_gone() {
+            return self.entries.remove(name).is_some();
+        }
+        let state = std::mem::replace(&mut entry.announcement.state, BackendState::Draining);
+        state != BackendState::Draining
+    }
+
     /// Applies an announcement and returns whether the data published to other nodes changed.
     pub fn announce(
         &mut self,
@@ -355,6 +430,7 @@
 
     /// Removes the servers whose lease has expired and returns their names.
     pub fn expire(&mut self, now: ClockInstant) -> Vec<BackendName> {
+        self.departed.expire(now);
         let expired: Vec<_> = self
             .entries
             .iter()
--- a/crates/daemon/src/gossip/gossip_task.rs
+++ b/crates/daemon/src/gossip/gossip_task.rs
@@ -12,7 +12,7 @@
 use tokio::{task::spawn_local, time};
 
 use crate::{
-    backends::{doubt_all_servers, record_contact},
+    backends::{apply_departure_record, departure_records, doubt_all_servers, record_contact},
     gossip::GossipPool,
     log::EventName,
     node::{NodeState, StopSignal},
@@ -70,16 +70,20 @@
     fn tick(&self) {
         let now = self.state.now();
         self.state.expire_backends();
-        let actions = self.state.gossip.step_without_wake(|node, rng| {
+        let (actions, knows_records) = self.state.gossip.step_without_wake(|node, rng| {
             node.tick(now, rng);
             // After a pause the node clears its backend servers from its row; those that have
             // renewed their lease since are added again.
             node.set_backends(self.state.backends().rows());
-            node.take_actions()
+            (node.take_actions(), node.knows_records(now))
         });
         for action in actions {
             self.spawn_action(action);
         }
+        // The actions have applied every departure among the records.
+        if knows_records && self.state.backends().is_held() {
+            self.state.release_backends();
+        }
         self.pool.close_idle(now);
     }
 
@@ -107,9 +111,12 @@
                 request,
                 deadline,
             } => {
+                let departures = departure_records(&request.records);
                 let result = self.pool.gossip(to.address, request, deadline).await;
-                if result.is_ok() {
+                if let Ok(reply) = &result {
                     record_contact(&self.state);
+                    let copies = &self.state.departure_copies;
+                    copies.confirm(&reply.from.node, &departures);
                 }
                 let now = self.state.now();
                 gossip.step(|node, rng| node.handle_gossip_reply(&to, result, now, rng));
@@ -212,6 +219,7 @@
             GossipEvent::RecordChanged(entry) => {
                 // Applied before the node becomes ready, which later actions may cause.
                 apply_evacuation_record(state, &entry);
+                apply_departure_record(state, &entry);
                 state.gossip.announce_record(entry);
             }
             GossipEvent::Refused { stamp, error } => {
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -29,7 +29,7 @@
 
 use crate::{
     accounts::UsageState,
-    backends::{BackendTable, ContactMonitor, LEASE_DURATION},
+    backends::{BackendTable, ContactMonitor, DepartureCopies, LEASE_DURATION},
     forward::RequestState,
     gossip::GossipState,
     log::{EventName, LogLimiter},
@@ -88,6 +88,8 @@
     config: ArcSwapOption<ConfigVersion>,
     applied_at: AtomicU64,
     backends: Mutex<BackendTable>,
+    /// Copies of servers' departures at other nodes.
+    pub(crate) departure_copies: DepartureCopies,
     /// Version moves known to this node, their evidence and the error budget burn.
     pub rollout: RolloutState,
     /// Contact with other nodes, whose absence may mean that this VM's servers turn cold.
@@ -148,7 +150,8 @@
             metric_sink,
             config: ArcSwapOption::empty(),
             applied_at: AtomicU64::new(0),
-            backends: Mutex::new(BackendTable::new(backend_lease)),
+            backends: Mutex::new(BackendTable::held(backend_lease)),
+            departure_copies: DepartureCopies::default(),
             contacts: ContactMonitor::new(clock.now()),
             cold_events: Notify::new(),
             platform_eras: EraTracker::default(),
@@ -309,6 +312,15 @@
         }
     }
 
+    /// Uses the servers that have announced themselves, once this node knows the departures that its
+    /// predecessor has acknowledged.
+    pub(crate) fn release_backends(&self) {
+        if self.backends().release(self.now()) {
+            self.cold_events.notify_one();
+            self.publish_backends();
+        }
+    }
+
     /// Publishes the request times of this VM's backend servers to the mesh if they changed.
     pub(crate) fn publish_times(&self) {
         let now = self.now();
--- a/crates/daemon/src/operators/local_server.rs
+++ b/crates/daemon/src/operators/local_server.rs
@@ -3,13 +3,14 @@
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, dev::Server, http::StatusCode, web};
 use bronzelb_kernel::{
     error::{ErrorKind, MeshError},
+    ids::BackendName,
     member::{BackendMessage, BackendState, StatedCold},
     plugin::{LocalDialect, LocalRequest},
 };
 use slog::{info, warn};
 
 use crate::{
-    backends::{apply_cold_limit, has_plausible_start},
+    backends::{apply_cold_limit, copy_departure, has_plausible_start},
     callers::caller_error_response,
     log::EventName,
     node::NodeState,
@@ -71,8 +72,18 @@
             caller_error_response(&state.settings.dialect.callers, &error, state.now())
         }
         Ok(message) => {
+            let departing = departing_server(&message);
             apply_message(&state, message);
-            HttpResponse::Ok().json(serde_json::Map::new())
+            let copied = match departing {
+                Some(name) => copy_departure(&state, &name).await,
+                None => Ok(()),
+            };
+            match copied {
+                Ok(()) => HttpResponse::Ok().json(serde_json::Map::new()),
+                Err(error) => {
+                    caller_error_response(&state.settings.dialect.callers, &error, state.now())
+                }
+            }
         }
         Err(error) => {
             refuse_announcement(&state, &error);
@@ -81,6 +92,17 @@
     }
 }
 
+/// Returns the server that a message says is leaving, if it does.
+fn departing_server(message: &BackendMessage) -> Option<BackendName> {
+    match message {
+        BackendMessage::Heartbeat(heartbeat) => {
+            let is_leaving = heartbeat.announcement.state == BackendState::Draining;
+            is_leaving.then(|| heartbeat.name.clone())
+        }
+        BackendMessage::Leaving { name, .. } => Some(name.clone()),
+    }
+}
+
 /// Counts and logs an announcement that names no server to use.
 fn refuse_announcement(state: &NodeState, error: &MeshError) {
     state.count("announcement_refused");
--- a/crates/daemon/tests/announcements.rs
+++ b/crates/daemon/tests/announcements.rs
@@ -6,7 +6,7 @@
     ids::{RequestRate, SlotCount},
     member::{
         BackendAnnouncement, BackendHeartbeat, BackendIncarnation, BackendMessage, BackendState,
-        StatedCold,
+        DepartureNotice, StatedCold,
     },
 };
 use bronzelbd::backends::BackendTable;
@@ -209,3 +209,33 @@
         Some(at(7_500))
     );
 }
+
+/// Guards against heartbeats that take effect before the departures are known that the predecessor of
+/// the node's process has acknowledged.
+#[test]
+fn held_heartbeat_takes_effect_only_if_no_departure_voids_it() {
+    let name = "a".parse().expect("is a name");
+    let cases = [
+        (None, 1),
+        (Some(DepartureNotice::of_gone(incarnation(10), NOW)), 0),
+        (
+            Some(DepartureNotice::of_draining(incarnation(10), 5, NOW)),
+            0,
+        ),
+        (
+            Some(DepartureNotice::of_draining(incarnation(10), 4, NOW)),
+            1,
+        ),
+        (Some(DepartureNotice::of_gone(incarnation(9), NOW)), 1),
+    ];
+    for (notice, servers) in cases {
+        let mut table = BackendTable::held(LEASE);
+        assert!(!table.handle_message(NOW, heartbeat("a", 10, 5, BackendState::Serving)));
+        assert_eq!(table.iter().count(), 0);
+        if let Some(notice) = notice {
+            table.record_notice(&name, notice);
+        }
+        assert_eq!(table.release(NOW), servers == 1, "{notice:?}");
+        assert_eq!(table.iter().count(), servers, "{notice:?}");
+    }
+}
--- a/crates/kernel/src/member/mod.rs
+++ b/crates/kernel/src/member/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend_announcement;
 mod backend_row;
+mod departure_notice;
 mod lease_guard;
 mod lease_row;
 mod lease_schedule;
@@ -15,6 +16,7 @@
     BackendAnnouncement, BackendHeartbeat, BackendIncarnation, BackendMessage,
 };
 pub use backend_row::{BackendRow, BackendState};
+pub use departure_notice::{DEPARTURE_KIND, DepartureNotice, DepartureTable};
 pub use lease_guard::LeaseGuard;
 pub use lease_row::LeaseRow;
 pub use lease_schedule::{LEASE_ROW_TTL, LeaseSchedule};
--- a/crates/kernel/src/placement/evacuation_order.rs
+++ b/crates/kernel/src/placement/evacuation_order.rs
@@ -99,5 +99,5 @@
 }
 
 inventory::submit! {
-    RecordKind { name: EVACUATION_KIND, max_bytes: MAX_EVACUATION_BYTES, merge: merge_bytes }
+    RecordKind { name: EVACUATION_KIND, max_bytes: MAX_EVACUATION_BYTES, merge: merge_bytes, expires_at: None }
 }
--- a/crates/kernel/src/plugin/mod.rs
+++ b/crates/kernel/src/plugin/mod.rs
@@ -10,7 +10,7 @@
 
 pub use crate::placement::EvacuationOrder;
 pub use operator_document::{DocumentContext, MoveOrder, OperatorDocument};
-pub use record_kind::{RecordKind, RecordMerge};
+pub use record_kind::{RecordExpiry, RecordKind, RecordMerge};
 pub use report_reader::{LoadReport, ReportReader};
 pub use wire_dialect::{
     AccountKeyHeader, CallerDialect, LocalDialect, LocalRequest, ResponseHeaders, ServerDialect,
--- a/crates/kernel/src/request/crash_record.rs
+++ b/crates/kernel/src/request/crash_record.rs
@@ -152,5 +152,6 @@
         name: CRASH_RECORD_KIND,
         max_bytes: MAX_RECORD_BYTES,
         merge: merge_values,
+        expires_at: None,
     }
 }
--- a/crates/kernel/src/rollout/move_mark.rs
+++ b/crates/kernel/src/rollout/move_mark.rs
@@ -85,5 +85,5 @@
 }
 
 inventory::submit! {
-    RecordKind { name: MARK_KIND, max_bytes: MAX_MARK_BYTES, merge: merge_bytes }
+    RecordKind { name: MARK_KIND, max_bytes: MAX_MARK_BYTES, merge: merge_bytes, expires_at: None }
 }
--- a/crates/kernel/src/rollout/move_record.rs
+++ b/crates/kernel/src/rollout/move_record.rs
@@ -192,5 +192,5 @@
 }
 
 inventory::submit! {
-    RecordKind { name: MOVE_KIND, max_bytes: MAX_MOVE_BYTES, merge: merge_bytes }
+    RecordKind { name: MOVE_KIND, max_bytes: MAX_MOVE_BYTES, merge: merge_bytes, expires_at: None }
 }
--- a/crates/kernel/src/rollout/move_view.rs
+++ b/crates/kernel/src/rollout/move_view.rs
@@ -138,5 +138,5 @@
 }
 
 inventory::submit! {
-    RecordKind { name: VIEW_KIND, max_bytes: MAX_VIEW_BYTES, merge: merge_bytes }
+    RecordKind { name: VIEW_KIND, max_bytes: MAX_VIEW_BYTES, merge: merge_bytes, expires_at: None }
 }
--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -84,6 +84,11 @@
     pub(crate) join_deadline: ClockInstant,
     pub(crate) join_pacer: JoinPacer,
     pub(crate) exchange_count: u32,
+    /// Time of the latest tick.
+    pub(crate) ticked_at: ClockInstant,
+    /// Whether this node's records have held, at some time since the start of the process, all that
+    /// a serving peer knew.
+    pub(crate) has_peer_records: bool,
     pub(crate) counters: GossipCounters,
     pub(crate) actions: Vec<GossipAction>,
 }
@@ -138,6 +143,8 @@
             join_pacer: JoinPacer::default(),
             join_deadline: now.after(options.join_period),
             exchange_count: 0,
+            ticked_at: now,
+            has_peer_records: false,
             counters: GossipCounters::default(),
             actions: Vec::new(),
             options,
@@ -272,6 +279,20 @@
         !self.requires_orders || is_fresh || (may_be_older && self.orders_seen_at.is_some())
     }
 
+    /// Returns whether this node's records hold what other nodes knew when its process started, as far
+    /// as another node can tell.
+    #[must_use]
+    pub fn knows_records(&self, now: ClockInstant) -> bool {
+        let own = &self.view.own().node;
+        let mut peers = self.view.table().live().filter(|row| row.node != *own);
+        let may_learn = peers.any(|row| row.state == MemberState::Serving);
+        let wait = match may_learn {
+            true => self.options.startup_timeout,
+            false => self.options.record_wait,
+        };
+        self.has_peer_records || self.started_at.after(wait).has_passed(now)
+    }
+
     /// Adds peer addresses that were found in the platform's lease rows.
     pub fn add_seeds(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
         for address in addresses {
@@ -310,7 +331,8 @@
     }
 
     pub(crate) fn merge_record(&mut self, entry: RecordEntry) -> Result<bool, MeshError> {
-        let has_changed = self.records.merge(&entry, self.options.push_rounds)?;
+        let rounds = self.options.push_rounds;
+        let has_changed = self.records.merge(&entry, rounds, self.ticked_at)?;
         if has_changed {
             let value = self.records.table().get(&entry.key);
             let value = value.cloned().unwrap_or(entry.value);
--- a/crates/kernel/src/spread/node_tick.rs
+++ b/crates/kernel/src/spread/node_tick.rs
@@ -40,6 +40,7 @@
 impl GossipNode {
     /// Runs all periodic work that is due at `now`.
     pub fn tick(&mut self, now: ClockInstant, rng: &mut impl Rng) {
+        self.ticked_at = now;
         self.renew_lease(now);
         self.expire_members(now);
         self.poll_platform(now, rng);
@@ -185,6 +186,7 @@
             return;
         }
         self.exchange_count = self.exchange_count.wrapping_add(1);
+        self.records.expire(now);
         let targets = if self.has_joined(now) {
             self.next_exchange = jittered(now, self.options.exchange_interval, rng);
             self.exchange_targets(now, rng)
--- a/crates/kernel/src/spread/record_replica.rs
+++ b/crates/kernel/src/spread/record_replica.rs
@@ -1,5 +1,7 @@
 use crate::{
+    clock::ClockInstant,
     error::MeshError,
+    plugin::RecordKind,
     spread::{BucketIndex, PushQueue, RecordEntry, RecordKey, RecordTable, TableDigest},
 };
 
@@ -13,13 +15,21 @@
 
 impl RecordReplica {
     /// Merges a record, queues it for `rounds` rounds of pushes if it changed, and returns whether
-    /// it changed.
+    /// it changed. An expired record changes nothing.
     ///
     /// # Errors
     ///
     /// Those of [`RecordTable::merge`].
-    pub fn merge(&mut self, entry: &RecordEntry, rounds: u8) -> Result<bool, MeshError> {
+    pub fn merge(
+        &mut self,
+        entry: &RecordEntry,
+        rounds: u8,
+        now: ClockInstant,
+    ) -> Result<bool, MeshError> {
         let key = &entry.key;
+        if RecordKind::find(&key.kind)?.is_expired(&entry.value, now) {
+            return Ok(false);
+        }
         let replaced = self.table.get(key).cloned();
         if !self.table.merge(key.clone(), &entry.value)? {
             return Ok(false);
@@ -35,6 +45,13 @@
         Ok(true)
     }
 
+    /// Drops the records that have expired.
+    pub fn expire(&mut self, now: ClockInstant) {
+        for (key, value) in self.table.expire(now) {
+            self.digest.toggle(key.to_string().as_bytes(), &value);
+        }
+    }
+
     /// Returns the records.
     #[must_use]
     pub const fn table(&self) -> &RecordTable {
--- a/crates/kernel/src/spread/record_table.rs
+++ b/crates/kernel/src/spread/record_table.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    clock::ClockInstant,
     error::{ErrorKind, MeshError},
     plugin::RecordKind,
 };
@@ -84,6 +85,21 @@
         Ok(true)
     }
 
+    /// Removes the records that have expired and returns them.
+    pub fn expire(&mut self, now: ClockInstant) -> Vec<(RecordKey, RecordValue)> {
+        let is_expired = |(key, value): &(&RecordKey, &RecordValue)| {
+            RecordKind::find(&key.kind).is_ok_and(|kind| kind.is_expired(value, now))
+        };
+        let expired = self.records.iter().filter(is_expired);
+        let expired: Vec<_> = expired
+            .map(|(key, value)| (key.clone(), value.clone()))
+            .collect();
+        for (key, _) in &expired {
+            self.records.remove(key);
+        }
+        expired
+    }
+
     /// Returns the value under `key`.
     #[must_use]
     pub fn get(&self, key: &RecordKey) -> Option<&RecordValue> {
--- a/crates/kernel/tests/spread/main.rs
+++ b/crates/kernel/tests/spread/main.rs
@@ -1,5 +1,6 @@
 //! Tests for gossip of versions, members and records, and for publishing.
 
+mod departures;
 mod fixture;
 mod member;
 mod orders;
--- a/crates/kernel/tests/spread/member.rs
+++ b/crates/kernel/tests/spread/member.rs
@@ -21,7 +21,7 @@
 const SETTLE_MS: u64 = 20_000;
 
 inventory::submit! {
-    RecordKind { name: "largest", max_bytes: 8, merge: merge_largest }
+    RecordKind { name: "largest", max_bytes: 8, merge: merge_largest, expires_at: None }
 }
 
 fn merge_largest(held: Option<&[u8]>, received: &[u8]) -> Result<Vec<u8>, MeshError> {
