Refuse requests that may outlast a stopping node

Cause: a stopping node that is the last host of a service accepts requests for as long as those to services that it hosts can end in time.

Change: `DrainGate` compares each request's own deadline with the end of the drain, on arrival from callers and from other nodes and again before each attempt and each exchange with a server. One that may outlast the drain is refused as not run, so that another node runs it. Idempotent requests are still accepted until callers know of the shutdown, as most of them end long before their deadline and the others can be sent again.

--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -90,7 +90,8 @@
     ///
     /// - [`ErrorKind::Unauthorized`]: the request's key has been revoked.
     /// - [`ErrorKind::NoBackend`]: the server is not on this node or refuses connections.
-    /// - [`ErrorKind::Draining`]: the server accepts no new requests.
+    /// - [`ErrorKind::Draining`]: the server accepts no new requests, or this node shuts down before
+    ///   the deadline.
     /// - [`ErrorKind::Evacuated`]: the data centre is evacuated.
     /// - [`ErrorKind::Overloaded`]: no slot of the server is available before the deadline, or the
     ///   server did not accept a connection in time.
@@ -153,8 +154,10 @@
             self.log_refusal(name, &runtime, message, queued_at, error);
         })?;
         let started_at = self.state.now();
-        // The server may have started draining while the request was queued.
+        // The server or this node may have started draining while the request was queued.
         let (announcement, incarnation) = self.serving(name)?;
+        let drain_gate = self.state.requests.drain_gate();
+        drain_gate.check_accepted(started_at, deadline, self.is_idempotent(message))?;
         let server = LocalServer {
             name,
             announcement: &announcement,
@@ -526,7 +529,7 @@
     }
 
     /// Returns whether the request may run more than once, as far as the configuration in force tells.
-    fn is_idempotent(&self, message: &ForwardRequest) -> bool {
+    pub(crate) fn is_idempotent(&self, message: &ForwardRequest) -> bool {
         let config = self.state.config();
         let route = config
             .as_ref()
--- a/crates/daemon/src/forward/keyed_request.rs
+++ b/crates/daemon/src/forward/keyed_request.rs
@@ -56,7 +56,8 @@
         &self,
         request: RoutedRequest,
     ) -> Result<ForwardResponse, MeshError> {
-        let _flight = self.state().requests.begin_request()?;
+        let requests = &self.state().requests;
+        let _flight = requests.begin_request(request.deadline, request.idempotent)?;
         let Some(key) = request.key().cloned() else {
             return Err(MeshError::invalid("the request has no idempotency key"));
         };
@@ -84,7 +85,8 @@
         may_forward: bool,
     ) -> Result<ForwardResponse, MeshError> {
         let state = self.state();
-        let flight = state.requests.begin_request()?;
+        let requests = &state.requests;
+        let flight = requests.begin_request(request.deadline, request.idempotent)?;
         let (sender, receiver) = watch::channel(None);
         let fingerprint = request.message.fingerprint;
         let deadline = request.deadline;
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod claim_table;
 mod concurrency_limiter;
 mod crash_registry;
+mod drain_gate;
 mod hop_headers;
 mod keyed_request;
 mod limit_monitor;
--- a/crates/daemon/src/forward/request_forwarder.rs
+++ b/crates/daemon/src/forward/request_forwarder.rs
@@ -88,7 +88,8 @@
     /// The error kind states whether the request ran; see
     /// [`ErrorKind::response`](bronzelb_kernel::error::ErrorKind::response).
     pub async fn run(&self, request: RoutedRequest) -> Result<ForwardResponse, MeshError> {
-        let _flight = self.state.requests.begin_request()?;
+        let requests = &self.state.requests;
+        let _flight = requests.begin_request(request.deadline, request.idempotent)?;
         if request.key().is_some() {
             return self.run_keyed(request).await;
         }
@@ -167,7 +168,7 @@
         let mut request_outcome = RequestOutcome::default();
         let mut last_outcome = None;
         loop {
-            let next = match self.rechecked_message(request) {
+            let next = match self.check_attempt(request) {
                 Ok(message) => self
                     .choose(request, &tried_backends)
                     .map(|server| (server, message)),
@@ -227,8 +228,11 @@
         }
     }
 
-    /// Returns the message of the next attempt, after another check of the request's key.
-    fn rechecked_message(&self, request: &RoutedRequest) -> Result<ForwardRequest, MeshError> {
+    /// Returns the message of the next attempt, after checks of what may have changed while the
+    /// request waited: the node's shutdown and the request's key.
+    fn check_attempt(&self, request: &RoutedRequest) -> Result<ForwardRequest, MeshError> {
+        let drain_gate = self.state.requests.drain_gate();
+        drain_gate.check_accepted(self.state.now(), request.deadline, request.idempotent)?;
         let (key_check, account) = recheck_account(&self.state, &request.message)?;
         Ok(ForwardRequest {
             key_check,
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -9,7 +9,7 @@
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
     config::ConfigSnapshot,
-    error::{ErrorKind, MeshError},
+    error::MeshError,
     ids::{BackendName, RouteName, ServiceName, SlotCount},
     member::BackendIncarnation,
     request::{
@@ -21,7 +21,9 @@
 use tokio::sync::watch;
 
 use crate::{
-    forward::{concurrency_limiter::ConcurrencyLimiter, limit_monitor::LimitMonitor},
+    forward::{
+        concurrency_limiter::ConcurrencyLimiter, drain_gate::DrainGate, limit_monitor::LimitMonitor,
+    },
     gossip::GossipState,
     node::SystemClock,
 };
@@ -32,7 +34,6 @@
 /// Time after this node's start for which slots are left to requests of its predecessor: work of
 /// 600 ms at the usual speed that is slowed 2.5 times has ended by then; longer work may not have.
 const PREDECESSOR_TIME: TimeBudget = TimeBudget::from_secs(2);
-const DRAINING_RETRY_DELAY: TimeBudget = TimeBudget::from_millis(200);
 
 /// Result of a request, shared by all waiters with the same idempotency key.
 pub(crate) type SharedResult = Result<ForwardResponse, MeshError>;
@@ -61,7 +62,7 @@
     idempotency_cache: Mutex<IdempotencyCache<ResultReceiver, SharedResult>>,
     response_budget: Mutex<ResponseBudget>,
     in_flight: AtomicUsize,
-    is_closed: AtomicBool,
+    drain_gate: DrainGate,
 }
 
 /// Limits the requests that this node admits to one service.
@@ -114,7 +115,7 @@
             idempotency_cache: Mutex::default(),
             response_budget: Mutex::default(),
             in_flight: AtomicUsize::new(0),
-            is_closed: AtomicBool::new(false),
+            drain_gate: DrainGate::default(),
         }
     }
 
@@ -277,23 +278,25 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Draining`] once the node has stopped accepting requests.
-    pub(crate) fn begin_request(self: &Arc<Self>) -> Result<FlightGuard, MeshError> {
+    /// [`ErrorKind::Draining`] once the node has stopped accepting requests, or if it may end before
+    /// the request's deadline.
+    pub(crate) fn begin_request(
+        self: &Arc<Self>,
+        deadline: ClockInstant,
+        is_idempotent: bool,
+    ) -> Result<FlightGuard, MeshError> {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
         let guard = FlightGuard {
             state: Arc::clone(self),
         };
-        if self.is_closed.load(Ordering::SeqCst) {
-            let retry_at = self.clock.now().after(DRAINING_RETRY_DELAY);
-            let error = MeshError::new(ErrorKind::Draining, "the node is shutting down");
-            return Err(error.with_retry_at(retry_at));
-        }
+        let now = self.clock.now();
+        self.drain_gate.check_new(now, deadline, is_idempotent)?;
         Ok(guard)
     }
 
-    /// Stops accepting new requests.
-    pub(crate) fn close(&self) {
-        self.is_closed.store(true, Ordering::SeqCst);
+    /// Returns the gate that refuses requests while the node shuts down.
+    pub(crate) const fn drain_gate(&self) -> &DrainGate {
+        &self.drain_gate
     }
 
     /// Returns the number of requests in flight at this node.
--- a/crates/daemon/src/node/drain_node.rs
+++ b/crates/daemon/src/node/drain_node.rs
@@ -29,6 +29,8 @@
 
 /// Shuts a node down gracefully, so that no request is interrupted.
 ///
+/// From the start, requests that may outlast the drain are refused as not run; see [`DrainGate`].
+///
 /// 1. The node reports that it is not ready, so that callers use other nodes. If a supervisor has
 ///    to notice this, the backend servers on the VM continue to serve the other nodes meanwhile.
 /// 2. The node announces the drain to the mesh, and for a short time still accepts requests from
@@ -41,6 +43,12 @@
 pub(crate) async fn drain_node(state: &NodeState, callers: &ServerHandle, connections: StopSender) {
     let shutdown = state.settings.shutdown;
     let limit = shutdown.map(|time| state.now().after(time).before(RESPONSE_RESERVE));
+    let deadline = limit.unwrap_or_else(|| {
+        let notice = TimeBudget::from_millis(DRAIN_NOTICE_TIME.as_millis() as u64);
+        state.now().after(notice).after(drain_time(state))
+    });
+    let drain_gate = state.requests.drain_gate();
+    drain_gate.begin_drain(deadline);
     state.begin_drain();
     if limit.is_some() {
         time::sleep(SUPERVISOR_NOTICE_TIME.saturating_sub(GOSSIP_NOTICE_TIME)).await;
@@ -50,11 +58,11 @@
         state.announce_drain();
         time::sleep(DRAIN_NOTICE_TIME).await;
     }
-    let deadline = limit.unwrap_or_else(|| state.now().after(drain_time(state)));
+    drain_gate.end_notice();
     if limit.is_some() {
         keep_last_server(state, deadline).await;
     }
-    state.requests.close();
+    drain_gate.close();
     drop(connections);
     let stopped = callers.stop(true);
     while state.requests.in_flight() > 0 && !deadline.has_passed(state.now()) {
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -113,13 +113,16 @@
         record_contact(&self.state);
         let sent = |error: MeshError| error.sent_at(self.state.now());
         self.state.check_host().map_err(sent)?;
-        let _in_flight = self.state.requests.begin_request().map_err(sent)?;
         let deadline = self.deadline(&context);
+        let backends = self.forwarder.backends();
+        let is_idempotent = backends.is_idempotent(&request);
+        let requests = &self.state.requests;
+        let in_flight = requests.begin_request(deadline, is_idempotent);
+        let _in_flight = in_flight.map_err(sent)?;
         let backend = request
             .backend
             .clone()
             .ok_or_else(|| MeshError::invalid("a forwarded request names no backend server"))?;
-        let backends = self.forwarder.backends();
         let result = backends.run(&backend, deadline, &request).await;
         result.map_err(|error| error.sent_at(self.state.now()))
     }
