Write lost rows of nodes again when the platform returns from a copy

What an operator saw: after a restore the nodes' rows were missing on the platform for up to 75 s, and a node that started then found part of the mesh, or none of it where it had no seeds. Nothing said that a restore had happened.

A row that the platform had acknowledged counted as written until its renewal, and only the process that called the platform could know of its return.

Change: a later era than the known one is logged once (`platform-restored`), counted, and replicated as a record, so that nodes which seldom call the platform learn of it. Each node whose row the platform keeps writes it again within 0.5 to 3 s, spread like first writes.

Evidence: the new test failed on ("the rows are written again: not within 7s") and passes.

--- a/crates/daemon/src/gossip/gossip_task.rs
+++ b/crates/daemon/src/gossip/gossip_task.rs
@@ -17,7 +17,9 @@
     log::EventName,
     node::{NodeState, StopSignal},
     placement::apply_evacuation_record,
-    source::{connect_platform, find_seeds, read_object, read_version_row, write_lease},
+    source::{
+        apply_era_record, connect_platform, find_seeds, read_object, read_version_row, write_lease,
+    },
 };
 
 const LEAVE_SEND_TIME: Duration = Duration::from_millis(300);
@@ -220,6 +222,7 @@
                 // Applied before the node becomes ready, which later actions may cause.
                 apply_evacuation_record(state, &entry);
                 apply_departure_record(state, &entry);
+                apply_era_record(state, &entry);
                 state.gossip.announce_record(entry);
             }
             GossipEvent::Refused { stamp, error } => {
--- a/crates/daemon/src/log/event_name.rs
+++ b/crates/daemon/src/log/event_name.rs
@@ -18,6 +18,8 @@
     Resumed,
     /// The platform became unreachable or reachable.
     PlatformState,
+    /// The platform has returned from an older copy; what it lost is written again.
+    PlatformRestored,
     /// A peer's connection was rejected or closed.
     PeerRefused,
     /// A member's state changed.
@@ -81,6 +83,7 @@
             Self::RecordRefused => "record-refused",
             Self::Resumed => "woke",
             Self::PlatformState => "platform-state",
+            Self::PlatformRestored => "platform-restored",
             Self::PeerRefused => "peer-refused",
             Self::MemberChanged => "member-changed",
             Self::BackendAnnounced => "backend-announced",
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -23,7 +23,7 @@
     report::run_reports,
     rollout::{run_evidence, run_move_rows, run_rollout},
     settings::NodeSettings,
-    source::run_operator_feed,
+    source::{run_era_watch, run_operator_feed},
 };
 
 /// Runs a node until a termination signal, then shuts it down gracefully.
@@ -130,6 +130,7 @@
         stop.clone(),
     ));
     spawn_local(run_operator_feed(Arc::clone(&state), stop.clone()));
+    spawn_local(run_era_watch(Arc::clone(&state), stop.clone()));
     spawn_local(watch_settings(Arc::clone(&state), path, stop.clone()));
     spawn_local(run_usage(Arc::clone(&state), stop.clone()));
     spawn_local(run_move_rows(Arc::clone(&state), stop.clone()));
--- a/crates/kernel/src/member/lease_schedule.rs
+++ b/crates/kernel/src/member/lease_schedule.rs
@@ -57,6 +57,13 @@
         is_due
     }
 
+    /// Brings the next write forward, because the platform may have lost the row. The writes of many
+    /// nodes are spread like first ones.
+    pub fn write_again(&mut self, now: ClockInstant, rng: &mut impl Rng) {
+        let again = random_instant(now, FIRST_WRITE_MIN_MS, FIRST_WRITE_MAX_MS, rng);
+        self.next_write = self.next_write.min(again);
+    }
+
     /// Returns whether a scan by a node without known peers is due; if so, schedules the next one.
     pub fn take_due_scan(&mut self, now: ClockInstant, rng: &mut impl Rng) -> bool {
         let is_due = self.next_scan.has_passed(now);
--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -304,6 +304,11 @@
         self.next_exchange = ClockInstant::default();
     }
 
+    /// Writes this node's lease row again soon, because the platform may have lost it.
+    pub fn rewrite_lease_row(&mut self, now: ClockInstant, rng: &mut impl Rng) {
+        self.lease_schedule.write_again(now, rng);
+    }
+
     /// Replaces this node's local backend servers and pushes the change, if any.
     pub fn set_backends(&mut self, backends: Vec<BackendRow>) {
         if self.view.set_backends(backends) == MergeOutcome::Changed {
--- a/crates/kernel/src/spread/mod.rs
+++ b/crates/kernel/src/spread/mod.rs
@@ -7,6 +7,7 @@
 
 mod compressed_bytes;
 mod config_delta;
+mod era_record;
 mod fetch_scheduler;
 mod gossip_action;
 mod gossip_message;
@@ -32,6 +33,7 @@
 
 pub use compressed_bytes::CompressedBytes;
 pub use config_delta::{ConfigDelta, MapDelta};
+pub use era_record::{ERA_KIND, EraRecord};
 pub use fetch_scheduler::{FetchScheduler, FetchSource, VersionFetch};
 pub use gossip_action::{GossipAction, GossipEvent};
 pub use gossip_message::{
