Keep evacuations as they were until operators write them again

The state of an evacuation is ordered by revision. With the pair of era and number alone, the opposite would happen as well: the platform's older copy lacks an order, or its removal, and a node that reads it would end the evacuation, or begin it again, until operators write.

Change: the first state of a new era that contradicts the known one takes effect after 10 s, unless operators have written the known one again by then; what they write in that era takes effect at once.

Left: a reader that starts after the restore, knows no state and reads the copy first can still end an evacuation whose order is lost.

--- a/crates/daemon/src/placement/evacuation_orders.rs
+++ b/crates/daemon/src/placement/evacuation_orders.rs
@@ -12,10 +12,23 @@
 /// if the other nodes know another one.
 pub(crate) fn apply_evacuation(state: &NodeState, order: EvacuationOrder) {
     let data_centre = order.data_centre.clone();
-    merge_order(state, order);
+    let is_changed = state.placement.evacuations().merge_read(order, state.now());
+    if is_changed {
+        follow_change(state, &data_centre);
+    }
     replicate_state(state, &data_centre);
 }
 
+/// Applies the states that the platform has shown since it returned from an older copy, and that
+/// operators have not corrected.
+pub(crate) fn accept_due_evacuations(state: &NodeState) {
+    let changed = state.placement.evacuations().accept_due(state.now());
+    for data_centre in changed {
+        follow_change(state, &data_centre);
+        replicate_state(state, &data_centre);
+    }
+}
+
 /// Applies a changed record, if it is one of an evacuation.
 ///
 /// A peer may replicate an older state than this node has read, which then replaces the record.
@@ -24,30 +37,36 @@
         return;
     }
     match EvacuationOrder::from_record(entry) {
-        Ok(order) => apply_evacuation(state, order),
+        Ok(order) => {
+            let data_centre = order.data_centre.clone();
+            let is_changed = state.placement.evacuations().merge(order, state.now());
+            if is_changed {
+                follow_change(state, &data_centre);
+            }
+            replicate_state(state, &data_centre);
+        }
         Err(error) => report_refused_record(state, &error),
     }
 }
 
-fn merge_order(state: &NodeState, order: EvacuationOrder) {
-    let (data_centre, revision) = (order.data_centre.clone(), order.revision);
-    let is_ordered = order.is_ordered;
-    let evacuated = {
-        let mut table = state.placement.evacuations();
-        if !table.merge(order, state.now()) {
-            return;
-        }
-        table.evacuated()
+/// Makes the node follow the changed state of a data centre's evacuation.
+fn follow_change(state: &NodeState, data_centre: &DataCentre) {
+    let (evacuated, order) = {
+        let table = state.placement.evacuations();
+        (table.evacuated(), table.order(data_centre).cloned())
+    };
+    let Some(order) = order else {
+        return;
     };
     state.requests.load_balancer().set_evacuated(evacuated);
     // Servers may be cold at the end of an evacuation.
-    if !is_ordered && data_centre == state.settings.data_centre {
+    if !order.is_ordered && *data_centre == state.settings.data_centre {
         doubt_all_servers(state, "end of evacuation");
     }
     state.count("evacuation_changed");
     info!(state.logger, "{}", EventName::EvacuationChanged;
-        "data_centre" => data_centre.to_string(), "is_ordered" => is_ordered,
-        "revision" => revision.to_string());
+        "data_centre" => data_centre.to_string(), "is_ordered" => order.is_ordered,
+        "revision" => order.revision.to_string());
 }
 
 fn replicate_state(state: &NodeState, data_centre: &DataCentre) {
--- a/crates/daemon/src/placement/mod.rs
+++ b/crates/daemon/src/placement/mod.rs
@@ -3,5 +3,7 @@
 mod evacuation_orders;
 mod placement_state;
 
-pub(crate) use evacuation_orders::{apply_evacuation, apply_evacuation_record};
+pub(crate) use evacuation_orders::{
+    accept_due_evacuations, apply_evacuation, apply_evacuation_record,
+};
 pub use placement_state::PlacementState;
--- a/crates/daemon/src/source/operator_feed.rs
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -20,7 +20,7 @@
 use crate::{
     log::EventName,
     node::{NodeState, StopSignal},
-    placement::apply_evacuation,
+    placement::{accept_due_evacuations, apply_evacuation},
     rollout::apply_order,
     source::connect_platform,
 };
@@ -197,6 +197,7 @@
             self.apply_document(document).await;
         }
         self.revision = Some(updates.revision);
+        accept_due_evacuations(self.state);
         let now = self.state.now();
         let gossip = &self.state.gossip;
         gossip.step(|node, rng| node.handle_version_row(Ok(None), now, rng));
--- a/crates/kernel/src/placement/evacuation_table.rs
+++ b/crates/kernel/src/placement/evacuation_table.rs
@@ -1,6 +1,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{clock::ClockInstant, ids::DataCentre, placement::EvacuationOrder};
+use crate::{
+    clock::{ClockInstant, TimeBudget},
+    ids::{DataCentre, RowRevision},
+    placement::EvacuationOrder,
+};
+
+/// Time after a return of the platform from an older copy in which operators write again what it has
+/// lost.
+const REWRITE_TIME: TimeBudget = TimeBudget::from_secs(10);
 
 /// Latest known state of a data centre's evacuation.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -9,6 +17,38 @@
     pub order: EvacuationOrder,
     /// Instant at which this node first saw that the order is in force, or that it is not.
     pub seen_at: ClockInstant,
+    /// Revision of the latest order, which may have been removed since.
+    ordered_at: Option<RowRevision>,
+    unconfirmed: Option<UnconfirmedState>,
+}
+
+/// State that the platform may show only because it has returned to an older copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct UnconfirmedState {
+    order: EvacuationOrder,
+    accept_at: ClockInstant,
+}
+
+impl EvacuationEntry {
+    fn new(order: EvacuationOrder, now: ClockInstant) -> Self {
+        Self {
+            ordered_at: order.is_ordered.then_some(order.revision),
+            order,
+            seen_at: now,
+            unconfirmed: None,
+        }
+    }
+
+    /// Returns whether `order` is the first state of an era that contradicts the known one, and may
+    /// be of before: the order is missing, or its removal.
+    fn may_be_outdated(&self, order: &EvacuationOrder) -> bool {
+        let is_of_later_era = order.revision.era() > self.order.revision.era();
+        let is_same_row = self
+            .ordered_at
+            .is_some_and(|ordered_at| ordered_at.number() == order.revision.number());
+        let contradicts = order.is_ordered != self.order.is_ordered;
+        is_of_later_era && contradicts && (!order.is_ordered || is_same_row)
+    }
 }
 
 /// Evacuations that a node knows of, from its own reads of the platform and from other nodes.
@@ -26,11 +66,9 @@
     pub fn merge(&mut self, order: EvacuationOrder, now: ClockInstant) -> bool {
         let Some(entry) = self.entries.get_mut(&order.data_centre) else {
             let is_ordered = order.is_ordered;
-            let entry = EvacuationEntry {
-                order,
-                seen_at: now,
-            };
-            self.entries.insert(entry.order.data_centre.clone(), entry);
+            let data_centre = order.data_centre.clone();
+            let entry = EvacuationEntry::new(order, now);
+            self.entries.insert(data_centre, entry);
             return is_ordered;
         };
         if !order.replaces(&entry.order) {
@@ -40,10 +78,56 @@
         if is_changed {
             entry.seen_at = now;
         }
+        if order.is_ordered {
+            entry.ordered_at = Some(order.revision);
+        }
         entry.order = order;
+        entry.unconfirmed = None;
         is_changed
     }
 
+    /// Merges a state that this node has read from the platform, and returns whether an evacuation
+    /// began or ended.
+    ///
+    /// After a return of the platform from an older copy, the first state that contradicts the known
+    /// one takes effect only if operators have not written the known one again for a while.
+    pub fn merge_read(&mut self, order: EvacuationOrder, now: ClockInstant) -> bool {
+        let entry = self.entries.get_mut(&order.data_centre);
+        let Some(entry) = entry.filter(|entry| entry.may_be_outdated(&order)) else {
+            return self.merge(order, now);
+        };
+        let accept_at = match &entry.unconfirmed {
+            Some(unconfirmed) => unconfirmed.accept_at,
+            None => now.after(REWRITE_TIME),
+        };
+        entry.unconfirmed = Some(UnconfirmedState { order, accept_at });
+        false
+    }
+
+    /// Merges the states that operators have not contradicted in time, and returns the data centres
+    /// whose evacuation began or ended.
+    pub fn accept_due(&mut self, now: ClockInstant) -> Vec<DataCentre> {
+        let unconfirmed = self.entries.values();
+        let unconfirmed = unconfirmed.filter_map(|entry| entry.unconfirmed.as_ref());
+        let due = unconfirmed.filter(|state| state.accept_at.has_passed(now));
+        let due: Vec<_> = due.map(|state| state.order.clone()).collect();
+        let mut changed = Vec::new();
+        for order in due {
+            let data_centre = order.data_centre.clone();
+            if self.merge(order, now) {
+                changed.push(data_centre);
+            }
+        }
+        changed
+    }
+
+    /// Returns the known state of a data centre.
+    #[must_use]
+    pub fn order(&self, data_centre: &DataCentre) -> Option<&EvacuationOrder> {
+        let entry = self.entries.get(data_centre)?;
+        Some(&entry.order)
+    }
+
     /// Returns the state that the replicated record of a data centre must be brought to, if it
     /// states something else than this table.
     ///
--- a/crates/kernel/tests/placement.rs
+++ b/crates/kernel/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
-    ids::{DataCentre, IncarnationNumber, RowRevision, ServiceName, SlotCount},
+    ids::{DataCentre, IncarnationNumber, RowRevision, ServiceName, SlotCount, StoreEra},
     member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     placement::{EvacuationOrder, EvacuationTable},
     request::{LoadBalancer, SelectionCriteria},
@@ -94,6 +94,83 @@
     assert_eq!(written, Some(&order(false, 15)));
 }
 
+fn order_in(era: u64, is_ordered: bool, revision: u64) -> EvacuationOrder {
+    let revision = RowRevision::in_era(StoreEra::new(era), revision);
+    EvacuationOrder {
+        data_centre: name("b"),
+        is_ordered,
+        revision: revision.expect("is small"),
+    }
+}
+
+/// Guards against an order that is ignored because its revision was assigned before a restore, and
+/// against an evacuation that ends, or begins again, because the platform has an older copy.
+#[test]
+fn restored_platform_changes_an_evacuation_only_if_operators_do() {
+    let now = NOW;
+    let soon = now.after(TimeBudget::from_secs(9));
+    let later = now.after(TimeBudget::from_secs(11));
+    // Each case: the states known before, those read in the new era, and whether the data centre
+    // is evacuated at once, soon and later.
+    let lost_order = vec![order_in(1, true, 12)];
+    let lost_removal = vec![order_in(1, true, 5), order_in(1, false, 9)];
+    let ended = vec![order_in(1, true, 12), order_in(1, false, 15)];
+    let cases = [
+        (
+            &lost_order,
+            vec![order_in(2, false, 7)],
+            [true, true, false],
+        ),
+        (
+            &lost_order,
+            vec![order_in(2, false, 7), order_in(2, true, 8)],
+            [true; 3],
+        ),
+        (
+            &lost_removal,
+            vec![order_in(2, true, 5)],
+            [false, false, true],
+        ),
+        (
+            &lost_removal,
+            vec![order_in(2, true, 5), order_in(2, false, 8)],
+            [false; 3],
+        ),
+        (&ended, vec![order_in(2, true, 8)], [true; 3]),
+        (
+            &ended,
+            vec![order_in(2, false, 7), order_in(2, true, 8)],
+            [true; 3],
+        ),
+        (
+            &lost_order,
+            vec![order_in(2, true, 8), order_in(2, false, 9)],
+            [false; 3],
+        ),
+        // A response of the earlier era arrives late.
+        (
+            &ended,
+            vec![order_in(2, false, 7), order_in(1, true, 40)],
+            [false; 3],
+        ),
+    ];
+    for (before, read, expected) in cases {
+        let mut table = EvacuationTable::default();
+        for order in before {
+            table.merge_read(order.clone(), now);
+        }
+        for order in &read {
+            table.merge_read(order.clone(), now);
+        }
+        let mut evacuated = Vec::new();
+        for instant in [now, soon, later] {
+            table.accept_due(instant);
+            evacuated.push(table.is_evacuated(&name("b")));
+        }
+        assert_eq!(evacuated, expected, "{before:?}, then {read:?}");
+    }
+}
+
 fn member(node: &str, data_centre: &str) -> MemberRow {
     MemberRow {
         node: name(node),
