Use a started node's servers as soon as all records have arrived

A node that starts asks for up to 64 differing buckets of records, but took a reply as whole only below four, the limit of later requests. With the records of a running mesh it needed another exchange before it knew the orders of operators and the departures of its servers. The reply is now compared with the limit that was asked for. How long servers were held is logged.

--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -315,10 +315,21 @@
     /// Uses the servers that have announced themselves, once this node knows the departures that its
     /// predecessor has acknowledged.
     pub(crate) fn release_backends(&self) {
-        if self.backends().release(self.now()) {
-            self.cold_events.notify_one();
-            self.publish_backends();
+        let now = self.now();
+        let is_changed = self.backends().release(now);
+        if !is_changed {
+            return;
         }
+        self.cold_events.notify_one();
+        self.publish_backends();
+        let started_at = ClockInstant::from_micros(self.incarnation().get());
+        let names: Vec<_> = self
+            .backends()
+            .iter()
+            .map(|(name, _)| name.to_string())
+            .collect();
+        info!(self.logger, "{}", EventName::BackendAnnounced; "backend" => names.join(" "),
+            "held_ms" => started_at.elapsed(now).as_millis());
     }
 
     /// Publishes the request times of this VM's backend servers to the mesh if they changed.
--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -84,6 +84,8 @@
     pub(crate) join_deadline: ClockInstant,
     pub(crate) join_pacer: JoinPacer,
     pub(crate) exchange_count: u32,
+    /// Largest number of buckets that the latest reconciliation asked for.
+    pub(crate) requested_buckets: u8,
     /// Time of the latest tick.
     pub(crate) ticked_at: ClockInstant,
     /// Whether this node's records have held, at some time since the start of the process, all that
@@ -143,6 +145,7 @@
             join_pacer: JoinPacer::default(),
             join_deadline: now.after(options.join_period),
             exchange_count: 0,
+            requested_buckets: 0,
             ticked_at: now,
             has_peer_records: false,
             counters: GossipCounters::default(),
--- a/crates/kernel/src/spread/node_replies.rs
+++ b/crates/kernel/src/spread/node_replies.rs
@@ -55,9 +55,11 @@
         self.record_contact(&reply.from, true, now);
         self.merge_members(reply.members.clone(), now);
         self.merge_records(reply.records.clone());
-        // A reply with fewer buckets than the limit holds all that differ.
+        // A reply with fewer buckets than the limit of its request holds all that differ. Requests of
+        // an earlier limit may still be under way.
+        let limit = self.bucket_limit().min(self.requested_buckets);
         let bucket_count = reply.record_buckets.len();
-        if (1..usize::from(MAX_BUCKETS)).contains(&bucket_count) {
+        if (1..usize::from(limit)).contains(&bucket_count) {
             self.adopt_orders(&reply.from, now);
         }
         let members = self.rows_to_return(&reply);
@@ -196,16 +198,12 @@
         let records_differ = ours.records != theirs.records;
         let members = self.view.table().digest().to_vec();
         let records = self.records.digest().to_vec();
-        let is_starting = !self.readiness.is_open();
+        self.requested_buckets = self.bucket_limit();
         let request = ReconcileRequest {
             from: self.header(),
             members: if members_differ { members } else { Vec::new() },
             records: if records_differ { records } else { Vec::new() },
-            max_buckets: if is_starting {
-                MAX_BUCKETS_AT_START
-            } else {
-                MAX_BUCKETS
-            },
+            max_buckets: self.requested_buckets,
         };
         self.actions.push(GossipAction::Reconcile {
             to: to.clone(),
@@ -214,6 +212,13 @@
         });
     }
 
+    const fn bucket_limit(&self) -> u8 {
+        match self.readiness.is_open() {
+            true => MAX_BUCKETS,
+            false => MAX_BUCKETS_AT_START,
+        }
+    }
+
     fn handle_no_reply(&mut self, to: &PeerTarget, now: ClockInstant, rng: &mut impl Rng) {
         self.counters.unanswered_messages += 1;
         let Some(node) = &to.node else {
