--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -289,9 +289,11 @@
         let own = &self.view.own().node;
         let mut peers = self.view.table().live().filter(|row| row.node != *own);
         let may_learn = peers.any(|row| row.state == MemberState::Serving);
-        let wait = match may_learn {
-            true => self.options.startup_timeout,
-            false => self.options.record_wait,
+        let has_contact = self.contact_at >= Some(self.started_at);
+        let wait = match (may_learn, has_contact) {
+            (true, _) => self.options.startup_timeout,
+            (false, true) => self.options.record_wait,
+            (false, false) => self.options.contact_wait,
         };
         self.has_peer_records || self.started_at.after(wait).has_passed(now)
     }
