Push a departure again until another node has confirmed it

A departure is acknowledged once another node holds a copy. If the first messages were lost, the copy reached others by later exchanges that nobody counts, and the server's repeated call was refused again and again. A call whose notice has too few confirmed copies now pushes it once more. Found by reading; the new test cuts the node off, and heals it, around the call.

--- a/crates/daemon/src/backends/departure_copies.rs
+++ b/crates/daemon/src/backends/departure_copies.rs
@@ -73,7 +73,7 @@
         counted.get(key).map_or(0, |copies| copies.holders.len())
     }
 
-    /// Waits until `wanted` other nodes hold a copy, and returns how many do.
+    /// Waits until `wanted` other nodes hold a copy.
     async fn wait(&self, key: &RecordKey, wanted: usize) {
         loop {
             let changed = self.changed.notified();
@@ -111,12 +111,16 @@
     let entry = notice.to_record(name);
     let copies = &state.departure_copies;
     copies.expect(&entry);
-    state.put_record(entry.key.clone(), entry.value)?;
+    let is_new = state.put_record(entry.key.clone(), entry.value)?;
     let own = &state.settings.node;
     let members = state.members();
     let others = members.live().filter(|row| row.node != *own).count();
     let timeout = COPY_TIMEOUT.to_std();
     let wanted = others.min(WANTED_COPIES);
+    if !is_new && copies.count(&entry.key) < wanted {
+        let gossip = &state.gossip;
+        gossip.step(|node, _| node.push_record_again(&entry.key));
+    }
     let _ = time::timeout(timeout, copies.wait(&entry.key, wanted)).await;
     if others == 0 || copies.count(&entry.key) > 0 {
         return Ok(());
--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -340,6 +340,11 @@
         self.merge_record(RecordEntry { key, value })
     }
 
+    /// Pushes a record once more, because too few nodes have confirmed it.
+    pub fn push_record_again(&mut self, key: &RecordKey) {
+        self.records.push_again(key, self.options.push_rounds);
+    }
+
     pub(crate) fn merge_record(&mut self, entry: RecordEntry) -> Result<bool, MeshError> {
         let rounds = self.options.push_rounds;
         let has_changed = self.records.merge(&entry, rounds, self.ticked_at)?;
--- a/crates/kernel/src/spread/record_replica.rs
+++ b/crates/kernel/src/spread/record_replica.rs
@@ -45,6 +45,13 @@
         Ok(true)
     }
 
+    /// Queues a record for `rounds` more rounds of pushes, although it has not changed.
+    pub fn push_again(&mut self, key: &RecordKey, rounds: u8) {
+        if self.table.get(key).is_some() {
+            self.push_queue.enqueue(key.clone(), rounds);
+        }
+    }
+
     /// Drops the records that have expired.
     pub fn expire(&mut self, now: ClockInstant) {
         for (key, value) in self.table.expire(now) {
