--- a/crates/daemon/src/source/operator_feed.rs
+++ b/crates/daemon/src/source/operator_feed.rs
@@ -102,7 +102,7 @@
     let ended = eras.wait_for(|latest| *latest > Some(position.era()));
     if ended.await.is_err() {
         // The state that holds the sender outlives every task.
-        future::pending().await
+        future::pending::<()>().await;
     }
 }
 
