Let nodes that start together use their servers at the first exchange

A node that has exchanged all records with a peer and knows no serving one has nothing more to learn, so it no longer waits 0.4 s.

--- a/crates/kernel/src/spread/gossip_node.rs
+++ b/crates/kernel/src/spread/gossip_node.rs
@@ -89,8 +89,10 @@
     /// Time of the latest tick.
     pub(crate) ticked_at: ClockInstant,
     /// Whether this node's records have held, at some time since the start of the process, all that
-    /// a serving peer knew.
+    /// a peer knew.
     pub(crate) has_peer_records: bool,
+    /// The same for a serving peer.
+    pub(crate) has_serving_records: bool,
     pub(crate) counters: GossipCounters,
     pub(crate) actions: Vec<GossipAction>,
 }
@@ -148,6 +150,7 @@
             requested_buckets: 0,
             ticked_at: now,
             has_peer_records: false,
+            has_serving_records: false,
             counters: GossipCounters::default(),
             actions: Vec::new(),
             options,
@@ -289,13 +292,14 @@
         let own = &self.view.own().node;
         let mut peers = self.view.table().live().filter(|row| row.node != *own);
         let may_learn = peers.any(|row| row.state == MemberState::Serving);
-        let has_contact = self.contact_at >= Some(self.started_at);
-        let wait = match (may_learn, has_contact) {
-            (true, _) => self.options.startup_timeout,
-            (false, true) => self.options.record_wait,
-            (false, false) => self.options.contact_wait,
+        let wait = match may_learn {
+            true => self.options.startup_timeout,
+            false => self.options.record_wait,
         };
-        self.has_peer_records || self.started_at.after(wait).has_passed(now)
+        let has_waited = self.started_at.after(wait).has_passed(now);
+        // Nodes that start together know no more than each other.
+        let has_all = self.has_serving_records || (self.has_peer_records && !may_learn);
+        has_all || has_waited
     }
 
     /// Adds peer addresses that were found in the platform's lease rows.
--- a/crates/kernel/src/spread/gossip_options.rs
+++ b/crates/kernel/src/spread/gossip_options.rs
@@ -110,10 +110,8 @@
     pub join_period: TimeBudget,
     /// Time after which a starting node serves the version it holds even if a newer one is known.
     pub startup_timeout: TimeBudget,
-    /// How long a starting node whose peers are all starting too waits for one that has records.
+    /// How long a starting node that knows no serving peer waits for one that has records.
     pub record_wait: TimeBudget,
-    /// How long a starting node without any contact waits for one.
-    pub contact_wait: TimeBudget,
     /// Time without contact after which a data centre or the platform counts as unreachable.
     pub silence_timeout: TimeBudget,
 }
@@ -143,8 +141,7 @@
             platform_wait: TimeBudget::from_millis(2_000),
             join_period: TimeBudget::from_millis(3_000),
             startup_timeout: TimeBudget::from_millis(8_000),
-            record_wait: TimeBudget::from_millis(400),
-            contact_wait: TimeBudget::from_millis(1_200),
+            record_wait: TimeBudget::from_millis(1_200),
             silence_timeout: TimeBudget::from_millis(5_000),
         }
     }
--- a/crates/kernel/src/spread/node_requests.rs
+++ b/crates/kernel/src/spread/node_requests.rs
@@ -177,7 +177,8 @@
     /// Records that this node's records hold all that the sender knows.
     pub(crate) fn adopt_orders(&mut self, from: &PeerHeader, now: ClockInstant) {
         let sender = self.view.table().get(&from.node);
-        self.has_peer_records |= sender.is_some_and(|row| row.state == MemberState::Serving);
+        self.has_peer_records = true;
+        self.has_serving_records |= sender.is_some_and(|row| row.state == MemberState::Serving);
         // The peer's clock may be ahead of this node's.
         let seen = from.orders_seen_at.map(|seen| seen.min(now));
         self.orders_seen_at = self.orders_seen_at.max(seen);
--- a/crates/kernel/tests/spread/departures.rs
+++ b/crates/kernel/tests/spread/departures.rs
@@ -106,7 +106,7 @@
 fn node_without_peers_uses_its_servers_soon() {
     let mut mesh = MeshFixture::new(3, 1, 1);
     let node = mesh.names()[0].clone();
-    let wait = mesh.options.contact_wait.as_millis();
+    let wait = mesh.options.record_wait.as_millis();
     mesh.run_for(wait + COPY_CHECK_MS);
     assert!(mesh.nodes[&node].knows_records(mesh.now));
 }
