--- a/crates/kernel/src/spread/node_replies.rs
+++ b/crates/kernel/src/spread/node_replies.rs
@@ -17,7 +17,7 @@
 
 /// Largest number of buckets of each table that a reconciliation requests.
 const MAX_BUCKETS: u8 = 4;
-/// The same for a node that is not ready yet.
+/// The same for a node that is not ready yet, or waits for records before it uses its servers.
 const MAX_BUCKETS_AT_START: u8 = 64;
 /// Largest number of member rows, and of records, sent back after a reconciliation.
 const MAX_RETURNED_ENTRIES: usize = 256;
@@ -213,7 +213,7 @@
     }
 
     const fn bucket_limit(&self) -> u8 {
-        match self.readiness.is_open() {
+        match self.readiness.is_open() && self.has_serving_records {
             true => MAX_BUCKETS,
             false => MAX_BUCKETS_AT_START,
         }
