--- a/crates/kernel/tests/spread/main.rs
+++ b/crates/kernel/tests/spread/main.rs
@@ -5,6 +5,7 @@
 mod member;
 mod orders;
 mod publish;
+mod restore;
 mod returning;
 mod size;
 mod version;
