--- a/crates/daemon/src/backends/departure_copies.rs
+++ b/crates/daemon/src/backends/departure_copies.rs
@@ -4,7 +4,7 @@
 };
 
 use bronzelb_kernel::{
-    clock::{ClockInstant, TimeBudget},
+    clock::TimeBudget,
     error::{ErrorKind, MeshError},
     ids::{BackendName, NodeName},
     member::{DEPARTURE_KIND, DepartureNotice},
@@ -15,8 +15,8 @@
 
 use crate::{log::EventName, node::NodeState};
 
-/// Copies of a notice at other nodes that an acknowledgement waits for: one more than the other
-/// nodes that may fail together with this one.
+/// Copies of a notice at other nodes that an acknowledgement waits for. One is left if another node
+/// fails together with this one.
 const WANTED_COPIES: usize = 2;
 /// Longest wait for the copies. Servers give an announcement up after one second.
 const COPY_TIMEOUT: TimeBudget = TimeBudget::from_millis(700);
@@ -130,8 +130,7 @@
     if state.should_log(EventName::AnnouncementRefused) {
         warn!(state.logger, "{}", EventName::AnnouncementRefused; "message" => &message);
     }
-    let retry_at: ClockInstant = state.now();
-    Err(MeshError::new(ErrorKind::NotReady, message).with_retry_at(retry_at))
+    Err(MeshError::new(ErrorKind::NotReady, message).with_retry_at(state.now()))
 }
 
 /// Applies a changed record, if it is a server's departure.
--- a/crates/daemon/src/node/drain_node.rs
+++ b/crates/daemon/src/node/drain_node.rs
@@ -29,7 +29,7 @@
 
 /// Shuts a node down gracefully, so that no request is interrupted.
 ///
-/// From the start, requests that may outlast the drain are refused as not run; see [`DrainGate`].
+/// From the start, requests that may outlast the drain are refused as not run; see `DrainGate`.
 ///
 /// 1. The node reports that it is not ready, so that callers use other nodes. If a supervisor has
 ///    to notice this, the backend servers on the VM continue to serve the other nodes meanwhile.
--- a/crates/kernel/src/spread/node_replies.rs
+++ b/crates/kernel/src/spread/node_replies.rs
@@ -60,7 +60,7 @@
         let limit = self.bucket_limit().min(self.requested_buckets);
         let bucket_count = reply.record_buckets.len();
         if (1..usize::from(limit)).contains(&bucket_count) {
-            self.adopt_orders(&reply.from, now);
+            self.adopt_records(&reply.from, now);
         }
         let members = self.rows_to_return(&reply);
         let records = self.records_to_return(&reply);
@@ -189,7 +189,7 @@
         };
         let ours = self.root_digest();
         if ours.records == theirs.records {
-            self.adopt_orders(&reply.from, now);
+            self.adopt_records(&reply.from, now);
         }
         if ours == theirs {
             return;
--- a/crates/kernel/src/spread/node_requests.rs
+++ b/crates/kernel/src/spread/node_requests.rs
@@ -40,7 +40,7 @@
         let own_digest = request.digest.as_ref().map(|_| self.root_digest());
         let records = request.digest.as_ref().map(|digest| &digest.records);
         if records.is_some() && records == own_digest.as_ref().map(|digest| &digest.records) {
-            self.adopt_orders(&request.from, now);
+            self.adopt_records(&request.from, now);
         }
         if is_about_self {
             members.retain(|row| row.node != self.own().node);
@@ -175,7 +175,7 @@
     }
 
     /// Records that this node's records hold all that the sender knows.
-    pub(crate) fn adopt_orders(&mut self, from: &PeerHeader, now: ClockInstant) {
+    pub(crate) fn adopt_records(&mut self, from: &PeerHeader, now: ClockInstant) {
         let sender = self.view.table().get(&from.node);
         self.has_peer_records = true;
         self.has_serving_records |= sender.is_some_and(|row| row.state == MemberState::Serving);
