Add case 10: a draining node closes under pipelined requests

Promise: LOST. After a SIGTERM no request that was passed on ends without a complete answer.

Order of events: ten clients of one machine send three safe requests at a time on kept connections; the node beside them gets SIGTERM.

Cause: every answer of a draining node bears 'connection: close', also those behind which others follow; clients stop reading there. The code means to keep the connection open, but actix-http's set_connection_type adds a flag without clearing the one that is set.

--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -8,6 +8,7 @@
 mod large_bodies;
 mod mesh;
 mod net;
+mod pipelined;
 mod store;
 
 use std::process::ExitCode;
@@ -38,6 +39,7 @@
     let result = match case.as_str() {
         "departure" => departure::run(&record, has_trouble),
         "denied" => denied::run(&record, has_trouble),
+        "pipelined" => pipelined::run(&record, has_trouble),
         "large-bodies" => large_bodies::run(&record, has_trouble),
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     };
