Refuse an unframed body whose connection was reset during the upload

Callers saw a 200 with a part of the body as a complete answer. A server had answered a long upload at once, without a length, and reset the connection while the upload was still being written.

Cause: receive() polled the write before the read. A write to a connection that was reset takes the socket's pending error with it, so the next read reports an ordinary end, which ends a body without a length.

Change: once a part of the request is sent, the connection is read before it is written to, so the read sees how the connection ended. If the write fails all the same (the reset arrived between the two), a body without a length isn't taken for whole. A response that is there before any byte of the request could be written is no answer to it; the request counts as not sent.

The harness of these tests moved into files of its own; no test changed.

--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -276,6 +276,11 @@
         {
             body.append(&self.received.split())?;
         }
+        if self.has_write_error {
+            return Err(lost_response(
+                &"reset while the request was being sent, so truncation would go undetected",
+            ));
+        }
         Ok(body.finish())
     }
 
@@ -290,27 +295,32 @@
     }
 
     /// Receives some bytes while sending the rest of the request.
+    ///
+    /// Once a part of the request is sent, reading takes precedence: a write to a connection that
+    /// was reset consumes the error, after which a read reports an ordinary end.
     async fn receive(&mut self, unsent: &mut BytesMut) -> io::Result<usize> {
         while !unsent.is_empty() {
+            let has_sent = self.has_sent;
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
                 biased;
+                count = reader.read_buf(&mut self.received), if has_sent => {
+                    let count = count?;
+                    self.received_count += count;
+                    return Ok(count);
+                }
                 written = writer.write(unsent) => match written {
                     Ok(count) => {
                         self.has_sent |= count > 0;
                         unsent.advance(count);
                     }
+                    Err(error) if !has_sent => return Err(error),
                     // The server may have responded before it stopped reading.
                     Err(_) => {
                         unsent.clear();
                         self.has_write_error = true;
                     }
                 },
-                count = reader.read_buf(&mut self.received) => {
-                    let count = count?;
-                    self.received_count += count;
-                    return Ok(count);
-                }
             }
         }
         let count = self.stream.read_buf(&mut self.received).await?;
--- a/crates/daemon/tests/request_exchange.rs
+++ b/crates/daemon/tests/request_exchange/main.rs
@@ -1,345 +1,43 @@
 //! Exchanges with a backend server that truncates, mixes up, duplicates or loses responses.
-//!
-//! The server writes raw bytes to a socket, so that each test controls its responses exactly.
+
+mod broken_responses;
+mod forwarder_harness;
+mod raw_server;
 
 use std::{
     cell::RefCell,
     collections::BTreeMap,
-    io,
     net::SocketAddr,
     rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use bronzelb_kernel::{
-    account::CheckedKey,
-    clock::{ClockInstant, TimeBudget},
-    config::{
-        ConfigSnapshot, ConfigVersion, HttpMethod, ProxySpec, RequestPriority, RolloutRule,
-        RouteObjective, RouteRule, RouteTraffic, ServiceSpec, ShareRatio,
-    },
-    error::{ErrorKind, MeshError, RunState},
-    ids::{
-        AttemptToken, ByteCount, DataCentre, IncarnationNumber, NodeName, SlotCount, VersionNumber,
-    },
+    clock::TimeBudget,
+    config::{ConfigVersion, RequestPriority, RolloutRule, ShareRatio},
+    error::{ErrorKind, RunState},
+    ids::{AttemptToken, DataCentre, IncarnationNumber, NodeName, SlotCount},
     member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
     request::AccountRank,
     rollout::{MoveRecord, MoveRequest},
-    spread::{FetchSource, GossipRequest, PeerHeader, SnapshotReply, VersionFetch},
-};
-use bronzelb_wire::peer::{ForwardRequest, ForwardResponse};
-use bronzelbd::{
-    backends::BackendAnnouncement,
-    forward::{RequestForwarder, RoutedRequest, fingerprint},
-    log::{LineBatch, NodeLogger},
-    node::{NodeAddresses, NodeState},
-    settings::parse_settings,
+    spread::{GossipRequest, PeerHeader},
 };
-use bytes::Bytes;
-use compact_str::format_compact;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpSocket, TcpStream},
     task::spawn_local,
     time,
 };
 
-/// Repetitions that are written at once.
-const REPEATED_BLOCK_LENGTH: usize = 1_000;
+use forwarder_harness::{ForwarderHarness, USERS_DIALECT, run_state};
+use raw_server::{
+    REQUEST_HEADER, RawServer, ReplyScript, close_after, complete_response, keep_open, read_head,
+    repeat_after,
+};
+
 /// Time after which a connection to a full listener counts as hanging.
 const PENDING_TIMEOUT: Duration = Duration::from_millis(100);
-const NATIVE_DIALECT: &str = "bronzelb";
-const USERS_DIALECT: &str = "users";
-const REQUEST_HEADER: &str = "x-bronzelb-request: ";
-
-/// Returns the reply to a request, given its number and identifier.
-type ReplyScript = fn(number: usize, id: &str) -> Reply;
-
-struct Reply {
-    bytes: String,
-    closes: bool,
-    /// Text that is sent again and again until the node closes the connection.
-    repeated: &'static str,
-}
-
-struct RawServer {
-    address: SocketAddr,
-    requests: Arc<AtomicUsize>,
-    connections: Arc<AtomicUsize>,
-}
-
-impl RawServer {
-    async fn start(script: ReplyScript) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("a bound socket");
-        let requests = Arc::new(AtomicUsize::new(0));
-        let connections = Arc::new(AtomicUsize::new(0));
-        let (counted, opened) = (Arc::clone(&requests), Arc::clone(&connections));
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                opened.fetch_add(1, Ordering::Relaxed);
-                spawn_local(serve(stream, script, Arc::clone(&counted)));
-            }
-        });
-        Self {
-            address,
-            requests,
-            connections,
-        }
-    }
-
-    fn requests(&self) -> usize {
-        self.requests.load(Ordering::Relaxed)
-    }
-}
-
-async fn serve(mut stream: TcpStream, script: ReplyScript, counted: Arc<AtomicUsize>) {
-    let mut buffer = Vec::new();
-    loop {
-        let Some(head) = read_head(&mut stream, &mut buffer).await else {
-            return;
-        };
-        let number = counted.fetch_add(1, Ordering::Relaxed);
-        let id = head
-            .lines()
-            .find_map(|line| line.strip_prefix(REQUEST_HEADER))
-            .unwrap_or_default();
-        let reply = script(number, id);
-        if stream.write_all(reply.bytes.as_bytes()).await.is_err() || reply.closes {
-            return;
-        }
-        let block = reply.repeated.repeat(REPEATED_BLOCK_LENGTH);
-        while !block.is_empty() {
-            if stream.write_all(block.as_bytes()).await.is_err() {
-                return;
-            }
-        }
-    }
-}
-
-async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
-    loop {
-        if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
-            let head: Vec<u8> = buffer.drain(..end + 4).collect();
-            return String::from_utf8(head).ok();
-        }
-        let mut chunk = [0; 4096];
-        match stream.read(&mut chunk).await {
-            Ok(0) | Err(_) => return None,
-            Ok(count) => buffer.extend_from_slice(&chunk[..count]),
-        }
-    }
-}
-
-fn complete_response(id: &str, body: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n{REQUEST_HEADER}{id}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
-fn keep_open(bytes: String) -> Reply {
-    Reply {
-        bytes,
-        closes: false,
-        repeated: "",
-    }
-}
-
-fn close_after(bytes: String) -> Reply {
-    Reply {
-        bytes,
-        closes: true,
-        repeated: "",
-    }
-}
-
-fn repeat_after(bytes: String, repeated: &'static str) -> Reply {
-    Reply {
-        bytes,
-        closes: false,
-        repeated,
-    }
-}
-
-fn snapshot(idempotent: bool) -> ConfigSnapshot {
-    let service = ServiceSpec {
-        crew: None,
-        slots: SlotCount::new(4),
-        connections: 110,
-        report_format: "plain-json".into(),
-        slow_start: TimeBudget::ZERO,
-        drain: TimeBudget::from_secs(1),
-        rollout: RolloutRule {
-            first_share: ShareRatio::from_ppm(10_000),
-            min_requests: 100,
-            hold: TimeBudget::from_secs(1),
-        },
-        warm_up: None,
-        health_path: None,
-    };
-    let route = RouteRule {
-        path: "/".into(),
-        methods: Vec::new(),
-        service: "tracker".parse().expect("a valid name"),
-        priority: RequestPriority::NORMAL,
-        idempotent,
-        timeout: TimeBudget::from_millis(500),
-        max_body: ByteCount::new(1_000),
-        objective: RouteObjective {
-            success: ShareRatio::from_ppm(999_000),
-            latency: TimeBudget::from_millis(100),
-        },
-        traffic: RouteTraffic::default(),
-    };
-    ConfigSnapshot {
-        mesh: "test".parse().expect("a valid name"),
-        proxies: [(
-            "leuven".parse().expect("a valid name"),
-            ProxySpec::default(),
-        )]
-        .into(),
-        services: [("tracker".parse().expect("a valid name"), service)].into(),
-        routes: [("all".parse().expect("a valid name"), route)].into(),
-        accounts: BTreeMap::new(),
-    }
-}
-
-fn node(dialect: &str) -> Arc<NodeState> {
-    let text = format!(
-        "{{mesh: test, node: leuven-1, data_centre: leuven, dialect: {dialect}, \
-         mesh_key: 0123456789abcdef, callers: {{listen: '127.0.0.1:0'}}, \
-         peers: {{listen: '127.0.0.1:0'}}, platform: {{kind: http, address: '127.0.0.1:9'}}}}"
-    );
-    let settings = parse_settings("node.yaml", &text).expect("valid settings");
-    let unused_address: SocketAddr = "127.0.0.1:9".parse().expect("a valid address");
-    let addresses = NodeAddresses {
-        callers: unused_address,
-        peers: unused_address,
-        operators: unused_address,
-    };
-    let lines = LineBatch::start(io::stdout()).expect("the log's thread starts");
-    let logger = NodeLogger::build(&settings.node, &settings.data_centre, Arc::new(lines));
-    NodeState::new(settings, addresses, logger)
-}
-
-/// Applies a version as if the node had fetched it from the platform.
-fn apply_version(state: &NodeState, version: ConfigVersion) {
-    let now = state.now();
-    let fetch = VersionFetch {
-        stamp: version.stamp(),
-        base: None,
-        source: FetchSource::Store("version-1".into()),
-        deadline: now.after(TimeBudget::from_secs(1)),
-    };
-    let body = SnapshotReply::Whole(version.body().clone());
-    state.gossip.step(|node, rng| {
-        node.handle_version_row(Ok(None), now, rng);
-        node.handle_fetch_reply(&fetch, Ok(body), now, rng);
-    });
-    state.apply_config(Arc::new(version));
-}
-
-struct ForwarderHarness {
-    forwarder: RequestForwarder,
-    idempotent: bool,
-    version_draw: u64,
-}
-
-impl ForwarderHarness {
-    fn new(servers: &[SocketAddr], idempotent: bool) -> Self {
-        Self::with_slots(servers, idempotent, 4)
-    }
-
-    fn with_slots(servers: &[SocketAddr], idempotent: bool, slots: u32) -> Self {
-        Self::with_dialect(servers, idempotent, slots, NATIVE_DIALECT)
-    }
-
-    fn with_dialect(servers: &[SocketAddr], idempotent: bool, slots: u32, dialect: &str) -> Self {
-        let state = node(dialect);
-        let number = VersionNumber::new(1);
-        let version = ConfigVersion::from_snapshot(number, snapshot(idempotent));
-        apply_version(&state, version.expect("a valid configuration"));
-        for (index, address) in servers.iter().enumerate() {
-            let announcement = BackendAnnouncement {
-                service: "tracker".parse().expect("a valid name"),
-                version: "v1".parse().expect("a valid version"),
-                address: *address,
-                slots: SlotCount::new(slots),
-                connections: 110,
-                state: BackendState::Serving,
-            };
-            let name = format!("tracker-{index}").parse().expect("a valid name");
-            state.backends().announce(state.now(), name, announcement);
-        }
-        state.publish_backends();
-        Self {
-            forwarder: RequestForwarder::new(state),
-            idempotent,
-            version_draw: 0,
-        }
-    }
-
-    async fn get(&self, number: usize) -> Result<ForwardResponse, MeshError> {
-        let now = self.forwarder.state().now();
-        self.get_with_deadline(number, now.after(TimeBudget::from_millis(500)))
-            .await
-    }
-
-    async fn get_with_deadline(
-        &self,
-        number: usize,
-        deadline: ClockInstant,
-    ) -> Result<ForwardResponse, MeshError> {
-        self.forwarder.run(self.request(number, deadline)).await
-    }
-
-    fn request(&self, number: usize, deadline: ClockInstant) -> RoutedRequest {
-        let target = format_compact!("/item/{number}");
-        RoutedRequest {
-            service: "tracker".parse().expect("a valid name"),
-            deadline,
-            idempotent: self.idempotent,
-            max_deliveries: None,
-            version_draw: self.version_draw,
-            is_nested_retry: false,
-            message: ForwardRequest {
-                request_id: format_compact!("request-{number}"),
-                route: "all".parse().expect("a valid name"),
-                backend: None,
-                limit: StatedLimit::Unknown,
-                key: None,
-                fingerprint: fingerprint("all", "GET", &target, b""),
-                key_check: CheckedKey {
-                    digest: None,
-                    version: VersionNumber::new(1),
-                },
-                account: None,
-                priority: RequestPriority::NORMAL,
-                origin: None,
-                run_rank: None,
-                waited: TimeBudget::ZERO,
-                may_hand_on: false,
-                attempt: 1,
-                method: HttpMethod::Get,
-                target,
-                headers: Vec::new(),
-                body: Bytes::new(),
-            },
-        }
-    }
-}
-
-fn run_state(result: &Result<ForwardResponse, MeshError>) -> RunState {
-    match result {
-        Ok(_) => RunState::Ran,
-        Err(error) => error.kind().response().run_state,
-    }
-}
 
 /// Runs one request against a scripted server and returns the run state reported to the caller.
 async fn reported_run_state(script: ReplyScript) -> RunState {
@@ -436,10 +134,10 @@
     const LIMIT: Duration = Duration::from_secs(5);
     let scripts: [(&str, ReplyScript); 7] = [
         ("headers", |_, _| {
-            repeat_after("HTTP/1.1 200 OK\r\n".into(), "a: b\r\n")
+            repeat_after("HTTP/1.1 200 OK\r\n", "a: b\r\n")
         }),
         ("one header", |_, _| {
-            repeat_after("HTTP/1.1 200 OK\r\na: ".into(), "b")
+            repeat_after("HTTP/1.1 200 OK\r\na: ", "b")
         }),
         ("no head at all", |_, _| repeat_after(String::new(), "\0")),
         ("informational responses", |_, _| {
@@ -512,7 +210,7 @@
         let expected = format!("answer {number}");
         assert_eq!(response.body.as_ref(), expected.as_bytes());
     }
-    assert_eq!(server.connections.load(Ordering::Relaxed), 20);
+    assert_eq!(server.connections(), 20);
 }
 
 #[actix_web::test]
@@ -522,7 +220,7 @@
     for number in 0..50 {
         harness.get(number).await.expect("a complete response");
     }
-    let connections = server.connections.load(Ordering::Relaxed);
+    let connections = server.connections();
     assert!(connections <= 2, "{connections} connections");
 }
 
@@ -624,7 +322,7 @@
     for number in 0..20 {
         let _ = harness.get(number).await;
     }
-    let connections = server.connections.load(Ordering::Relaxed);
+    let connections = server.connections();
     assert!(connections <= 3, "{connections} connections");
 }
 
@@ -914,7 +612,7 @@
 #[actix_web::test]
 async fn shed_request_stays_on_its_drawn_version() {
     let shed = |_: usize, _: &str| {
-        keep_open("HTTP/1.1 503 Busy\r\nx-backend-run: not-run\r\ncontent-length: 0\r\n\r\n".into())
+        keep_open("HTTP/1.1 503 Busy\r\nx-backend-run: not-run\r\ncontent-length: 0\r\n\r\n")
     };
     let old = RawServer::start(shed).await;
     let new = RawServer::start(shed).await;
