Decide once how the end of a response body is known

Callers got a 200 with an empty body, or with bytes of the chunk framing, although the server had sent another body.

Cause: has_body_end decided from the head alone whether the end of a body is known, and the codec decided by rules of its own. Heads for which they differ: `transfer-encoding: identity` without a length and `upgrade: websocket` beside a length (the codec reads no body), `transfer-encoding: chunked` beside a length in HTTP/1.0 (the codec ignores the encoding), a 304 with a length, a 204 or an empty body in HTTP/1.0 (the codec waits for a body). Besides, two statements about the length were accepted, and a body of a 204.

A response without a body is complete, whatever the codec expects, but then its connection isn't reused.

--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -11,10 +11,8 @@
     h1::{ClientCodec, Message, MessageType},
     header::HeaderMap,
 };
-use actix_web::http::{
-    Method, StatusCode,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-};
+use actix_web::http::{Method, StatusCode};
+use bronzelb_http::{BodyFraming, ResponseDefect};
 use bronzelb_kernel::{error::MeshError, request::ResponseBudget};
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
@@ -213,20 +211,32 @@
         options: &ExchangeOptions<'_>,
     ) -> Result<(BackendResponse, bool), ExchangeError> {
         let head = self.read_head(unsent).await?;
-        if !has_body_end(method, &head) {
-            if !options.accepts_unframed {
+        let framing =
+            BodyFraming::of_response(method, &head).map_err(|defect| lost_response(&defect))?;
+        let has_payload = self.codec.message_type() == MessageType::Payload;
+        match framing {
+            BodyFraming::Empty => {
+                // A codec that expects a body would take the next response for it.
+                let is_kept_alive = self.codec.keep_alive() && !has_payload;
+                Ok((backend_response(head, Bytes::new()), is_kept_alive))
+            }
+            BodyFraming::Length(_) | BodyFraming::Chunked if has_payload => {
+                let (body, is_kept_alive) = self.read_payload(unsent, options).await?;
+                Ok((backend_response(head, body), is_kept_alive))
+            }
+            // The codec takes an upgrade for the end of the response, even if the status denies it.
+            BodyFraming::Length(_) | BodyFraming::Chunked => {
+                Err(lost_response(&ResponseDefect::ProtocolChange))
+            }
+            BodyFraming::UntilClose if options.accepts_unframed => {
+                let body = self.read_to_end(unsent, options).await?;
+                Ok((backend_response(head, body), false))
+            }
+            BodyFraming::UntilClose => {
                 let reason = "the response body has no length, so truncation would go undetected";
-                return Err(lost_response(&reason));
+                Err(lost_response(&reason))
             }
-            let body = self.read_to_end(unsent, options).await?;
-            return Ok((backend_response(head, body), false));
-        }
-        if self.codec.message_type() == MessageType::None {
-            let is_kept_alive = self.codec.keep_alive();
-            return Ok((backend_response(head, Bytes::new()), is_kept_alive));
         }
-        let (body, is_kept_alive) = self.read_payload(unsent, options).await?;
-        Ok((backend_response(head, body), is_kept_alive))
     }
 
     async fn read_head(&mut self, unsent: &mut BytesMut) -> Result<ResponseHead, ExchangeError> {
@@ -340,15 +350,6 @@
     Some(Instant::now() + idle_limit)
 }
 
-/// Returns whether the end of the body is known without the connection closing.
-fn has_body_end(method: &Method, head: &ResponseHead) -> bool {
-    let headers = head.headers();
-    let is_bodiless = *method == Method::HEAD
-        || head.status == StatusCode::NO_CONTENT
-        || head.status == StatusCode::NOT_MODIFIED;
-    is_bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
 fn backend_response(mut head: ResponseHead, body: Bytes) -> BackendResponse {
     BackendResponse {
         status: head.status,
--- a/crates/daemon/tests/request_exchange/broken_responses.rs
+++ b/crates/daemon/tests/request_exchange/broken_responses.rs
@@ -1,12 +1,14 @@
 //! Responses that are no answer, or whose body cannot be told to be complete, are not forwarded.
 
+use std::fmt::Display;
+
 use bronzelb_kernel::{clock::TimeBudget, config::HttpMethod, error::RunState};
 use bronzelb_wire::peer::ForwardResponse;
 use bytes::Bytes;
 
 use crate::{
     forwarder_harness::{ForwarderHarness, NATIVE_DIALECT, USERS_DIALECT, run_state},
-    raw_server::{RawServer, Reply, ReplyEnding, complete_response, reply},
+    raw_server::{RawServer, Reply, ReplyEnding, close_after, complete_response, reply},
 };
 
 /// Larger than the buffers of a loopback connection.
@@ -41,6 +43,45 @@
     exchange(USERS_DIALECT, HttpMethod::Post, body, script).await
 }
 
+async fn get(
+    dialect: &str,
+    method: HttpMethod,
+    response: &[u8],
+) -> Result<ForwardResponse, RunState> {
+    let response = response.to_vec();
+    let script = move |_: usize, _: &str| close_after(response.clone());
+    exchange(dialect, method, Bytes::new(), script).await
+}
+
+/// Asserts that none of the responses, given by name, is forwarded or reported as not run.
+async fn assert_refused(responses: impl IntoIterator<Item = (impl Display, impl AsRef<[u8]>)>) {
+    let mut accepted = Vec::new();
+    for (name, response) in responses {
+        for dialect in DIALECTS {
+            let result = get(dialect, HttpMethod::Get, response.as_ref()).await;
+            match result {
+                Err(RunState::OutcomeUnknown) => {}
+                Err(state) => accepted.push(format!("{name}, {dialect}: {state:?}")),
+                Ok(forwarded) => {
+                    let (status, body) = (forwarded.status, forwarded.body);
+                    accepted.push(format!("{name}, {dialect}: {status} {body:?}"));
+                }
+            }
+        }
+    }
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
+
+async fn assert_forwarded(method: HttpMethod, response: &[u8], status: u16, body: &[u8]) {
+    let name = String::from_utf8_lossy(response);
+    for dialect in DIALECTS {
+        let result = get(dialect, method, response).await;
+        let forwarded = result.unwrap_or_else(|state| panic!("{dialect}, {state:?}: {name}"));
+        assert_eq!(forwarded.status, status, "{dialect}: {name}");
+        assert_eq!(forwarded.body, body, "{dialect}: {name}");
+    }
+}
+
 /// Guards against a part of a body that a client gets as the whole one: the write of the upload
 /// sees the reset first, and the read after it an ordinary end.
 #[actix_web::test]
@@ -98,3 +139,121 @@
     }
     assert_eq!(server.connections(), 5);
 }
+
+/// Guards against a body that is cut short or lost because two readers of a head differ about its
+/// end.
+#[actix_web::test]
+async fn response_whose_end_is_in_doubt_is_not_forwarded() {
+    const CHUNKED_BODY: &str = "4\r\nbody\r\n0\r\n\r\n";
+    let responses = [
+        (
+            "1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 2",
+            "body",
+        ),
+        ("1.1 200 OK\r\ncontent-length: 4, 4", "body"),
+        ("1.1 200 OK\r\ncontent-length: +4", "body"),
+        ("1.1 200 OK\r\ncontent-length: -4", "body"),
+        ("1.1 200 OK\r\ncontent-length: 0x4", "body"),
+        ("1.1 200 OK\r\ncontent-length:", "body"),
+        (
+            "1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked",
+            CHUNKED_BODY,
+        ),
+        (
+            "1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 4",
+            CHUNKED_BODY,
+        ),
+        (
+            "1.1 200 OK\r\ntransfer-encoding: identity\r\ncontent-length: 4",
+            "body",
+        ),
+        ("1.1 200 OK\r\ntransfer-encoding: identity", "body"),
+        ("1.1 200 OK\r\ntransfer-encoding: gzip", "body"),
+        (
+            "1.1 200 OK\r\ntransfer-encoding: gzip, chunked",
+            CHUNKED_BODY,
+        ),
+        (
+            "1.1 200 OK\r\ntransfer-encoding: chunked, identity",
+            CHUNKED_BODY,
+        ),
+        (
+            "1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked",
+            CHUNKED_BODY,
+        ),
+        ("1.1 200 OK\r\ntransfer-encoding: xchunked", CHUNKED_BODY),
+        ("1.0 200 OK\r\ntransfer-encoding: chunked", CHUNKED_BODY),
+        (
+            "1.0 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 4",
+            CHUNKED_BODY,
+        ),
+        (
+            "1.0 200 OK\r\ntransfer-encoding: identity\r\ncontent-length: 4",
+            "body",
+        ),
+        (
+            "1.1 200 OK\r\nupgrade: websocket\r\ncontent-length: 4",
+            "body",
+        ),
+        (
+            "1.1 426 Upgrade\r\nupgrade: WebSocket\r\ncontent-length: 4",
+            "body",
+        ),
+        ("1.1 204 No Content\r\ncontent-length: 4", "body"),
+        (
+            "1.1 204 No Content\r\ntransfer-encoding: chunked",
+            CHUNKED_BODY,
+        ),
+        ("2.0 200 OK\r\ncontent-length: 4", "body"),
+    ];
+    let responses = responses.map(|(head, body)| (head, format!("HTTP/{head}\r\n\r\n{body}")));
+    assert_refused(responses).await;
+}
+
+#[actix_web::test]
+async fn response_whose_end_is_known_is_forwarded() {
+    for (response, status, body) in [
+        ("1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody", 200, "body"),
+        ("1.0 200 OK\r\ncontent-length: 4\r\n\r\nbody", 200, "body"),
+        ("1.1 200 OK\r\ncontent-length: 0\r\n\r\n", 200, ""),
+        ("1.0 200 OK\r\ncontent-length: 0\r\n\r\n", 200, ""),
+        (
+            "1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            200,
+            "body",
+        ),
+        (
+            "1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;a=b\r\nbody\r\n0\r\nx: y\r\n\r\n",
+            200,
+            "body",
+        ),
+        (
+            "1.1 200 OK\r\nupgrade: h2c\r\ncontent-length: 4\r\n\r\nbody",
+            200,
+            "body",
+        ),
+        ("1.1 204 No Content\r\n\r\n", 204, ""),
+        ("1.0 204 No Content\r\n\r\n", 204, ""),
+        ("1.1 304 Not Modified\r\n\r\n", 304, ""),
+        ("1.1 304 Not Modified\r\ncontent-length: 4\r\n\r\n", 304, ""),
+        (
+            "1.1 599 Status\r\ncontent-length: 4\r\n\r\nbody",
+            599,
+            "body",
+        ),
+        ("1.1 500\r\ncontent-length: 4\r\n\r\nbody", 500, "body"),
+    ] {
+        let response = format!("HTTP/{response}");
+        assert_forwarded(
+            HttpMethod::Get,
+            response.as_bytes(),
+            status,
+            body.as_bytes(),
+        )
+        .await;
+    }
+    for head in ["content-length: 4", "transfer-encoding: chunked", "x: y"] {
+        let response = format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n");
+        assert_forwarded(HttpMethod::Head, response.as_bytes(), 200, b"").await;
+    }
+}
--- a/crates/daemon/tests/request_exchange/main.rs
+++ b/crates/daemon/tests/request_exchange/main.rs
@@ -15,7 +15,7 @@
 
 use bronzelb_kernel::{
     clock::TimeBudget,
-    config::{ConfigVersion, RequestPriority, RolloutRule, ShareRatio},
+    config::{RequestPriority, RolloutRule, ShareRatio},
     error::{ErrorKind, RunState},
     ids::{AttemptToken, DataCentre, IncarnationNumber, NodeName, SlotCount},
     member::{BackendIncarnation, BackendRow, BackendState, MemberRow, MemberState, StatedLimit},
--- /dev/null
+++ b/crates/http/src/body_framing.rs
@@ -0,0 +1,77 @@
+use actix_http::{
+    Method, ResponseHead, StatusCode, Version,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
+
+use crate::ResponseDefect;
+
+/// How the end of a response body is known (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// There is no body.
+    Empty,
+    /// The body has this length, in bytes.
+    Length(u64),
+    /// The body is sent in chunks.
+    Chunked,
+    /// The body ends when the connection closes.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// Determines the framing of the final response to a request with `method`.
+    ///
+    /// # Errors
+    ///
+    /// The head contradicts itself, or has a transfer encoding other than `chunked`.
+    pub fn of_response(method: &Method, head: &ResponseHead) -> Result<Self, ResponseDefect> {
+        let length = content_length(head)?;
+        let is_chunked = is_chunked(head)?;
+        if is_chunked && length.is_some() {
+            return Err(ResponseDefect::AmbiguousLength);
+        }
+        // These responses state the length that the body of a GET response would have.
+        if *method == Method::HEAD || head.status == StatusCode::NOT_MODIFIED {
+            return Ok(Self::Empty);
+        }
+        let framing = match length {
+            Some(0) => Self::Empty,
+            Some(length) => Self::Length(length),
+            None if is_chunked => Self::Chunked,
+            None if head.status == StatusCode::NO_CONTENT => Self::Empty,
+            None => Self::UntilClose,
+        };
+        if head.status == StatusCode::NO_CONTENT && framing != Self::Empty {
+            return Err(ResponseDefect::UnexpectedBody);
+        }
+        Ok(framing)
+    }
+}
+
+fn content_length(head: &ResponseHead) -> Result<Option<u64>, ResponseDefect> {
+    let mut values = head.headers().get_all(CONTENT_LENGTH);
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(ResponseDefect::AmbiguousLength);
+    }
+    let text = value.to_str().ok();
+    let digits = text.filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
+    let length = digits.and_then(|text| text.parse().ok());
+    length.map(Some).ok_or(ResponseDefect::MalformedLength)
+}
+
+fn is_chunked(head: &ResponseHead) -> Result<bool, ResponseDefect> {
+    let mut values = head.headers().get_all(TRANSFER_ENCODING);
+    let Some(value) = values.next() else {
+        return Ok(false);
+    };
+    let is_supported = head.version == Version::HTTP_11
+        && value.as_bytes().eq_ignore_ascii_case(b"chunked")
+        && values.next().is_none();
+    match is_supported {
+        true => Ok(true),
+        false => Err(ResponseDefect::UnknownEncoding),
+    }
+}
--- /dev/null
+++ b/crates/http/src/response_defect.rs
@@ -0,0 +1,22 @@
+use snafu::Snafu;
+
+/// Reason why a response is not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[non_exhaustive]
+pub enum ResponseDefect {
+    /// More than one header states the length of the body.
+    #[snafu(display("the length of the response body is stated twice"))]
+    AmbiguousLength,
+    /// The content length is not a decimal number.
+    #[snafu(display("the content length of the response is not a number"))]
+    MalformedLength,
+    /// The transfer encoding is not `chunked`, or the protocol version has none.
+    #[snafu(display("the transfer encoding of the response is not supported"))]
+    UnknownEncoding,
+    /// A body is announced by a response that has none.
+    #[snafu(display("the response has a status without a body, but announces one"))]
+    UnexpectedBody,
+    /// The response agrees to a change of protocol that was not requested.
+    #[snafu(display("the response changes the protocol"))]
+    ProtocolChange,
+}
