Refuse statuses that no final response has, and changes of protocol

Callers got answers with a status of 600 to 999. 000, 099, 20, 2000 and other malformed ones were refused before; their tests stay. A 101 that nobody asked for, or an informational response that announces a body, made a debug build panic inside the codec; a release build read the next head with the state of the informational one, and forwarded it.

Cause: the codec takes every status from 100 to 999, and keeps the payload decoder of an informational head, which read_head skipped, for the next head.

Evidence: response_with_an_impossible_status_is_not_forwarded listed 600 and 999 as forwarded, by both dialects. informational_response_that_announces_more_is_not_forwarded panicked in the codec ("Payload decoder should not be set", debug); in a release build it listed 8 of its 15 responses as forwarded.

Change: BodyFraming takes statuses from 200 to 599.

--- a/crates/daemon/tests/request_exchange/broken_responses.rs
+++ b/crates/daemon/tests/request_exchange/broken_responses.rs
@@ -257,3 +257,38 @@
         assert_forwarded(HttpMethod::Head, response.as_bytes(), 200, b"").await;
     }
 }
+
+#[actix_web::test]
+async fn response_with_an_impossible_status_is_not_forwarded() {
+    let statuses = [
+        "000", "099", "20", "2000", "0200", "600", "999", "2x0", "-20", "",
+    ];
+    let responses = statuses.map(|status| {
+        let head = format!("HTTP/1.1 {status} Status\r\ncontent-length: 4");
+        (status, format!("{head}\r\n\r\nbody"))
+    });
+    assert_refused(responses).await;
+}
+
+/// Guards against a codec that panics, or that reads the next head with the state of this one.
+#[actix_web::test]
+async fn informational_response_that_announces_more_is_not_forwarded() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+    let heads = [
+        "HTTP/1.1 101 Switching Protocols\r\nupgrade: websocket\r\nconnection: upgrade",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 100 Continue\r\ncontent-length: 5",
+        "HTTP/1.1 103 Early Hints\r\ntransfer-encoding: chunked",
+        "HTTP/1.0 100 Continue",
+    ];
+    let rests = ["", WHOLE, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"];
+    let responses = heads.iter().flat_map(|head| {
+        let responses = rests.map(|rest| format!("{head}\r\n\r\n{rest}"));
+        responses.map(|response| (response.clone(), response))
+    });
+    assert_refused(responses).await;
+    let response = format!("HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n{WHOLE}");
+    assert_forwarded(HttpMethod::Get, response.as_bytes(), 200, b"whole").await;
+    let result = get(NATIVE_DIALECT, HttpMethod::Head, heads[1].as_bytes()).await;
+    assert_eq!(result.err(), Some(RunState::OutcomeUnknown));
+}
--- a/crates/http/src/body_framing.rs
+++ b/crates/http/src/body_framing.rs
@@ -1,3 +1,5 @@
+use std::ops::Range;
+
 use actix_http::{
     Method, ResponseHead, StatusCode, Version,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
@@ -5,6 +7,9 @@
 
 use crate::ResponseDefect;
 
+/// Status codes of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// How the end of a response body is known (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -23,8 +28,12 @@
     ///
     /// # Errors
     ///
-    /// The head contradicts itself, or has a transfer encoding other than `chunked`.
+    /// The status is not one of a final response, or the head contradicts itself or has a transfer
+    /// encoding other than `chunked`.
     pub fn of_response(method: &Method, head: &ResponseHead) -> Result<Self, ResponseDefect> {
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            return Err(ResponseDefect::UnknownStatus);
+        }
         let length = content_length(head)?;
         let is_chunked = is_chunked(head)?;
         if is_chunked && length.is_some() {
--- a/crates/http/src/response_defect.rs
+++ b/crates/http/src/response_defect.rs
@@ -4,6 +4,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[non_exhaustive]
 pub enum ResponseDefect {
+    /// The status code is not one of a final response.
+    #[snafu(display("the response has a status outside 200 to 599"))]
+    UnknownStatus,
     /// More than one header states the length of the body.
     #[snafu(display("the length of the response body is stated twice"))]
     AmbiguousLength,
