Refuse response heads with a space between a header name and its colon

Callers got answers in whose head the name of a header was followed by a space or a tab, with that header passed on under the repaired name, or with a body that such a line framed.

Cause: the codec removes the space in responses, without a way to turn that off. A blank inside a name, a control byte, NUL, 0x7f and bytes above it were refused before; their tests stay.

Change: the connection looks at the lines of the head before the codec does. Values, the reason phrase and the body may hold any spaces (response_with_spaces_elsewhere_is_forwarded).

--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -12,7 +12,7 @@
     header::HeaderMap,
 };
 use actix_web::http::{Method, StatusCode};
-use bronzelb_http::{BodyFraming, ResponseDefect};
+use bronzelb_http::{BodyFraming, ResponseDefect, check_header_names};
 use bronzelb_kernel::{error::MeshError, request::ResponseBudget};
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
@@ -241,6 +241,7 @@
 
     async fn read_head(&mut self, unsent: &mut BytesMut) -> Result<ResponseHead, ExchangeError> {
         loop {
+            check_header_names(&self.received).map_err(|defect| lost_response(&defect))?;
             let decoded = self.codec.decode(&mut self.received);
             match decoded.map_err(|error| lost_response(&error))? {
                 Some(head) if !head.status.is_informational() => return Ok(head),
--- a/crates/daemon/tests/request_exchange/broken_responses.rs
+++ b/crates/daemon/tests/request_exchange/broken_responses.rs
@@ -292,3 +292,59 @@
     let result = get(NATIVE_DIALECT, HttpMethod::Head, heads[1].as_bytes()).await;
     assert_eq!(result.err(), Some(RunState::OutcomeUnknown));
 }
+
+#[actix_web::test]
+async fn response_with_a_malformed_header_name_is_not_forwarded() {
+    const NAMES: [&[u8]; 14] = [
+        b"x y",
+        b" x",
+        b"\tx",
+        b"x ",
+        b"x\t",
+        b"x \t ",
+        b"",
+        b" ",
+        b"x\0y",
+        b"x\x01",
+        b"\x1bx",
+        b"x\x7f",
+        b"x\ry",
+        b"x\xc3\xa4",
+    ];
+    const PRECEDING_LINES: [&str; 2] = ["", "server: test\r\n"];
+    let mut responses = Vec::new();
+    for line in PRECEDING_LINES {
+        for name in NAMES {
+            let head = format!("HTTP/1.1 200 OK\r\n{line}content-length: 4\r\n");
+            let response = [head.as_bytes(), name, b": value\r\n\r\nbody"].concat();
+            responses.push((name.escape_ascii().to_string(), response));
+        }
+        for framing in ["content-length : 4", "content-length\t: 4"] {
+            let response = format!("HTTP/1.1 200 OK\r\n{line}{framing}\r\n\r\nbody");
+            responses.push((framing.to_owned(), response.into_bytes()));
+        }
+        let framing = "transfer-encoding : chunked";
+        let response = format!("\r\nHTTP/1.1 200 OK\n{line}{framing}\n\n4\r\nbody\r\n0\r\n\r\n");
+        responses.push((framing.to_owned(), response.into_bytes()));
+    }
+    assert_refused(responses).await;
+}
+
+/// Guards against a scan that takes a value or a body for the name of a header.
+#[actix_web::test]
+async fn response_with_spaces_elsewhere_is_forwarded() {
+    for head in [
+        "1.1 200 OK : fine\r\nx: a b : c\r\ncontent-length:15",
+        "1.1 200 OK\r\nx:  \r\ncontent-length: 15 ",
+        "1.1 200 OK\nx:y\ncontent-length: 15\r",
+    ] {
+        let response = format!("\r\nHTTP/{head}\n\r\nbody : a\r\nb : c");
+        assert_forwarded(
+            HttpMethod::Get,
+            response.as_bytes(),
+            200,
+            b"body : a\r\nb : c",
+        )
+        .await;
+    }
+}
--- a/crates/http/src/response_defect.rs
+++ b/crates/http/src/response_defect.rs
@@ -7,6 +7,9 @@
     /// The status code is not one of a final response.
     #[snafu(display("the response has a status outside 200 to 599"))]
     UnknownStatus,
+    /// A header name is followed by a space or tab.
+    #[snafu(display("a header name of the response is followed by a space or tab"))]
+    MalformedName,
     /// More than one header states the length of the body.
     #[snafu(display("the length of the response body is stated twice"))]
     AmbiguousLength,
