Do not read a load report that broke off

Nodes took a server for fully loaded that was nearly idle: of a report that was cut inside its last line, `total-slots: 12`, they read `total-slots: 1`.

Cause: awc takes the end of the connection for the end of a body, before the stated length and inside a chunk, too.

Evidence: broken_load_report_is_not_read listed 7 of 15 broken reports as read, all of them as a load of 1.

Change: the poll uses strict_connector and read_body. A broken report counts as unreadable, and the earlier one stays in force, as before.

--- a/crates/daemon/src/report/report_task.rs
+++ b/crates/daemon/src/report/report_task.rs
@@ -1,10 +1,12 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use awc::Client;
+use awc::{Client, http::Method};
+use bronzelb_http::{read_body, strict_connector};
 use bronzelb_kernel::{
     ids::{BackendName, ServiceName},
     plugin::{LoadReport, ReportReader},
 };
+use bytes::Bytes;
 use futures::future;
 use tokio::time;
 
@@ -26,6 +28,7 @@
 /// lines were suppressed.
 pub async fn run_reports(state: Arc<NodeState>, mut stop: StopSignal) {
     let client = Client::builder()
+        .connector(strict_connector())
         .disable_redirects()
         .timeout(READ_TIMEOUT)
         .finish();
@@ -83,9 +86,10 @@
     report
 }
 
-async fn fetch_report(client: &Client, address: SocketAddr, path: &str) -> Option<Vec<u8>> {
+async fn fetch_report(client: &Client, address: SocketAddr, path: &str) -> Option<Bytes> {
     let request = client.get(format!("http://{address}{path}"));
     let mut response = request.send().await.ok()?;
-    let body = response.body().limit(MAX_REPORT_BYTES).await.ok()?;
-    response.status().is_success().then(|| body.to_vec())
+    let body = read_body(&Method::GET, &mut response, MAX_REPORT_BYTES);
+    let body = body.await.ok()?;
+    response.status().is_success().then_some(body)
 }
--- a/crates/daemon/tests/request_exchange/forwarder_harness.rs
+++ b/crates/daemon/tests/request_exchange/forwarder_harness.rs
@@ -33,7 +33,7 @@
         crew: None,
         slots: SlotCount::new(4),
         connections: 110,
-        report_format: "plain-json".into(),
+        report_format: "plain-status".into(),
         slow_start: TimeBudget::ZERO,
         drain: TimeBudget::from_secs(1),
         rollout: RolloutRule {
--- a/crates/daemon/tests/request_exchange/main.rs
+++ b/crates/daemon/tests/request_exchange/main.rs
@@ -2,6 +2,7 @@
 
 mod broken_responses;
 mod forwarder_harness;
+mod load_reports;
 
 use std::{
     cell::RefCell,
