Do not show a node's status that broke off

`bronzelb status` took the response of a node for whole that ended before its stated length, or inside a chunk, as long as the part could be parsed.

Cause: as in the load reports, awc's reading of the end of the connection.

Evidence: broken_response_of_a_node_is_no_answer failed on its first response, whose length is one byte more than what came: exit code 0.

Change: the client of the commands uses strict_connector and read_body.

--- a/crates/cli/src/nodes/node_client.rs
+++ b/crates/cli/src/nodes/node_client.rs
@@ -4,6 +4,7 @@
     Client,
     http::{Method, StatusCode},
 };
+use bronzelb_http::{read_body, strict_connector};
 use bronzelb_kernel::{
     clock::ClockInstant,
     error::{ErrorKind, MeshError},
@@ -32,6 +33,7 @@
     pub(crate) fn new(token_path: Option<&str>) -> Result<Self, MeshError> {
         let token = token_path.map(read_token).transpose()?;
         let client = Client::builder()
+            .connector(strict_connector())
             .disable_timeout()
             .disable_redirects()
             .finish();
@@ -54,9 +56,9 @@
     ///
     /// # Errors
     ///
-    /// Returns `NoBackend` if the node does not respond by `deadline` or its response is oversized,
-    /// `Unauthorized` if the token is missing or wrong, and `Invalid` if the response is malformed
-    /// or has another status than 200.
+    /// Returns `NoBackend` if the node does not respond by `deadline` or its response is oversized
+    /// or incomplete, `Unauthorized` if the token is missing or wrong, and `Invalid` if the response
+    /// is malformed or has another status than 200.
     pub(crate) async fn get<T: DeserializeOwned>(
         &self,
         address: NodeAddress,
@@ -102,7 +104,7 @@
         path: &str,
     ) -> Result<T, MeshError> {
         let url = format!("http://{address}{path}");
-        let mut request = self.client.request(method, url);
+        let mut request = self.client.request(method.clone(), url);
         if let Some(token) = &self.token {
             request = request.bearer_auth(token);
         }
@@ -110,9 +112,7 @@
             .send()
             .await
             .map_err(|error| unreachable_error(address, &error.to_string()))?;
-        let body = response
-            .body()
-            .limit(MAX_RESPONSE_BYTES)
+        let body = read_body(&method, &mut response, MAX_RESPONSE_BYTES)
             .await
             .map_err(|error| unreachable_error(address, &error.to_string()))?;
         match response.status() {
--- a/crates/cli/tests/commands/status.rs
+++ b/crates/cli/tests/commands/status.rs
@@ -1,5 +1,6 @@
 //! `status` and `publish --wait` report which nodes responded and which did not.
 
+use bronzelb_emulator::server::broken_responses;
 use expect_test::expect;
 
 use crate::support::{CommandRun, example, fake_node::FakeNode, run};
@@ -198,3 +199,18 @@
     let refused = status(&["--node", &node.address(), "--token", missing]);
     assert_eq!(refused.code, 1);
 }
+
+#[test]
+fn broken_response_of_a_node_is_no_answer() {
+    for index in 0..broken_responses("").len() {
+        let node = FakeNode::start_with_response(|body| broken_responses(body).swap_remove(index));
+        let run = status(&["--node", &node.address()]);
+        let response = &broken_responses("{}")[index];
+        assert_ne!(run.code, 0, "{response:?}: {}", run.stdout);
+        assert!(
+            !run.stdout.contains("leuven-1"),
+            "{response:?}: {}",
+            run.stdout
+        );
+    }
+}
--- a/crates/cli/tests/commands/support/fake_node.rs
+++ b/crates/cli/tests/commands/support/fake_node.rs
@@ -73,6 +73,15 @@
         })
     }
 
+    /// Starts a node that sends `response`, given the body with its status, and closes the
+    /// connection.
+    pub(crate) fn start_with_response(response: impl Fn(&str) -> String) -> Self {
+        let response = response(&status("leuven-1", "leuven", 3).to_string());
+        Self::serve(move |stream, _request| {
+            let _ = stream.write_all(response.as_bytes());
+        })
+    }
+
     /// Starts a node that closes every connection without a response.
     pub(crate) fn start_closing() -> Self {
         Self::serve(|_stream, _request| {})
