Let the emulator's clients refuse broken responses

Evidence: caller_gets_no_broken_response listed 12 of 15 responses, control_client_reads_no_broken_response 7; caller_gets_responses_without_a_body waited 30 s for the body of a 304.

Change: both clients, the announcements and the calls of the backend stand-in use strict_connector and read_body.

--- a/crates/emulator/src/backend/announce_task.rs
+++ b/crates/emulator/src/backend/announce_task.rs
@@ -1,6 +1,7 @@
 use std::{net::SocketAddr, time::Duration};
 
-use awc::Client;
+use awc::{Client, http::Method};
+use bronzelb_http::{read_body, strict_connector};
 use bronzelb_kernel::{
     ids::{BuildVersion, ServiceName, SlotCount},
     member::BackendState,
@@ -12,6 +13,8 @@
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(2);
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Size limit of a node's response to an announcement.
+const MAX_LEASE_BYTES: usize = 64 * 1024;
 const ANNOUNCEMENTS_PER_LEASE: u32 = 3;
 
 #[derive(Serialize)]
@@ -32,7 +35,7 @@
 /// Renews the server's announcement several times per lease, and at once when its state or node
 /// changes.
 pub(crate) async fn run(backend: BackendHandle, address: SocketAddr) {
-    let client = Client::builder().timeout(ANNOUNCE_TIMEOUT).finish();
+    let client = announce_client();
     loop {
         let (state, node) = announced_state(&backend);
         let interval = match announce(&client, &backend, address).await {
@@ -47,6 +50,14 @@
     }
 }
 
+/// Returns a client for announcements to a node.
+pub(crate) fn announce_client() -> Client {
+    Client::builder()
+        .connector(strict_connector())
+        .timeout(ANNOUNCE_TIMEOUT)
+        .finish()
+}
+
 /// Announces the server once and returns the lease duration, or `None` if the node did not accept
 /// the announcement or a fault suppresses it.
 pub(crate) async fn announce(
@@ -69,7 +80,8 @@
     };
     let url = format!("http://{}/v1/backends/{}", node?, settings.name);
     let mut response = client.put(url).send_json(&announcement).await.ok()?;
-    let lease: LeaseResponse = response.json().await.ok()?;
+    let body = read_body(&Method::PUT, &mut response, MAX_LEASE_BYTES);
+    let lease: LeaseResponse = serde_json::from_slice(&body.await.ok()?).ok()?;
     Some(Duration::from_millis(lease.lease_ms))
 }
 
@@ -78,7 +90,7 @@
     let Some(node) = backend.lock().node else {
         return;
     };
-    let client = Client::builder().timeout(ANNOUNCE_TIMEOUT).finish();
+    let client = announce_client();
     let url = format!("http://{node}/v1/backends/{}", backend.settings.name);
     // If the request is lost, the node removes the server when its lease expires.
     let _ = client.delete(url).send().await;
--- a/crates/emulator/src/backend/backend_server.rs
+++ b/crates/emulator/src/backend/backend_server.rs
@@ -5,6 +5,7 @@
     web::{self, ServiceConfig},
 };
 use awc::Client;
+use bronzelb_http::strict_connector;
 use bronzelb_kernel::{clock::TimeBudget, error::MeshError, member::BackendState};
 use serde::{Deserialize, Serialize};
 
@@ -22,7 +23,6 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Addresses that the stand-in prints once it accepts connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -93,7 +93,10 @@
 }
 
 fn chain_client() -> Client {
-    Client::builder().disable_timeout().finish()
+    Client::builder()
+        .connector(strict_connector())
+        .disable_timeout()
+        .finish()
 }
 
 fn configure_requests(config: &mut ServiceConfig) {
@@ -125,7 +128,7 @@
 /// Announces the draining state and waits for the requests in flight.
 async fn drain(backend: &BackendHandle, address: SocketAddr) {
     backend.lock().lifecycle = BackendState::Draining;
-    let client = Client::builder().timeout(ANNOUNCE_TIMEOUT).finish();
+    let client = announce_task::announce_client();
     announce_task::announce(&client, backend, address).await;
     wait_until_idle(backend).await;
 }
--- a/crates/emulator/src/backend/chain_call.rs
+++ b/crates/emulator/src/backend/chain_call.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
 use actix_web::{HttpRequest, http::StatusCode};
-use awc::Client;
+use awc::{Client, http::Method};
+use bronzelb_http::read_body;
 use bronzelb_kernel::clock::{ClockInstant, TimeBudget};
 
 use crate::{backend::BackendSettings, server::wall_clock};
@@ -10,6 +11,8 @@
 pub(crate) const CHAIN_HEADER: &str = "x-emulator-chain";
 const DEADLINE_HEADER: &str = "x-bronzelb-deadline-ms";
 const FORWARDED_HEADER_PREFIX: &str = "x-bronzelb-";
+/// Size limit of the next service's response.
+const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
 const DEFAULT_DEADLINE: TimeBudget = TimeBudget::from_secs(10);
 
 /// Calls the next service of the request's chain through a node and returns the response status.
@@ -39,7 +42,7 @@
         next = next.insert_header((CHAIN_HEADER, rest));
     }
     let status = match next.send().await {
-        Ok(mut response) => match response.body().await {
+        Ok(mut response) => match read_body(&Method::GET, &mut response, MAX_BODY_BYTES).await {
             Ok(_) => response.status(),
             Err(_) => StatusCode::BAD_GATEWAY,
         },
--- a/crates/emulator/src/http/caller_client.rs
+++ b/crates/emulator/src/http/caller_client.rs
@@ -1,6 +1,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use awc::{Client, Connector, http::Method};
+use awc::{Client, http::Method};
+use bronzelb_http::{read_body, strict_connector};
 use bronzelb_kernel::{
     config::HttpMethod,
     error::{ErrorKind, MeshError},
@@ -137,7 +138,7 @@
     /// Creates a client with its own connection pool.
     #[must_use]
     pub fn new() -> Self {
-        let connector = Connector::new()
+        let connector = strict_connector()
             .timeout(CONNECT_TIMEOUT)
             .limit(MAX_CONNECTIONS);
         let client = Client::builder()
@@ -175,7 +176,7 @@
         let method = Method::from_bytes(request.method.name().as_bytes())
             .expect("HTTP method name is valid");
         let url = format!("http://{address}{}", request.target);
-        let mut message = self.client.request(method, url);
+        let mut message = self.client.request(method.clone(), url);
         for (name, value) in &request.headers {
             message = message.insert_header((name.as_str(), value.as_str()));
         }
@@ -191,19 +192,9 @@
                 (name.as_str().to_owned(), value)
             })
             .collect();
-        let body = response
-            .body()
-            .limit(MAX_BODY_BYTES)
+        let body = read_body(&method, &mut response, MAX_BODY_BYTES)
             .await
             .map_err(|error| call_error(&error.to_string()))?;
-        // The client library reports a truncated body as complete, so the length is checked here.
-        let length = headers
-            .get("content-length")
-            .and_then(|text| text.parse::<usize>().ok());
-        let has_body = request.method != HttpMethod::Head;
-        if has_body && length.is_some_and(|length| length != body.len()) {
-            return Err(call_error("response body is truncated"));
-        }
         Ok(CallResponse {
             status: response.status().as_u16(),
             headers,
--- a/crates/emulator/src/http/json_client.rs
+++ b/crates/emulator/src/http/json_client.rs
@@ -1,6 +1,7 @@
 use std::{fmt::Display, net::SocketAddr, time::Duration};
 
-use awc::{Client, ClientRequest, http::Method};
+use awc::{Client, http::Method};
+use bronzelb_http::{read_body, strict_connector};
 use bronzelb_kernel::error::{ErrorKind, MeshError};
 use bytes::Bytes;
 use serde::{Serialize, de::DeserializeOwned};
@@ -19,7 +20,10 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            client: Client::builder().timeout(REQUEST_TIMEOUT).finish(),
+            client: Client::builder()
+                .connector(strict_connector())
+                .timeout(REQUEST_TIMEOUT)
+                .finish(),
         }
     }
 
@@ -33,8 +37,7 @@
         address: SocketAddr,
         path: &str,
     ) -> Result<T, MeshError> {
-        let request = self.request(Method::GET, address, path);
-        let body = send(request, Bytes::new(), path).await?;
+        let body = self.send(Method::GET, address, path, Bytes::new()).await?;
         decode(&body, path)
     }
 
@@ -49,8 +52,10 @@
         path: &str,
         body: &impl Serialize,
     ) -> Result<(), MeshError> {
-        let request = self.request(Method::PUT, address, path);
-        send(request, encode(body, path)?, path).await.map(|_| ())
+        let body = encode(body, path)?;
+        self.send(Method::PUT, address, path, body)
+            .await
+            .map(|_| ())
     }
 
     /// Sends `body` to `path` in a POST request and decodes the response.
@@ -64,8 +69,8 @@
         path: &str,
         body: &impl Serialize,
     ) -> Result<T, MeshError> {
-        let request = self.request(Method::POST, address, path);
-        let body = send(request, encode(body, path)?, path).await?;
+        let body = encode(body, path)?;
+        let body = self.send(Method::POST, address, path, body).await?;
         decode(&body, path)
     }
 
@@ -75,14 +80,36 @@
     ///
     /// `LocalIo` for a failed request or an error status.
     pub async fn delete(&self, address: SocketAddr, path: &str) -> Result<(), MeshError> {
-        let request = self.request(Method::DELETE, address, path);
-        send(request, Bytes::new(), path).await.map(|_| ())
+        let body = Bytes::new();
+        self.send(Method::DELETE, address, path, body)
+            .await
+            .map(|_| ())
     }
 
-    fn request(&self, method: Method, address: SocketAddr, path: &str) -> ClientRequest {
-        self.client
-            .request(method, format!("http://{address}{path}"))
-            .content_type("application/json")
+    async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, MeshError> {
+        let request = self
+            .client
+            .request(method.clone(), format!("http://{address}{path}"))
+            .content_type("application/json");
+        let mut response = request
+            .send_body(body)
+            .await
+            .map_err(|error| io_error(path, &error))?;
+        let status = response.status();
+        let body = read_body(&method, &mut response, MAX_BODY_BYTES)
+            .await
+            .map_err(|error| io_error(path, &error))?;
+        if status.is_success() {
+            return Ok(body);
+        }
+        let text = String::from_utf8_lossy(&body);
+        Err(io_error(path, &format!("status {status}: {text}")))
     }
 }
 
@@ -92,24 +119,6 @@
     }
 }
 
-async fn send(request: ClientRequest, body: Bytes, path: &str) -> Result<Bytes, MeshError> {
-    let mut response = request
-        .send_body(body)
-        .await
-        .map_err(|error| io_error(path, &error))?;
-    let status = response.status();
-    let body = response
-        .body()
-        .limit(MAX_BODY_BYTES)
-        .await
-        .map_err(|error| io_error(path, &error))?;
-    if status.is_success() {
-        return Ok(body);
-    }
-    let text = String::from_utf8_lossy(&body);
-    Err(io_error(path, &format!("status {status}: {text}")))
-}
-
 fn encode(body: &impl Serialize, path: &str) -> Result<Bytes, MeshError> {
     let text = serde_json::to_vec(body)
         .map_err(|error| MeshError::invalid(format!("request body for {path}: {error}")))?;
