Test many responses without end at once, in nine shapes

What an endless response may cost was tested for seven shapes, one request at a time, in the native dialect. The test adds a body without a length and trailers, both dialects, and 36 requests at once.

The codec refuses a head of more than 128 KiB, an exchange reads at most 16 MiB, and ResponseBudget bounds the bodies that are being read.

--- a/crates/daemon/tests/request_exchange/broken_responses.rs
+++ b/crates/daemon/tests/request_exchange/broken_responses.rs
@@ -1,13 +1,15 @@
 //! Responses that are no answer, or whose body cannot be told to be complete, are not forwarded.
 
-use std::fmt::Display;
+use std::{fmt::Display, time::Duration};
 
 use bronzelb_emulator::server::{
-    RawServer, Reply, ReplyEnding, close_after, complete_response, reply,
+    RawServer, Reply, ReplyEnding, close_after, complete_response, repeat_after, reply,
 };
 use bronzelb_kernel::{clock::TimeBudget, config::HttpMethod, error::RunState};
 use bronzelb_wire::peer::ForwardResponse;
 use bytes::Bytes;
+use futures::future::join_all;
+use tokio::time;
 
 use crate::forwarder_harness::{ForwarderHarness, NATIVE_DIALECT, USERS_DIALECT, run_state};
 
@@ -348,3 +350,44 @@
         .await;
     }
 }
+
+/// Guards against a process that keeps all that its servers send, and against slots that are held
+/// until the deadline.
+#[actix_web::test]
+async fn many_responses_without_end_fail_before_the_deadline() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    const LENGTH: &str = "HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n";
+    const REQUESTS_PER_SHAPE: usize = 4;
+    const LONG_DEADLINE: TimeBudget = TimeBudget::from_secs(60);
+    const LIMIT: Duration = Duration::from_secs(30);
+    let shapes = [
+        repeat_after("", "\0"),
+        repeat_after("HTTP/1.1 200 OK\r\na: ", "b"),
+        repeat_after("HTTP/1.1 200 OK\r\n", "a: b\r\n"),
+        repeat_after("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        repeat_after("HTTP/1.1 200 OK\r\n\r\n", "body"),
+        repeat_after(LENGTH, "body"),
+        repeat_after(CHUNKED, "4\r\nbody\r\n"),
+        repeat_after(format!("{CHUNKED}4;"), "a"),
+        repeat_after(format!("{CHUNKED}0\r\n"), "a: b\r\n"),
+    ];
+    for dialect in DIALECTS {
+        let mut servers = Vec::new();
+        for shape in &shapes {
+            let shape = shape.clone();
+            servers.push(RawServer::start(move |_, _| shape.clone()).await);
+        }
+        let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+        let slots = u32::try_from(REQUESTS_PER_SHAPE).expect("is small");
+        let harness = ForwarderHarness::with_dialect(&addresses, false, slots, dialect);
+        let deadline = harness.forwarder.state().now().after(LONG_DEADLINE);
+        let count = REQUESTS_PER_SHAPE * shapes.len();
+        let requests = (0..count).map(|number| harness.get_with_deadline(number, deadline));
+        let results = time::timeout(LIMIT, join_all(requests)).await;
+        let results = results.unwrap_or_else(|_| panic!("{dialect}: not over within {LIMIT:?}"));
+        let forwarded: Vec<_> = results.iter().filter(|result| result.is_ok()).collect();
+        assert!(forwarded.is_empty(), "{dialect}: {forwarded:?}");
+        let reached = servers.iter().filter(|server| server.requests() > 0);
+        assert!(reached.count() > shapes.len() / 2, "{dialect}");
+    }
+}
