Count responses in a budget until their callers have read them

A node that gets large responses for callers that read slowly, or not at all, ran out of memory: every caller holds up to 8 MiB for up to 30 s.

Cause: ResponseBudget counted a response only while it was read from the server. The complete response, and a second copy with its head, waited for the caller without a limit.

Change: a second budget of 48 MiB counts the responses of whatever node until they are written. A response up to 256 KiB always fits, as before; a larger one that doesn't fit is answered 502, without blaming its server. The body is written as it is, so the copy is gone.

--- a/crates/daemon/src/callers/caller_connection.rs
+++ b/crates/daemon/src/callers/caller_connection.rs
@@ -8,7 +8,7 @@
 };
 use actix_web::HttpResponse;
 use bronzelb_kernel::error::{ErrorKind, MeshError};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use futures::{StreamExt, stream::FuturesOrdered};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -294,15 +294,13 @@
         let mut encoded = BytesMut::new();
         let size = BodySize::Sized(body.len() as u64);
         codec.encode(Message::Item((head, size)), &mut encoded)?;
-        if !body.is_empty() {
-            codec.encode(Message::Chunk(Some(body)), &mut encoded)?;
-        }
         self.waiting_since = Instant::now();
-        self.write(&encoded).await
+        // A body with a length is sent as it is, without a copy.
+        self.write(encoded.chain(body)).await
     }
 
-    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        time::timeout(WRITE_TIMEOUT, self.stream.write_all(bytes))
+    async fn write(&mut self, mut bytes: impl Buf) -> io::Result<()> {
+        time::timeout(WRITE_TIMEOUT, self.stream.write_all_buf(&mut bytes))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -22,6 +22,7 @@
     callers::{
         caller_error_response,
         caller_request::{CallerRequest, request_host},
+        held_body::hold_body,
     },
     forward::{
         RequestForwarder, RoutedRequest, account_headers, account_name, fingerprint, is_hop_header,
@@ -159,6 +160,10 @@
         },
     };
     let result = forwarder.run(routed_request).await;
+    let result = result.and_then(|response| {
+        let body = hold_body(state.requests.waiting_budget(), response.body)?;
+        Ok(ForwardResponse { body, ..response })
+    });
     record_burn(state, &route_match.route, rule, request.started_at, &result);
     result
 }
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -61,6 +61,7 @@
     backends: Mutex<BTreeMap<BackendName, Arc<BackendRuntime>>>,
     idempotency_cache: Mutex<IdempotencyCache<ResultReceiver, SharedResult>>,
     response_budget: Mutex<ResponseBudget>,
+    waiting_budget: Arc<Mutex<ResponseBudget>>,
     in_flight: AtomicUsize,
     drain_gate: DrainGate,
 }
@@ -113,7 +114,8 @@
             service_limiters: Mutex::default(),
             backends: Mutex::default(),
             idempotency_cache: Mutex::default(),
-            response_budget: Mutex::default(),
+            response_budget: Mutex::new(ResponseBudget::reading()),
+            waiting_budget: Arc::new(Mutex::new(ResponseBudget::waiting())),
             in_flight: AtomicUsize::new(0),
             drain_gate: DrainGate::default(),
         }
@@ -153,6 +155,11 @@
         &self.response_budget
     }
 
+    /// Returns the budget of the responses that wait for their callers.
+    pub(crate) const fn waiting_budget(&self) -> &Arc<Mutex<ResponseBudget>> {
+        &self.waiting_budget
+    }
+
     /// Records the time that a caller of `route` will wait, and returns the estimated time that it
     /// has already waited.
     pub(crate) fn record_caller_wait(&self, route: &RouteName, wait: TimeBudget) -> TimeBudget {
