--- a/crates/daemon/tests/request_exchange/main.rs
+++ b/crates/daemon/tests/request_exchange/main.rs
@@ -3,6 +3,7 @@
 mod broken_responses;
 mod forwarder_harness;
 mod load_reports;
+mod response_soak;
 
 use std::{
     cell::RefCell,
