Leave out the body of an error in a response to HEAD again

Callers got a body after the head of a response to HEAD, and took it for the next response on the connection.

Cause: the body was written beside the codec, which leaves it out for HEAD.

Evidence: error_in_response_to_head_has_no_body failed on: a 404 with 87 bytes of JSON before the next response. No test had covered HEAD with an error.

Change: the codec encodes the body again, in parts of 256 KiB, so a slow caller still holds no second copy of a large one. The whole response has one deadline for its writing, as before.

--- a/crates/daemon/src/callers/caller_connection.rs
+++ b/crates/daemon/src/callers/caller_connection.rs
@@ -8,7 +8,7 @@
 };
 use actix_web::HttpResponse;
 use bronzelb_kernel::error::{ErrorKind, MeshError};
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream::FuturesOrdered};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -45,6 +45,8 @@
 /// Size of the receive buffer at which reading from the socket pauses. The buffer has room for one
 /// large head and its body.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Size of the part of a response body that is encoded at once.
+const MAX_ENCODED_BYTES: usize = 256 * 1024;
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Serves the requests of one caller's connection until either side closes it.
@@ -134,7 +136,8 @@
                     return Ok(CloseMode::Immediate);
                 }
                 if self.reader.take_expect_continue() {
-                    self.write(CONTINUE_RESPONSE).await?;
+                    let deadline = Instant::now() + WRITE_TIMEOUT;
+                    self.write(CONTINUE_RESPONSE, deadline).await?;
                 }
             }
             let was_mid_request = self.reader.is_mid_request();
@@ -290,17 +293,27 @@
         if self.is_closing && is_last {
             head.head_mut().set_connection_type(ConnectionType::Close);
         }
-        let body = buffered_body(body)?;
+        let mut body = buffered_body(body)?;
         let mut encoded = BytesMut::new();
         let size = BodySize::Sized(body.len() as u64);
         codec.encode(Message::Item((head, size)), &mut encoded)?;
         self.waiting_since = Instant::now();
-        // A body with a length is sent as it is, without a copy.
-        self.write(encoded.chain(body)).await
+        let deadline = self.waiting_since + WRITE_TIMEOUT;
+        // The encoded bytes are a copy, and a caller may read slowly.
+        while body.len() > MAX_ENCODED_BYTES {
+            let piece = body.split_to(MAX_ENCODED_BYTES);
+            codec.encode(Message::Chunk(Some(piece)), &mut encoded)?;
+            self.write(&encoded, deadline).await?;
+            encoded.clear();
+        }
+        if !body.is_empty() {
+            codec.encode(Message::Chunk(Some(body)), &mut encoded)?;
+        }
+        self.write(&encoded, deadline).await
     }
 
-    async fn write(&mut self, mut bytes: impl Buf) -> io::Result<()> {
-        time::timeout(WRITE_TIMEOUT, self.stream.write_all_buf(&mut bytes))
+    async fn write(&mut self, bytes: &[u8], deadline: Instant) -> io::Result<()> {
+        time::timeout_at(deadline, self.stream.write_all(bytes))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -421,7 +421,7 @@
         let options = ExchangeOptions {
             accepts_unframed: dialect.accepts_unframed,
             is_for_request: &is_for_request,
-            budget: self.state.requests.response_budget(),
+            budget: self.state.requests.reading_budget(),
         };
         let sent_at = self.state.now();
         runtime.limit_monitor().count_sent();
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -60,7 +60,7 @@
     service_limiters: Mutex<BTreeMap<ServiceName, Arc<ServiceLimiter>>>,
     backends: Mutex<BTreeMap<BackendName, Arc<BackendRuntime>>>,
     idempotency_cache: Mutex<IdempotencyCache<ResultReceiver, SharedResult>>,
-    response_budget: Mutex<ResponseBudget>,
+    reading_budget: Mutex<ResponseBudget>,
     waiting_budget: Arc<Mutex<ResponseBudget>>,
     in_flight: AtomicUsize,
     drain_gate: DrainGate,
@@ -114,7 +114,7 @@
             service_limiters: Mutex::default(),
             backends: Mutex::default(),
             idempotency_cache: Mutex::default(),
-            response_budget: Mutex::new(ResponseBudget::reading()),
+            reading_budget: Mutex::new(ResponseBudget::reading()),
             waiting_budget: Arc::new(Mutex::new(ResponseBudget::waiting())),
             in_flight: AtomicUsize::new(0),
             drain_gate: DrainGate::default(),
@@ -151,8 +151,8 @@
     }
 
     /// Returns the budget of the responses that are being read.
-    pub(crate) const fn response_budget(&self) -> &Mutex<ResponseBudget> {
-        &self.response_budget
+    pub(crate) const fn reading_budget(&self) -> &Mutex<ResponseBudget> {
+        &self.reading_budget
     }
 
     /// Returns the budget of the responses that wait for their callers.
--- a/crates/daemon/tests/pipelining.rs
+++ b/crates/daemon/tests/pipelining.rs
@@ -150,3 +150,16 @@
     let response = read_responses(&mut stream, 1).await;
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
 }
+
+/// Guards against a body after the head of a response to `HEAD`, which the caller takes for the next
+/// response.
+#[actix_web::test]
+async fn error_in_response_to_head_has_no_body() {
+    let (_mesh, callers) = start().await;
+    let head = "HEAD /nowhere HTTP/1.1\r\nhost: work\r\n\r\n";
+    let mut stream = send(callers, &format!("{head}{}", get("/reads/1"))).await;
+    let text = read_responses(&mut stream, 2).await;
+    assert!(text.starts_with("HTTP/1.1 404 "), "{text}");
+    let (_, rest) = text.split_once("\r\n\r\n").expect("the head ends");
+    assert!(rest.starts_with("HTTP/1.1 200 "), "{text}");
+}
