--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -242,13 +242,13 @@
             let decoded = self.codec.decode(&mut self.received);
             match decoded.map_err(|error| lost_response(&error))? {
                 Some(head) if !head.status.is_informational() => return Ok(head),
-                // The codec keeps the state of a body or of a new protocol for the next head.
-                Some(head)
-                    if head.status == StatusCode::SWITCHING_PROTOCOLS
-                        || self.codec.message_type() != MessageType::None =>
-                {
+                // The codec keeps the state of a new protocol or of a body for the next head.
+                Some(head) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
                     return Err(lost_response(&ResponseDefect::ProtocolChange));
                 }
+                Some(_) if self.codec.message_type() != MessageType::None => {
+                    return Err(lost_response(&ResponseDefect::UnexpectedBody));
+                }
                 Some(_) => {}
                 None => self.fill(unsent, "closed before a response").await?,
             }
