Add one account of what clients hold of a VM

Each stage had a limit of its own, or none, and nothing knew the sum or what the VM has.

`HoldingLedger` counts bytes and connections of all clients against limits that follow from the VM's memory and descriptors (`HoldingLimits`). Where something does not fit, the connection closes whose client has kept the most memory waiting for the longest; buffers of unfinished requests and unread responses, not requests that run. What was told to close counts until it has closed, and a newcomer waits for that. A quarter is left to small holders, so an ordinary request finds room beside large ones.

--- a/crates/kernel/src/ids/mod.rs
+++ b/crates/kernel/src/ids/mod.rs
@@ -16,8 +16,8 @@
     MeshName, NodeName, RouteName, ServiceName,
 };
 pub use numbers::{
-    AttemptCount, AttemptToken, ByteCount, IncarnationNumber, RequestNumber, ServiceWeight,
-    SlotCount, StoreEra, VersionNumber,
+    AttemptCount, AttemptToken, ByteCount, ConnectionCount, DescriptorCount, HolderId,
+    IncarnationNumber, RequestNumber, ServiceWeight, SlotCount, StoreEra, VersionNumber,
 };
 pub use request_rate::RequestRate;
 pub use row_revision::RowRevision;
--- a/crates/kernel/src/ids/numbers.rs
+++ b/crates/kernel/src/ids/numbers.rs
@@ -87,3 +87,15 @@
     /// Size in bytes.
     ByteCount, u64, "byte count"
 );
+number_newtype!(
+    /// Number of open descriptors of a process.
+    DescriptorCount, u32, "descriptor count"
+);
+number_newtype!(
+    /// Number of connections.
+    ConnectionCount, u32, "connection count"
+);
+number_newtype!(
+    /// Identifier of a connection in a node's account of what clients hold.
+    HolderId, u64, "holder"
+);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`clock`]: instants and durations
 //! - [`config`]: mesh configuration and its validation
 //! - [`error`]: error kinds and the response that each kind maps to
+//! - [`holding`]: memory and connections that a node holds for its clients
 //! - [`ids`]: newtypes for names, numbers, counts and hashes
 //! - [`member`]: membership of nodes and the backend servers local to them
 //! - [`spread`]: distribution of configuration versions between nodes
@@ -23,6 +24,7 @@
 pub mod clock;
 pub mod config;
 pub mod error;
+pub mod holding;
 pub mod ids;
 pub mod member;
 pub mod placement;
