Read the limits of callers from the operators' configuration

`MaxHeaderBytes`, `HeaderTimeout` and `IdleTimeout` were not read. They are part of a configuration's content now, unless they have the usual values: such content keeps its bytes and hash, so that nodes of earlier builds agree with it. Nodes of earlier builds refuse content with other values.

--- a/crates/answers/src/reader/answers_reader.rs
+++ b/crates/answers/src/reader/answers_reader.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeMap, path::Path};
 
 use bronzelb_kernel::{
-    config::ConfigSnapshot,
+    config::{CallerLimits, ConfigSnapshot},
     ids::{CrewName, MeshName},
 };
 use bronzelb_yaml::{
@@ -94,6 +94,7 @@
         services,
         routes,
         accounts: BTreeMap::new(),
+        limits: CallerLimits::default(),
     })
 }
 
--- a/crates/daemon/tests/request_exchange/forwarder_harness.rs
+++ b/crates/daemon/tests/request_exchange/forwarder_harness.rs
@@ -6,8 +6,8 @@
     account::CheckedKey,
     clock::{ClockInstant, TimeBudget},
     config::{
-        ConfigSnapshot, ConfigVersion, HttpMethod, ProxySpec, RequestPriority, RolloutRule,
-        RouteObjective, RouteRule, RouteTraffic, ServiceSpec, ShareRatio,
+        CallerLimits, ConfigSnapshot, ConfigVersion, HttpMethod, ProxySpec, RequestPriority,
+        RolloutRule, RouteObjective, RouteRule, RouteTraffic, ServiceSpec, ShareRatio,
     },
     error::{MeshError, RunState},
     ids::{ByteCount, SlotCount, VersionNumber},
@@ -68,6 +68,7 @@
         services: [("tracker".parse().expect("a valid name"), service)].into(),
         routes: [("all".parse().expect("a valid name"), route)].into(),
         accounts: BTreeMap::new(),
+        limits: CallerLimits::default(),
     }
 }
 
--- a/crates/emulator/src/experiment/node_size/config_sample.rs
+++ b/crates/emulator/src/experiment/node_size/config_sample.rs
@@ -23,6 +23,7 @@
         services: Default::default(),
         routes: Default::default(),
         accounts: Default::default(),
+        limits: Default::default(),
     };
     for service in 0..services {
         let name: ServiceName = format!("service-{service}").parse()?;
--- a/crates/kernel/src/config/config_snapshot.rs
+++ b/crates/kernel/src/config/config_snapshot.rs
@@ -6,8 +6,8 @@
 use crate::{
     account::AccountIndex,
     config::{
-        AccountSpec, HttpMethod, ProxySpec, RouteIndex, RouteRule, ServiceSpec, VersionStamp,
-        check_snapshot,
+        AccountSpec, CallerLimits, HttpMethod, ProxySpec, RouteIndex, RouteRule, ServiceSpec,
+        VersionStamp, check_snapshot,
     },
     error::{ErrorKind, MeshError},
     ids::{
@@ -37,6 +37,9 @@
     /// Client accounts by name; requests need no key if there are none.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub accounts: BTreeMap<AccountName, AccountSpec>,
+    /// Limits of callers' connections. The defaults are left out, as by nodes that know none.
+    #[serde(default, skip_serializing_if = "CallerLimits::is_default")]
+    pub limits: CallerLimits,
 }
 
 impl ConfigSnapshot {
--- a/crates/kernel/src/config/mod.rs
+++ b/crates/kernel/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! Mesh configuration: its types, validation and versions.
 
 mod account_spec;
+mod caller_limits;
 mod config_check;
 mod config_snapshot;
 mod proxy_spec;
@@ -12,6 +13,7 @@
 mod version_stamp;
 
 pub use account_spec::{AccountSpec, UsageCap};
+pub use caller_limits::CallerLimits;
 pub use config_check::{ConfigProblem, MAX_DATA_CENTRES, check_snapshot};
 pub use config_snapshot::{ConfigSnapshot, ConfigVersion, MAX_SNAPSHOT_BYTES};
 pub(crate) use config_snapshot::{parse_snapshot, verify_content};
--- a/crates/kernel/src/spread/config_delta.rs
+++ b/crates/kernel/src/spread/config_delta.rs
@@ -5,7 +5,8 @@
 
 use crate::{
     config::{
-        AccountSpec, ConfigSnapshot, ConfigVersion, ProxySpec, RouteRule, ServiceSpec, VersionStamp,
+        AccountSpec, CallerLimits, ConfigSnapshot, ConfigVersion, ProxySpec, RouteRule,
+        ServiceSpec, VersionStamp,
     },
     error::MeshError,
     ids::{AccountName, DataCentre, RouteName, ServiceName},
@@ -77,6 +78,9 @@
     /// Changed client accounts.
     #[serde(default, skip_serializing_if = "MapDelta::is_empty")]
     pub accounts: MapDelta<AccountName, AccountSpec>,
+    /// Limits of callers' connections, if they have changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<CallerLimits>,
 }
 
 impl ConfigDelta {
@@ -90,6 +94,7 @@
             services: MapDelta::between(&old.services, &new.services),
             routes: MapDelta::between(&old.routes, &new.routes),
             accounts: MapDelta::between(&old.accounts, &new.accounts),
+            limits: (old.limits != new.limits).then_some(new.limits),
         }
     }
 
@@ -101,6 +106,7 @@
         self.services.apply_to(&mut snapshot.services);
         self.routes.apply_to(&mut snapshot.routes);
         self.accounts.apply_to(&mut snapshot.accounts);
+        snapshot.limits = self.limits.unwrap_or(snapshot.limits);
         snapshot
     }
 
