Count what callers hold at every stage in one account

Callers saw: a node that many of them sent to or read from slowly ran out of memory, or had no descriptor left for an ordinary request.

Cause: limits by part where the resource is shared. Receive buffers of 256 KiB, heads up to the codec's 128 KiB, bodies up to their route's limit, responses up to 256 KiB and the constants 24 and 48 MiB for others were each let in on their own, and 4,096 connections were more than the descriptors of a VM.

Limits follow from the new settings `vm.memory` and `vm.descriptors`, which the platform fills in, and from the process's own limit of descriptors. The limits of the configuration for heads and idle connections are in force. A connection that has to leave gets 503 if its request is unfinished and the socket takes it; the request has not run. The system's buffers of callers' connections are limited to 64 KiB and counted while they may be full.

Found by the tests on the way: pending responses of a connection made no progress while one was written, which kept slots of servers for up to 30 s (now they do); the capacity of a split receive buffer hides its memory; memory that is freed by connections which have not closed yet must not be given away; buffers that double left holes of four times their size (bodies are received in segments of one size).

--- a/crates/daemon/src/callers/caller_connection.rs
+++ b/crates/daemon/src/callers/caller_connection.rs
@@ -1,4 +1,4 @@
-use std::{future::Future, io, pin::Pin, time::Duration};
+use std::{collections::VecDeque, future::Future, io, pin::Pin, time::Duration};
 
 use actix_http::{
     ConnectionType, Response, ServiceConfig, StatusCode,
@@ -7,33 +7,40 @@
     h1::{Codec, Message},
 };
 use actix_web::HttpResponse;
-use bronzelb_kernel::error::{ErrorKind, MeshError};
-use bytes::{Bytes, BytesMut};
+use bronzelb_kernel::{
+    clock::TimeBudget,
+    error::{ErrorKind, MeshError},
+    holding::ConnectionStage,
+};
+use bytes::{Buf, Bytes, BytesMut};
 use futures::{StreamExt, stream::FuturesOrdered};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpStream, tcp::WriteHalf},
     time::{self, Instant},
 };
 use tokio_util::codec::Encoder;
 
 use crate::{
     callers::{
+        caller_error_response,
         caller_handler::handle_request,
         caller_request::CallerRequest,
-        request_reader::{ReadEvent, RequestReader},
+        request_reader::{ReadEvent, RequestReader, max_head},
         ticket_handler::{is_ticket_request, issue_ticket},
     },
     forward::RequestForwarder,
+    holding::{ConnectionHold, OutputHold},
     node::StopSignal,
 };
 
-/// Time limit for receiving a request head. It exceeds the 3 s that the operators of the users'
-/// platform allow.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Keep-alive timeout of an idle connection. It exceeds the 15 s that the same operators
-/// specify, so that callers, which know when they send their next request, close first.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Time by which a request head may arrive later than the limit, for delays on the way.
+const HEAD_MARGIN: Duration = Duration::from_secs(2);
+/// Time by which a connection may be idle longer than the limit, so that callers, which know when
+/// they send their next request, close first.
+const IDLE_MARGIN: Duration = Duration::from_secs(5);
+/// Delay after which a caller may retry a request for which there is no room.
+const ROOM_RETRY_DELAY: TimeBudget = TimeBudget::from_secs(1);
 /// Time limit for writing a response. A response of 8 MiB takes about 20 s over a phone's link.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which input is still read and discarded after the last response. Closing a socket with
@@ -42,11 +49,15 @@
 /// Maximum number of concurrent requests per connection, so that one caller cannot occupy all slots
 /// of a backend server.
 const MAX_PIPELINED_REQUESTS: usize = 16;
-/// Size of the receive buffer at which reading from the socket pauses. The buffer has room for one
-/// large head and its body.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Size of the receive buffer at which reading from the socket pauses while responses are pending.
+/// It exceeds the largest head of the users' platform; a larger one makes it grow.
+const MAX_BUFFERED_BYTES: usize = 32 * 1024;
 /// Size of the part of a response body that is encoded at once.
-const MAX_ENCODED_BYTES: usize = 256 * 1024;
+const MAX_ENCODED_BYTES: usize = 32 * 1024;
+/// Size of the system's buffers of a connection, each way; see [`start_caller_server`].
+///
+/// [`start_caller_server`]: crate::callers::start_caller_server
+pub(super) const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Serves the requests of one caller's connection until either side closes it.
@@ -62,6 +73,7 @@
     stream: TcpStream,
     config: ServiceConfig,
     stop: StopSignal,
+    hold: ConnectionHold,
 ) {
     // If this fails, Nagle's algorithm delays small responses, but they still arrive.
     let _ = stream.set_nodelay(true);
@@ -70,10 +82,15 @@
         reader: RequestReader::new(config),
         forwarder,
         responses: FuturesOrdered::new(),
+        completed: VecDeque::new(),
+        outgoing: None,
+        written: 0,
         deferred: None,
         has_received_request: false,
         is_closing: false,
         waiting_since: Instant::now(),
+        was_mid_request: false,
+        hold,
     };
     // A broken connection cannot carry an error response; dropping it cancels its requests.
     if let Ok(CloseMode::Linger) = connection.run(stop).await {
@@ -93,7 +110,10 @@
 /// Event that a connection reacts to.
 enum ConnectionEvent {
     Response(Box<EncodableResponse>),
+    Written,
     Received(usize),
+    /// The connection has to make room for others.
+    Closed,
     TimedOut,
     Stopped,
 }
@@ -104,6 +124,33 @@
     codec: Codec,
 }
 
+/// A response that is being written.
+struct OutgoingResponse {
+    codec: Codec,
+    /// Encoded bytes that are not written yet.
+    encoded: BytesMut,
+    /// Rest of the body, not encoded yet.
+    body: Bytes,
+    deadline: Instant,
+    /// Memory of the copies, counted once the caller does not take the response at once.
+    hold: Option<OutputHold>,
+}
+
+impl OutgoingResponse {
+    /// Removes written bytes, and returns whether the whole response has been written.
+    fn advance(&mut self, count: usize) -> io::Result<bool> {
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        self.encoded.advance(count);
+        if self.encoded.is_empty() {
+            self.encoded.clear();
+            encode_part(&mut self.codec, &mut self.body, &mut self.encoded)?;
+        }
+        Ok(self.encoded.is_empty())
+    }
+}
+
 type PendingResponse = Pin<Box<dyn Future<Output = EncodableResponse>>>;
 
 struct CallerConnection {
@@ -112,15 +159,23 @@
     forwarder: RequestForwarder,
     /// Running requests, in the order in which their responses are sent.
     responses: FuturesOrdered<PendingResponse>,
+    /// Complete responses that are sent after [`CallerConnection::outgoing`], in this order.
+    completed: VecDeque<EncodableResponse>,
+    outgoing: Option<OutgoingResponse>,
+    /// Size of the last response, which the system may still hold.
+    written: usize,
     /// A request that starts once all earlier responses have been sent.
     deferred: Option<(Box<CallerRequest>, Codec)>,
-    /// Whether a whole request has been read. Until then [`HEAD_TIMEOUT`] applies instead of
-    /// [`IDLE_TIMEOUT`], since a caller connects in order to send a request.
+    /// Whether a whole request has been read. Until then the time limit of a head applies instead of
+    /// that of an idle connection, since a caller connects in order to send a request.
     has_received_request: bool,
     /// Whether the connection closes after the pending responses and reads no further requests.
     is_closing: bool,
     /// When the connection became idle, or the current request began to arrive.
     waiting_since: Instant,
+    /// Whether part of a request had arrived when the stage was last recorded.
+    was_mid_request: bool,
+    hold: ConnectionHold,
 }
 
 impl CallerConnection {
@@ -128,7 +183,10 @@
         let mut is_stopping = false;
         loop {
             self.read_requests();
-            if self.responses.is_empty() && self.deferred.is_none() {
+            if self.begin_response()? {
+                continue;
+            }
+            if self.is_settled() {
                 if self.is_closing {
                     return Ok(CloseMode::Linger);
                 }
@@ -139,10 +197,16 @@
                     let deadline = Instant::now() + WRITE_TIMEOUT;
                     self.write(CONTINUE_RESPONSE, deadline).await?;
                 }
+                self.reader.shrink();
+            }
+            if !self.record_held().await {
+                self.refuse_unfinished();
+                return Ok(CloseMode::Immediate);
             }
             let was_mid_request = self.reader.is_mid_request();
             match self.wait(&mut stop, is_stopping).await? {
-                ConnectionEvent::Response(response) => self.write_response(*response).await?,
+                ConnectionEvent::Response(response) => self.completed.push_back(*response),
+                ConnectionEvent::Written => {}
                 ConnectionEvent::Received(0) => return Ok(CloseMode::Immediate),
                 ConnectionEvent::Received(_) if was_mid_request => {}
                 ConnectionEvent::Received(_) => self.waiting_since = Instant::now(),
@@ -151,39 +215,120 @@
                         return Ok(CloseMode::Immediate);
                     }
                 }
+                ConnectionEvent::Closed => {
+                    self.refuse_unfinished();
+                    return Ok(CloseMode::Immediate);
+                }
                 ConnectionEvent::Stopped => is_stopping = true,
             }
         }
     }
 
+    /// Waits for the next event. Pending responses make progress while another one is written.
     async fn wait(
         &mut self,
         stop: &mut StopSignal,
         is_stopping: bool,
     ) -> io::Result<ConnectionEvent> {
-        let may_read = self.reader.received().len() < MAX_BUFFERED_BYTES;
+        let may_read = self.may_read();
+        let is_writing = self.outgoing.is_some();
         let deadline = self.deadline();
+        let (mut reader, mut writer) = self.stream.split();
+        let outgoing = &mut self.outgoing;
         let event = tokio::select! {
             Some(response) = self.responses.next() => ConnectionEvent::Response(Box::new(response)),
-            count = self.stream.read_buf(self.reader.received()), if may_read => {
+            written = write_some(&mut writer, outgoing), if is_writing => {
+                written?;
+                ConnectionEvent::Written
+            }
+            count = reader.read_buf(self.reader.received()), if may_read => {
                 ConnectionEvent::Received(count?)
             }
             () = sleep_until(deadline) => ConnectionEvent::TimedOut,
+            () = self.hold.closed() => ConnectionEvent::Closed,
             () = stop.stopped(), if !is_stopping => ConnectionEvent::Stopped,
         };
         Ok(event)
     }
 
+    /// Returns whether no response is pending.
+    fn is_settled(&self) -> bool {
+        self.are_responses_sent() && self.deferred.is_none()
+    }
+
+    fn are_responses_sent(&self) -> bool {
+        self.responses.is_empty() && self.completed.is_empty() && self.outgoing.is_none()
+    }
+
+    /// Returns the number of requests whose responses are not sent yet.
+    fn pending(&self) -> usize {
+        self.responses.len() + self.completed.len() + usize::from(self.outgoing.is_some())
+    }
+
+    fn may_read(&self) -> bool {
+        let limit = MAX_BUFFERED_BYTES.max(max_head(self.forwarder.state()) + 1);
+        self.outgoing.is_none() && self.reader.received_len() < limit
+    }
+
+    /// Records what the connection holds and waits for. Returns false if it has to close.
+    async fn record_held(&mut self) -> bool {
+        let since = self.forwarder.state().now();
+        let awaits_server = !self.responses.is_empty() || self.deferred.is_some();
+        let stage = match awaits_server && self.outgoing.is_none() {
+            true => ConnectionStage::AwaitsServer,
+            false => ConnectionStage::AwaitsClient,
+        };
+        let is_mid_request = self.reader.is_mid_request();
+        let begins_request = is_mid_request && !self.was_mid_request;
+        self.was_mid_request = is_mid_request;
+        if begins_request && stage == ConnectionStage::AwaitsClient {
+            self.hold.restart_stage(stage, since);
+        }
+        self.hold.set_stage(stage, since);
+        // A response that is ready is delivered, whatever the connection holds beside it.
+        if self.outgoing.is_some() {
+            return true;
+        }
+        let unread_input = match self.may_read() {
+            true => 0,
+            false => SOCKET_BUFFER_BYTES,
+        };
+        let unread_output = self.written.min(SOCKET_BUFFER_BYTES);
+        if self.may_read() {
+            self.reader.reserve();
+        }
+        let size = self.reader.buffered() + unread_input + unread_output;
+        self.hold.resize(size).await
+    }
+
+    /// Tells the caller of an unfinished request that it has not run, as far as it can be told
+    /// without waiting.
+    fn refuse_unfinished(&mut self) {
+        if !self.is_settled() || !self.reader.is_mid_request() {
+            return;
+        }
+        let state = self.forwarder.state();
+        let now = state.now();
+        let error = MeshError::new(ErrorKind::Overloaded, "no room for the rest of the request")
+            .with_retry_at(now.after(ROOM_RETRY_DELAY));
+        let dialect = &state.settings.dialect.callers;
+        let response = Response::from(caller_error_response(dialect, &error, now));
+        let mut encoded = BytesMut::new();
+        let outgoing = encode_response(response, Codec::default(), true, &mut encoded);
+        if outgoing.is_ok() {
+            // The caller may not take it, and the connection closes either way.
+            let _ = self.stream.try_write(&encoded);
+        }
+    }
+
     /// Reads buffered requests and starts those that may run now.
     fn read_requests(&mut self) {
-        if self.responses.is_empty()
+        if self.are_responses_sent()
             && let Some((request, codec)) = self.deferred.take()
         {
             self.start(request, codec);
         }
-        while !self.is_closing
-            && self.deferred.is_none()
-            && self.responses.len() < MAX_PIPELINED_REQUESTS
+        while !self.is_closing && self.deferred.is_none() && self.pending() < MAX_PIPELINED_REQUESTS
         {
             match self.reader.next_event(self.forwarder.state()) {
                 ReadEvent::Partial => return,
@@ -198,7 +343,8 @@
         self.waiting_since = Instant::now();
         self.has_received_request = true;
         self.is_closing = !codec.keep_alive();
-        if self.responses.is_empty() || request.may_start_early() {
+        self.written = 0;
+        if self.are_responses_sent() || request.may_start_early() {
             self.start(request, codec);
         } else {
             self.deferred = Some((request, codec));
@@ -213,12 +359,17 @@
 
     fn start(&mut self, request: Box<CallerRequest>, codec: Codec) {
         let forwarder = self.forwarder.clone();
+        let hold = self
+            .hold
+            .detach(request.body.len() + self.reader.head_memory());
+        let holder = self.hold.holder();
         self.responses.push_back(Box::pin(async move {
             let response = if is_ticket_request(&request) {
                 issue_ticket(forwarder.state())
             } else {
-                handle_request(*request, &forwarder).await
+                handle_request(*request, &forwarder, holder).await
             };
+            drop(hold);
             EncodableResponse {
                 response: Response::from(response),
                 codec,
@@ -245,25 +396,34 @@
         self.responses.push_back(Box::pin(async move { response }));
     }
 
-    /// Returns the deadline for receiving more bytes; `None` while a response is pending.
+    /// Returns the deadline of the response that is being written, or else the one for receiving
+    /// more bytes; `None` while only a server has to act.
     fn deadline(&self) -> Option<Instant> {
+        if let Some(outgoing) = &self.outgoing {
+            return Some(outgoing.deadline);
+        }
         if let Some(deadline) = self.reader.body_deadline() {
             let remaining = deadline.remaining(self.forwarder.state().now());
             return Some(Instant::now() + remaining.to_std());
         }
-        if self.is_closing || self.deferred.is_some() || !self.responses.is_empty() {
+        if self.is_closing || !self.is_settled() {
             return None;
         }
+        let limits = self.forwarder.state().caller_limits();
         let timeout = if self.reader.is_mid_request() || !self.has_received_request {
-            HEAD_TIMEOUT
+            limits.header_timeout.to_std() + HEAD_MARGIN
         } else {
-            IDLE_TIMEOUT
+            limits.idle_timeout.to_std() + IDLE_MARGIN
         };
         Some(self.waiting_since + timeout)
     }
 
-    /// Ends a request that arrives too slowly. Returns true if the connection was idle instead.
+    /// Ends a request that arrives too slowly. Returns true if the connection was idle instead, or
+    /// its caller reads too slowly.
     fn handle_timeout(&mut self) -> bool {
+        if self.outgoing.is_some() {
+            return true;
+        }
         let error = MeshError::new(ErrorKind::SlowSender, "the body did not arrive in time");
         match self.reader.abort_body(error) {
             Some(ReadEvent::Aborted(request, codec)) => self.abort_request(request, codec),
@@ -275,41 +435,67 @@
         false
     }
 
-    async fn write_response(&mut self, response: EncodableResponse) -> io::Result<()> {
-        let EncodableResponse {
-            response,
-            mut codec,
-        } = response;
-        let (mut head, body) = response.into_parts();
-        let is_last = self.responses.is_empty() && self.deferred.is_none();
-        let wants_close = head.head().connection_type() == ConnectionType::Close;
+    /// Begins to write the next complete response, unless another one is being written. Returns
+    /// whether the caller has taken it as a whole.
+    fn begin_response(&mut self) -> io::Result<bool> {
+        if self.outgoing.is_some() {
+            return Ok(false);
+        }
+        let Some(EncodableResponse {
+            mut response,
+            codec,
+        }) = self.completed.pop_front()
+        else {
+            return Ok(false);
+        };
+        let is_last =
+            self.responses.is_empty() && self.completed.is_empty() && self.deferred.is_none();
+        let wants_close = response.head().connection_type() == ConnectionType::Close;
         if wants_close && is_last {
             self.is_closing = true;
         } else if !(self.is_closing && is_last) {
             // Later requests have already started, and their responses follow.
-            head.head_mut()
+            response
+                .head_mut()
                 .set_connection_type(ConnectionType::KeepAlive);
         }
-        if self.is_closing && is_last {
-            head.head_mut().set_connection_type(ConnectionType::Close);
-        }
-        let mut body = buffered_body(body)?;
-        let mut encoded = BytesMut::new();
-        let size = BodySize::Sized(body.len() as u64);
-        codec.encode(Message::Item((head, size)), &mut encoded)?;
         self.waiting_since = Instant::now();
-        let deadline = self.waiting_since + WRITE_TIMEOUT;
-        // The encoded bytes are a copy, and a caller may read slowly.
-        while body.len() > MAX_ENCODED_BYTES {
-            let piece = body.split_to(MAX_ENCODED_BYTES);
-            codec.encode(Message::Chunk(Some(piece)), &mut encoded)?;
-            self.write(&encoded, deadline).await?;
-            encoded.clear();
-        }
-        if !body.is_empty() {
-            codec.encode(Message::Chunk(Some(body)), &mut encoded)?;
+        let mut encoded = BytesMut::new();
+        let is_closing = self.is_closing && is_last;
+        let (codec, body) = encode_response(response, codec, is_closing, &mut encoded)?;
+        self.written = encoded.len() + body.len();
+        self.outgoing = Some(OutgoingResponse {
+            codec,
+            encoded,
+            body,
+            deadline: self.waiting_since + WRITE_TIMEOUT,
+            hold: None,
+        });
+        self.write_ready()
+    }
+
+    /// Writes as much of a response as the caller takes without waiting. Returns whether that was
+    /// all of it.
+    fn write_ready(&mut self) -> io::Result<bool> {
+        let Some(outgoing) = &mut self.outgoing else {
+            return Ok(false);
+        };
+        loop {
+            match self.stream.try_write(&outgoing.encoded) {
+                Ok(count) if outgoing.advance(count)? => {
+                    self.outgoing = None;
+                    return Ok(true);
+                }
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    let sent = outgoing.body.len().min(SOCKET_BUFFER_BYTES);
+                    let size = outgoing.encoded.capacity() + sent;
+                    outgoing.hold = Some(self.hold.count_output(size));
+                    return Ok(false);
+                }
+                Err(error) => return Err(error),
+            }
         }
-        self.write(&encoded, deadline).await
     }
 
     async fn write(&mut self, bytes: &[u8], deadline: Instant) -> io::Result<()> {
@@ -332,8 +518,59 @@
             }
         };
         // After an error or a timeout nothing is left to do: the response has been written.
-        let _ = time::timeout(LINGER_TIMEOUT, discard).await;
+        tokio::select! {
+            _ = time::timeout(LINGER_TIMEOUT, discard) => {}
+            () = self.hold.closed() => {}
+        }
+    }
+}
+
+/// Encodes the head of a response and the first part of its body. Returns the codec and the rest of
+/// the body.
+fn encode_response(
+    mut response: Response<BoxBody>,
+    mut codec: Codec,
+    is_closing: bool,
+    encoded: &mut BytesMut,
+) -> io::Result<(Codec, Bytes)> {
+    if is_closing {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    let (head, body) = response.into_parts();
+    let mut body = buffered_body(body)?;
+    let size = BodySize::Sized(body.len() as u64);
+    codec.encode(Message::Item((head, size)), encoded)?;
+    encode_part(&mut codec, &mut body, encoded)?;
+    Ok((codec, body))
+}
+
+/// Encodes the next part of a body, which is a copy while a caller may read slowly.
+fn encode_part(codec: &mut Codec, body: &mut Bytes, encoded: &mut BytesMut) -> io::Result<()> {
+    if !body.is_empty() {
+        let part = body.split_to(body.len().min(MAX_ENCODED_BYTES));
+        codec.encode(Message::Chunk(Some(part)), encoded)?;
+    }
+    Ok(())
+}
+
+/// Writes a response as far as the caller takes it; the response is removed at its end.
+async fn write_some(
+    writer: &mut WriteHalf<'_>,
+    outgoing: &mut Option<OutgoingResponse>,
+) -> io::Result<()> {
+    let Some(response) = outgoing else {
+        return Ok(());
+    };
+    loop {
+        let count = writer.write(&response.encoded).await?;
+        if response.advance(count)? {
+            break;
+        }
     }
+    *outgoing = None;
+    Ok(())
 }
 
 async fn sleep_until(deadline: Option<Instant>) {
--- a/crates/daemon/src/callers/caller_handler.rs
+++ b/crates/daemon/src/callers/caller_handler.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use actix_http::Request;
 use actix_web::{
     HttpResponse,
@@ -9,7 +11,7 @@
 use bronzelb_kernel::{
     config::ConfigVersion,
     error::{ErrorKind, MeshError, RunState},
-    ids::IdempotencyKey,
+    ids::{HolderId, IdempotencyKey},
     member::StatedLimit,
     plugin::CallerDialect,
 };
@@ -22,11 +24,11 @@
     callers::{
         caller_error_response,
         caller_request::{CallerRequest, request_host},
-        held_body::hold_body,
     },
     forward::{
         RequestForwarder, RoutedRequest, account_headers, account_name, fingerprint, is_hop_header,
     },
+    holding::{HoldingState, UnreadBody},
     log::{EventName, REQUEST_TAG},
     node::NodeState,
     rollout::record_burn,
@@ -36,10 +38,12 @@
 /// Longer identifiers from callers are replaced by generated ones, which keeps log lines short.
 const MAX_REQUEST_ID_BYTES: usize = 128;
 
-/// Handles one request of a caller and returns its response.
+/// Handles one request of a caller and returns its response, whose body is counted as unread by
+/// `holder`.
 pub(crate) async fn handle_request(
     request: CallerRequest,
     forwarder: &RequestForwarder,
+    holder: (Arc<HoldingState>, HolderId),
 ) -> HttpResponse {
     let state = forwarder.state();
     let dialect = &state.settings.dialect.callers;
@@ -47,7 +51,12 @@
     let started_at = request.started_at;
     let result = run_request(&request, forwarder, &request_id).await;
     let mut response = match result {
-        Ok(response) => http_response(dialect, &response),
+        Ok(mut response) => {
+            if !response.body.is_empty() {
+                response.body = UnreadBody::attach(response.body, holder);
+            }
+            http_response(dialect, &response)
+        }
         Err(error) => {
             state.count_labeled("request_errors", "kind", error.kind().name());
             log_failure(state, &request, &request_id, &error);
@@ -160,10 +169,6 @@
         },
     };
     let result = forwarder.run(routed_request).await;
-    let result = result.and_then(|response| {
-        let body = hold_body(state.requests.waiting_budget(), response.body)?;
-        Ok(ForwardResponse { body, ..response })
-    });
     record_burn(state, &route_match.route, rule, request.started_at, &result);
     result
 }
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -6,8 +6,8 @@
 mod caller_request;
 mod caller_server;
 mod error_response;
-mod held_body;
 mod native_dialect;
+mod request_body;
 mod request_reader;
 mod ticket_handler;
 
--- a/crates/daemon/src/forward/backend_client.rs
+++ b/crates/daemon/src/forward/backend_client.rs
@@ -362,7 +362,9 @@
             }
             Err(ExchangeError::Unauthorized(error)) => Err(error),
             Err(ExchangeError::TooLarge) => {
-                let message = format!("the response exceeds {MAX_RESPONSE_BYTES} bytes");
+                let message = format!(
+                    "the response exceeds {MAX_RESPONSE_BYTES} bytes or the room beside others"
+                );
                 Err(MeshError::new(ErrorKind::BackendFailed, message))
             }
             Err(ExchangeError::Lost(reason)) => {
@@ -421,7 +423,7 @@
         let options = ExchangeOptions {
             accepts_unframed: dialect.accepts_unframed,
             is_for_request: &is_for_request,
-            budget: self.state.requests.reading_budget(),
+            holding: &self.state.holding,
         };
         let sent_at = self.state.now();
         runtime.limit_monitor().count_sent();
--- a/crates/daemon/src/forward/backend_connection.rs
+++ b/crates/daemon/src/forward/backend_connection.rs
@@ -1,7 +1,7 @@
 use std::{
     io, mem,
     net::SocketAddr,
-    sync::Mutex,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -13,8 +13,8 @@
 };
 use actix_web::http::{Method, StatusCode};
 use bronzelb_http::{BodyFraming, ResponseDefect, check_header_names};
-use bronzelb_kernel::{error::MeshError, request::ResponseBudget};
-use bytes::{Buf, Bytes, BytesMut};
+use bronzelb_kernel::error::MeshError;
+use bytes::{Buf, Bytes, BytesMut, buf::Chain};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -22,7 +22,7 @@
 };
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::forward::response_buffer::ResponseBuffer;
+use crate::holding::{BodyBuffer, BodyOverflow, HoldingState};
 
 /// Longest time to open a connection, after which the server counts as unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -71,8 +71,8 @@
     /// Returns whether a response belongs to the request; the flag is set for the first request
     /// on a connection.
     pub(crate) is_for_request: &'a dyn Fn(&BackendResponse, bool) -> bool,
-    /// Budget of the node's responses that are being read.
-    pub(crate) budget: &'a Mutex<ResponseBudget>,
+    /// Account in which the response is counted.
+    pub(crate) holding: &'a Arc<HoldingState>,
 }
 
 /// Connection to a backend server.
@@ -96,6 +96,15 @@
     idle_deadline: Option<Instant>,
 }
 
+impl From<BodyOverflow> for ExchangeError {
+    fn from(_: BodyOverflow) -> Self {
+        Self::TooLarge
+    }
+}
+
+/// Part of a request that is not sent yet; the body is not copied.
+type UnsentRequest = Chain<BytesMut, Bytes>;
+
 impl BackendConnection {
     /// Opens a connection for a request that has `time_left` until its deadline.
     pub(crate) async fn open(
@@ -177,8 +186,10 @@
             })?;
             if (options.is_for_request)(&response, is_fresh) {
                 // A server that responded early still expects the rest of the request body.
-                let is_reusable =
-                    is_kept_alive && unsent.is_empty() && stray_count == 0 && !self.has_write_error;
+                let is_reusable = is_kept_alive
+                    && !unsent.has_remaining()
+                    && stray_count == 0
+                    && !self.has_write_error;
                 self.idle_deadline = idle_deadline(&response.headers);
                 return Ok((response, is_reusable.then_some(self)));
             }
@@ -189,25 +200,20 @@
         Err(lost_response(&"the server responded to another request"))
     }
 
-    fn encode(&mut self, head: RequestHead, body: Bytes) -> io::Result<BytesMut> {
+    fn encode(&mut self, head: RequestHead, body: Bytes) -> io::Result<UnsentRequest> {
         let mut encoded = BytesMut::new();
         let size = BodySize::Sized(body.len() as u64);
         let head = RequestHeadType::Owned(head);
         self.codec
             .encode(Message::Item((head, size)), &mut encoded)?;
-        if !body.is_empty() {
-            self.codec
-                .encode(Message::Chunk(Some(body)), &mut encoded)?;
-            self.codec.encode(Message::Chunk(None), &mut encoded)?;
-        }
-        Ok(encoded)
+        Ok(encoded.chain(body))
     }
 
     /// Reads one response and returns whether the connection stays open.
     async fn read_response(
         &mut self,
         method: &Method,
-        unsent: &mut BytesMut,
+        unsent: &mut UnsentRequest,
         options: &ExchangeOptions<'_>,
     ) -> Result<(BackendResponse, bool), ExchangeError> {
         let head = self.read_head(unsent).await?;
@@ -221,7 +227,12 @@
                 Ok((backend_response(head, Bytes::new()), is_kept_alive))
             }
             BodyFraming::Length(_) | BodyFraming::Chunked if has_payload => {
-                let (body, is_kept_alive) = self.read_payload(unsent, options).await?;
+                let length = match framing {
+                    BodyFraming::Length(length) => usize::try_from(length).ok(),
+                    _ => None,
+                };
+                let body = response_buffer(options, length);
+                let (body, is_kept_alive) = self.read_payload(unsent, body).await?;
                 Ok((backend_response(head, body), is_kept_alive))
             }
             // The codec takes an upgrade for the end of the response, even if the status denies it.
@@ -236,7 +247,10 @@
         }
     }
 
-    async fn read_head(&mut self, unsent: &mut BytesMut) -> Result<ResponseHead, ExchangeError> {
+    async fn read_head(
+        &mut self,
+        unsent: &mut UnsentRequest,
+    ) -> Result<ResponseHead, ExchangeError> {
         loop {
             check_header_names(&self.received).map_err(|defect| lost_response(&defect))?;
             let decoded = self.codec.decode(&mut self.received);
@@ -257,15 +271,14 @@
 
     async fn read_payload(
         &mut self,
-        unsent: &mut BytesMut,
-        options: &ExchangeOptions<'_>,
+        unsent: &mut UnsentRequest,
+        mut body: BodyBuffer,
     ) -> Result<(Bytes, bool), ExchangeError> {
         let mut codec = mem::take(&mut self.codec).into_payload_codec();
-        let mut body = ResponseBuffer::new(options.budget);
         loop {
             let decoded = codec.decode(&mut self.received);
             match decoded.map_err(|error| lost_response(&error))? {
-                Some(Some(chunk)) => body.append(&chunk)?,
+                Some(Some(chunk)) => body.append(&chunk).await?,
                 Some(None) => break,
                 None => self.fill(unsent, "closed inside the response body").await?,
             }
@@ -278,18 +291,18 @@
     /// Reads a body that ends when the connection closes; a connection reset is an error.
     async fn read_to_end(
         &mut self,
-        unsent: &mut BytesMut,
+        unsent: &mut UnsentRequest,
         options: &ExchangeOptions<'_>,
     ) -> Result<Bytes, ExchangeError> {
-        let mut body = ResponseBuffer::new(options.budget);
-        body.append(&self.received.split())?;
+        let mut body = response_buffer(options, None);
+        body.append(&self.received.split()).await?;
         while self
             .receive(unsent)
             .await
             .map_err(|error| lost_response(&error))?
             > 0
         {
-            body.append(&self.received.split())?;
+            body.append(&self.received.split()).await?;
         }
         if self.has_write_error {
             return Err(lost_response(
@@ -300,7 +313,11 @@
     }
 
     /// Receives more bytes; `reason` is the error text for a connection that the server has closed.
-    async fn fill(&mut self, unsent: &mut BytesMut, reason: &str) -> Result<(), ExchangeError> {
+    async fn fill(
+        &mut self,
+        unsent: &mut UnsentRequest,
+        reason: &str,
+    ) -> Result<(), ExchangeError> {
         match self.receive(unsent).await {
             Ok(0) => Err(lost_response(&reason)),
             Ok(_) if self.received_count > MAX_EXCHANGE_BYTES => Err(ExchangeError::TooLarge),
@@ -313,8 +330,8 @@
     ///
     /// Once a part of the request is sent, reading takes precedence: a write to a connection that
     /// was reset consumes the error, after which a read reports an ordinary end.
-    async fn receive(&mut self, unsent: &mut BytesMut) -> io::Result<usize> {
-        while !unsent.is_empty() {
+    async fn receive(&mut self, unsent: &mut UnsentRequest) -> io::Result<usize> {
+        while unsent.has_remaining() {
             let has_sent = self.has_sent;
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
@@ -324,15 +341,12 @@
                     self.received_count += count;
                     return Ok(count);
                 }
-                written = writer.write(unsent) => match written {
-                    Ok(count) => {
-                        self.has_sent |= count > 0;
-                        unsent.advance(count);
-                    }
+                written = writer.write_buf(unsent) => match written {
+                    Ok(count) => self.has_sent |= count > 0,
                     Err(error) if !has_sent => return Err(error),
                     // The server may have responded before it stopped reading.
                     Err(_) => {
-                        unsent.clear();
+                        unsent.advance(unsent.remaining());
                         self.has_write_error = true;
                     }
                 },
@@ -363,6 +377,10 @@
     }
 }
 
+fn response_buffer(options: &ExchangeOptions<'_>, length: Option<usize>) -> BodyBuffer {
+    BodyBuffer::new(Arc::clone(options.holding), length, MAX_RESPONSE_BYTES)
+}
+
 fn lost_response(error: &dyn std::fmt::Display) -> ExchangeError {
     ExchangeError::Lost(error.to_string())
 }
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -12,7 +12,6 @@
 mod limit_monitor;
 mod request_forwarder;
 mod request_state;
-mod response_buffer;
 mod routed_request;
 
 pub(crate) use account_gate::{account_headers, account_name, recheck_account};
--- a/crates/daemon/src/forward/request_state.rs
+++ b/crates/daemon/src/forward/request_state.rs
@@ -13,8 +13,8 @@
     ids::{BackendName, RouteName, ServiceName, SlotCount},
     member::BackendIncarnation,
     request::{
-        AdaptiveLimit, AttemptOutcome, CallRoutes, IdempotencyCache, LoadBalancer, ResponseBudget,
-        RetryBudget, RetryPolicy, RunNumber, RunRank, RunRegistry, SharedBudget, WaitEstimator,
+        AdaptiveLimit, AttemptOutcome, CallRoutes, IdempotencyCache, LoadBalancer, RetryBudget,
+        RetryPolicy, RunNumber, RunRank, RunRegistry, SharedBudget, WaitEstimator,
     },
 };
 use bronzelb_wire::peer::ForwardResponse;
@@ -60,8 +60,6 @@
     service_limiters: Mutex<BTreeMap<ServiceName, Arc<ServiceLimiter>>>,
     backends: Mutex<BTreeMap<BackendName, Arc<BackendRuntime>>>,
     idempotency_cache: Mutex<IdempotencyCache<ResultReceiver, SharedResult>>,
-    reading_budget: Mutex<ResponseBudget>,
-    waiting_budget: Arc<Mutex<ResponseBudget>>,
     in_flight: AtomicUsize,
     drain_gate: DrainGate,
 }
@@ -114,8 +112,6 @@
             service_limiters: Mutex::default(),
             backends: Mutex::default(),
             idempotency_cache: Mutex::default(),
-            reading_budget: Mutex::new(ResponseBudget::reading()),
-            waiting_budget: Arc::new(Mutex::new(ResponseBudget::waiting())),
             in_flight: AtomicUsize::new(0),
             drain_gate: DrainGate::default(),
         }
@@ -150,16 +146,6 @@
         change(entry.or_insert_with(|| SharedBudget::new(policy)))
     }
 
-    /// Returns the budget of the responses that are being read.
-    pub(crate) const fn reading_budget(&self) -> &Mutex<ResponseBudget> {
-        &self.reading_budget
-    }
-
-    /// Returns the budget of the responses that wait for their callers.
-    pub(crate) const fn waiting_budget(&self) -> &Arc<Mutex<ResponseBudget>> {
-        &self.waiting_budget
-    }
-
     /// Records the time that a caller of `route` will wait, and returns the estimated time that it
     /// has already waited.
     pub(crate) fn record_caller_wait(&self, route: &RouteName, wait: TimeBudget) -> TimeBudget {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod command;
 pub mod forward;
 pub mod gossip;
+pub mod holding;
 pub mod log;
 pub mod metrics;
 pub mod node;
--- a/crates/daemon/src/node/node_state.rs
+++ b/crates/daemon/src/node/node_state.rs
@@ -10,7 +10,7 @@
 use arc_swap::ArcSwapOption;
 use bronzelb_kernel::{
     clock::{ClockInstant, TimeBudget},
-    config::ConfigVersion,
+    config::{CallerLimits, ConfigVersion},
     error::{ErrorKind, MeshError},
     ids::{IncarnationNumber, NodeName},
     member::{MemberRow, MemberState, MemberTable},
@@ -32,6 +32,7 @@
     backends::{BackendTable, ContactMonitor, DepartureCopies, LEASE_DURATION},
     forward::RequestState,
     gossip::GossipState,
+    holding::HoldingState,
     log::{EventName, LogLimiter},
     metrics::{MetricClient, MetricSink},
     node::SystemClock,
@@ -104,6 +105,8 @@
     pub usage: UsageState,
     /// Admission and execution state of requests.
     pub requests: Arc<RequestState>,
+    /// What this node holds for its clients.
+    pub holding: Arc<HoldingState>,
     log_limiter: Mutex<LogLimiter>,
     is_draining: AtomicBool,
     /// Whether the last call to the platform failed; only changes are logged.
@@ -137,7 +140,9 @@
             settings.data_centre.clone(),
             settings.exposure_limit,
         );
+        let holding = HoldingState::new(clock, metric_sink.client(), settings.holding);
         Arc::new(Self {
+            holding,
             settings,
             addresses,
             gossip,
@@ -176,6 +181,14 @@
         self.config.load_full()
     }
 
+    /// Returns the limits of callers' connections.
+    #[must_use]
+    pub fn caller_limits(&self) -> CallerLimits {
+        let config = self.config.load();
+        let stated = config.as_ref().map(|config| config.snapshot().limits);
+        self.settings.callers.limits.or(stated.unwrap_or_default())
+    }
+
     /// Returns the instant at which the active version was applied.
     #[must_use]
     pub fn applied_at(&self) -> ClockInstant {
--- a/crates/daemon/src/operators/status_endpoints.rs
+++ b/crates/daemon/src/operators/status_endpoints.rs
@@ -43,5 +43,6 @@
     let mut text = state.metric_sink.render();
     text += &format!("bronzelb_peer_bytes_sent {}\n", traffic.sent());
     text += &format!("bronzelb_peer_bytes_received {}\n", traffic.received());
+    text += &format!("bronzelb_client_memory_bytes {}\n", state.holding.held());
     HttpResponse::Ok().body(text)
 }
--- a/crates/daemon/src/peers/peer_handler.rs
+++ b/crates/daemon/src/peers/peer_handler.rs
@@ -19,7 +19,9 @@
     backends::record_contact,
     forward::{RequestForwarder, RoutedRequest},
     gossip::GossipPool,
+    holding::RequestHold,
     node::NodeState,
+    peers::peer_pool::ROOM_RETRY_DELAY,
 };
 
 const PROBE_TIMEOUT: TimeBudget = TimeBudget::from_millis(500);
@@ -45,6 +47,15 @@
         &self.state
     }
 
+    /// Counts a received request until it has been answered.
+    async fn hold_message(&self, request: &ForwardRequest) -> Result<RequestHold, MeshError> {
+        let holding = &self.state.holding;
+        let held = holding
+            .hold(request.body.len(), ErrorKind::Overloaded)
+            .await;
+        held.map_err(|error| error.with_retry_at(self.state.now().after(ROOM_RETRY_DELAY)))
+    }
+
     fn deadline(&self, context: &Context) -> ClockInstant {
         let remaining = context
             .deadline
@@ -114,6 +125,7 @@
         let sent = |error: MeshError| error.sent_at(self.state.now());
         self.state.check_host().map_err(sent)?;
         let deadline = self.deadline(&context);
+        let _message = self.hold_message(&request).await.map_err(sent)?;
         let backends = self.forwarder.backends();
         let is_idempotent = backends.is_idempotent(&request);
         let requests = &self.state.requests;
@@ -133,6 +145,8 @@
         request: ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
         let deadline = self.deadline(&context);
+        let message = self.hold_message(&request).await;
+        let _message = message.map_err(|error| error.sent_at(self.state.now()))?;
         let config = self.state.config().ok_or_else(|| {
             MeshError::new(ErrorKind::NotReady, "the node has no configuration yet")
         })?;
--- a/crates/daemon/src/peers/peer_pool.rs
+++ b/crates/daemon/src/peers/peer_pool.rs
@@ -9,7 +9,7 @@
 };
 
 use bronzelb_kernel::{
-    clock::ClockInstant,
+    clock::{ClockInstant, TimeBudget},
     error::{ErrorKind, MeshError},
     ids::NodeName,
 };
@@ -21,6 +21,7 @@
 use tokio::{sync::watch, task::spawn_local, time};
 
 use crate::{
+    holding::RequestHold,
     node::NodeState,
     peers::peer_connection::{OpenedPeer, open_connection, unreachable_error},
 };
@@ -28,6 +29,10 @@
 /// Divisor of the time left that gives the longest wait for a connection to be opened; the rest
 /// remains for another server.
 const OPENING_WAIT_DIVISOR: u32 = 2;
+/// Copies of a request's body while it is sent: the encoded message and its frame.
+const MESSAGE_COPIES: usize = 2;
+/// Delay after which a caller may retry a request for which there is no room.
+pub(super) const ROOM_RETRY_DELAY: TimeBudget = TimeBudget::from_secs(1);
 
 /// Outgoing connections to other nodes, opened on demand; for one thread, shared by clones.
 #[derive(Clone)]
@@ -64,17 +69,35 @@
     ///
     /// [`ErrorKind::NoBackend`] when the node is not reachable, [`ErrorKind::Overloaded`] when it
     /// has not accepted a connection after half of the time left, [`ErrorKind::OutcomeUnknown`]
-    /// when the connection breaks or the deadline passes after the request was sent, and any error
-    /// that the node returns.
+    /// when the connection breaks or the deadline passes after the request was sent,
+    /// [`ErrorKind::BackendFailed`] when there is no room for the response, and any error that the
+    /// node returns.
     pub async fn forward(
         &self,
         node: &NodeName,
         deadline: ClockInstant,
         message: ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
+        let _copies = self.hold_copies(&message).await?;
         let send =
             async |client: PeerServiceClient, context| client.forward(context, message).await;
-        self.call(node, deadline, send).await
+        let response = self.call(node, deadline, send).await?;
+        self.hold_response(response).await
+    }
+
+    /// Counts the copies of a request that is encoded for another node.
+    async fn hold_copies(&self, message: &ForwardRequest) -> Result<RequestHold, MeshError> {
+        let copies = MESSAGE_COPIES * message.body.len();
+        let held = self.state.holding.hold(copies, ErrorKind::Overloaded).await;
+        held.map_err(|error| error.with_retry_at(self.state.now().after(ROOM_RETRY_DELAY)))
+    }
+
+    async fn hold_response(&self, response: ForwardResponse) -> Result<ForwardResponse, MeshError> {
+        let holding = &self.state.holding;
+        let body = holding
+            .hold_body(response.body, ErrorKind::BackendFailed)
+            .await?;
+        Ok(ForwardResponse { body, ..response })
     }
 
     /// Forwards a request to the node that owns its idempotency key.
@@ -88,8 +111,10 @@
         deadline: ClockInstant,
         message: ForwardRequest,
     ) -> Result<ForwardResponse, MeshError> {
+        let _copies = self.hold_copies(&message).await?;
         let send = async |client: PeerServiceClient, context| client.resume(context, message).await;
-        self.call(node, deadline, send).await
+        let response = self.call(node, deadline, send).await?;
+        self.hold_response(response).await
     }
 
     /// Sends one replicated record to a node.
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -7,8 +7,8 @@
 mod settings_check;
 
 pub use node_settings::{
-    CallerSettings, LocalSettings, NodeSettings, OperatorSettings, PeerSettings, PlatformSettings,
-    SpreadSettings,
+    CallerSettings, LimitSettings, LocalSettings, NodeSettings, OperatorSettings, PeerSettings,
+    PlatformSettings, SpreadSettings,
 };
 pub use operator_token::OperatorToken;
 pub use read_settings::{parse_settings, read_settings};
--- a/crates/daemon/src/settings/node_settings.rs
+++ b/crates/daemon/src/settings/node_settings.rs
@@ -3,7 +3,9 @@
 use bronzelb_kernel::{
     account::UsageBound,
     clock::TimeBudget,
-    ids::{DataCentre, MeshName, NodeName, ServiceName},
+    config::CallerLimits,
+    holding::HoldingLimits,
+    ids::{ByteCount, DataCentre, MeshName, NodeName, ServiceName},
     plugin::WireDialect,
     request::RetryPolicy,
     rollout::ExposureLimit,
@@ -29,6 +31,8 @@
     pub dialect: &'static WireDialect,
     /// All data centres of the mesh, for platforms whose operators' documents do not name them.
     pub data_centres: Vec<DataCentre>,
+    /// Limits of the VM, and what clients may hold of it.
+    pub holding: HoldingLimits,
     /// Listener for callers.
     pub callers: CallerSettings,
     /// Listener for other nodes.
@@ -65,6 +69,31 @@
     pub listen: SocketAddr,
     /// Service on the node's VM that sends its callers' requests.
     pub origin: Option<ServiceName>,
+    /// Limits in place of those that the configuration states.
+    pub limits: LimitSettings,
+}
+
+/// Limits of callers' connections; those of the configuration apply where there are none.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LimitSettings {
+    /// Size of a request's header fields.
+    pub max_header: Option<ByteCount>,
+    /// Time in which the head of a request arrives.
+    pub header_timeout: Option<TimeBudget>,
+    /// Time for which a connection may be idle.
+    pub idle_timeout: Option<TimeBudget>,
+}
+
+impl LimitSettings {
+    /// Returns the limits in force where the configuration states `limits`.
+    #[must_use]
+    pub fn or(&self, limits: CallerLimits) -> CallerLimits {
+        CallerLimits {
+            max_header: self.max_header.unwrap_or(limits.max_header),
+            header_timeout: self.header_timeout.unwrap_or(limits.header_timeout),
+            idle_timeout: self.idle_timeout.unwrap_or(limits.idle_timeout),
+        }
+    }
 }
 
 /// Settings of the listeners for the backend servers and the supervisor of the VM.
--- a/crates/daemon/src/settings/section_reader.rs
+++ b/crates/daemon/src/settings/section_reader.rs
@@ -1,24 +1,36 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use bronzelb_kernel::{
-    account::UsageBound, clock::TimeBudget, config::ShareRatio, error::MeshError,
-    plugin::WireDialect, request::RetryPolicy, rollout::ExposureLimit,
+    account::UsageBound,
+    clock::TimeBudget,
+    config::ShareRatio,
+    error::MeshError,
+    holding::{HoldingLimits, LimitOverrides, VmLimits},
+    ids::{ByteCount, ConnectionCount, DescriptorCount},
+    plugin::WireDialect,
+    request::RetryPolicy,
+    rollout::ExposureLimit,
 };
 use bronzelb_platform as _;
-use bronzelb_yaml::reader::{FieldNode, MapReader, parse_from_str};
+use bronzelb_yaml::reader::{FieldNode, MapReader, parse_byte_count, parse_from_str};
 use compact_str::CompactString;
 
 use crate::{
     backends::LEASE_DURATION,
     callers::NATIVE_DIALECT,
     settings::{
-        CallerSettings, LocalSettings, NodeSettings, OperatorSettings, PeerSettings,
+        CallerSettings, LimitSettings, LocalSettings, NodeSettings, OperatorSettings, PeerSettings,
         PlatformSettings, SpreadSettings,
     },
 };
 
 const DEFAULT_WORKERS: usize = 1;
 const MAX_WORKERS: usize = 64;
+/// Memory of the smallest VM that nodes run on.
+const DEFAULT_MEMORY: ByteCount = ByteCount::new(160_000_000);
+/// Fewest descriptors with which a node finds room for its own connections.
+const MIN_DESCRIPTORS: u32 = 128;
+const MIN_MEMORY: ByteCount = ByteCount::new(32_000_000);
 /// Upper bound on the retry ratio; more retries than requests only add load.
 const MAX_RETRY_RATIO: f64 = 1.0;
 const ADDRESS_EXAMPLE: &str = "listen: 10.0.1.1:9000";
@@ -32,6 +44,7 @@
     let node = reader.required("node", "node: leuven-1", parse_from_str);
     let data_centre = reader.required("data_centre", "data_centre: leuven", parse_from_str);
     let mesh_key = reader.required("mesh_key", "mesh_key: A-LONG-RANDOM-TEXT", parse_from_str);
+    let vm = read_optional_section(&mut reader, "vm", read_vm).unwrap_or_default();
     let callers = read_section(
         &mut reader,
         "callers",
@@ -83,6 +96,7 @@
         }),
         shutdown,
         is_first_start: is_first_start.unwrap_or(false),
+        holding: holding_limits(&vm),
         callers: callers?,
         peers: peers?,
         operators: operators?,
@@ -142,12 +156,49 @@
 fn read_callers(section: &mut MapReader<'_>) -> Option<CallerSettings> {
     let listen = section.required("listen", ADDRESS_EXAMPLE, parse_address);
     let origin = section.optional("origin", parse_from_str);
+    let limits = LimitSettings {
+        max_header: section.optional("max_header", parse_byte_count),
+        header_timeout: section.optional("header_timeout", parse_duration),
+        idle_timeout: section.optional("idle_timeout", parse_duration),
+    };
     Some(CallerSettings {
         listen: listen?,
         origin,
+        limits,
+    })
+}
+
+/// Limits of the VM and of its clients, as far as they are stated.
+#[derive(Default)]
+struct VmSection {
+    memory: Option<ByteCount>,
+    descriptors: Option<DescriptorCount>,
+    overrides: LimitOverrides,
+}
+
+fn read_vm(section: &mut MapReader<'_>) -> Option<VmSection> {
+    Some(VmSection {
+        memory: section.optional("memory", parse_memory),
+        descriptors: section.optional("descriptors", parse_descriptors),
+        overrides: LimitOverrides {
+            held: section.optional("client_memory", parse_byte_count),
+            callers: section.optional("caller_connections", parse_connections),
+            others: section.optional("other_connections", parse_connections),
+        },
     })
 }
 
+/// Without stated descriptors, the limit of the process applies.
+fn holding_limits(section: &VmSection) -> HoldingLimits {
+    let vm = VmLimits {
+        memory: section.memory.unwrap_or(DEFAULT_MEMORY),
+        descriptors: section
+            .descriptors
+            .unwrap_or(DescriptorCount::new(u32::MAX)),
+    };
+    HoldingLimits::new(vm, section.overrides)
+}
+
 fn read_local(section: &mut MapReader<'_>) -> Option<LocalSettings> {
     let example = "announcements: 10.0.1.1:9300";
     let announcements = section.required("announcements", example, parse_address);
@@ -326,6 +377,36 @@
     Ok(TimeBudget::from_micros(whole.as_micros() + part))
 }
 
+fn parse_memory(text: &str) -> Result<ByteCount, MeshError> {
+    let memory = parse_byte_count(text)?;
+    match memory < MIN_MEMORY {
+        true => Err(MeshError::invalid(format!(
+            "a node needs {MIN_MEMORY} bytes of memory or more, such as 160MB"
+        ))),
+        false => Ok(memory),
+    }
+}
+
+fn parse_descriptors(text: &str) -> Result<DescriptorCount, MeshError> {
+    let count: DescriptorCount = text.parse()?;
+    match count.get() < MIN_DESCRIPTORS {
+        true => Err(MeshError::invalid(format!(
+            "a node needs {MIN_DESCRIPTORS} descriptors or more, such as 4096"
+        ))),
+        false => Ok(count),
+    }
+}
+
+fn parse_connections(text: &str) -> Result<ConnectionCount, MeshError> {
+    let count: ConnectionCount = text.parse()?;
+    match count.get() {
+        0 => Err(MeshError::invalid(
+            "a listener without connections serves nobody; write 1 or more",
+        )),
+        _ => Ok(count),
+    }
+}
+
 fn parse_switch(text: &str) -> Result<bool, MeshError> {
     text.parse()
         .map_err(|_| MeshError::invalid(format!("{text:?} is neither true nor false")))
--- a/crates/yaml/src/reader/scalar_parser.rs
+++ b/crates/yaml/src/reader/scalar_parser.rs
@@ -3,6 +3,7 @@
 use bronzelb_kernel::{error::MeshError, ids::ByteCount};
 
 const BYTES_PER_KIB: u64 = 1024;
+const BYTES_PER_MB: u64 = 1_000_000;
 const BYTES_PER_MIB: u64 = 1024 * BYTES_PER_KIB;
 
 /// Parses a value with the `FromStr` implementation of its type.
@@ -43,7 +44,7 @@
     }
 }
 
-/// Parses a size with the unit B, KiB or MiB.
+/// Parses a size with the unit B, KiB, MB or MiB.
 ///
 /// # Errors
 ///
@@ -56,6 +57,7 @@
     let unit = match suffix {
         "B" => Some(1),
         "KiB" => Some(BYTES_PER_KIB),
+        "MB" => Some(BYTES_PER_MB),
         "MiB" => Some(BYTES_PER_MIB),
         _ => None,
     };
@@ -65,7 +67,7 @@
         .map(ByteCount::new)
         .ok_or_else(|| {
             MeshError::invalid(format!(
-                "size {text:?} is not a number with one of the units B, KiB or MiB, such as \
+                "size {text:?} is not a number with one of the units B, KiB, MB or MiB, such as \
                  \"64KiB\""
             ))
         })
