Limit the connections of listeners that are not for callers

Supervisors saw a node as not ready while 600 clients sent unfinished announcements to it: they took all 400 descriptors and kept them, since the body of an announcement had no time limit, and the listeners of the dialect let in 25,000 connections each.

Each listener has a share of the descriptors now, and the oldest connection closes for a new one; the same holds for nodes' connections before their handshake.

--- a/crates/daemon/src/operators/local_server.rs
+++ b/crates/daemon/src/operators/local_server.rs
@@ -1,8 +1,10 @@
 use std::{net::TcpListener, sync::Arc, time::Duration};
 
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, dev::Server, http::StatusCode, web};
+use actix_server::Server;
+use actix_web::{App, HttpRequest, HttpResponse, http::StatusCode, web};
 use bronzelb_kernel::{
-    error::{ErrorKind, MeshError},
+    error::MeshError,
+    holding::ConnectionKind,
     ids::BackendName,
     member::{BackendMessage, BackendState, StatedCold},
     plugin::{LocalDialect, LocalRequest},
@@ -14,11 +16,11 @@
     callers::caller_error_response,
     log::EventName,
     node::NodeState,
+    operators::limited_server::start_limited_server,
 };
 
 /// Body limit; an announcement is a few hundred bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 
 /// Starts the listeners for the VM's backend servers and its supervisor.
@@ -31,23 +33,15 @@
     dialect: LocalDialect,
     listeners: Vec<TcpListener>,
 ) -> Result<Server, MeshError> {
-    let mut server = HttpServer::new(move || {
+    let shared = Arc::clone(&state);
+    let app = move || {
         App::new()
-            .app_data(web::Data::from(Arc::clone(&state)))
+            .app_data(web::Data::from(Arc::clone(&shared)))
             .app_data(web::Data::new(dialect))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .default_service(web::to(handle_request))
-    })
-    .workers(1)
-    .client_request_timeout(HEADER_TIMEOUT)
-    .keep_alive(IDLE_TIMEOUT)
-    .disable_signals();
-    for listener in listeners {
-        server = server.listen(listener).map_err(|error| {
-            MeshError::new(ErrorKind::LocalIo, format!("local listener: {error}"))
-        })?;
-    }
-    Ok(server.run())
+    };
+    start_limited_server(&state, ConnectionKind::Local, listeners, IDLE_TIMEOUT, app)
 }
 
 async fn handle_request(
--- a/crates/daemon/src/operators/metric_server.rs
+++ b/crates/daemon/src/operators/metric_server.rs
@@ -1,14 +1,17 @@
-use std::{net::TcpListener, sync::Arc};
+use std::{net::TcpListener, sync::Arc, time::Duration};
 
-use actix_web::{App, HttpServer, dev::Server, web};
-use bronzelb_kernel::error::{ErrorKind, MeshError};
+use actix_server::Server;
+use actix_web::{App, web};
+use bronzelb_kernel::{error::MeshError, holding::ConnectionKind};
 
-use crate::{node::NodeState, operators::status_endpoints};
+use crate::{
+    node::NodeState,
+    operators::{limited_server::start_limited_server, status_endpoints},
+};
 
 /// Path of the metrics on the dedicated listener.
 const METRICS_PATH: &str = "/metrics";
-/// Connection limit; a monitoring system uses one or two connections.
-const MAX_CONNECTIONS: usize = 16;
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Starts the HTTP server for metrics.
 ///
@@ -19,15 +22,17 @@
     state: Arc<NodeState>,
     listener: TcpListener,
 ) -> Result<Server, MeshError> {
-    let server = HttpServer::new(move || {
+    let shared = Arc::clone(&state);
+    let app = move || {
         App::new()
-            .app_data(web::Data::from(Arc::clone(&state)))
+            .app_data(web::Data::from(Arc::clone(&shared)))
             .route(METRICS_PATH, web::get().to(status_endpoints::metrics))
-    })
-    .workers(1)
-    .max_connections(MAX_CONNECTIONS)
-    .disable_signals()
-    .listen(listener)
-    .map_err(|error| MeshError::new(ErrorKind::LocalIo, format!("metrics listener: {error}")))?;
-    Ok(server.run())
+    };
+    start_limited_server(
+        &state,
+        ConnectionKind::Metrics,
+        vec![listener],
+        IDLE_TIMEOUT,
+        app,
+    )
 }
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP servers for operators, metrics and the VM's backend servers.
 
 mod backend_endpoints;
+mod limited_server;
 mod local_server;
 mod metric_server;
 mod node_status;
--- a/crates/daemon/src/operators/operator_server.rs
+++ b/crates/daemon/src/operators/operator_server.rs
@@ -1,27 +1,29 @@
 use std::{net::TcpListener, sync::Arc, time::Duration};
 
+use actix_server::Server;
 use actix_web::{
-    App, HttpServer,
-    dev::Server,
+    App,
     error::{InternalError, JsonPayloadError},
     middleware::from_fn,
     web,
 };
-use bronzelb_kernel::error::{ErrorKind, MeshError};
+use bronzelb_kernel::{
+    error::{ErrorKind, MeshError},
+    holding::ConnectionKind,
+};
 
 use crate::{
     callers::error_response,
     node::NodeState,
     operators::{
-        backend_endpoints, operator_guard::authorize_operator,
-        request_timeout::enforce_request_timeout, status_endpoints,
+        backend_endpoints, limited_server::start_limited_server,
+        operator_guard::authorize_operator, request_timeout::enforce_request_timeout,
+        status_endpoints,
     },
     rollout,
 };
 
 const MAX_BODY_BYTES: usize = 64 * 1024;
-const MAX_CONNECTIONS: usize = 1_024;
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Starts the HTTP server for operators.
@@ -33,9 +35,10 @@
     state: Arc<NodeState>,
     listener: TcpListener,
 ) -> Result<Server, MeshError> {
-    let server = HttpServer::new(move || {
+    let shared = Arc::clone(&state);
+    let app = move || {
         App::new()
-            .app_data(web::Data::from(Arc::clone(&state)))
+            .app_data(web::Data::from(Arc::clone(&shared)))
             .app_data(json_config())
             .wrap(from_fn(enforce_request_timeout))
             .wrap(from_fn(authorize_operator))
@@ -43,15 +46,14 @@
             .configure(backend_endpoints::configure)
             .configure(rollout::configure_moves)
             .configure(rollout::configure_burn)
-    })
-    .workers(1)
-    .max_connections(MAX_CONNECTIONS)
-    .client_request_timeout(HEADER_TIMEOUT)
-    .keep_alive(IDLE_TIMEOUT)
-    .disable_signals()
-    .listen(listener)
-    .map_err(|error| MeshError::new(ErrorKind::LocalIo, format!("operator listener: {error}")))?;
-    Ok(server.run())
+    };
+    start_limited_server(
+        &state,
+        ConnectionKind::Operator,
+        vec![listener],
+        IDLE_TIMEOUT,
+        app,
+    )
 }
 
 /// Limits the size of JSON bodies and responds to malformed ones in the usual error format.
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -1,6 +1,6 @@
 use std::{io, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
-use bronzelb_kernel::error::MeshError;
+use bronzelb_kernel::{error::MeshError, holding::ConnectionKind};
 use bronzelb_wire::{PeerService, handshake::accept_peer};
 use futures::StreamExt;
 use slog::info;
@@ -59,6 +59,9 @@
     mut stop: StopSignal,
 ) {
     let state = Arc::clone(handler.state());
+    let Some(mut hold) = state.holding.add_connection(ConnectionKind::Handshake) else {
+        return;
+    };
     let _ = stream.set_nodelay(true);
     if let Err(error) = set_dead_peer_timeouts(&stream) {
         report_refused_peer(&state, address, &error.to_string());
@@ -67,11 +70,17 @@
     let mut stream = CountedStream::new(stream, state.peer_traffic.clone());
     let key = &state.settings.mesh_key;
     let handshake = accept_peer(&mut stream, key, rand::random());
-    let refused = match time::timeout(HANDSHAKE_TIMEOUT, handshake).await {
-        Ok(Ok(())) => None,
-        Ok(Err(error)) => Some(error),
-        Err(_) => Some(MeshError::invalid("the handshake timed out")),
+    let refused = tokio::select! {
+        result = time::timeout(HANDSHAKE_TIMEOUT, handshake) => match result {
+            Ok(Ok(())) => None,
+            Ok(Err(error)) => Some(error),
+            Err(_) => Some(MeshError::invalid("the handshake timed out")),
+        },
+        // Counted by the account.
+        () = hold.closed() => return,
     };
+    // An authenticated node is not a client.
+    drop(hold);
     if let Some(error) = refused {
         report_refused_peer(&state, address, &error.to_string());
         return;
