Count the responses that are kept for resends

A node kept up to 20,000 responses of up to 4 KiB, 80 MB, on behalf of callers that choose the keys, and would now count them as memory that cannot be made free. They may use a quarter of what clients may hold; a resend whose response is not kept gets 409 `already-done`, as after a large one. Found by reading; no test fails without the change.

--- a/crates/daemon/src/forward/keyed_request.rs
+++ b/crates/daemon/src/forward/keyed_request.rs
@@ -7,10 +7,13 @@
 use bronzelb_wire::peer::ForwardResponse;
 use tokio::{sync::watch, task::spawn_local, time};
 
-use crate::forward::{
-    RequestForwarder, RoutedRequest,
-    claim_table::{ClaimResult, ClaimSettlement},
-    request_state::{FlightGuard, ResultReceiver, SharedResult},
+use crate::{
+    forward::{
+        RequestForwarder, RoutedRequest,
+        claim_table::{ClaimResult, ClaimSettlement},
+        request_state::{FlightGuard, ResultReceiver, SharedResult},
+    },
+    holding::StoredBody,
 };
 
 /// Time after the deadline for which a waiter still accepts the shared result.
@@ -133,7 +136,7 @@
         let (result, outcome) = match RequestTicket::is_ticket(&run.key) {
             true => {
                 let result = self.run_ticket(&request).await;
-                let outcome = key_outcome(&result);
+                let outcome = self.key_outcome(&result);
                 (result, outcome)
             }
             false => self.run_claimed(&request, &run).await,
@@ -172,7 +175,7 @@
         {
             ClaimResult::Acquired(claim) => {
                 let result = self.run_admitted(request, permit).await;
-                let outcome = key_outcome(&result);
+                let outcome = self.key_outcome(&result);
                 let settlement = ClaimSettlement::of(&result);
                 spawn_local(self.claims.clone().settle(claim, settlement));
                 (result, outcome)
@@ -194,6 +197,28 @@
         }
     }
 
+    /// Returns the outcome that the idempotency cache stores for a request.
+    fn key_outcome(&self, result: &SharedResult) -> KeyOutcome<SharedResult> {
+        let response = match result {
+            Ok(response) if response.body.len() > MAX_REPLAY_BYTES => None,
+            Ok(response) => {
+                let body = StoredBody::attach(&self.state().holding, response.body.clone());
+                body.map(|body| ForwardResponse {
+                    body,
+                    ..response.clone()
+                })
+            }
+            Err(error) => {
+                return match error.kind().response().run_state {
+                    RunState::NotRun => KeyOutcome::NotRun,
+                    RunState::Ran => KeyOutcome::Completed(result.clone()),
+                    RunState::OutcomeUnknown => KeyOutcome::Unknown,
+                };
+            }
+        };
+        KeyOutcome::Completed(response.ok_or_else(already_done))
+    }
+
     /// Forwards a request to the node that holds its key.
     async fn forward_to_holder(
         &self,
@@ -215,22 +240,6 @@
     }
 }
 
-/// Returns the outcome that the idempotency cache stores for a request.
-fn key_outcome(result: &SharedResult) -> KeyOutcome<SharedResult> {
-    let run_state = match result {
-        Ok(response) if response.body.len() > MAX_REPLAY_BYTES => {
-            return KeyOutcome::Completed(Err(already_done()));
-        }
-        Ok(_) => RunState::Ran,
-        Err(error) => error.kind().response().run_state,
-    };
-    match run_state {
-        RunState::NotRun => KeyOutcome::NotRun,
-        RunState::Ran => KeyOutcome::Completed(result.clone()),
-        RunState::OutcomeUnknown => KeyOutcome::Unknown,
-    }
-}
-
 /// Returns the error for a key whose request has run but whose response is not stored.
 pub(crate) fn already_done() -> MeshError {
     MeshError::new(
