Search the head of a request only once in the raw stand-in

Trace: the test took 4.3 s alone, each upload longer than the one before (0.2, 0.6, 1.3, 2.3 s), and the announcement of its server lasts 3 s. Cause: `read_head` searched all that it had received again for every 4 KiB, also in what was left of earlier uploads of 8 MiB, on the thread of the test. It searches only what is new now.

The test is as it was.

--- a/crates/emulator/src/server/raw_server.rs
+++ b/crates/emulator/src/server/raw_server.rs
@@ -136,11 +136,17 @@
 
 /// Reads the head of a request; what follows it stays in `buffer`.
 pub async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+    let mut searched = 0;
     loop {
-        if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
-            let head: Vec<u8> = buffer.drain(..end + 4).collect();
+        let found = buffer[searched..]
+            .windows(4)
+            .position(|window| window == b"\r\n\r\n");
+        if let Some(end) = found {
+            let head: Vec<u8> = buffer.drain(..searched + end + 4).collect();
             return String::from_utf8(head).ok();
         }
+        // The end may begin in the last three bytes.
+        searched = buffer.len().saturating_sub(3);
         let mut chunk = [0; 4096];
         match stream.read(&mut chunk).await {
             Ok(0) | Err(_) => return None,
