--- a/crates/daemon/src/callers/caller_connection.rs
+++ b/crates/daemon/src/callers/caller_connection.rs
@@ -1,10 +1,7 @@
 use std::{collections::VecDeque, future::Future, io, pin::Pin, time::Duration};
 
 use actix_http::{
-    ConnectionType, Response, ServiceConfig, StatusCode,
-    body::{BodySize, BoxBody, MessageBody},
-    error::ParseError,
-    h1::{Codec, Message},
+    ConnectionType, Response, ServiceConfig, StatusCode, error::ParseError, h1::Codec,
 };
 use actix_web::HttpResponse;
 use bronzelb_kernel::{
@@ -12,25 +9,24 @@
     error::{ErrorKind, MeshError},
     holding::ConnectionStage,
 };
-use bytes::{Buf, Bytes, BytesMut};
 use futures::{StreamExt, stream::FuturesOrdered};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpStream, tcp::WriteHalf},
     time::{self, Instant},
 };
-use tokio_util::codec::Encoder;
 
 use crate::{
     callers::{
         caller_error_response,
         caller_handler::handle_request,
         caller_request::CallerRequest,
+        outgoing_response::{EncodableResponse, OutgoingResponse},
         request_reader::{ReadEvent, RequestReader, max_head},
         ticket_handler::{is_ticket_request, issue_ticket},
     },
     forward::RequestForwarder,
-    holding::{ConnectionHold, OutputHold},
+    holding::ConnectionHold,
     node::StopSignal,
 };
 
@@ -52,8 +48,6 @@
 /// Size of the receive buffer at which reading from the socket pauses while responses are pending.
 /// It exceeds the largest head of the users' platform; a larger one makes it grow.
 const MAX_BUFFERED_BYTES: usize = 32 * 1024;
-/// Size of the part of a response body that is encoded at once.
-const MAX_ENCODED_BYTES: usize = 32 * 1024;
 /// Size of the system's buffers of a connection, each way; see [`start_caller_server`].
 ///
 /// [`start_caller_server`]: crate::callers::start_caller_server
@@ -118,39 +112,6 @@
     Stopped,
 }
 
-/// A response and the codec that decoded its request.
-struct EncodableResponse {
-    response: Response<BoxBody>,
-    codec: Codec,
-}
-
-/// A response that is being written.
-struct OutgoingResponse {
-    codec: Codec,
-    /// Encoded bytes that are not written yet.
-    encoded: BytesMut,
-    /// Rest of the body, not encoded yet.
-    body: Bytes,
-    deadline: Instant,
-    /// Memory of the copies, counted once the caller does not take the response at once.
-    hold: Option<OutputHold>,
-}
-
-impl OutgoingResponse {
-    /// Removes written bytes, and returns whether the whole response has been written.
-    fn advance(&mut self, count: usize) -> io::Result<bool> {
-        if count == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
-        }
-        self.encoded.advance(count);
-        if self.encoded.is_empty() {
-            self.encoded.clear();
-            encode_part(&mut self.codec, &mut self.body, &mut self.encoded)?;
-        }
-        Ok(self.encoded.is_empty())
-    }
-}
-
 type PendingResponse = Pin<Box<dyn Future<Output = EncodableResponse>>>;
 
 struct CallerConnection {
@@ -237,7 +198,7 @@
         let outgoing = &mut self.outgoing;
         let event = tokio::select! {
             Some(response) = self.responses.next() => ConnectionEvent::Response(Box::new(response)),
-            written = write_some(&mut writer, outgoing), if is_writing => {
+            written = write_whole(&mut writer, outgoing), if is_writing => {
                 written?;
                 ConnectionEvent::Written
             }
@@ -313,11 +274,11 @@
             .with_retry_at(now.after(ROOM_RETRY_DELAY));
         let dialect = &state.settings.dialect.callers;
         let response = Response::from(caller_error_response(dialect, &error, now));
-        let mut encoded = BytesMut::new();
-        let outgoing = encode_response(response, Codec::default(), true, &mut encoded);
-        if outgoing.is_ok() {
+        let codec = Codec::default();
+        let refusal = EncodableResponse { response, codec };
+        if let Ok(mut outgoing) = refusal.encode(true, Instant::now()) {
             // The caller may not take it, and the connection closes either way.
-            let _ = self.stream.try_write(&encoded);
+            let _ = outgoing.try_write(&self.stream);
         }
     }
 
@@ -441,61 +402,30 @@
         if self.outgoing.is_some() {
             return Ok(false);
         }
-        let Some(EncodableResponse {
-            mut response,
-            codec,
-        }) = self.completed.pop_front()
-        else {
+        let Some(mut completed) = self.completed.pop_front() else {
             return Ok(false);
         };
         let is_last =
             self.responses.is_empty() && self.completed.is_empty() && self.deferred.is_none();
-        let wants_close = response.head().connection_type() == ConnectionType::Close;
-        if wants_close && is_last {
+        let head = completed.response.head_mut();
+        if head.connection_type() == ConnectionType::Close && is_last {
             self.is_closing = true;
         } else if !(self.is_closing && is_last) {
             // Later requests have already started, and their responses follow.
-            response
-                .head_mut()
-                .set_connection_type(ConnectionType::KeepAlive);
+            head.set_connection_type(ConnectionType::KeepAlive);
         }
         self.waiting_since = Instant::now();
-        let mut encoded = BytesMut::new();
-        let is_closing = self.is_closing && is_last;
-        let (codec, body) = encode_response(response, codec, is_closing, &mut encoded)?;
-        self.written = encoded.len() + body.len();
-        self.outgoing = Some(OutgoingResponse {
-            codec,
-            encoded,
-            body,
-            deadline: self.waiting_since + WRITE_TIMEOUT,
-            hold: None,
-        });
-        self.write_ready()
-    }
-
-    /// Writes as much of a response as the caller takes without waiting. Returns whether that was
-    /// all of it.
-    fn write_ready(&mut self) -> io::Result<bool> {
-        let Some(outgoing) = &mut self.outgoing else {
-            return Ok(false);
-        };
-        loop {
-            match self.stream.try_write(&outgoing.encoded) {
-                Ok(count) if outgoing.advance(count)? => {
-                    self.outgoing = None;
-                    return Ok(true);
-                }
-                Ok(_) => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    let sent = outgoing.body.len().min(SOCKET_BUFFER_BYTES);
-                    let size = outgoing.encoded.capacity() + sent;
-                    outgoing.hold = Some(self.hold.count_output(size));
-                    return Ok(false);
-                }
-                Err(error) => return Err(error),
-            }
+        let deadline = self.waiting_since + WRITE_TIMEOUT;
+        let mut outgoing = completed.encode(self.is_closing && is_last, deadline)?;
+        self.written = outgoing.len();
+        let is_written = outgoing.try_write(&self.stream)?;
+        if !is_written {
+            let sent = outgoing.len().min(SOCKET_BUFFER_BYTES);
+            let copies = outgoing.encoded_memory() + sent;
+            outgoing.hold = Some(self.hold.count_output(copies));
+            self.outgoing = Some(outgoing);
         }
+        Ok(is_written)
     }
 
     async fn write(&mut self, bytes: &[u8], deadline: Instant) -> io::Result<()> {
@@ -525,49 +455,13 @@
     }
 }
 
-/// Encodes the head of a response and the first part of its body. Returns the codec and the rest of
-/// the body.
-fn encode_response(
-    mut response: Response<BoxBody>,
-    mut codec: Codec,
-    is_closing: bool,
-    encoded: &mut BytesMut,
-) -> io::Result<(Codec, Bytes)> {
-    if is_closing {
-        response
-            .head_mut()
-            .set_connection_type(ConnectionType::Close);
-    }
-    let (head, body) = response.into_parts();
-    let mut body = buffered_body(body)?;
-    let size = BodySize::Sized(body.len() as u64);
-    codec.encode(Message::Item((head, size)), encoded)?;
-    encode_part(&mut codec, &mut body, encoded)?;
-    Ok((codec, body))
-}
-
-/// Encodes the next part of a body, which is a copy while a caller may read slowly.
-fn encode_part(codec: &mut Codec, body: &mut Bytes, encoded: &mut BytesMut) -> io::Result<()> {
-    if !body.is_empty() {
-        let part = body.split_to(body.len().min(MAX_ENCODED_BYTES));
-        codec.encode(Message::Chunk(Some(part)), encoded)?;
-    }
-    Ok(())
-}
-
-/// Writes a response as far as the caller takes it; the response is removed at its end.
-async fn write_some(
+/// Writes the whole response, which is removed at its end.
+async fn write_whole(
     writer: &mut WriteHalf<'_>,
     outgoing: &mut Option<OutgoingResponse>,
 ) -> io::Result<()> {
-    let Some(response) = outgoing else {
-        return Ok(());
-    };
-    loop {
-        let count = writer.write(&response.encoded).await?;
-        if response.advance(count)? {
-            break;
-        }
+    if let Some(response) = outgoing {
+        response.write(writer).await?;
     }
     *outgoing = None;
     Ok(())
@@ -579,9 +473,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Returns the bytes of a response body; the handlers never stream one.
-fn buffered_body(body: BoxBody) -> io::Result<Bytes> {
-    body.try_into_bytes()
-        .map_err(|_| io::Error::other("response body is not fully buffered"))
-}
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -7,6 +7,7 @@
 mod caller_server;
 mod error_response;
 mod native_dialect;
+mod outgoing_response;
 mod request_body;
 mod request_reader;
 mod ticket_handler;
--- a/crates/daemon/src/holding/connection_limiter.rs
+++ b/crates/daemon/src/holding/connection_limiter.rs
@@ -4,7 +4,7 @@
 use bronzelb_kernel::holding::ConnectionKind;
 use tokio::net::TcpStream;
 
-use crate::holding::HoldingState;
+use crate::holding::{ConnectionHold, HoldingState};
 
 /// Limits the connections of a server: one that has been open for long closes for a new one.
 pub(crate) fn limit_connections<E>(
@@ -19,11 +19,9 @@
     })
 }
 
+/// Serves a connection until it has to close; one that finds no room is closed at once.
 async fn serve_limited<E>(
-    served: Option<(
-        crate::holding::ConnectionHold,
-        impl Future<Output = Result<(), E>>,
-    )>,
+    served: Option<(ConnectionHold, impl Future<Output = Result<(), E>>)>,
 ) -> Result<(), E> {
     let Some((mut hold, served)) = served else {
         return Ok(());
