Let a connection close while it asks for the body of a request

A connection that has to leave kept its memory for up to 30 s if its caller had filled the system's buffers with unread responses and then waited for `100 Continue`; others that need large buffers waited for it. Found by reading; no test fails without the change.

--- a/crates/daemon/src/callers/caller_connection.rs
+++ b/crates/daemon/src/callers/caller_connection.rs
@@ -155,8 +155,7 @@
                     return Ok(CloseMode::Immediate);
                 }
                 if self.reader.take_expect_continue() {
-                    let deadline = Instant::now() + WRITE_TIMEOUT;
-                    self.write(CONTINUE_RESPONSE, deadline).await?;
+                    self.write_continue().await?;
                 }
                 self.reader.shrink();
             }
@@ -428,10 +427,15 @@
         Ok(is_written)
     }
 
-    async fn write(&mut self, bytes: &[u8], deadline: Instant) -> io::Result<()> {
-        time::timeout_at(deadline, self.stream.write_all(bytes))
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    /// Asks the caller for the body of its request, unless the connection has to close meanwhile.
+    async fn write_continue(&mut self) -> io::Result<()> {
+        let written = self.stream.write_all(CONTINUE_RESPONSE);
+        tokio::select! {
+            written = time::timeout(WRITE_TIMEOUT, written) => {
+                written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+            }
+            () = self.hold.closed() => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
     }
 
     /// Closes the write side and discards input for up to [`LINGER_TIMEOUT`], so that the caller
