--- a/crates/kernel/src/holding/holding_ledger.rs
+++ b/crates/kernel/src/holding/holding_ledger.rs
@@ -57,8 +57,9 @@
 /// Account of what a node holds for its clients.
 ///
 /// Where something does not fit, the connection whose client has held the most for the longest is
-/// closed: buffers of unfinished requests and unread responses before anything else. A request that
-/// runs at a server is never given up for another. `T` is a handle of a connection's task.
+/// closed: idle, or with an unfinished request or unread responses. A request that runs is not given
+/// up for another unless its client holds more than an ordinary request beside it. `T` is a handle of
+/// a connection's task.
 #[derive(Clone, Debug)]
 pub struct HoldingLedger<T> {
     limits: HoldingLimits,
@@ -356,7 +357,8 @@
         largest.map(|(id, _)| id)
     }
 
-    /// Connections that may close: their clients have to send or to read.
+    /// Connections that may close: their clients have to send or to read, or hold much beside a request
+    /// that runs.
     fn candidates(&self) -> impl Iterator<Item = (HolderId, &HolderEntry<T>)> {
         let holders = self.holders.iter().map(|(id, holder)| (*id, holder));
         holders.filter(|(_, holder)| {
